--- /dev/null
+++ b/internal/messenger/action.go
@@ -0,0 +1,47 @@
+package messenger
+
+import "time"
+
+// Action is one thing the decision logic wants done.
+type Action interface{ isAction() }
+
+// Dispatch sends a request to an upstream. It is answered by a Finish.
+type Dispatch struct {
+	Request  RequestID
+	Upstream UpstreamID
+	// Hedge is true for a second copy beside one that is still running; the
+	// first to produce output wins and the other is cancelled.
+	Hedge bool
+}
+
+// Refuse ends a request that was never dispatched.
+type Refuse struct {
+	Request RequestID
+	Reason  RefuseReason
+	// RetryAfter is when the caller may come back, from the actual backlog.
+	RetryAfter time.Duration
+}
+
+// RefuseReason is the stable name of a cause, used in answers and metrics.
+type RefuseReason string
+
+// The causes for which a request is refused.
+const (
+	RefuseQueueFull   RefuseReason = "queue-full"
+	RefuseRate        RefuseReason = "rate-limit"
+	RefuseConcurrency RefuseReason = "concurrency-limit"
+	RefuseTokens      RefuseReason = "token-limit"
+	RefuseDeadline    RefuseReason = "deadline"
+	RefuseNoUpstream  RefuseReason = "no-upstream"
+	RefuseUnknownPool RefuseReason = "unknown-pool"
+)
+
+// Send passes a control message to another router.
+type Send struct {
+	To      RouterID
+	Message PeerMessage
+}
+
+func (Dispatch) isAction() {}
+func (Refuse) isAction()   {}
+func (Send) isAction()     {}
--- /dev/null
+++ b/internal/messenger/event.go
@@ -0,0 +1,93 @@
+package messenger
+
+import "time"
+
+// Event is one thing that happened, told to the decision logic.
+type Event interface{ isEvent() }
+
+// Arrive says that a request came in and waits for its turn. The answer is a
+// Dispatch or a Refuse, now or later.
+type Arrive struct {
+	Request RequestID
+	Account AccountID
+	Class   ClassID
+	Pool    PoolID
+	// CostHint is the caller's guess in tokens; zero means none.
+	CostHint float64
+	// Deadline is when the caller stops waiting; zero means never.
+	Deadline time.Time
+	// Idempotent is true if the request may be sent more than once.
+	Idempotent bool
+	// Prefix is a hash of the prompt prefix; zero means none.
+	Prefix uint64
+}
+
+// Progress says that an upstream produced tokens since the last event.
+type Progress struct {
+	Request RequestID
+	Tokens  float64
+	// First is true on the first output of the request.
+	First bool
+}
+
+// Finish says that a dispatched attempt has ended and its slot is free.
+type Finish struct {
+	Request  RequestID
+	Upstream UpstreamID
+	// Tokens is what was produced in total, zero where it is not known.
+	Tokens float64
+	// Failed is true if the upstream failed, refused or went silent.
+	Failed bool
+	// Retry is true if the request must be placed again, on another upstream.
+	Retry bool
+}
+
+// Abandon says that the caller of a request has left. A request that still
+// waits is forgotten; one that runs is ended by its Finish.
+type Abandon struct{ Request RequestID }
+
+// PolicyChange says that another policy is in force.
+type PolicyChange struct{ Policy *Policy }
+
+// PeersChange says which routers are alive, in any order, self included.
+type PeersChange struct{ Routers []RouterID }
+
+// LoadReport is what an upstream said of its own load, some time ago.
+type LoadReport struct {
+	Upstream UpstreamID
+	// Running and Waiting count the requests inside the upstream.
+	Running, Waiting int
+	// Measured is when the upstream counted.
+	Measured time.Time
+}
+
+// CacheReport says that an upstream gained or dropped a prompt prefix. Such
+// reports come late and some are missing.
+type CacheReport struct {
+	Upstream UpstreamID
+	Prefix   uint64
+	Cached   bool
+}
+
+// Receive is a control message from another router.
+type Receive struct {
+	From    RouterID
+	Message PeerMessage
+}
+
+// Tick says that time has passed; it comes every TickInterval.
+type Tick struct{}
+
+// TickInterval is the time between two Ticks.
+const TickInterval = 10 * time.Millisecond
+
+func (Arrive) isEvent()       {}
+func (Progress) isEvent()     {}
+func (Finish) isEvent()       {}
+func (Abandon) isEvent()      {}
+func (PolicyChange) isEvent() {}
+func (PeersChange) isEvent()  {}
+func (LoadReport) isEvent()   {}
+func (CacheReport) isEvent()  {}
+func (Receive) isEvent()      {}
+func (Tick) isEvent()         {}
