--- a/internal/cli/deps.go
+++ b/internal/cli/deps.go
@@ -13,7 +13,7 @@
 	_ "github.com/tailscale/hujson"
 	_ "github.com/ugorji/go/codec"
 	_ "gonum.org/v1/plot/plotter"
-	_ "gonum.org/v1/plot/vg/draw"
 	_ "gonum.org/v1/plot/plotutil"
+	_ "gonum.org/v1/plot/vg/draw"
 	_ "pgregory.net/rapid"
 )
