--- /dev/null
+++ b/internal/dispatcher/attempt.go
@@ -0,0 +1,298 @@
+package dispatcher
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/tracker"
+)
+
+const (
+	// exchangeBytes is how much of an answer a transport reads ahead.
+	exchangeBytes = 32 << 10
+	// maxSilentPeriods is how many progress timeouts in a row an upstream that
+	// answers its probes may take before the head of its answer.
+	maxSilentPeriods = 3
+	// suspectShare is the part of the progress timeout after which a silent
+	// connection is given up once another to the same upstream was found dead.
+	suspectShare = 4
+)
+
+// attempt is one upstream that was given the request.
+type attempt struct {
+	upstream messenger.UpstreamID
+	policy   messenger.UpstreamPolicy
+	hedge    bool
+
+	x *exchange
+	// sent is true once the outcome knows that bytes may have left.
+	sent bool
+	// won is true for the attempt whose answer is relayed.
+	won bool
+	// resuming is true while the rest of the stream is asked for.
+	resuming bool
+	resumes  int
+	// mute is true while the last exchange ended by silence.
+	mute bool
+	// probe asks over another connection whether the upstream lives.
+	probe   *exchange
+	periods int
+
+	status int
+	header http.Header
+	stream *streamAnswer
+	whole  []byte
+	// counted are the tokens seen in the stream, reported what the engine says
+	// that it produced.
+	counted, reported float64
+
+	last, deadline time.Time
+}
+
+// tokens returns what the upstream produced, as far as it is known.
+func (at *attempt) tokens() float64 { return max(at.counted, at.reported) }
+
+// progressed notes a sign of life.
+func (at *attempt) progressed(now time.Time, timeout time.Duration) {
+	at.last, at.deadline = now, now.Add(timeout)
+}
+
+// pump looks at what every exchange brought.
+func (f *flight) pump() {
+	for _, at := range append([]*attempt(nil), f.attempts...) {
+		if f.over {
+			break
+		}
+		f.pumpProbe(at)
+		if f.holds(at) {
+			f.pumpAttempt(at)
+		}
+	}
+	f.drain()
+}
+
+// holds reports whether the attempt is still open.
+func (f *flight) holds(at *attempt) bool {
+	for _, open := range f.attempts {
+		if open == at {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *flight) pumpAttempt(at *attempt) {
+	p := at.x.take(f.room(at))
+	if p.sent && !at.sent {
+		at.sent = true
+		f.note(tracker.FirstByte)
+	}
+	if p.suspect {
+		at.deadline = earlier(at.deadline, at.last.Add(f.progressTimeout()/suspectShare))
+	}
+	if p.status != 0 && at.header == nil {
+		if !f.head(at, p) {
+			return
+		}
+	}
+	if len(p.body) > 0 {
+		at.progressed(f.now(), f.progressTimeout())
+		at.resumes = 0
+		if !f.body(at, p.body) {
+			return
+		}
+	}
+	if p.done && f.holds(at) {
+		f.exchangeDone(at, p.err)
+	}
+}
+
+// room reports whether more of the answer may be read. While it may not, the
+// upstream waits and is not held to be silent.
+func (f *flight) room(at *attempt) bool {
+	if at.stream == nil || f.relay.Room() {
+		return true
+	}
+	at.progressed(f.now(), f.progressTimeout())
+	return false
+}
+
+// head checks the head of an answer. It returns false if the attempt ended.
+func (f *flight) head(at *attempt, p progress) bool {
+	if p.header.Get(messenger.RequestIDHeader) != f.req.WireID {
+		f.d.counters.WrongAnswers.Add(1)
+		f.log().WithField("upstream", at.upstream).Warn("answer to another request")
+		f.attemptFailed(at, ProblemWrongAnswer, false)
+		return false
+	}
+	at.status, at.header = p.status, p.header
+	at.progressed(f.now(), f.progressTimeout())
+	f.dropProbe(at)
+	if at.resuming {
+		return f.resumed(at)
+	}
+	if busy(p.status) && f.retryable(at) {
+		f.attemptFailed(at, ProblemUpstreamFailed, false)
+		return false
+	}
+	if f.outcome.State() != tracker.Answered {
+		f.win(at)
+	}
+	if p.status == http.StatusOK && isEventStream(p.header) {
+		at.stream = &streamAnswer{engine: at.policy.Engine}
+	}
+	return f.holds(at)
+}
+
+// win makes at the attempt that answers and drops the others.
+func (f *flight) win(at *attempt) {
+	at.won = true
+	f.note(answerEvent(at.status))
+	for _, other := range append([]*attempt(nil), f.attempts...) {
+		if other != at {
+			f.drop(other)
+		}
+	}
+}
+
+// answerEvent tells an answer that proves that the request ran from one that
+// does not.
+func answerEvent(status int) tracker.Event {
+	if status == http.StatusTooManyRequests || status >= http.StatusInternalServerError {
+		return tracker.Decline
+	}
+	return tracker.Answer
+}
+
+// busy reports whether an upstream that answers with status may be asked
+// again elsewhere.
+func busy(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusBadGateway,
+		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+func isEventStream(h http.Header) bool {
+	return strings.HasPrefix(strings.ToLower(h.Get("Content-Type")), "text/event-stream")
+}
+
+// exchangeDone notes the end of an exchange.
+func (f *flight) exchangeDone(at *attempt, err error) {
+	if err == nil && at.header != nil && (at.stream == nil || at.stream.whole()) {
+		f.completed(at)
+		return
+	}
+	name := ProblemUpstreamFailed
+	if at.stream != nil {
+		name = ProblemStreamBroken
+	}
+	f.attemptFailed(at, name, true)
+}
+
+// attemptFailed decides what follows an attempt that brought no whole answer:
+// a resume, another attempt, or the end of the request. With resumable false
+// the stream is not worth asking for.
+func (f *flight) attemptFailed(at *attempt, problem string, resumable bool) {
+	if at.won && f.outcome.State() == tracker.Answered {
+		f.note(tracker.Break)
+	}
+	if resumable && f.resume(at) {
+		return
+	}
+	if f.retryable(at) && f.d.spendRetry() {
+		f.scheduleRetry(at)
+		return
+	}
+	f.close(at, true)
+	f.finish(at.upstream, at.tokens(), true, false)
+	if len(f.attempts) == 0 {
+		f.fail(problem)
+	}
+}
+
+// retryable reports whether the request may be placed again after at.
+func (f *flight) retryable(at *attempt) bool {
+	if f.gone || f.late() || len(f.attempts) > 1 || f.retries+1 >= f.d.cfg.MaxAttempts {
+		return false
+	}
+	if !at.sent {
+		return true
+	}
+	return f.req.Arrive.Idempotent && !f.outcome.Delivered()
+}
+
+// scheduleRetry ends at and asks for another upstream after a short wait.
+func (f *flight) scheduleRetry(at *attempt) {
+	f.close(at, true)
+	f.retries++
+	f.retry = at
+	f.retryAt = f.now()
+	if f.retries > 1 {
+		f.retryAt = f.retryAt.Add(f.d.jitter(retryDelay(f.retries)))
+	}
+	f.giveBack()
+}
+
+// giveBack asks the scheduler for another upstream once the wait is over.
+func (f *flight) giveBack() {
+	if f.retry == nil || f.now().Before(f.retryAt) {
+		return
+	}
+	at := f.retry
+	f.retry = nil
+	f.finish(at.upstream, at.tokens(), true, true)
+}
+
+// drop ends an attempt whose answer is not wanted and frees its slot.
+func (f *flight) drop(at *attempt) {
+	if at.won && f.outcome.State() == tracker.Answered {
+		f.note(tracker.Break)
+	}
+	f.close(at, true)
+	f.finish(at.upstream, at.tokens(), false, false)
+}
+
+// close ends the exchanges of an attempt. With cancel, an engine is told to
+// stop the stream.
+func (f *flight) close(at *attempt, cancel bool) {
+	f.dropProbe(at)
+	f.endExchange(at)
+	f.relay.Hold(-len(at.whole))
+	for i, open := range f.attempts {
+		if open == at {
+			f.attempts = append(f.attempts[:i], f.attempts[i+1:]...)
+			break
+		}
+	}
+	if !at.sent {
+		f.note(tracker.Unsent)
+		return
+	}
+	f.note(tracker.Fail)
+	if cancel && at.policy.Engine {
+		f.d.cancelStream(at.policy.Address, f.req.WireID)
+	}
+}
+
+// endExchange cancels the exchange of an attempt; its connection is not used
+// again unless the answer was whole.
+func (f *flight) endExchange(at *attempt) {
+	sent := at.x.cancel()
+	f.d.live.remove(at.policy.Address, at.x)
+	if sent && !at.sent {
+		at.sent = true
+		f.note(tracker.FirstByte)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,228 @@
+// Package dispatcher carries one request from its arrival to its answer: it
+// waits for the scheduler, sends the request to the upstream it is given,
+// relays the answer as it comes, and tells the scheduler how it went.
+//
+// Whether a request may be sent again, and what the caller is told about it,
+// is asked of package tracker alone. A stream that breaks off or goes silent
+// is resumed after its last event; an answer that carries another request's id
+// is never relayed; a refusal is a problem document of RFC 9457.
+//
+// # Usage
+//
+//	d := dispatcher.New(dispatcher.Config{Upstreams: table, Clock: clock})
+//	defer d.Close()
+//	result := d.Serve(ctx, &dispatcher.Request{ID: id, WireID: wireID, ...}, queue, caller)
+//
+// Serve blocks until the request has ended; it is called from the goroutine of
+// the caller's request.
+package dispatcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/relayer"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// Defaults of Config.
+const (
+	DefaultProgressTimeout = 10 * time.Second
+	DefaultCallerTimeout   = 60 * time.Second
+	DefaultConnectTimeout  = 2 * time.Second
+	DefaultIdleTimeout     = 30 * time.Second
+	DefaultMaxAnswerBytes  = 16 << 20
+	DefaultMaxAttempts     = 3
+	DefaultMaxResumes      = 4
+	DefaultRetryRatio      = 0.1
+	DefaultRetryBurst      = 10
+)
+
+// Caller is the connection to the one who sent the request.
+type Caller interface {
+	http.ResponseWriter
+	Flush()
+	// Pending returns the bytes written and not yet sent.
+	Pending() int
+	// Done is closed once the connection is gone.
+	Done() <-chan struct{}
+}
+
+// Queue is the scheduler as one request sees it.
+type Queue interface {
+	// Actions brings each Dispatch and Refuse of the request.
+	Actions() <-chan messenger.Action
+	// Tell passes an event on. It does not block for long.
+	Tell(messenger.Event)
+}
+
+// Upstreams finds the settings of an upstream.
+type Upstreams interface {
+	Upstream(messenger.UpstreamID) (messenger.UpstreamPolicy, bool)
+}
+
+// Request is one request of a caller.
+type Request struct {
+	ID messenger.RequestID
+	// WireID is the request's id towards upstreams and in the answer. It must
+	// be unique in the fleet: a stream is resumed and canceled by it.
+	WireID string
+	// Arrive is what the scheduler is told first.
+	Arrive messenger.Arrive
+	Method string
+	// URI is the path and query to ask the upstream for.
+	URI    string
+	Header http.Header
+	Body   []byte
+	Class  messenger.ClassPolicy
+	// Streaming is true if the answer is expected as a stream of events, so
+	// that silence before its head can be settled by a resume.
+	Streaming bool
+	// Key is the caller's idempotency key; "" means none.
+	Key string
+}
+
+// Result says how a request ended.
+type Result struct {
+	Status int
+	Run    messenger.RunState
+	// Problem is the name of the problem document that was sent; "" means that
+	// the upstream's answer was relayed.
+	Problem  string
+	Upstream messenger.UpstreamID
+	// Tokens is what the upstream produced, as far as it is known.
+	Tokens   float64
+	Attempts int
+	Resumes  int
+	// CallerGone is true if the caller left before its answer was whole.
+	CallerGone bool
+	// Dispatched, FirstOutput and Finished are zero where they did not happen.
+	Dispatched, FirstOutput, Finished time.Time
+}
+
+// Config is the settings of a Dispatcher. Upstreams is required; every other
+// field has a usable zero value.
+type Config struct {
+	Upstreams Upstreams
+	// Recorder keeps idempotency keys; nil refuses requests that carry one.
+	Recorder Recorder
+	Clock    timekeeper.Clock
+	Log      *logrus.Logger
+	// Seed seeds the jitter of retries.
+	Seed uint64
+	// Budget bounds the bytes held for callers; nil takes a default one.
+	Budget *relayer.Budget
+	Relay  relayer.Limits
+	// CallerTimeout is how long a caller may take nothing of what waits for it.
+	CallerTimeout time.Duration
+	// ConnectTimeout bounds the opening of a connection to an upstream.
+	ConnectTimeout time.Duration
+	// IdleTimeout is how long an idle connection is kept for reuse.
+	IdleTimeout time.Duration
+	// MaxAnswerBytes bounds an answer that is not a stream of events.
+	MaxAnswerBytes int
+	// MaxAttempts bounds the attempts of one request, hedges not counted.
+	MaxAttempts int
+	// MaxResumes bounds the resumes in a row that bring no event.
+	MaxResumes int
+	// RetryRatio is the largest share of retries among requests, RetryBurst
+	// how many may come at once on top.
+	RetryRatio float64
+	RetryBurst int
+}
+
+// Dispatcher sends requests to upstreams. It is safe for concurrent use.
+type Dispatcher struct {
+	cfg       Config
+	transport transport
+	budget    *retryBudget
+	live      liveExchanges
+	counters  Counters
+
+	mu  sync.Mutex
+	rng *rand.Rand
+
+	// background counts the work that outlives its request, such as cancels.
+	background sync.WaitGroup
+}
+
+// New returns a Dispatcher.
+func New(cfg Config) *Dispatcher {
+	setDefaults(&cfg)
+	return &Dispatcher{
+		cfg:       cfg,
+		transport: newHTTPTransport(cfg.IdleTimeout),
+		budget:    newRetryBudget(cfg.RetryRatio, cfg.RetryBurst),
+		rng:       rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+	}
+}
+
+func setDefaults(cfg *Config) {
+	if cfg.Clock == nil {
+		cfg.Clock = timekeeper.System{}
+	}
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	if cfg.Budget == nil {
+		cfg.Budget = relayer.NewBudget(0)
+	}
+	setDuration(&cfg.CallerTimeout, DefaultCallerTimeout)
+	setDuration(&cfg.ConnectTimeout, DefaultConnectTimeout)
+	setDuration(&cfg.IdleTimeout, DefaultIdleTimeout)
+	setInt(&cfg.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	setInt(&cfg.MaxAttempts, DefaultMaxAttempts)
+	setInt(&cfg.MaxResumes, DefaultMaxResumes)
+	setInt(&cfg.RetryBurst, DefaultRetryBurst)
+	if cfg.RetryRatio <= 0 {
+		cfg.RetryRatio = DefaultRetryRatio
+	}
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+func setInt(n *int, value int) {
+	if *n <= 0 {
+		*n = value
+	}
+}
+
+// Serve carries a request to its end and answers the caller in every case.
+// Each Dispatch that it is given is answered by exactly one Finish. When it
+// returns, the caller has been given everything that it will be given. Work
+// that ctx ends is answered truthfully.
+func (d *Dispatcher) Serve(ctx context.Context, req *Request, q Queue, c Caller) Result {
+	f := newFlight(d, req, q, c)
+	f.run(ctx)
+	return f.result
+}
+
+// Counters returns what the Dispatcher has counted.
+func (d *Dispatcher) Counters() *Counters { return &d.counters }
+
+// Close waits for the work that outlived its requests and closes all idle
+// connections. Serve must not be called after it.
+func (d *Dispatcher) Close() {
+	d.background.Wait()
+	d.transport.Close()
+}
+
+// jitter returns a random duration from 0 to limit.
+func (d *Dispatcher) jitter(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Duration(d.rng.Int64N(int64(limit)))
+}
--- /dev/null
+++ b/internal/dispatcher/exchange.go
@@ -0,0 +1,171 @@
+package dispatcher
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Errors of an exchange.
+var (
+	errCanceled   = merry.Sentinel("exchange canceled")
+	errNoUpstream = merry.Sentinel("upstream not known")
+	errNoRecorder = merry.Sentinel("no store for idempotency keys")
+)
+
+// outgoing is a request as it is written to an upstream.
+type outgoing struct {
+	address     string
+	method, uri string
+	header      http.Header
+	body        []byte
+	// fresh asks for a new connection instead of an idle one.
+	fresh bool
+}
+
+// transport carries exchanges to upstreams. Start does not block; what comes
+// of it is found in the exchange.
+type transport interface {
+	Start(x *exchange, out *outgoing)
+	// Retire closes the idle connections to an address.
+	Retire(address string)
+	Close()
+}
+
+// exchange is one HTTP exchange with an upstream. A transport fills it, the
+// goroutine of the request drains it.
+type exchange struct {
+	// ready gets a token whenever there is something new.
+	ready chan<- struct{}
+	// limit is the most body bytes to hold before the transport pauses.
+	limit int
+
+	mu       sync.Mutex
+	sent     bool
+	canceled bool
+	done     bool
+	err      error
+	status   int
+	header   http.Header
+	body     []byte
+	paused   bool
+	// suspect is true if another connection to the same upstream was found
+	// dead.
+	suspect bool
+	// stop ends the transport's work; resume lets it read on.
+	stop, resume func()
+}
+
+// progress is what an exchange brought since the last look.
+type progress struct {
+	sent, done, suspect bool
+	err                 error
+	status              int
+	header              http.Header
+	body                []byte
+}
+
+// take returns the state of the exchange and the body bytes that came since
+// the last call. With room false the body stays where it is.
+func (x *exchange) take(room bool) progress {
+	x.mu.Lock()
+	p := progress{sent: x.sent, status: x.status, header: x.header, err: x.err, suspect: x.suspect}
+	x.suspect = false
+	var resume func()
+	if room {
+		p.body, x.body = x.body, nil
+		if x.paused && !x.done {
+			x.paused = false
+			resume = x.resume
+		}
+	}
+	p.done = x.done && len(x.body) == 0
+	x.mu.Unlock()
+	if resume != nil {
+		resume()
+	}
+	return p
+}
+
+// markSent notes that bytes of the request may leave from now on. It returns
+// false if the exchange was canceled, and then none may.
+func (x *exchange) markSent() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.canceled {
+		return false
+	}
+	x.sent = true
+	return true
+}
+
+// setStop gives the exchange the means to end and to resume the transport's
+// work. It returns false if the exchange was canceled.
+func (x *exchange) setStop(stop, resume func()) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.stop, x.resume = stop, resume
+	return !x.canceled
+}
+
+// setHead notes the status line and header of the answer.
+func (x *exchange) setHead(status int, header http.Header) {
+	x.mu.Lock()
+	x.status, x.header = status, header
+	x.mu.Unlock()
+	x.signal()
+}
+
+// addBody notes body bytes, which are copied. It returns false if the
+// transport is to pause until its resume function is called.
+func (x *exchange) addBody(p []byte) bool {
+	x.mu.Lock()
+	x.body = append(x.body, p...)
+	x.paused = len(x.body) >= x.limit
+	more := !x.paused
+	x.mu.Unlock()
+	x.signal()
+	return more
+}
+
+// finish ends the exchange; only the first call counts.
+func (x *exchange) finish(err error) {
+	x.mu.Lock()
+	if !x.done {
+		x.done, x.err = true, err
+	}
+	x.mu.Unlock()
+	x.signal()
+}
+
+// cancel ends the exchange from the side of the request. It returns whether a
+// byte of the request may have left; none does after it.
+func (x *exchange) cancel() bool {
+	x.mu.Lock()
+	x.canceled = true
+	if !x.done {
+		x.done, x.err = true, errCanceled
+	}
+	stop, sent := x.stop, x.sent
+	x.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+	return sent
+}
+
+// markSuspect asks the request to check that the connection still works.
+func (x *exchange) markSuspect() {
+	x.mu.Lock()
+	x.suspect = true
+	x.mu.Unlock()
+	x.signal()
+}
+
+func (x *exchange) signal() {
+	select {
+	case x.ready <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/fakes_test.go
@@ -0,0 +1,229 @@
+package dispatcher
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// fakeCaller is a caller in memory. With slow set, nothing is sent until
+// drain is called.
+type fakeCaller struct {
+	mu      sync.Mutex
+	header  http.Header
+	status  int
+	body    []byte
+	flushes int
+	slow    bool
+	pending int
+	done    chan struct{}
+	// wrote gets a token on each write.
+	wrote chan struct{}
+}
+
+func newFakeCaller() *fakeCaller {
+	return &fakeCaller{header: make(http.Header), done: make(chan struct{}), wrote: make(chan struct{}, 1)}
+}
+
+func (c *fakeCaller) Header() http.Header { return c.header }
+
+func (c *fakeCaller) WriteHeader(status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.status != 0 {
+		panic("head written twice")
+	}
+	c.status = status
+}
+
+func (c *fakeCaller) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.body = append(c.body, p...)
+	if c.slow {
+		c.pending += len(p)
+	}
+	select {
+	case c.wrote <- struct{}{}:
+	default:
+	}
+	return len(p), nil
+}
+
+func (c *fakeCaller) Flush() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.flushes++
+}
+
+func (c *fakeCaller) Pending() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending
+}
+
+func (c *fakeCaller) Done() <-chan struct{} { return c.done }
+
+func (c *fakeCaller) text() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return string(c.body)
+}
+
+// fakeQueue gives one request its upstreams in turn and keeps what it is told.
+type fakeQueue struct {
+	mu      sync.Mutex
+	actions chan messenger.Action
+	turns   []messenger.UpstreamID
+	turn    int
+	events  []messenger.Event
+	// hold keeps the first Dispatch back.
+	hold bool
+	id   messenger.RequestID
+}
+
+func newFakeQueue(turns ...messenger.UpstreamID) *fakeQueue {
+	return &fakeQueue{actions: make(chan messenger.Action, 16), turns: turns}
+}
+
+func (q *fakeQueue) Actions() <-chan messenger.Action { return q.actions }
+
+func (q *fakeQueue) Tell(e messenger.Event) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.events = append(q.events, e)
+	switch e := e.(type) {
+	case messenger.Arrive:
+		q.id = e.Request
+		if !q.hold {
+			q.next()
+		}
+	case messenger.Finish:
+		if e.Retry {
+			q.next()
+		}
+	}
+}
+
+// next dispatches to the upstream whose turn it is, or refuses.
+func (q *fakeQueue) next() {
+	if q.turn >= len(q.turns) {
+		q.actions <- messenger.Refuse{Request: q.id, Reason: messenger.RefuseNoUpstream}
+		return
+	}
+	q.actions <- messenger.Dispatch{Request: q.id, Upstream: q.turns[q.turn]}
+	q.turn++
+}
+
+// finishes returns the Finish events told so far.
+func (q *fakeQueue) finishes() []messenger.Finish {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out []messenger.Finish
+	for _, e := range q.events {
+		if f, ok := e.(messenger.Finish); ok {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// tokens returns the sum of the tokens of all Progress events, and how many of
+// these events said First.
+func (q *fakeQueue) tokens() (sum float64, firsts int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, e := range q.events {
+		if p, ok := e.(messenger.Progress); ok {
+			sum += p.Tokens
+			if p.First {
+				firsts++
+			}
+		}
+	}
+	return sum, firsts
+}
+
+// fixedUpstreams are upstreams that do not change.
+type fixedUpstreams map[messenger.UpstreamID]messenger.UpstreamPolicy
+
+func (u fixedUpstreams) Upstream(id messenger.UpstreamID) (messenger.UpstreamPolicy, bool) {
+	p, ok := u[id]
+	return p, ok
+}
+
+// serve starts an upstream on loopback that answers with h.
+func serve(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// serveRaw starts an upstream on loopback that reads requests and lets h write
+// whatever it likes, on a connection that is closed after it.
+func serveRaw(t *testing.T, h func(conn net.Conn, r *http.Request)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, r.Body); err != nil {
+					return
+				}
+				h(conn, r)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func quietLog() *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+// echoID sends the request's id back, as every upstream does.
+func echoID(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(messenger.RequestIDHeader, r.Header.Get(messenger.RequestIDHeader))
+}
+
+// problemOf reads the problem document that a caller was given.
+func problemOf(t *testing.T, c *fakeCaller) problem {
+	t.Helper()
+	if got, want := c.header.Get("Content-Type"), "application/problem+json"; got != want {
+		t.Fatalf("Content-Type = %q, want %q; body %q", got, want, c.text())
+	}
+	var p problem
+	if err := json.Unmarshal([]byte(c.text()), &p); err != nil {
+		t.Fatalf("problem document: %v", err)
+	}
+	return p
+}
--- /dev/null
+++ b/internal/dispatcher/live.go
@@ -0,0 +1,45 @@
+package dispatcher
+
+import "sync"
+
+// liveExchanges knows the exchanges in flight by upstream address, so that a
+// connection found dead draws attention to those that may share its fate.
+type liveExchanges struct {
+	mu        sync.Mutex
+	byAddress map[string]map[*exchange]struct{}
+}
+
+func (l *liveExchanges) add(address string, x *exchange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.byAddress == nil {
+		l.byAddress = make(map[string]map[*exchange]struct{})
+	}
+	m := l.byAddress[address]
+	if m == nil {
+		m = make(map[*exchange]struct{})
+		l.byAddress[address] = m
+	}
+	m[x] = struct{}{}
+}
+
+func (l *liveExchanges) remove(address string, x *exchange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.byAddress[address]
+	delete(m, x)
+	if len(m) == 0 {
+		delete(l.byAddress, address)
+	}
+}
+
+// suspect marks every exchange with address except the one that works.
+func (l *liveExchanges) suspect(address string, except *exchange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for x := range l.byAddress[address] {
+		if x != except {
+			x.markSuspect()
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/resume.go
@@ -0,0 +1,192 @@
+package dispatcher
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/tracker"
+)
+
+const (
+	streamsPath = "/v1/streams/"
+	healthPath  = "/healthz"
+	// cancelTries is how often an engine is told to stop a stream, cancelPause
+	// the wait between two tries.
+	cancelTries = 3
+	cancelPause = 500 * time.Millisecond
+	// cancelTimeout bounds one try.
+	cancelTimeout = 2 * time.Second
+)
+
+func streamURI(wireID string) string { return streamsPath + url.PathEscape(wireID) }
+
+// resume asks an engine for the rest of the stream after the last event that
+// was delivered, over a new connection. It returns false if that is not
+// possible, and then the attempt stands as it was.
+func (f *flight) resume(at *attempt) bool {
+	if !at.policy.Engine || !at.sent || !f.outcome.MayResume() {
+		return false
+	}
+	if at.stream == nil && (!f.req.Streaming || at.header != nil || f.retryable(at)) {
+		return false
+	}
+	if f.gone || at.resumes >= f.d.cfg.MaxResumes {
+		return false
+	}
+	at.resumes++
+	at.resuming = true
+	f.result.Resumes++
+	f.d.counters.Resumes.Add(1)
+	f.endExchange(at)
+	var last uint64
+	if at.stream != nil {
+		last = at.stream.lastID
+		at.stream.split = sseSplitter{}
+	}
+	at.status, at.header = 0, nil
+	header := make(http.Header)
+	header.Set(messenger.RequestIDHeader, f.req.WireID)
+	header.Set(messenger.LastEventIDHeader, strconv.FormatUint(last, 10))
+	f.start(at, &outgoing{
+		address: at.policy.Address, method: http.MethodGet,
+		uri: streamURI(f.req.WireID), header: header, fresh: true,
+	})
+	return true
+}
+
+// resumed checks the head of the answer to a resume. It returns false if the
+// attempt ended.
+func (f *flight) resumed(at *attempt) bool {
+	at.resuming = false
+	if at.status != http.StatusOK || !isEventStream(at.header) {
+		gone := at.status == http.StatusNotFound || at.status == http.StatusGone
+		f.attemptFailed(at, ProblemStreamBroken, !gone)
+		return false
+	}
+	if at.mute {
+		at.mute = false
+		f.d.shareFate(at.policy.Address, at.x)
+	}
+	f.note(tracker.Answer)
+	if !at.won {
+		at.won = true
+	}
+	if at.stream == nil {
+		at.stream = &streamAnswer{engine: true}
+	}
+	return true
+}
+
+// silent decides what follows when an upstream made no progress in time.
+func (f *flight) silent(at *attempt) {
+	f.d.counters.Silences.Add(1)
+	f.log().WithField("upstream", at.upstream).Warn("upstream silent")
+	at.mute = true
+	if f.resume(at) {
+		return
+	}
+	if at.stream == nil && at.sent && at.periods < maxSilentPeriods {
+		f.startProbe(at)
+		return
+	}
+	f.attemptFailed(at, ProblemUpstreamSilent, false)
+}
+
+// startProbe asks over a new connection whether the upstream lives.
+func (f *flight) startProbe(at *attempt) {
+	if at.probe != nil {
+		f.dropProbe(at)
+		f.d.transport.Retire(at.policy.Address)
+		f.attemptFailed(at, ProblemUpstreamSilent, false)
+		return
+	}
+	at.periods++
+	at.probe = &exchange{ready: f.ready, limit: exchangeBytes}
+	at.deadline = f.now().Add(min(f.progressTimeout(), f.d.cfg.ConnectTimeout))
+	f.d.transport.Start(at.probe, &outgoing{
+		address: at.policy.Address, method: http.MethodGet, uri: healthPath,
+		header: make(http.Header), fresh: true,
+	})
+}
+
+// pumpProbe looks at the answer to a probe. An upstream that lives is given
+// another progress timeout; one that does not is given up.
+func (f *flight) pumpProbe(at *attempt) {
+	if at.probe == nil {
+		return
+	}
+	p := at.probe.take(true)
+	switch {
+	case p.status == http.StatusOK:
+		f.dropProbe(at)
+		at.deadline = f.now().Add(f.progressTimeout())
+	case p.status != 0 || p.done:
+		f.dropProbe(at)
+		f.attemptFailed(at, ProblemUpstreamSilent, false)
+	}
+}
+
+func (f *flight) dropProbe(at *attempt) {
+	if at.probe != nil {
+		at.probe.cancel()
+		at.probe = nil
+	}
+}
+
+// shareFate retires what may have died together with a connection: the idle
+// connections to address, and those in flight, which are checked.
+func (d *Dispatcher) shareFate(address string, works *exchange) {
+	d.transport.Retire(address)
+	d.live.suspect(address, works)
+}
+
+// spendRetry takes one retry from the budget.
+func (d *Dispatcher) spendRetry() bool {
+	if !d.budget.spend() {
+		d.counters.RetriesDenied.Add(1)
+		return false
+	}
+	d.counters.Retries.Add(1)
+	return true
+}
+
+// cancelStream tells an engine, in the background, to stop a stream.
+func (d *Dispatcher) cancelStream(address, wireID string) {
+	d.counters.Cancels.Add(1)
+	d.background.Go(func() {
+		for i := range cancelTries {
+			if i > 0 {
+				<-d.cfg.Clock.After(cancelPause)
+			}
+			if d.cancelOnce(address, wireID) {
+				return
+			}
+		}
+	})
+}
+
+// cancelOnce tells an engine once to stop a stream. It reports whether the
+// engine did; an engine that does not know the stream may yet receive it.
+func (d *Dispatcher) cancelOnce(address, wireID string) bool {
+	ready := make(chan struct{}, 1)
+	x := &exchange{ready: ready, limit: exchangeBytes}
+	defer x.cancel()
+	header := make(http.Header)
+	header.Set(messenger.RequestIDHeader, wireID)
+	d.transport.Start(x, &outgoing{address: address, method: http.MethodDelete, uri: streamURI(wireID), header: header, fresh: true})
+	timeout := d.cfg.Clock.After(cancelTimeout)
+	for {
+		select {
+		case <-ready:
+		case <-timeout:
+			return false
+		}
+		p := x.take(true)
+		if p.status != 0 || p.done {
+			return p.status >= http.StatusOK && p.status < http.StatusMultipleChoices
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/retry.go
@@ -0,0 +1,45 @@
+package dispatcher
+
+import (
+	"sync"
+	"time"
+)
+
+// retryBase is the longest wait before the first retry; it doubles with each.
+const retryBase = 20 * time.Millisecond
+
+// retryBudget lets retries be a bounded share of requests, so that a failing
+// pool does not get more work than a healthy one.
+type retryBudget struct {
+	mu     sync.Mutex
+	ratio  float64
+	burst  float64
+	tokens float64
+}
+
+func newRetryBudget(ratio float64, burst int) *retryBudget {
+	return &retryBudget{ratio: ratio, burst: float64(burst), tokens: float64(burst)}
+}
+
+// earn notes a first attempt.
+func (b *retryBudget) earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.tokens+b.ratio, b.burst)
+}
+
+// spend takes one retry from the budget and reports whether there was one.
+func (b *retryBudget) spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// retryDelay returns the longest wait before the n-th retry.
+func retryDelay(n int) time.Duration {
+	return retryBase << min(max(n-1, 0), 6)
+}
