Carry exchanges over connections of the dispatcher's own

net/http's Transport repeats a request by itself when a reused connection dies, also one with an Idempotency-Key, and hides when the first byte leaves. nbhttp's parser in client mode takes a cut answer for a whole one where the status line has no reason phrase or the close of the connection ends the body.

Each exchange now has a connection of its own with net/http's codec, a pool that takes back only what was read to its end, and a known first byte.

--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -25,11 +25,16 @@
 	broken bool
 }
 
-// whole reports whether the stream may end here.
+// whole reports whether a stream that no engine wrote may end here. The framing
+// of the message says that nothing is missing.
 func (s *streamAnswer) whole() bool {
-	return !s.broken && !s.split.partial() && (s.ended || !s.engine)
+	return !s.engine && !s.broken && !s.split.partial()
 }
 
+// complete reports whether an engine said that the stream is whole, whatever
+// becomes of the connection.
+func (s *streamAnswer) complete() bool { return s != nil && s.engine && s.ended && !s.broken }
+
 // usageReport is what an engine says of the cost of a request.
 type usageReport struct {
 	Usage *struct {
@@ -164,6 +169,7 @@
 func (f *flight) completed(at *attempt) {
 	f.note(tracker.Complete)
 	f.d.live.remove(at.policy.Address, at.x)
+	at.x.linger()
 	f.attempts = nil
 	if at.stream == nil && at.policy.Engine {
 		at.reported, _ = usageOf(at.whole)
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -104,8 +104,8 @@
 			return
 		}
 	}
-	if p.done && f.holds(at) {
-		f.exchangeDone(at, p.err)
+	if f.holds(at) && (p.done || at.stream.complete()) {
+		f.exchangeDone(at, p)
 	}
 }
 
@@ -182,8 +182,9 @@
 }
 
 // exchangeDone notes the end of an exchange.
-func (f *flight) exchangeDone(at *attempt, err error) {
-	if err == nil && at.header != nil && (at.stream == nil || at.stream.whole()) {
+func (f *flight) exchangeDone(at *attempt, p progress) {
+	framed := p.err == nil && p.done && !p.unframed && at.header != nil
+	if at.stream.complete() || framed && (at.stream == nil || at.stream.whole()) {
 		f.completed(at)
 		return
 	}
--- /dev/null
+++ b/internal/dispatcher/connection_test.go
@@ -0,0 +1,176 @@
+package dispatcher
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// answers are what an upstream may write, whole or not.
+var answers = []struct {
+	name, method, raw string
+	wantStatus        int
+	wantBody          string
+	wantErr           bool
+}{
+	{name: "length", raw: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", wantStatus: 200, wantBody: "ok"},
+	{name: "chunked", raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", wantStatus: 200, wantBody: "ok"},
+	{name: "no reason phrase", raw: "HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok", wantStatus: 200, wantBody: "ok"},
+	{name: "no reason phrase, no space", raw: "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok", wantStatus: 200, wantBody: "ok"},
+	{name: "early hints first", raw: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", wantStatus: 200, wantBody: "ok"},
+	{name: "length of HEAD", method: http.MethodHead, raw: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", wantStatus: 200},
+	{name: "no content", raw: "HTTP/1.1 204 No Content\r\n\r\n", wantStatus: 204},
+	{name: "until close", raw: "HTTP/1.1 200 OK\r\n\r\nok", wantStatus: 200, wantBody: "ok"},
+	{name: "cut length", raw: "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", wantStatus: 200, wantBody: "ok", wantErr: true},
+	{name: "cut chunk", raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", wantStatus: 200, wantBody: "ok", wantErr: true},
+	{name: "cut head", raw: "HTTP/1.1 200 OK\r\nContent-Le", wantErr: true},
+	{name: "nothing", wantErr: true},
+	{name: "garbage", raw: "\x00\x16\x03\x01 nonsense\r\n\r\n", wantErr: true},
+	{name: "switch of protocols", raw: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", wantErr: true},
+	{name: "two lengths", raw: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok!", wantErr: true},
+	{name: "header without end", raw: "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*maxHeadBytes) + "\r\n\r\n", wantErr: true},
+}
+
+// TestTransportAnswers sends each answer through each transport. What the
+// transport in use makes of it is checked; what the others do is shown for the
+// design note.
+func TestTransportAnswers(t *testing.T) {
+	all := transports(t)
+	for _, tt := range answers {
+		t.Run(tt.name, func(t *testing.T) {
+			addr := serveRaw(t, func(conn net.Conn, _ *http.Request) { _, _ = io.WriteString(conn, tt.raw) })
+			method := tt.method
+			if method == "" {
+				method = http.MethodGet
+			}
+			for name, tr := range all {
+				status, body, err := fetch(t, tr, &outgoing{address: addr, method: method, uri: "/", header: make(http.Header), fresh: true})
+				ok := status == tt.wantStatus && string(body) == tt.wantBody && (err != nil) == tt.wantErr
+				if ok {
+					continue
+				}
+				if name == "connection" {
+					t.Errorf("got %d %q, error %v; want %d %q, error %v", status, body, err, tt.wantStatus, tt.wantBody, tt.wantErr)
+					continue
+				}
+				t.Logf("%s: %d, %d bytes, error %v; want %d %q, error %v", name, status, len(body), err, tt.wantStatus, tt.wantBody, tt.wantErr)
+			}
+		})
+	}
+}
+
+// TestConnectionReuse checks which connections are used again.
+func TestConnectionReuse(t *testing.T) {
+	tests := []struct {
+		name, raw  string
+		fresh      bool
+		idle       time.Duration
+		wantReused bool
+	}{
+		{name: "whole answer", raw: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", wantReused: true},
+		{name: "not trusted", raw: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", fresh: true},
+		{name: "idle for too long", raw: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", idle: time.Minute},
+		{name: "more than one answer", raw: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"},
+		{name: "closing", raw: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			accepted := make(chan struct{}, 8)
+			addr := serveKeepAlive(t, accepted, tt.raw)
+			clock := timekeeper.NewManual(time.Unix(0, 0))
+			tr := newConnTransport(clock, Config{ConnectTimeout: time.Second, IdleTimeout: time.Minute})
+			defer tr.Close()
+			for i := range 2 {
+				out := &outgoing{address: addr, method: http.MethodGet, uri: "/", header: make(http.Header), fresh: tt.fresh && i > 0}
+				if _, body, err := fetch(t, tr, out); err != nil || string(body) != "ok" {
+					t.Fatalf("exchange %d: body %q, error %v", i, body, err)
+				}
+				clock.Advance(tt.idle)
+			}
+			want := 2
+			if tt.wantReused {
+				want = 1
+			}
+			if got := len(accepted); got != want {
+				t.Errorf("connections = %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// TestStaleConnection checks that an idempotent request that meets an idle
+// connection which the upstream has closed goes over a new one.
+func TestStaleConnection(t *testing.T) {
+	accepted := make(chan struct{}, 8)
+	addr := serveKeepAlive(t, accepted, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	tr := newConnTransport(timekeeper.System{}, Config{ConnectTimeout: time.Second, IdleTimeout: time.Minute})
+	defer tr.Close()
+	out := func() *outgoing {
+		return &outgoing{address: addr, method: http.MethodPost, uri: "/", header: make(http.Header), body: []byte("x")}
+	}
+	if _, _, err := fetch(t, tr, out()); err != nil {
+		t.Fatal(err)
+	}
+	tr.pool.mu.Lock()
+	for _, conns := range tr.pool.idle {
+		for _, c := range conns {
+			_ = c.Conn.(*net.TCPConn).CloseRead()
+		}
+	}
+	tr.pool.mu.Unlock()
+	if _, body, err := fetch(t, tr, out()); err != nil || string(body) != "ok" {
+		t.Errorf("second exchange: body %q, error %v, want ok", body, err)
+	}
+	if got, want := len(accepted), 2; got != want {
+		t.Errorf("connections = %d, want %d", got, want)
+	}
+}
+
+// TestBackPressure checks that an upstream is read no faster than its answer
+// is taken.
+func TestBackPressure(t *testing.T) {
+	const size = 64 << 20
+	addr := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		chunk := make([]byte, 64<<10)
+		for range size / len(chunk) {
+			if _, err := w.Write(chunk); err != nil {
+				return
+			}
+		}
+	})
+	tr := newConnTransport(timekeeper.System{}, Config{ConnectTimeout: time.Second, IdleTimeout: time.Minute})
+	defer tr.Close()
+	ready := make(chan struct{}, 1)
+	x := &exchange{ready: ready, limit: exchangeBytes}
+	tr.Start(x, &outgoing{address: addr, method: http.MethodGet, uri: "/", header: make(http.Header)})
+	for !x.full() {
+		<-ready
+	}
+	total := 0
+	for {
+		p := x.take(true)
+		if got := len(p.body); got > exchangeBytes+maxBodyBytes {
+			t.Fatalf("held %d bytes, want at most %d", got, exchangeBytes+maxBodyBytes)
+		}
+		total += len(p.body)
+		if p.done {
+			break
+		}
+		<-ready
+	}
+	if total != size {
+		t.Errorf("got %d bytes, want %d", total, size)
+	}
+}
+
+// full reports whether the transport has paused.
+func (x *exchange) full() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.paused
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -121,6 +122,8 @@
 	Relay  relayer.Limits
 	// CallerTimeout is how long a caller may take nothing of what waits for it.
 	CallerTimeout time.Duration
+	// UpstreamTLS is how upstreams are spoken to; nil means without TLS.
+	UpstreamTLS *tls.Config
 	// ConnectTimeout bounds the opening of a connection to an upstream.
 	ConnectTimeout time.Duration
 	// IdleTimeout is how long an idle connection is kept for reuse.
@@ -157,7 +160,7 @@
 	setDefaults(&cfg)
 	return &Dispatcher{
 		cfg:       cfg,
-		transport: newHTTPTransport(cfg.IdleTimeout),
+		transport: newConnTransport(cfg.Clock, cfg),
 		budget:    newRetryBudget(cfg.RetryRatio, cfg.RetryBurst),
 		rng:       rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -11,6 +11,7 @@
 var (
 	errCanceled   = merry.Sentinel("exchange canceled")
 	errNoUpstream = merry.Sentinel("upstream not known")
+	errSwitched   = merry.Sentinel("upstream switched protocols")
 	errNoRecorder = merry.Sentinel("no store for idempotency keys")
 )
 
@@ -53,31 +54,40 @@
 	// suspect is true if another connection to the same upstream was found
 	// dead.
 	suspect bool
-	// stop ends the transport's work; resume lets it read on.
+	// unframed is true if only the end of the connection ends the body.
+	unframed bool
+	control  control
+}
+
+// control is how an exchange steers the transport's work; each may be nil.
+type control struct {
+	// stop ends the work, resume lets it read on after a pause.
 	stop, resume func()
+	// linger bounds the wait for the end of a body whose content is whole.
+	linger func()
 }
 
 // progress is what an exchange brought since the last look.
 type progress struct {
-	sent, done, suspect bool
-	err                 error
-	status              int
-	header              http.Header
-	body                []byte
+	sent, done, suspect, unframed bool
+	err                           error
+	status                        int
+	header                        http.Header
+	body                          []byte
 }
 
 // take returns the state of the exchange and the body bytes that came since
 // the last call. With room false the body stays where it is.
 func (x *exchange) take(room bool) progress {
 	x.mu.Lock()
-	p := progress{sent: x.sent, status: x.status, header: x.header, err: x.err, suspect: x.suspect}
+	p := progress{sent: x.sent, status: x.status, header: x.header, err: x.err, suspect: x.suspect, unframed: x.unframed}
 	x.suspect = false
 	var resume func()
 	if room {
 		p.body, x.body = x.body, nil
 		if x.paused && !x.done {
 			x.paused = false
-			resume = x.resume
+			resume = x.control.resume
 		}
 	}
 	p.done = x.done && len(x.body) == 0
@@ -100,19 +110,36 @@
 	return true
 }
 
-// setStop gives the exchange the means to end and to resume the transport's
-// work. It returns false if the exchange was canceled.
-func (x *exchange) setStop(stop, resume func()) bool {
+// setControl gives the exchange the means to steer the transport's work. It
+// returns false if the exchange was canceled.
+func (x *exchange) setControl(c control) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.stop, x.resume = stop, resume
+	x.control = c
 	return !x.canceled
 }
 
-// setHead notes the status line and header of the answer.
-func (x *exchange) setHead(status int, header http.Header) {
+// release gives up the means to steer the transport's work, once its
+// connection is no longer the exchange's. It returns false if the exchange was
+// canceled.
+func (x *exchange) release() bool { return x.setControl(control{}) }
+
+// linger lets the transport finish a body whose content is whole already, for
+// a short time, so that its connection can be used again.
+func (x *exchange) linger() {
+	x.mu.Lock()
+	linger := x.control.linger
+	x.mu.Unlock()
+	if linger != nil {
+		linger()
+	}
+}
+
+// setHead notes the status line and header of the answer, and whether only the
+// end of the connection will end its body.
+func (x *exchange) setHead(status int, header http.Header, unframed bool) {
 	x.mu.Lock()
-	x.status, x.header = status, header
+	x.status, x.header, x.unframed = status, header, unframed
 	x.mu.Unlock()
 	x.signal()
 }
@@ -147,7 +174,8 @@
 	if !x.done {
 		x.done, x.err = true, errCanceled
 	}
-	stop, sent := x.stop, x.sent
+	stop, sent := x.control.stop, x.sent
+	x.control = control{}
 	x.mu.Unlock()
 	if stop != nil {
 		stop()
--- a/internal/dispatcher/fakes_test.go
+++ b/internal/dispatcher/fakes_test.go
@@ -204,6 +204,39 @@
 	return l.Addr().String()
 }
 
+// serveKeepAlive starts an upstream that answers each request on a connection
+// with raw, and tells accepted of each connection.
+func serveKeepAlive(t *testing.T, accepted chan<- struct{}, raw string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- struct{}{}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				br := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(conn, raw)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
 func quietLog() *logrus.Logger {
 	l := logrus.New()
 	l.SetOutput(io.Discard)
--- a/internal/dispatcher/httptransport.go
+++ b/internal/dispatcher/httptransport_test.go
@@ -47,7 +47,7 @@
 		default:
 		}
 	}
-	if !x.setStop(stop, resume) {
+	if !x.setControl(control{stop: stop, resume: resume}) {
 		return
 	}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -69,7 +69,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	x.setHead(resp.StatusCode, resp.Header)
+	x.setHead(resp.StatusCode, resp.Header, false)
 	buf := make([]byte, readBytes)
 	for {
 		n, err := resp.Body.Read(buf)
