Record idempotency keys in the platform's table

Work that may not be repeated needs a record that outlives its router. A key is claimed with a random token before the first byte leaves, lost answers are settled by reading back, and a claim whose router died is told as unknown.

--- a/internal/dispatcher/record.go
+++ b/internal/dispatcher/record.go
@@ -1,11 +1,12 @@
 package dispatcher
 
 import (
-	"bytes"
 	"context"
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/recorder"
 	"lentilwood.example/lentilwood/internal/tracker"
@@ -26,9 +27,7 @@
 	// claimTimeout bounds the claim of a key, read-back included.
 	claimTimeout = 2 * time.Second
 	// settleTimeout bounds the recording of an outcome.
-	settleTimeout = 10 * time.Second
-	// maxRecordedBytes bounds the answer that is kept with a key.
-	maxRecordedBytes = 16 << 10
+	settleTimeout = 60 * time.Second
 	// replayedHeader marks an answer that comes from the record of a key.
 	replayedHeader = "Idempotent-Replayed"
 )
@@ -66,6 +65,9 @@
 func (f *flight) claimed(r claimResult) {
 	f.claiming = false
 	f.claim = r.claim
+	if r.err != nil {
+		f.d.releaseLater(f.log(), r.claim)
+	}
 	a := f.pending
 	f.pending = nil
 	policy, known := f.d.cfg.Upstreams.Upstream(a.Upstream)
@@ -169,12 +171,21 @@
 	f.claiming = false
 	f.d.background.Go(func() {
 		r := <-claims
-		if r.err != nil || r.claim.Status != recorder.Claimed {
-			return
+		if r.err != nil || r.claim.Status == recorder.Claimed {
+			f.d.releaseLater(log, r.claim)
 		}
+	})
+}
+
+// releaseLater gives a claim back in the background.
+func (d *Dispatcher) releaseLater(log *logrus.Entry, c recorder.Claim) {
+	if d.cfg.Recorder == nil {
+		return
+	}
+	d.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
-		if err := f.d.cfg.Recorder.Release(ctx, r.claim); err != nil {
+		if err := d.cfg.Recorder.Release(ctx, c); err != nil {
 			log.WithError(err).Warn("idempotency key not given back")
 		}
 	})
@@ -186,9 +197,6 @@
 		return
 	}
 	f.kept = recorder.Outcome{Status: at.status, ContentType: at.header.Get("Content-Type")}
-	if at.stream != nil || len(at.whole) > maxRecordedBytes {
-		f.kept.Truncated = true
-		return
-	}
-	f.kept.Body = bytes.Clone(at.whole)
+	f.kept.Truncated = at.stream != nil
+	f.kept.Body = at.whole
 }
--- /dev/null
+++ b/internal/recorder/settle.go
@@ -0,0 +1,126 @@
+package recorder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/ansel1/merry/v2"
+
+	"lentilwood.example/lentilwood/internal/storer"
+)
+
+// sweepBatch is how many records Sweep deletes in one commit.
+const sweepBatch = 50
+
+// Settle records the outcome of a claimed request. While the store is down it
+// tries until ctx ends; a repeat is then told that the outcome is unknown.
+func (r *Recorder) Settle(ctx context.Context, c Claim, o Outcome) error {
+	if len(o.Body) > r.cfg.MaxBodyBytes {
+		o.Body, o.Truncated = nil, true
+	}
+	return r.update(ctx, c, func(row storer.Row, rec record) (storer.Op, error) {
+		rec.Outcome = &o
+		rec.ExpiresAt = r.cfg.Clock.Now().Add(r.cfg.Lifetime).UnixMilli()
+		value, err := json.Marshal(rec)
+		return storer.Op{Table: r.cfg.Table, Key: c.key, Value: value, IfVersion: row.Version}, err
+	})
+}
+
+// Release gives the key back after a request that truly was not run, so that a
+// repeat may run. A key that is not held, or not any more, is left alone.
+func (r *Recorder) Release(ctx context.Context, c Claim) error {
+	err := r.update(ctx, c, func(row storer.Row, _ record) (storer.Op, error) {
+		return storer.Op{Table: r.cfg.Table, Key: c.key, Delete: true, IfVersion: row.Version}, nil
+	})
+	if errors.Is(err, ErrNotHeld) {
+		return nil
+	}
+	return err
+}
+
+// update changes the row of a claim that is held, reading back after each
+// write whose answer is lost.
+func (r *Recorder) update(ctx context.Context, c Claim, change func(storer.Row, record) (storer.Op, error)) error {
+	if c.key == "" {
+		return ErrNotHeld
+	}
+	for {
+		err := r.updateOnce(ctx, c, change)
+		if err == nil || errors.Is(err, ErrNotHeld) {
+			return err
+		}
+		if !r.pause(ctx) {
+			return merry.Prepend(err, "idempotency record")
+		}
+	}
+}
+
+func (r *Recorder) updateOnce(ctx context.Context, c Claim, change func(storer.Row, record) (storer.Op, error)) error {
+	row, rec, err := r.read(ctx, c.key)
+	if errors.Is(err, storer.ErrNotFound) {
+		return ErrNotHeld
+	}
+	if err != nil {
+		return err
+	}
+	if rec.Token != c.token {
+		return ErrNotHeld
+	}
+	if rec.Outcome != nil {
+		return nil
+	}
+	op, err := change(row, rec)
+	if err != nil {
+		return err
+	}
+	return r.cfg.Store.Commit(ctx, []storer.Op{op})
+}
+
+// Sweep deletes records whose lifetime is over, looking at no more than limit
+// changes of the table, and returns how many it deleted. One router of the
+// fleet is to call it now and then.
+func (r *Recorder) Sweep(ctx context.Context, limit int) (int, error) {
+	r.mu.Lock()
+	since := r.swept
+	r.mu.Unlock()
+	rows, err := r.cfg.Store.Scan(ctx, r.cfg.Table, since, limit)
+	if err != nil {
+		return 0, merry.Prepend(err, "sweep idempotency records")
+	}
+	deleted := 0
+	var ops []storer.Op
+	for _, row := range rows {
+		var rec record
+		if !row.Deleted && json.Unmarshal(row.Value, &rec) == nil {
+			if !r.expired(rec) {
+				break
+			}
+			ops = append(ops, storer.Op{Table: r.cfg.Table, Key: row.Key, Delete: true, IfVersion: row.Version})
+		}
+		since = row.Version
+		if len(ops) < sweepBatch {
+			continue
+		}
+		if err := r.cfg.Store.Commit(ctx, ops); err != nil {
+			return deleted, merry.Prepend(err, "sweep idempotency records")
+		}
+		deleted += len(ops)
+		ops = ops[:0]
+		r.sweptTo(since)
+	}
+	if len(ops) > 0 {
+		if err := r.cfg.Store.Commit(ctx, ops); err != nil {
+			return deleted, merry.Prepend(err, "sweep idempotency records")
+		}
+		deleted += len(ops)
+	}
+	r.sweptTo(since)
+	return deleted, nil
+}
+
+func (r *Recorder) sweptTo(version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.swept = max(r.swept, version)
+}
