Test silence, resume, cancel and deadlines of the dispatcher

Adds the failures that the dispatcher is meant for, in virtual time: a stream cut three times, a connection that goes silent for good, two that go silent together, a service that never answers, a caller that leaves, a deadline that passes in the queue. A probe's answer that is there counts before its timeout.

--- a/internal/dispatcher/clock.go
+++ b/internal/dispatcher/clock.go
@@ -64,7 +64,10 @@
 		if f.over || !f.holds(at) || now.Before(at.deadline) {
 			continue
 		}
-		f.pumpAttempt(at)
+		f.pumpProbe(at)
+		if f.holds(at) {
+			f.pumpAttempt(at)
+		}
 		if !f.over && f.holds(at) && !f.now().Before(at.deadline) {
 			f.silent(at)
 		}
--- /dev/null
+++ b/internal/dispatcher/silence_test.go
@@ -0,0 +1,288 @@
+package dispatcher
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// fakeEngine is a model engine that keeps its streams and can be told where a
+// connection breaks or goes silent.
+type fakeEngine struct {
+	t      *testing.T
+	events []string
+
+	mu sync.Mutex
+	// cuts holds, for each connection in turn, after how many events it stops;
+	// silent says that it stays open then instead of breaking.
+	cuts   []int
+	silent bool
+	posts  int
+	gets   []string
+	cancel int
+	// stopped gets a token whenever a connection stops.
+	stopped chan struct{}
+}
+
+func newFakeEngine(t *testing.T, tokens int, cuts ...int) *fakeEngine {
+	t.Helper()
+	return &fakeEngine{t: t, events: tokenEvents(wireID, tokens), cuts: cuts, stopped: make(chan struct{}, 16)}
+}
+
+func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.Method {
+	case http.MethodPost:
+		e.mu.Lock()
+		e.posts++
+		e.mu.Unlock()
+		e.stream(w, r, 0)
+	case http.MethodGet:
+		last := r.Header.Get(messenger.LastEventIDHeader)
+		e.mu.Lock()
+		e.gets = append(e.gets, last)
+		e.mu.Unlock()
+		from, err := strconv.Atoi(last)
+		if err != nil {
+			e.t.Errorf("Last-Event-Id = %q", last)
+		}
+		e.stream(w, r, from)
+	case http.MethodDelete:
+		e.mu.Lock()
+		e.cancel++
+		e.mu.Unlock()
+		echoID(w, r)
+	}
+}
+
+// stream writes the events after from until the connection is to stop.
+func (e *fakeEngine) stream(w http.ResponseWriter, r *http.Request, from int) {
+	e.mu.Lock()
+	stop := len(e.events)
+	if len(e.cuts) > 0 {
+		stop = e.cuts[0]
+		e.cuts = e.cuts[1:]
+	}
+	e.mu.Unlock()
+	beginStream(w, r)
+	w.(http.Flusher).Flush()
+	for i := from; i < stop && i < len(e.events); i++ {
+		writeEvent(w, e.events[i])
+	}
+	if stop >= len(e.events) {
+		return
+	}
+	e.stopped <- struct{}{}
+	if e.silent {
+		<-r.Context().Done()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// advanceWhenIdle moves the clock on once something waits for it.
+func advanceWhenIdle(clock *timekeeper.Manual, d time.Duration) {
+	for clock.Waiters() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	clock.Advance(d)
+}
+
+// advanceUntil moves the clock on by steps, with time in between for what the
+// step set off, until done brings a result.
+func advanceUntil(clock *timekeeper.Manual, step time.Duration, done <-chan Result) Result {
+	for {
+		select {
+		case res := <-done:
+			return res
+		case <-time.After(5 * time.Millisecond):
+			clock.Advance(step)
+		}
+	}
+}
+
+// TestResumeAfterBreak cuts a stream three times and wants every event once.
+func TestResumeAfterBreak(t *testing.T) {
+	e := newFakeEngine(t, 10, 2, 5, 5)
+	addr := serve(t, e.ServeHTTP)
+	d := newTestDispatcher(t, Config{Upstreams: fixedUpstreams{"a": {Address: addr, Engine: true}}})
+	q, c := newFakeQueue("a"), newFakeCaller()
+	res := d.Serve(context.Background(), completion(), q, c)
+	if got, want := c.text(), strings.Join(e.events, ""); got != want {
+		t.Errorf("answer = %q, want %q", got, want)
+	}
+	if e.posts != 1 || strings.Join(e.gets, " ") != "2 5 5" {
+		t.Errorf("posts = %d, resumes after %q, want 1 and 2 5 5", e.posts, e.gets)
+	}
+	if res.Resumes != 3 || res.Run != messenger.Run || len(q.finishes()) != 1 {
+		t.Errorf("result = %+v, finishes %+v, want 3 resumes, run, one Finish", res, q.finishes())
+	}
+}
+
+// TestResumeAfterSilence lets a connection go silent for good while new ones
+// work.
+func TestResumeAfterSilence(t *testing.T) {
+	e := newFakeEngine(t, 6, 3)
+	e.silent = true
+	addr := serve(t, e.ServeHTTP)
+	clock := timekeeper.NewManual(time.Unix(1_800_000_000, 0))
+	d := newTestDispatcher(t, Config{Upstreams: fixedUpstreams{"a": {Address: addr, Engine: true}}, Clock: clock})
+	req := completion()
+	req.Class.ProgressTimeout = 2 * time.Second
+	c := newFakeCaller()
+	done := make(chan Result, 1)
+	go func() { done <- d.Serve(context.Background(), req, newFakeQueue("a"), c) }()
+	<-e.stopped
+	for c.text() != strings.Join(e.events[:3], "") {
+		<-c.wrote
+	}
+	advanceWhenIdle(clock, req.Class.ProgressTimeout)
+	res := <-done
+	if got, want := c.text(), strings.Join(e.events, ""); got != want {
+		t.Errorf("answer = %q, want %q", got, want)
+	}
+	if res.Resumes != 1 || d.Counters().Silences.Load() != 1 {
+		t.Errorf("resumes = %d, silences = %d, want 1 and 1", res.Resumes, d.Counters().Silences.Load())
+	}
+}
+
+// TestSharedFate lets two connections to an upstream go silent at the same
+// time: the second is given up long before its own timeout.
+func TestSharedFate(t *testing.T) {
+	e := newFakeEngine(t, 6, 3, 3)
+	e.silent = true
+	addr := serve(t, e.ServeHTTP)
+	clock := timekeeper.NewManual(time.Unix(1_800_000_000, 0))
+	d := newTestDispatcher(t, Config{Upstreams: fixedUpstreams{"a": {Address: addr, Engine: true}}, Clock: clock})
+	results := make(chan Result, 2)
+	for _, timeout := range []time.Duration{2 * time.Second, 20 * time.Second} {
+		req := completion()
+		req.Class.ProgressTimeout = timeout
+		c := newFakeCaller()
+		go func() { results <- d.Serve(context.Background(), req, newFakeQueue("a"), c) }()
+		for c.text() != strings.Join(e.events[:3], "") {
+			<-c.wrote
+		}
+	}
+	start := clock.Now()
+	clock.Advance(2 * time.Second)
+	<-results
+	advanceUntil(clock, 500*time.Millisecond, results)
+	if took := clock.Now().Sub(start); took >= 15*time.Second {
+		t.Errorf("both went on after %v, want well before the longer timeout of 20s", took)
+	}
+}
+
+// TestSilentService lets a service take a reservation and never answer.
+func TestSilentService(t *testing.T) {
+	tests := []struct {
+		name    string
+		healthy bool
+		// wantPeriods is how many progress timeouts it is given.
+		wantPeriods int
+	}{
+		{name: "answers probes", healthy: true, wantPeriods: 1 + maxSilentPeriods},
+		{name: "dead", wantPeriods: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			hold := make(chan struct{})
+			t.Cleanup(func() { close(hold) })
+			var mu sync.Mutex
+			ran := 0
+			addr := serveRaw(t, func(conn net.Conn, r *http.Request) {
+				if r.URL.Path == healthPath {
+					if tt.healthy {
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					}
+					return
+				}
+				mu.Lock()
+				ran++
+				mu.Unlock()
+				<-hold
+			})
+			clock := timekeeper.NewManual(time.Unix(1_800_000_000, 0))
+			d := newTestDispatcher(t, Config{Upstreams: fixedUpstreams{"s": {Address: addr}}, Clock: clock, ConnectTimeout: time.Minute})
+			req := reservation()
+			req.Class.ProgressTimeout = time.Minute
+			q, c := newFakeQueue("s", "s", "s"), newFakeCaller()
+			done := make(chan Result, 1)
+			go func() { done <- d.Serve(context.Background(), req, q, c) }()
+			start := clock.Now()
+			res := advanceUntil(clock, time.Second, done)
+			mu.Lock()
+			defer mu.Unlock()
+			if p := problemOf(t, c); p.Run != messenger.Unknown || p.Type != problemPrefix+ProblemUpstreamSilent {
+				t.Errorf("problem = %+v, want an unknown outcome of a silent upstream", p)
+			}
+			if res.Attempts != 1 || ran != 1 {
+				t.Errorf("attempts = %d, ran %d times, want 1 and 1", res.Attempts, ran)
+			}
+			least := time.Duration(tt.wantPeriods) * req.Class.ProgressTimeout
+			if took := clock.Now().Sub(start); took < least {
+				t.Errorf("given up after %v, want %v or more", took, least)
+			}
+		})
+	}
+}
+
+// TestCallerLeaves checks that work whose caller is gone is canceled at its
+// engine, and that its slot is given back.
+func TestCallerLeaves(t *testing.T) {
+	e := newFakeEngine(t, 6, 3)
+	e.silent = true
+	addr := serve(t, e.ServeHTTP)
+	d := newTestDispatcher(t, Config{Upstreams: fixedUpstreams{"a": {Address: addr, Engine: true}}})
+	q, c := newFakeQueue("a"), newFakeCaller()
+	done := make(chan Result, 1)
+	go func() { done <- d.Serve(context.Background(), completion(), q, c) }()
+	<-e.stopped
+	close(c.done)
+	res := <-done
+	d.background.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cancel != 1 || !res.CallerGone || len(q.finishes()) != 1 {
+		t.Errorf("cancels = %d, result %+v, finishes %+v, want 1, gone, one Finish", e.cancel, res, q.finishes())
+	}
+}
+
+// TestCallerLeavesQueue checks that work whose caller has gone is not started.
+func TestCallerLeavesQueue(t *testing.T) {
+	d := newTestDispatcher(t, Config{Upstreams: fixedUpstreams{"a": {Address: "127.0.0.1:1"}}})
+	q, c := newFakeQueue("a"), newFakeCaller()
+	q.hold = true
+	close(c.done)
+	res := d.Serve(context.Background(), reservation(), q, c)
+	if res.Attempts != 0 || res.Run != messenger.NotRun || !res.CallerGone {
+		t.Errorf("result = %+v, want no attempt, not-run, gone", res)
+	}
+	if got, want := q.events[len(q.events)-1], (messenger.Abandon{Request: 1}); got != want {
+		t.Errorf("last event = %+v, want %+v", got, want)
+	}
+}
+
+// TestDeadline checks that a request that is late is not started.
+func TestDeadline(t *testing.T) {
+	clock := timekeeper.NewManual(time.Unix(1_800_000_000, 0))
+	d := newTestDispatcher(t, Config{Upstreams: fixedUpstreams{}, Clock: clock})
+	req := reservation()
+	req.Arrive.Deadline = clock.Now().Add(time.Second)
+	q, c := newFakeQueue("a"), newFakeCaller()
+	q.hold = true
+	done := make(chan Result, 1)
+	go func() { done <- d.Serve(context.Background(), req, q, c) }()
+	advanceWhenIdle(clock, time.Second)
+	res := <-done
+	if p := problemOf(t, c); p.Run != messenger.NotRun || res.Problem != string(messenger.RefuseDeadline) {
+		t.Errorf("problem = %+v, result %+v, want not-run for the deadline", p, res)
+	}
+}
