Queue fairly by account in each router

Cause: nothing decided whose request runs next, and the router needs the boundary to be wired against.

Change: scheduler.New and Handle with start-time fair queueing over client accounts, class precedence with a floor, a fixed part of every upstream's window for each live router, limits per account, refusals with a time to come back.

--- /dev/null
+++ b/internal/limiter/bucket.go
@@ -0,0 +1,33 @@
+package limiter
+
+import "time"
+
+// bucket is a token bucket. Its zero value is full.
+type bucket struct {
+	// used is how much is missing from a full bucket.
+	used float64
+	last time.Time
+}
+
+// refill adds what the time since the last call brought.
+func (b *bucket) refill(now time.Time, perSecond, size float64) {
+	if !b.last.IsZero() && now.After(b.last) {
+		b.used -= now.Sub(b.last).Seconds() * perSecond
+	}
+	b.used = max(b.used, 0)
+	b.last = now
+}
+
+// wait returns how long it takes until n can be taken from a bucket of a size;
+// an n of zero waits for a bucket that is not empty.
+func (b *bucket) wait(now time.Time, perSecond, size, n float64) time.Duration {
+	b.refill(now, perSecond, size)
+	missing := b.used + n - size
+	if missing <= 0 && (n > 0 || missing < 0) {
+		return 0
+	}
+	return max(time.Millisecond, time.Duration(missing/perSecond*float64(time.Second)))
+}
+
+// take removes n, which may be negative.
+func (b *bucket) take(n float64) { b.used += n }
--- /dev/null
+++ b/internal/scheduler/pool.go
@@ -0,0 +1,246 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/placer"
+)
+
+// defaultTokens is the cost assumed for a class that states none.
+const defaultTokens = 100
+
+// pool queues the requests for one pool of upstreams.
+type pool struct {
+	sched  *Scheduler
+	id     messenger.PoolID
+	placer *placer.Placer
+	flows  map[messenger.AccountID]*flow
+	// classes is in order of precedence, the highest first.
+	classes []*class
+	// vtime is the virtual time: no account that becomes active starts below.
+	vtime float64
+	// backlogged counts the accounts with waiting requests.
+	backlogged int
+	turns      cadence
+}
+
+// flow is one client account in one pool.
+type flow struct {
+	pool    *pool
+	account messenger.AccountID
+	weight  float64
+	// tag is the virtual start tag, in tokens divided by weight.
+	tag float64
+	// served is the sum of all charges since the router started.
+	served           float64
+	waiting, running int
+	queues           []*queue
+	turns            cadence
+	idleSince        time.Time
+}
+
+// class is one class of requests in one pool.
+type class struct {
+	id     messenger.ClassID
+	policy messenger.ClassPolicy
+	// queues holds the accounts with waiting requests, the lowest tag first.
+	queues heap[*queue]
+	// credit is the service that the class's floor still owes it, in tokens.
+	credit float64
+	// mean is a moving average of the cost of finished requests.
+	mean float64
+}
+
+func newPool(s *Scheduler, id messenger.PoolID) *pool {
+	return &pool{
+		sched:  s,
+		id:     id,
+		placer: placer.New(s.cfg.Seed ^ rank(string(id), s.cfg.Self)),
+		flows:  make(map[messenger.AccountID]*flow),
+	}
+}
+
+// applyPolicy takes in the classes, weights and bounds of another policy.
+func (p *pool) applyPolicy(policy *messenger.Policy) {
+	p.placer.SetLongShare(policy.Pools[p.id].LongShare)
+	for id := range policy.Classes {
+		p.classOf(id)
+	}
+	for _, c := range p.classes {
+		c.policy = policy.Classes[c.id]
+	}
+	slices.SortStableFunc(p.classes, func(a, b *class) int {
+		return b.policy.Precedence - a.policy.Precedence
+	})
+	for _, f := range p.flows {
+		f.weight = weightOf(policy, f.account)
+	}
+}
+
+// weightOf returns the weight of an account, 1 unless the policy states one.
+func weightOf(policy *messenger.Policy, id messenger.AccountID) float64 {
+	if w := policy.AccountOf(id).Weight; w > 0 {
+		return w
+	}
+	return 1
+}
+
+// classOf returns the class with a name, new if it has to be.
+func (p *pool) classOf(id messenger.ClassID) *class {
+	for _, c := range p.classes {
+		if c.id == id {
+			return c
+		}
+	}
+	c := &class{id: id, policy: p.sched.policy.Classes[id]}
+	at, _ := slices.BinarySearchFunc(p.classes, c, func(a, b *class) int {
+		return b.policy.Precedence - a.policy.Precedence
+	})
+	p.classes = slices.Insert(p.classes, at, c)
+	return c
+}
+
+// flowOf returns the flow of an account, new if it has to be.
+func (p *pool) flowOf(id messenger.AccountID) *flow {
+	f, ok := p.flows[id]
+	if !ok {
+		f = &flow{pool: p, account: id, weight: weightOf(p.sched.policy, id), tag: p.vtime}
+		p.flows[id] = f
+	}
+	return f
+}
+
+// queueOf returns the flow's queue for a class, new if it has to be.
+func (f *flow) queueOf(c *class) *queue {
+	for _, q := range f.queues {
+		if q.class == c {
+			return q
+		}
+	}
+	q := &queue{flow: f, class: c, classAt: -1}
+	f.queues = append(f.queues, q)
+	return q
+}
+
+// enqueue lets r wait for its turn.
+func (p *pool) enqueue(r *request) {
+	f := r.queue.flow
+	r.long = r.queue.class.policy.Long
+	r.queue.push(r)
+	p.wait(r)
+	if f.waiting == 1 && f.running == 0 {
+		f.tag = max(f.tag, p.vtime)
+		f.reorder()
+	}
+}
+
+// requeue lets a request whose attempt failed wait again, before all others
+// of its account and class.
+func (p *pool) requeue(r *request) {
+	r.queue.flow.running--
+	p.sched.limits.Requeue(r.arrive.Account)
+	r.queue.pushFront(r)
+	p.wait(r)
+}
+
+// wait counts r as waiting.
+func (p *pool) wait(r *request) {
+	f := r.queue.flow
+	r.waiting = true
+	f.waiting++
+	if f.waiting == 1 {
+		p.backlogged++
+	}
+	if !r.expires.IsZero() {
+		p.sched.expiries.push(r)
+	}
+	r.queue.class.queues.push(r.queue)
+}
+
+// unwait counts r as no longer waiting.
+func (p *pool) unwait(r *request) {
+	f := r.queue.flow
+	r.waiting = false
+	r.queue.remove(r)
+	p.sched.expiries.remove(r)
+	if r.queue.n == 0 {
+		r.queue.class.queues.remove(r.queue)
+	}
+	f.waiting--
+	if f.waiting == 0 {
+		p.backlogged--
+		f.turns.pause()
+	}
+}
+
+// dequeue takes out a request that was not dispatched.
+func (p *pool) dequeue(r *request) {
+	p.unwait(r)
+	p.sched.limits.Drop(r.arrive.Account)
+	r.queue.flow.idleSince = p.sched.now
+}
+
+// reorder restores the order of the class heaps after the tag has changed.
+func (f *flow) reorder() {
+	for _, q := range f.queues {
+		q.class.queues.fix(q)
+	}
+}
+
+// dispatch sends waiting requests while there are slots for them.
+func (p *pool) dispatch() {
+	for {
+		r, u, ok := p.next()
+		if !ok {
+			return
+		}
+		p.start(r, u)
+	}
+}
+
+// next returns the request whose turn it is and the upstream that takes it.
+func (p *pool) next() (*request, messenger.UpstreamID, bool) {
+	for _, c := range p.classes {
+		if c.owed() {
+			if r, u, ok := p.head(c); ok {
+				return r, u, ok
+			}
+		}
+	}
+	for _, c := range p.classes {
+		if r, u, ok := p.head(c); ok {
+			return r, u, ok
+		}
+	}
+	return nil, "", false
+}
+
+// head returns the first request of a class, if an upstream can take it.
+func (p *pool) head(c *class) (*request, messenger.UpstreamID, bool) {
+	if c.queues.len() == 0 {
+		return nil, "", false
+	}
+	r := c.queues.min().head
+	u, ok := p.placer.Pick(p.sched.now, placer.Query{Prefix: r.arrive.Prefix, Long: r.long, Avoid: r.avoid})
+	return r, u, ok
+}
+
+// start dispatches r to an upstream.
+func (p *pool) start(r *request, u messenger.UpstreamID) {
+	f := r.queue.flow
+	p.vtime = max(p.vtime, f.tag)
+	p.unwait(r)
+	p.turns.note(p.sched.now)
+	f.turns.note(p.sched.now)
+	f.running++
+	p.sched.limits.Start(r.arrive.Account)
+	r.upstreams = append(r.upstreams, u)
+	p.placer.Start(p.sched.now, u, r.long)
+	if r.charged == 0 {
+		r.estimate = r.queue.estimate(r.arrive.CostHint)
+		p.charge(r, r.estimate)
+	}
+	p.sched.act(messenger.Dispatch{Request: r.arrive.Request, Upstream: u})
+}
--- /dev/null
+++ b/internal/scheduler/request.go
@@ -0,0 +1,224 @@
+package scheduler
+
+import (
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// outgrowth is how many times its estimate a request must have produced to
+// count as long.
+const outgrowth = 4
+
+// request is one request from its arrival to its end.
+type request struct {
+	arrive  messenger.Arrive
+	queue   *queue
+	arrived time.Time
+	// expires is when the request can wait no longer; zero means never.
+	expires time.Time
+	// estimate is the cost assumed at dispatch, charged what the account was
+	// charged so far and tokens what was produced so far.
+	estimate, charged, tokens float64
+	long                      bool
+	waiting                   bool
+	// upstreams are those that run a copy now; avoid is one that failed.
+	upstreams []messenger.UpstreamID
+	avoid     messenger.UpstreamID
+
+	prev, next *request
+	expiryAt   int
+}
+
+func (r *request) less(other *request) bool { return r.expires.Before(other.expires) }
+
+func (r *request) index() *int { return &r.expiryAt }
+
+// queue holds the waiting requests of one client account in one class, first
+// come, first served.
+type queue struct {
+	flow       *flow
+	class      *class
+	head, tail *request
+	n          int
+	classAt    int
+}
+
+func (q *queue) less(other *queue) bool {
+	if q.flow.tag != other.flow.tag {
+		return q.flow.tag < other.flow.tag
+	}
+	return q.flow.account < other.flow.account
+}
+
+func (q *queue) index() *int { return &q.classAt }
+
+// push appends r.
+func (q *queue) push(r *request) {
+	r.prev, r.next = q.tail, nil
+	if q.tail == nil {
+		q.head = r
+	} else {
+		q.tail.next = r
+	}
+	q.tail = r
+	q.n++
+}
+
+// pushFront puts r before all others.
+func (q *queue) pushFront(r *request) {
+	r.prev, r.next = nil, q.head
+	if q.head == nil {
+		q.tail = r
+	} else {
+		q.head.prev = r
+	}
+	q.head = r
+	q.n++
+}
+
+// remove takes r out.
+func (q *queue) remove(r *request) {
+	if r.prev == nil {
+		q.head = r.next
+	} else {
+		r.prev.next = r.next
+	}
+	if r.next == nil {
+		q.tail = r.prev
+	} else {
+		r.next.prev = r.prev
+	}
+	r.prev, r.next = nil, nil
+	q.n--
+}
+
+// arrive queues a request or refuses it.
+func (s *Scheduler) arrive(e messenger.Arrive) {
+	if _, ok := s.requests[e.Request]; ok {
+		return
+	}
+	p, ok := s.pools[e.Pool]
+	if !ok {
+		s.act(messenger.Refuse{Request: e.Request, Reason: messenger.RefuseUnknownPool, RetryAfter: minRetryAfter})
+		return
+	}
+	if !p.placer.Usable() {
+		s.act(messenger.Refuse{Request: e.Request, Reason: messenger.RefuseNoUpstream, RetryAfter: minRetryAfter})
+		return
+	}
+	f := p.flowOf(e.Account)
+	q := f.queueOf(p.classOf(e.Class))
+	r := &request{arrive: e, queue: q, arrived: s.now, expiryAt: -1}
+	r.expires = expiry(s.now, e.Deadline, q.class.policy.QueueTimeout)
+	wait := p.waitFor(q)
+	if !r.expires.IsZero() && s.now.Add(wait).After(r.expires) {
+		s.refuse(r, messenger.RefuseDeadline, wait)
+		return
+	}
+	if reason, after, ok := s.limits.Admit(s.now, e.Account); !ok {
+		s.refuse(r, reason, max(after, wait))
+		return
+	}
+	s.requests[e.Request] = r
+	p.enqueue(r)
+	p.dispatch()
+}
+
+// expiry returns the earlier of the deadline and the end of the queue timeout.
+func expiry(now, deadline time.Time, timeout time.Duration) time.Time {
+	if timeout <= 0 {
+		return deadline
+	}
+	end := now.Add(timeout)
+	if !deadline.IsZero() && deadline.Before(end) {
+		return deadline
+	}
+	return end
+}
+
+// refuse ends a request that does not wait, or no longer.
+func (s *Scheduler) refuse(r *request, reason messenger.RefuseReason, after time.Duration) {
+	s.act(messenger.Refuse{Request: r.arrive.Request, Reason: reason, RetryAfter: clampRetryAfter(after)})
+}
+
+// progress charges what a request produced.
+func (s *Scheduler) progress(e messenger.Progress) {
+	r, ok := s.requests[e.Request]
+	if !ok || r.waiting {
+		return
+	}
+	r.tokens += e.Tokens
+	p := r.queue.flow.pool
+	if r.tokens > r.charged {
+		p.charge(r, r.tokens-r.charged)
+	}
+	if !r.long && r.tokens > outgrowth*r.estimate {
+		r.long = true
+		for _, u := range r.upstreams {
+			p.placer.Outgrow(u)
+		}
+	}
+}
+
+// finish ends an attempt and, unless another one runs or is due, the request.
+func (s *Scheduler) finish(e messenger.Finish) {
+	r, ok := s.requests[e.Request]
+	if !ok || !r.detach(e.Upstream) {
+		return
+	}
+	p := r.queue.flow.pool
+	p.placer.End(s.now, e.Upstream, r.long)
+	r.tokens = max(r.tokens, e.Tokens)
+	switch {
+	case len(r.upstreams) > 0:
+	case e.Retry:
+		r.avoid = e.Upstream
+		p.requeue(r)
+	default:
+		p.settle(r, e.Failed)
+		delete(s.requests, e.Request)
+	}
+	p.dispatch()
+}
+
+// detach removes the copy that ran on an upstream and reports whether it ran.
+func (r *request) detach(id messenger.UpstreamID) bool {
+	for i, u := range r.upstreams {
+		if u == id {
+			r.upstreams = append(r.upstreams[:i], r.upstreams[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// abandon forgets a waiting request.
+func (s *Scheduler) abandon(e messenger.Abandon) {
+	if r, ok := s.requests[e.Request]; ok && r.waiting {
+		s.drop(r)
+	}
+}
+
+// drop takes a waiting request out and forgets it.
+func (s *Scheduler) drop(r *request) {
+	p := r.queue.flow.pool
+	p.dequeue(r)
+	if r.charged > 0 {
+		p.settle(r, true)
+	}
+	delete(s.requests, r.arrive.Request)
+}
+
+// expire refuses the requests that have waited for too long.
+func (s *Scheduler) expire() {
+	for s.expiries.len() > 0 {
+		r := s.expiries.min()
+		if r.expires.After(s.now) {
+			return
+		}
+		wait := r.queue.flow.pool.waitFor(r.queue)
+		s.drop(r)
+		s.refuse(r, messenger.RefuseDeadline, wait)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/share.go
@@ -0,0 +1,39 @@
+package scheduler
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// rank is the rendezvous hash of a router for a key; the highest rank wins.
+func rank(key string, router messenger.RouterID) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(router))
+	return d.Sum64()
+}
+
+// staticShare returns the part of n slots that self holds if routers divide
+// them evenly. The parts of all routers sum up to n: what does not divide goes
+// to the routers of the highest ranks.
+func staticShare(key string, n int, self messenger.RouterID, routers []messenger.RouterID) int {
+	count := max(1, len(routers))
+	share, rest := n/count, n%count
+	if rest == 0 {
+		return share
+	}
+	own := rank(key, self)
+	above := 0
+	for _, r := range routers {
+		if r != self && rank(key, r) > own {
+			above++
+		}
+	}
+	if above < rest {
+		share++
+	}
+	return share
+}
--- /dev/null
+++ b/internal/scheduler/wait.go
@@ -0,0 +1,52 @@
+package scheduler
+
+import "time"
+
+// Bounds of what a refused caller is told.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 5 * time.Minute
+)
+
+// clampRetryAfter rounds d up to whole seconds within the bounds.
+func clampRetryAfter(d time.Duration) time.Duration {
+	d = (d + time.Second - 1).Truncate(time.Second)
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+// cadence is a moving average of the time between events.
+type cadence struct {
+	last     time.Time
+	interval time.Duration
+}
+
+// smoothing is the weight of the past in moving averages.
+const smoothing = 0.9
+
+// note takes in an event at now.
+func (c *cadence) note(now time.Time) {
+	if !c.last.IsZero() {
+		gap := now.Sub(c.last)
+		if c.interval == 0 {
+			c.interval = gap
+		}
+		c.interval = time.Duration(smoothing*float64(c.interval) + (1-smoothing)*float64(gap))
+	}
+	c.last = now
+}
+
+// pause forgets the last event, so that an idle time counts for nothing.
+func (c *cadence) pause() { c.last = time.Time{} }
+
+// waitFor estimates how long a request at the end of q waits for its turn.
+func (p *pool) waitFor(q *queue) time.Duration {
+	ahead := q.flow.waiting
+	if ahead == 0 {
+		return 0
+	}
+	interval := q.flow.turns.interval
+	if interval == 0 {
+		interval = p.turns.interval * time.Duration(max(1, p.backlogged))
+	}
+	return time.Duration(ahead) * interval
+}
