Read settings files with places, run daemons by command

Settings were not read anywhere yet. parser decodes JSON with comments into typed settings and collects every finding with file:line:column, path, what is wrong and what is allowed; loader holds the settings of each process; the commands router, standin and settings check use them and leave a seam for each daemon.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -25,7 +25,10 @@
 
 // commands is the whole command line, as kong reads it.
 type commands struct {
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Router   routerCommand   `cmd:"" help:"Run a router."`
+	Standin  standinCommands `cmd:"" help:"Run a small stand-in for a part of the platform."`
+	Settings settingsCommand `cmd:"" help:"Work with settings files."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
 // streams are where commands write.
--- /dev/null
+++ b/internal/cli/daemons.go
@@ -0,0 +1,127 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/loader"
+	"lentilwood.example/lentilwood/internal/parser"
+)
+
+// errNotBuilt is returned by commands whose daemon is not part of this build.
+var errNotBuilt = merry.Sentinel("this daemon is not part of the build")
+
+// daemon runs until ctx is cancelled and then shuts down gracefully.
+type daemon[T any] func(ctx context.Context, settings T, log *logrus.Logger) error
+
+// The daemons that the commands start. A test replaces them.
+var (
+	runRouter   daemon[loader.Router]   = notBuilt[loader.Router]
+	runPlatform daemon[loader.Platform] = notBuilt[loader.Platform]
+	runWorker   daemon[loader.Worker]   = notBuilt[loader.Worker]
+	runService  daemon[loader.Service]  = notBuilt[loader.Service]
+)
+
+func notBuilt[T any](context.Context, T, *logrus.Logger) error { return errNotBuilt }
+
+type routerCommand struct {
+	File string `arg:"" help:"Settings file of the kind \"router\"."`
+}
+
+// Run serves callers until a signal arrives.
+func (c routerCommand) Run(s *streams) error {
+	settings, findings := loader.LoadRouter(c.File)
+	return runDaemon(s, runRouter, settings, findings, settings.Log)
+}
+
+type standinCommands struct {
+	Platform platformCommand `cmd:"" help:"Run a stand-in for the platform's table service, object store and list of VMs."`
+	Worker   workerCommand   `cmd:"" help:"Run a stand-in for a model engine."`
+	Service  serviceCommand  `cmd:"" help:"Run a stand-in for a plain service."`
+}
+
+type platformCommand struct {
+	File string `arg:"" help:"Settings file of the kind \"platform\"."`
+}
+
+// Run serves the platform's stand-in until a signal arrives.
+func (c platformCommand) Run(s *streams) error {
+	settings, findings := loader.LoadPlatform(c.File)
+	return runDaemon(s, runPlatform, settings, findings, settings.Log)
+}
+
+type workerCommand struct {
+	File string `arg:"" help:"Settings file of the kind \"worker\"."`
+}
+
+// Run serves a model engine's stand-in until a signal arrives.
+func (c workerCommand) Run(s *streams) error {
+	settings, findings := loader.LoadWorker(c.File)
+	return runDaemon(s, runWorker, settings, findings, settings.Log)
+}
+
+type serviceCommand struct {
+	File string `arg:"" help:"Settings file of the kind \"service\"."`
+}
+
+// Run serves a plain service's stand-in until a signal arrives.
+func (c serviceCommand) Run(s *streams) error {
+	settings, findings := loader.LoadService(c.File)
+	return runDaemon(s, runService, settings, findings, settings.Log)
+}
+
+func runDaemon[T any](s *streams, run daemon[T], settings T, findings parser.Findings, cfg loader.Log) error {
+	if findings.Len() > 0 {
+		fmt.Fprintln(s.err, findings.String())
+		return merry.Errorf("not started: %d findings in the settings", findings.Len())
+	}
+	log := newLog(s.err, cfg)
+	ctx, stop := untilSignal(log)
+	defer stop()
+	return run(ctx, settings, log)
+}
+
+func newLog(w io.Writer, cfg loader.Log) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(w)
+	log.SetLevel(cfg.Level.Logrus())
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	return log
+}
+
+// untilSignal returns a context that ends at the first SIGTERM or SIGINT. The
+// second one ends the process.
+func untilSignal(log *logrus.Logger) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go watchSignals(ctx, signals, cancel, log, os.Exit)
+	return ctx, func() {
+		signal.Stop(signals)
+		close(signals)
+		cancel()
+	}
+}
+
+func watchSignals(ctx context.Context, signals <-chan os.Signal, cancel func(), log *logrus.Logger, exit func(int)) {
+	sig, ok := <-signals
+	if !ok {
+		return
+	}
+	log.WithField("signal", sig).Info("shutting down gracefully; a second signal ends the process at once")
+	cancel()
+	<-ctx.Done()
+	sig, ok = <-signals
+	if !ok {
+		return
+	}
+	log.WithField("signal", sig).Error("second signal: ending at once, requests in progress are cut off")
+	exit(exitFailed)
+}
