Add listener, the HTTP server of every port

Cause: nbhttp accepts requests that RFC 9112 calls ambiguous or malformed, closes a stream that outlives its keep-alive time, drops unsent bytes when a connection is to be closed, and has no count of bytes not yet sent.

Change: a boundary between the connection and nbhttp's parser checks each head whole, bounds sizes and times, runs a connection's requests in order on their own goroutine and closes only what was sent. Refusals are problem documents that say not-run.

--- /dev/null
+++ b/internal/listener/head.go
@@ -0,0 +1,191 @@
+package listener
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+)
+
+// head is what the boundary needs to know of a request's first lines.
+type head struct {
+	http10         bool
+	chunked        bool
+	expectContinue bool
+	// length is the body's length; -1 means that none was given.
+	length int
+	hosts  int
+}
+
+const maxLengthDigits = 18
+
+// methods are the request methods that are served.
+var methods = map[string]bool{
+	"GET": true, "HEAD": true, "POST": true, "PUT": true, "PATCH": true, "DELETE": true, "OPTIONS": true,
+}
+
+// checkHead reads the request line and headers, both ends of line included,
+// and refuses what RFC 9112 calls malformed or leaves ambiguous. It is strict
+// where that document lets a server choose.
+func checkHead(raw []byte) (head, *problem) {
+	h := head{length: -1}
+	for i, c := range raw {
+		if c == '\r' && (i+1 == len(raw) || raw[i+1] != '\n') {
+			return h, malformed("A carriage return stands alone.")
+		}
+		if c == '\n' && (i == 0 || raw[i-1] != '\r') {
+			return h, malformed("A line feed stands alone.")
+		}
+	}
+	lines := bytes.Split(bytes.TrimSuffix(raw, []byte("\r\n\r\n")), []byte("\r\n"))
+	if p := h.readRequestLine(string(lines[0])); p != nil {
+		return h, p
+	}
+	for _, line := range lines[1:] {
+		if p := h.readHeader(line); p != nil {
+			return h, p
+		}
+	}
+	if h.hosts != 1 && !h.http10 {
+		return h, malformed("Exactly one Host header is needed.")
+	}
+	if h.chunked && h.length >= 0 {
+		return h, malformed("Content-Length and Transfer-Encoding exclude each other.")
+	}
+	if h.chunked && h.http10 {
+		return h, malformed("HTTP/1.0 has no Transfer-Encoding.")
+	}
+	return h, nil
+}
+
+func (h *head) readRequestLine(line string) *problem {
+	method, rest, ok := strings.Cut(line, " ")
+	target, version, ok2 := strings.Cut(rest, " ")
+	if !ok || !ok2 || method == "" || target == "" {
+		return malformed("The request line is not method, target and version with one space between.")
+	}
+	switch version {
+	case "HTTP/1.1":
+	case "HTTP/1.0":
+		h.http10 = true
+	default:
+		if strings.HasPrefix(version, "HTTP/") && !strings.Contains(version, " ") {
+			return &problemVersion
+		}
+		return malformed("The request line has no HTTP version.")
+	}
+	if !isToken(method) {
+		return malformed("The method is not a token.")
+	}
+	if !methods[method] {
+		return &problemMethod
+	}
+	return checkTarget(method, target)
+}
+
+func checkTarget(method, target string) *problem {
+	if target == "*" && method == "OPTIONS" {
+		return nil
+	}
+	if target[0] != '/' {
+		return malformed("The target does not start with a slash.")
+	}
+	for i := range len(target) {
+		if c := target[i]; c <= ' ' || c >= 0x7f || c == '#' {
+			return malformed("The target has a character that must be escaped.")
+		}
+	}
+	return nil
+}
+
+func (h *head) readHeader(line []byte) *problem {
+	if len(line) == 0 {
+		return malformed("A header line is empty.")
+	}
+	if line[0] == ' ' || line[0] == '\t' {
+		return malformed("A header is folded over two lines.")
+	}
+	name, value, ok := strings.Cut(string(line), ":")
+	if !ok || !isToken(name) {
+		return malformed("A header's name is not a token followed by a colon.")
+	}
+	value = strings.Trim(value, " \t")
+	if !isFieldValue(value) {
+		return malformed("A header's value has a control character.")
+	}
+	switch {
+	case strings.EqualFold(name, "Host"):
+		h.hosts++
+		return checkHost(value)
+	case strings.EqualFold(name, "Content-Length"):
+		return h.readLength(value)
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		return h.readCoding(value)
+	case strings.EqualFold(name, "Trailer"):
+		return malformed("Trailer fields are not served.")
+	case strings.EqualFold(name, "Expect"):
+		if !strings.EqualFold(value, "100-continue") {
+			return &problemExpect
+		}
+		h.expectContinue = true
+	}
+	return nil
+}
+
+func (h *head) readLength(value string) *problem {
+	if h.length >= 0 {
+		return malformed("Content-Length is given twice.")
+	}
+	if value == "" || strings.Trim(value, "0123456789") != "" {
+		return malformed("Content-Length is not a number.")
+	}
+	if len(value) > maxLengthDigits {
+		return &problemBody
+	}
+	n, err := strconv.Atoi(value)
+	if err != nil {
+		return &problemBody
+	}
+	h.length = n
+	return nil
+}
+
+func (h *head) readCoding(value string) *problem {
+	if h.chunked {
+		return malformed("Transfer-Encoding is given twice.")
+	}
+	if !strings.EqualFold(value, "chunked") {
+		return &problemCoding
+	}
+	h.chunked = true
+	return nil
+}
+
+func checkHost(value string) *problem {
+	if strings.ContainsAny(value, " \t/?#@,\\<>\"{}|^`") {
+		return malformed("The Host header is not a host.")
+	}
+	return nil
+}
+
+func isToken(s string) bool {
+	if s == "" {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(c)) {
+			return false
+		}
+	}
+	return true
+}
+
+func isFieldValue(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/listener/listener.go
@@ -0,0 +1,262 @@
+// Package listener is the HTTP server that every port of lentilwood uses:
+// callers, operators, metrics and the stand-ins.
+//
+// It runs nbio's nbhttp, which keeps an idle connection without a goroutine,
+// and adds what nbhttp leaves open: requests that RFC 9112 calls ambiguous or
+// malformed are refused before any handler sees them, sizes and times are
+// bounded in both directions, and a shutdown cuts off no request in progress.
+//
+// # Usage
+//
+//	l, err := listener.Start(listener.Config{
+//		Name:    "callers",
+//		Address: "127.0.0.1:8080",
+//		Handler: func(c *listener.Caller, r *http.Request) { io.WriteString(c, "hello\n") },
+//	})
+//	defer l.Shutdown(ctx)
+//
+// A handler runs on its own goroutine. The request's body is whole when the
+// handler is called. A handler that can't finish its answer panics with
+// http.ErrAbortHandler, so that the caller sees an answer that was cut off and
+// not one that looks whole.
+package listener
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// Bounds used where Config leaves them zero.
+const (
+	DefaultMaxHeaderBytes  = 16 << 10
+	DefaultMaxBodyBytes    = 8 << 20
+	DefaultMaxPendingBytes = 4 << 20
+	DefaultMaxConns        = 16384
+	DefaultReadTimeout     = 30 * time.Second
+	DefaultIdleTimeout     = 2 * time.Minute
+)
+
+const (
+	readBufferBytes = 16 << 10
+	pollers         = 2
+	// maxOpenFiles sizes nbio's table of connections, which is indexed by
+	// file descriptor.
+	maxOpenFiles = 1 << 17
+	// never is a deadline for nbhttp's own timers; the sweeper has ours.
+	never = 100 * 365 * 24 * time.Hour
+)
+
+// Handler answers one request.
+type Handler func(c *Caller, r *http.Request)
+
+// Config says how a Listener serves. Zero values mean the defaults above.
+type Config struct {
+	// Name appears in log lines.
+	Name string
+	// Address is host:port; port 0 lets the system choose one.
+	Address string
+	// TLS turns on TLS with its certificates, client CAs and versions.
+	TLS *tls.Config
+	// MaxHeaderBytes bounds the request line and headers.
+	MaxHeaderBytes int
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int
+	// MaxPendingBytes bounds what is written but not sent on a connection;
+	// one that passes it is closed.
+	MaxPendingBytes int
+	// MaxConns bounds the open connections.
+	MaxConns int
+	// ReadTimeout bounds the time from a request's first byte to its last.
+	ReadTimeout time.Duration
+	// IdleTimeout bounds the time without a request, and the time in which a
+	// caller takes nothing of an answer that waits for it.
+	IdleTimeout time.Duration
+	// Handler answers the requests.
+	Handler Handler
+	// Log gets one line for each event; nil means logrus's standard logger.
+	Log *logrus.Logger
+	// Clock measures the timeouts; nil means the system's clock.
+	Clock timekeeper.Clock
+}
+
+func (cfg *Config) setDefaults() {
+	cfg.MaxHeaderBytes = orDefault(cfg.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	cfg.MaxBodyBytes = orDefault(cfg.MaxBodyBytes, DefaultMaxBodyBytes)
+	cfg.MaxPendingBytes = orDefault(cfg.MaxPendingBytes, DefaultMaxPendingBytes)
+	cfg.MaxConns = orDefault(cfg.MaxConns, DefaultMaxConns)
+	cfg.ReadTimeout = orDefault(cfg.ReadTimeout, DefaultReadTimeout)
+	cfg.IdleTimeout = orDefault(cfg.IdleTimeout, DefaultIdleTimeout)
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = timekeeper.System{}
+	}
+}
+
+// sizeTables keeps nbio from allocating 16 MiB for each listener.
+var sizeTables = sync.OnceFunc(func() { nbio.MaxOpenFiles = maxOpenFiles })
+
+func orDefault[T int | time.Duration](v, def T) T {
+	if v <= 0 {
+		return def
+	}
+	return v
+}
+
+// Listener is a running HTTP server.
+type Listener struct {
+	cfg      Config
+	engine   *nbhttp.Engine
+	acceptor *acceptor
+	draining atomic.Bool
+	stopOnce sync.Once
+	stopped  chan struct{}
+
+	mu    sync.Mutex
+	conns map[*boundary]struct{}
+}
+
+// Start opens the port and serves it.
+func Start(cfg Config) (*Listener, error) {
+	cfg.setDefaults()
+	setLogger(cfg.Log)
+	l := &Listener{cfg: cfg, stopped: make(chan struct{}), conns: map[*boundary]struct{}{}}
+	l.engine = nbhttp.NewEngine(nbhttp.Config{
+		Name:               cfg.Name,
+		Network:            "tcp",
+		Addrs:              []string{cfg.Address},
+		Listen:             l.listen,
+		Handler:            http.HandlerFunc(l.serve),
+		ServerExecutor:     func(f func()) { go f() },
+		SupportServerOnly:  true,
+		NPoller:            pollers,
+		ReadBufferSize:     readBufferBytes,
+		MaxWriteBufferSize: cfg.MaxPendingBytes,
+		MaxHTTPBodySize:    cfg.MaxBodyBytes,
+		KeepaliveTime:      never,
+		DisableSendfile:    true,
+	})
+	tlsConfig := convertTLS(cfg.TLS)
+	l.engine.Engine.OnOpen(func(c *nbio.Conn) { l.open(c, tlsConfig) })
+	l.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if b, ok := c.Session().(*boundary); ok {
+			b.noteSent(n)
+		}
+	})
+	sizeTables()
+	if err := l.engine.Start(); err != nil {
+		return nil, merry.Prependf(err, "listen on %s for %s", cfg.Address, cfg.Name)
+	}
+	go l.sweep()
+	return l, nil
+}
+
+func (l *Listener) listen(network, address string) (net.Listener, error) {
+	ln, err := net.Listen(network, address)
+	if err != nil {
+		return nil, err
+	}
+	l.acceptor = newAcceptor(ln, l.full)
+	return l.acceptor, nil
+}
+
+// Addr returns the address the port is open on.
+func (l *Listener) Addr() string { return l.acceptor.Addr().String() }
+
+// Conns returns how many connections are open.
+func (l *Listener) Conns() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+func (l *Listener) full() bool { return l.Conns() >= l.cfg.MaxConns }
+
+// StopAccepting closes the port. Open connections live on; each is told with
+// its next answer that it will be closed.
+func (l *Listener) StopAccepting() {
+	l.draining.Store(true)
+	l.acceptor.stopAccepting()
+}
+
+// Shutdown stops accepting, closes idle connections, waits until every request
+// in progress has its answer, and stops the server. If ctx ends first, what is
+// left is cut off and the error says so.
+func (l *Listener) Shutdown(ctx context.Context) error {
+	l.StopAccepting()
+	ticker := time.NewTicker(shutdownPoll)
+	defer ticker.Stop()
+	for {
+		open := l.snapshot()
+		if len(open) == 0 {
+			l.stop()
+			return nil
+		}
+		for _, b := range open {
+			b.endIfIdle()
+		}
+		select {
+		case <-ctx.Done():
+			l.stop()
+			return merry.Prependf(ctx.Err(), "%d connections of %s cut off", len(open), l.cfg.Name)
+		case <-ticker.C:
+		}
+	}
+}
+
+func (l *Listener) stop() {
+	l.stopOnce.Do(func() {
+		close(l.stopped)
+		l.engine.Stop()
+	})
+}
+
+func (l *Listener) snapshot() []*boundary {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	open := make([]*boundary, 0, len(l.conns))
+	for b := range l.conns {
+		open = append(open, b)
+	}
+	return open
+}
+
+// open puts a boundary between nbio and nbhttp's parser on a new connection.
+func (l *Listener) open(c *nbio.Conn, tlsConfig *llibTLS) {
+	parser, ok := c.Session().(*nbhttp.Parser)
+	if !ok {
+		return
+	}
+	b := newBoundary(l, c, parser)
+	parser.Conn = b.wire
+	if tlsConfig != nil {
+		parser.Conn = b.encrypt(tlsConfig)
+		c.OnData(l.engine.TLSDataHandler)
+	}
+	parser.Processor = &guard{b: b}
+	parser.Execute = b.execute
+	l.mu.Lock()
+	l.conns[b] = struct{}{}
+	l.mu.Unlock()
+	b.opened.Store(true)
+	c.SetSession(b)
+}
+
+func (l *Listener) forget(b *boundary) {
+	l.mu.Lock()
+	delete(l.conns, b)
+	l.mu.Unlock()
+}
--- /dev/null
+++ b/internal/listener/logger.go
@@ -0,0 +1,43 @@
+package listener
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+
+	"github.com/lesismal/nbio/logging"
+	"github.com/sirupsen/logrus"
+)
+
+// nbioLog passes on what nbio logs by itself. nbio has one logger for the
+// process, so the first Listener's logger gets the lines of all.
+var nbioLog adapter
+
+type adapter struct{ log atomic.Pointer[logrus.Logger] }
+
+func setLogger(log *logrus.Logger) {
+	if nbioLog.log.CompareAndSwap(nil, log) {
+		logging.SetLogger(&nbioLog)
+	}
+}
+
+// Debug implements nbio's logger.
+func (a *adapter) Debug(format string, v ...any) { a.print(logrus.DebugLevel, format, v) }
+
+// Info implements nbio's logger; nbio reports every start and stop with it.
+func (a *adapter) Info(format string, v ...any) { a.print(logrus.DebugLevel, format, v) }
+
+// Warn implements nbio's logger.
+func (a *adapter) Warn(format string, v ...any) { a.print(logrus.WarnLevel, format, v) }
+
+// Error implements nbio's logger; nbio reports lost connections with it, too.
+func (a *adapter) Error(format string, v ...any) { a.print(logrus.WarnLevel, format, v) }
+
+func (a *adapter) print(level logrus.Level, format string, v []any) {
+	log := a.log.Load()
+	if !log.IsLevelEnabled(level) {
+		return
+	}
+	text := strings.TrimSpace(fmt.Sprintf(format, v...))
+	log.WithField("source", "nbio").Log(level, text)
+}
--- /dev/null
+++ b/internal/listener/turns.go
@@ -0,0 +1,150 @@
+package listener
+
+import (
+	"errors"
+	"net/http"
+	"runtime/debug"
+	"syscall"
+	"time"
+)
+
+// maxPipelined bounds the requests that wait on one connection.
+const maxPipelined = 16
+
+// execute runs job after the jobs before it, on a goroutine of its own.
+func (b *boundary) execute(job func()) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ending || b.ctx.Err() != nil {
+		return false
+	}
+	b.jobs = append(b.jobs, job)
+	if !b.running {
+		b.running = true
+		go b.run()
+	}
+	return true
+}
+
+// run runs the jobs of a connection in order until none is left.
+func (b *boundary) run() {
+	for {
+		job := b.nextJob()
+		if job == nil {
+			return
+		}
+		b.runJob(job)
+	}
+}
+
+func (b *boundary) nextJob() func() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closeAfter {
+		b.jobs = nil
+	}
+	if len(b.jobs) > 0 {
+		job := b.jobs[0]
+		b.jobs = b.jobs[1:]
+		return job
+	}
+	b.jobs = nil
+	b.running = false
+	b.idleSince = b.l.cfg.Clock.Now()
+	if b.closeAfter {
+		b.end()
+	}
+	return nil
+}
+
+func (b *boundary) runJob(job func()) {
+	defer func() {
+		r := recover()
+		if r == nil {
+			return
+		}
+		if err, ok := r.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+			b.l.cfg.Log.WithField("port", b.l.cfg.Name).
+				WithField("panic", r).
+				WithField("stack", string(debug.Stack())).
+				Error("handler failed")
+		}
+		b.mu.Lock()
+		b.closeAfter = true
+		b.mu.Unlock()
+	}()
+	job()
+}
+
+// end closes the connection once everything written was sent. The caller
+// holds b.mu.
+func (b *boundary) end() {
+	if b.ending {
+		return
+	}
+	b.ending = true
+	b.endWhenSent.Store(true)
+	if b.pending() == 0 {
+		go b.halfClose()
+	}
+}
+
+// noteSent is called with nbio's lock of the connection held.
+func (b *boundary) noteSent(n int) {
+	b.sent.Add(int64(n))
+	if b.endWhenSent.Load() && b.pending() == 0 {
+		go b.halfClose()
+	}
+}
+
+func (b *boundary) pending() int {
+	return int(max(0, b.written.Load()-b.sent.Load()))
+}
+
+// halfClose tells the other end that nothing more comes, and leaves it to that
+// end or the sweeper to close: closing at once could discard an answer that
+// the other end has not read yet.
+func (b *boundary) halfClose() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.halfClosed {
+		return
+	}
+	b.halfClosed = true
+	b.lingerSince = b.l.cfg.Clock.Now()
+	b.nbc.Lock()
+	defer b.nbc.Unlock()
+	if closed, _ := b.nbc.IsClosed(); !closed {
+		_ = syscall.Shutdown(b.nbc.Hash(), syscall.SHUT_WR)
+	}
+}
+
+// endIfIdle closes a connection on which nothing is in progress.
+func (b *boundary) endIfIdle() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.running && b.readingSince.IsZero() {
+		b.end()
+	}
+}
+
+// waiting returns how many requests wait for their turn.
+func (b *boundary) waiting() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.jobs)
+}
+
+// closeNow closes the connection and drops what was not sent.
+func (b *boundary) closeNow(cause string) {
+	b.l.cfg.Log.WithField("port", b.l.cfg.Name).
+		WithField("remote", b.nbc.RemoteAddr().String()).
+		WithField("cause", cause).
+		Debug("connection closed")
+	_ = b.nbc.Close()
+}
+
+// expired says whether since was set and lies further back than limit.
+func expired(since, now time.Time, limit time.Duration) bool {
+	return !since.IsZero() && now.Sub(since) > limit
+}
