Wire the router: callers, configuration, shutdown

Cause: the parts need one process that joins them. Change: router package with control goroutine, caller's path, configuration, readiness and shutdown.

--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"lentilwood.example/lentilwood/internal/configurer"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
@@ -19,19 +20,29 @@
 	actionBacklog = 4
 )
 
-// decider is the decision logic that the control goroutine runs.
+// decider is the decision logic about requests.
 type decider interface {
 	Handle(now time.Time, e messenger.Event) []messenger.Action
 }
 
+// fleet is the decision logic about the fleet, with whatever carries out its
+// actions.
+type fleet interface {
+	tick()
+	configuration(e configurer.Event)
+}
+
 // control owns all control state of a router. One goroutine runs it; traffic
 // goroutines reach it through submit and call.
 type control struct {
 	clock   timekeeper.Clock
 	decider decider
+	fleet   fleet
 	send    func(messenger.Send)
 	inbox   chan any
 	done    chan struct{}
+	// unclaimed holds dispatches that no request took up.
+	unclaimed []messenger.Finish
 
 	mu     sync.Mutex
 	queues map[messenger.RequestID]*requestQueue
@@ -43,11 +54,11 @@
 	done chan struct{}
 }
 
-func newControl(clock timekeeper.Clock, d decider, send func(messenger.Send)) *control {
+func newControl(clock timekeeper.Clock, d decider) *control {
 	return &control{
 		clock:   clock,
 		decider: d,
-		send:    send,
+		send:    func(messenger.Send) {},
 		inbox:   make(chan any, eventBacklog),
 		done:    make(chan struct{}),
 		queues:  make(map[messenger.RequestID]*requestQueue),
@@ -64,6 +75,7 @@
 			return
 		case <-tick:
 			c.handle(messenger.Tick{})
+			c.fleet.tick()
 			tick = c.clock.After(messenger.TickInterval)
 		case m := <-c.inbox:
 			c.take(m)
@@ -75,13 +87,25 @@
 	switch m := m.(type) {
 	case messenger.Event:
 		c.handle(m)
+	case configurer.Event:
+		c.fleet.configuration(m)
 	case inspection:
 		m.run()
 		close(m.done)
 	}
 }
 
+// handle decides about one event and about what follows from it.
 func (c *control) handle(e messenger.Event) {
+	c.decide(e)
+	for len(c.unclaimed) > 0 {
+		next := c.unclaimed[0]
+		c.unclaimed = c.unclaimed[1:]
+		c.decide(next)
+	}
+}
+
+func (c *control) decide(e messenger.Event) {
 	for _, a := range c.decider.Handle(c.clock.Now(), e) {
 		c.carryOut(a)
 	}
@@ -92,7 +116,7 @@
 	case messenger.Dispatch:
 		if !c.deliver(a.Request, a) {
 			// The caller left in the meantime: give the slot back.
-			c.handle(messenger.Finish{Request: a.Request, Upstream: a.Upstream})
+			c.unclaimed = append(c.unclaimed, messenger.Finish{Request: a.Request, Upstream: a.Upstream})
 		}
 	case messenger.Refuse:
 		c.deliver(a.Request, a)
@@ -105,8 +129,8 @@
 // that request is gone.
 func (c *control) deliver(id messenger.RequestID, a messenger.Action) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	q := c.queues[id]
-	c.mu.Unlock()
 	if q == nil {
 		return false
 	}
@@ -118,8 +142,9 @@
 	}
 }
 
-// submit tells the control goroutine of an event.
-func (c *control) submit(e messenger.Event) {
+// submit tells the control goroutine of an event: a messenger.Event or a
+// configurer.Event.
+func (c *control) submit(e any) {
 	select {
 	case c.inbox <- e:
 	case <-c.done:
@@ -130,11 +155,7 @@
 // the control goroutine has ended.
 func (c *control) call(f func()) bool {
 	i := inspection{run: f, done: make(chan struct{})}
-	select {
-	case c.inbox <- i:
-	case <-c.done:
-		return false
-	}
+	c.submit(i)
 	select {
 	case <-i.done:
 		return true
@@ -153,8 +174,8 @@
 func (c *control) open(id messenger.RequestID) *requestQueue {
 	q := &requestQueue{control: c, actions: make(chan messenger.Action, actionBacklog)}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.queues[id] = q
-	c.mu.Unlock()
 	return q
 }
 
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,207 @@
+package router
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/configurer"
+	"lentilwood.example/lentilwood/internal/dispatcher"
+	"lentilwood.example/lentilwood/internal/listener"
+	"lentilwood.example/lentilwood/internal/loader"
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/meter"
+	"lentilwood.example/lentilwood/internal/scheduler"
+	"lentilwood.example/lentilwood/internal/storer"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// Config is what a Router is made of. Settings and Store are required.
+type Config struct {
+	Settings loader.Router
+	// Store is the platform's store.
+	Store storer.Store
+	// Clock is the system's clock if nil.
+	Clock timekeeper.Clock
+	// Log is logrus's standard logger if nil.
+	Log *logrus.Logger
+	// Incarnation tells restarts of a router apart; zero takes the time.
+	Incarnation uint64
+}
+
+// Router is one router of the fleet.
+type Router struct {
+	settings    loader.Router
+	self        messenger.RouterID
+	incarnation uint64
+	clock       timekeeper.Clock
+	log         *logrus.Logger
+
+	store      *storer.Guard
+	control    *control
+	configurer *configurer.Configurer
+	dispatcher *dispatcher.Dispatcher
+	meter      *meter.Meter
+
+	callers   *listener.Listener
+	operators *listener.Listener
+
+	current     atomic.Pointer[inForce]
+	ready       atomic.Pointer[readiness]
+	lastRequest atomic.Uint64
+	inProgress  atomic.Int64
+
+	// serving ends when a shutdown gives up on requests in progress, and
+	// background when the router is done.
+	serving     context.Context
+	cutRequests context.CancelFunc
+	background  context.Context
+	stopAll     context.CancelFunc
+	goroutines  sync.WaitGroup
+}
+
+// readiness is what the readiness check answers.
+type readiness struct {
+	ready  bool
+	reason string
+}
+
+// New returns a Router that is not yet started.
+func New(cfg Config) *Router {
+	if cfg.Clock == nil {
+		cfg.Clock = timekeeper.System{}
+	}
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	if cfg.Incarnation == 0 {
+		cfg.Incarnation = uint64(cfg.Clock.Now().UnixMicro())
+	}
+	r := &Router{
+		settings: cfg.Settings, self: messenger.RouterID(cfg.Settings.Name),
+		incarnation: cfg.Incarnation, clock: cfg.Clock, log: cfg.Log,
+		store: storer.NewGuard(cfg.Store, cfg.Clock, cfg.Incarnation),
+		meter: meter.New(cfg.Clock, cfg.Settings.Metrics.Accounts),
+		configurer: configurer.New(configurer.Config{
+			Self: messenger.RouterID(cfg.Settings.Name), Domain: cfg.Settings.FailureDomain, Seed: cfg.Incarnation,
+		}),
+	}
+	r.serving, r.cutRequests = context.WithCancel(context.Background())
+	r.background, r.stopAll = context.WithCancel(context.Background())
+	r.ready.Store(&readiness{reason: string(configurer.NoConfiguration)})
+	r.control = newControl(cfg.Clock, scheduler.New(scheduler.Config{Self: r.self, Seed: cfg.Incarnation}))
+	r.control.fleet = r
+	r.dispatcher = dispatcher.New(dispatcher.Config{Upstreams: r, Clock: cfg.Clock, Log: cfg.Log, Seed: cfg.Incarnation})
+	return r
+}
+
+// Start opens the listeners and begins to serve.
+func (r *Router) Start() error {
+	if err := r.listen(); err != nil {
+		r.stopAll()
+		return err
+	}
+	r.goroutines.Go(func() { r.control.run(r.background) })
+	r.log.WithFields(logrus.Fields{
+		"event": "started", "router": r.self, "incarnation": r.incarnation,
+		"callers": r.CallersAddr(), "operators": r.OperatorsAddr(),
+	}).Info("router started")
+	return nil
+}
+
+func (r *Router) listen() error {
+	callersTLS, err := r.settings.Listeners.Callers.TLS.Config()
+	if err != nil {
+		return err
+	}
+	operatorsTLS, err := r.settings.Listeners.Operators.TLS.Config()
+	if err != nil {
+		return err
+	}
+	r.callers, err = listener.Start(r.listenerConfig("callers", r.settings.Listeners.Callers, callersTLS, r.serveCaller))
+	if err != nil {
+		return err
+	}
+	r.operators, err = listener.Start(r.listenerConfig("operators", r.settings.Listeners.Operators, operatorsTLS, r.serveOperator))
+	return err
+}
+
+func (r *Router) listenerConfig(name string, l loader.Listener, secure *tls.Config, h listener.Handler) listener.Config {
+	limits := r.settings.Limits
+	return listener.Config{
+		Name: name, Address: l.Address, TLS: secure,
+		MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes,
+		MaxPendingBytes: limits.MaxPendingBytes, MaxConns: limits.MaxConnections,
+		ReadTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout,
+		Handler: h, Log: r.log, Clock: r.clock,
+	}
+}
+
+// CallersAddr returns the address that callers connect to.
+func (r *Router) CallersAddr() string { return r.callers.Addr() }
+
+// OperatorsAddr returns the address that operators connect to.
+func (r *Router) OperatorsAddr() string { return r.operators.Addr() }
+
+// Ready reports whether the router serves callers, and if not, why.
+func (r *Router) Ready() (bool, string) {
+	state := r.ready.Load()
+	return state.ready, state.reason
+}
+
+// tick is called by the control goroutine as time passes.
+func (r *Router) tick() { r.configuration(configurer.Tick{}) }
+
+// serveOperator answers an operator, a probe or a reader of metrics.
+func (r *Router) serveOperator(c *listener.Caller, req *http.Request) {
+	switch req.URL.Path {
+	case "/healthz":
+		c.WriteHeader(http.StatusOK)
+	case "/readyz":
+		r.serveReady(c)
+	case "/metrics":
+		c.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		r.meter.WritePrometheus(c)
+	default:
+		c.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (r *Router) serveReady(w http.ResponseWriter) {
+	ready, reason := r.Ready()
+	if ready {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = w.Write([]byte(reason + "\n")) // the listener notes callers that are gone
+}
+
+// Shutdown makes the router not ready, waits for the balancer to notice,
+// finishes every request in progress and stops. If ctx or the drain limit ends
+// first, the requests that are left are cut off and the error says how many.
+func (r *Router) Shutdown(ctx context.Context) error {
+	r.ready.Store(&readiness{reason: "shutting-down"})
+	r.log.WithField("event", "draining").WithField("inProgress", r.inProgress.Load()).Info("not ready; waiting for the balancer")
+	select {
+	case <-ctx.Done():
+	case <-r.clock.After(r.settings.BalancerLag):
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.settings.DrainLimit)
+	defer cancel()
+	err := r.callers.Shutdown(ctx)
+	r.cutRequests()
+	r.dispatcher.Close()
+	stopCtx, stopCancel := context.WithTimeout(context.Background(), time.Second)
+	defer stopCancel()
+	_ = r.operators.Shutdown(stopCtx) // a probe's open connection may be cut
+	r.stopAll()
+	r.goroutines.Wait()
+	r.log.WithField("event", "stopped").Info("router stopped")
+	return err
+}
--- /dev/null
+++ b/internal/router/traffic.go
@@ -0,0 +1,208 @@
+package router
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/configurer"
+	"lentilwood.example/lentilwood/internal/dispatcher"
+	"lentilwood.example/lentilwood/internal/identifier"
+	"lentilwood.example/lentilwood/internal/listener"
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/meter"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// Bounds of what a caller may write into headers.
+const (
+	maxKeyBytes = 255
+	// maxDeadline bounds the deadline that a caller may ask for.
+	maxDeadline = 24 * time.Hour
+	// maxCostHint bounds the cost that a caller may hint at, in tokens.
+	maxCostHint = 1e7
+)
+
+// inForce is the configuration that requests are served by.
+type inForce struct {
+	document *configurer.Document
+	policy   *messenger.Policy
+}
+
+// Upstream returns the settings of an upstream.
+func (r *Router) Upstream(id messenger.UpstreamID) (messenger.UpstreamPolicy, bool) {
+	cfg := r.current.Load()
+	if cfg == nil {
+		return messenger.UpstreamPolicy{}, false
+	}
+	u, ok := cfg.policy.Upstreams[id]
+	return u, ok
+}
+
+// serveCaller answers one request of a caller.
+func (r *Router) serveCaller(c *listener.Caller, req *http.Request) {
+	r.inProgress.Add(1)
+	defer r.inProgress.Add(-1)
+	id := messenger.RequestID(r.lastRequest.Add(1))
+	wireID := r.wireID(id)
+	out, refusal := r.accept(id, wireID, req)
+	if refusal != nil {
+		refusal.write(c, wireID, req.Header.Get(messenger.RequestIDHeader))
+		r.meter.Counter(refusal.metric()).Inc()
+		return
+	}
+	r.carry(c, out, req.Header.Get(messenger.RequestIDHeader))
+}
+
+// carry serves an accepted request to its end.
+func (r *Router) carry(c *listener.Caller, out *dispatcher.Request, callerID string) {
+	series := r.meter.Series(out.Arrive.Account, out.Arrive.Class)
+	series.Accept()
+	if callerID != "" {
+		c.Header().Set(callerIDHeader, callerID)
+	}
+	arrived := r.clock.Now()
+	q := &meteredQueue{requestQueue: r.control.open(out.ID), series: series, clock: r.clock}
+	result := r.dispatcher.Serve(r.serving, out, q, c)
+	r.control.closeQueue(out.ID)
+	r.observe(series, arrived, result)
+	r.log.WithFields(logrus.Fields{
+		"event": "request", "request": out.WireID, "callerRequest": callerID,
+		"account": out.Arrive.Account, "class": out.Arrive.Class, "pool": out.Arrive.Pool,
+		"upstream": result.Upstream, "status": result.Status, "run": result.Run,
+		"problem": result.Problem, "tokens": result.Tokens, "attempts": result.Attempts,
+		"resumes": result.Resumes, "callerGone": result.CallerGone,
+		"ms": result.Finished.Sub(arrived).Milliseconds(),
+	}).Info("request ended")
+}
+
+// accept identifies and classifies a request. It returns what to refuse it
+// with if it can't be served.
+func (r *Router) accept(id messenger.RequestID, wireID string, req *http.Request) (*dispatcher.Request, *refusal) {
+	cfg := r.current.Load()
+	if cfg == nil {
+		return nil, refuseNotReady
+	}
+	account, ok := identify(cfg.document, req.Header)
+	if !ok {
+		return nil, refuseToken
+	}
+	route, ok := cfg.document.RouteOf(req.Method, req.URL.Path)
+	if !ok {
+		return nil, refuseRoute
+	}
+	class, problem := classify(route, req.Header)
+	if problem != nil {
+		return nil, problem
+	}
+	arrive, problem := r.arrival(id, req.Header)
+	if problem != nil {
+		return nil, problem
+	}
+	arrive.Account, arrive.Class, arrive.Pool, arrive.Idempotent = account, class, route.Pool, route.Idempotent
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return nil, refuseBody
+	}
+	key := req.Header.Get(messenger.IdempotencyKeyHeader)
+	if len(key) > maxKeyBytes {
+		return nil, refuseKey
+	}
+	if route.Idempotent {
+		key = ""
+	}
+	return &dispatcher.Request{
+		ID: id, WireID: wireID, Arrive: arrive, Method: req.Method, URI: req.URL.RequestURI(),
+		Header: req.Header, Body: body, Class: cfg.policy.Classes[class],
+		Streaming: route.Engine, Key: key,
+	}, nil
+}
+
+// identify returns the client account of a request.
+func identify(doc *configurer.Document, h http.Header) (messenger.AccountID, bool) {
+	token, ok := identifier.TokenOf(h)
+	if !ok {
+		return "", false
+	}
+	return doc.AccountByDigest(configurer.Digest(token))
+}
+
+// classify returns the class that the caller chose, or the route's.
+func classify(route configurer.Route, h http.Header) (messenger.ClassID, *refusal) {
+	class := messenger.ClassID(h.Get(messenger.ClassHeader))
+	if class == "" {
+		return route.Class, nil
+	}
+	if !route.Allows(class) {
+		return "", refuseClass
+	}
+	return class, nil
+}
+
+// arrival reads what the caller's headers say of cost, deadline and prefix.
+func (r *Router) arrival(id messenger.RequestID, h http.Header) (messenger.Arrive, *refusal) {
+	a := messenger.Arrive{Request: id}
+	if text := h.Get(messenger.CostHintHeader); text != "" {
+		hint, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(hint >= 0 && hint <= maxCostHint) {
+			return a, refuseHint
+		}
+		a.CostHint = hint
+	}
+	if text := h.Get(messenger.DeadlineHeader); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
+			return a, refuseDeadline
+		}
+		a.Deadline = r.clock.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
+	if prefix := h.Get(messenger.PrefixHeader); prefix != "" {
+		a.Prefix = xxhash.Sum64String(prefix)
+	}
+	return a, nil
+}
+
+// wireID returns the id of a request towards upstreams, unique in the fleet.
+func (r *Router) wireID(id messenger.RequestID) string {
+	return strings.Join([]string{string(r.self), strconv.FormatUint(r.incarnation, 36), strconv.FormatUint(uint64(id), 36)}, "-")
+}
+
+// observe counts an ended request.
+func (r *Router) observe(s meter.Series, arrived time.Time, result dispatcher.Result) {
+	if result.Dispatched.IsZero() {
+		s.Refuse(messenger.RefuseReason(result.Problem))
+		return
+	}
+	s.Wait(result.Dispatched.Sub(arrived))
+	if !result.FirstOutput.IsZero() {
+		s.FirstToken(result.FirstOutput.Sub(arrived))
+	}
+	s.Total(result.Finished.Sub(arrived))
+	s.Tokens(int(result.Tokens))
+}
+
+// meteredQueue measures the time between an answer's outputs on their way to
+// the scheduler.
+type meteredQueue struct {
+	*requestQueue
+	series meter.Series
+	clock  timekeeper.Clock
+	last   time.Time
+}
+
+// Tell passes an event about the request to the scheduler.
+func (q *meteredQueue) Tell(e messenger.Event) {
+	if p, ok := e.(messenger.Progress); ok {
+		now := q.clock.Now()
+		if !p.First && !q.last.IsZero() && p.Tokens > 0 {
+			q.series.BetweenTokens(now.Sub(q.last) / time.Duration(max(1, p.Tokens)))
+		}
+		q.last = now
+	}
+	q.requestQueue.Tell(e)
+}
