Add store client and guard, stand-in platform, configuration

Cause: the routers need the platform's store, with its faults, and the configuration to be wired against. Change: keeper (tables, objects, lagging list, faults, in memory and over HTTP), storer.Client and Guard (deadline, circuit, retry budget, read-back, counts by purpose), configurer (document, check, resolve, versions, editor). A write whose answer was lost, repeated and then overwritten by another is reported as unknown; a guard that reported the repeat's conflict fails TestGuardDoesNotBlameItsOwnWrite.

--- /dev/null
+++ b/internal/configurer/editor.go
@@ -0,0 +1,289 @@
+package configurer
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"lentilwood.example/lentilwood/internal/storer"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// maxRowBytes is the longest list of changes kept in a row; a longer one goes
+// to the object store.
+const maxRowBytes = 32 << 10
+
+// Editor changes the configuration for operators. It keeps no state of its
+// own: each call reads the table.
+type Editor struct {
+	// Store is the platform's store.
+	Store storer.Store
+	// Clock dates the revisions; nil means the system's clock.
+	Clock timekeeper.Clock
+	// Token returns a random text that no other call returns; nil means one
+	// from the system's random source.
+	Token func() string
+}
+
+// Note says who changes the configuration and why.
+type Note struct {
+	Author string
+	Reason string
+}
+
+// Errors of an Editor, besides Findings and Conflict.
+var (
+	// ErrNoReason means that a change names no author or no reason.
+	ErrNoReason = merry.Sentinel("a change needs an author and a reason")
+	// ErrNoException means that there is no exception of that id.
+	ErrNoException = merry.Sentinel("no such exception")
+	// ErrNoRevision means that the history holds no such version.
+	ErrNoRevision = merry.Sentinel("no such version in the history")
+)
+
+// Conflict is the error of a change that was made from a version which is no
+// longer the newest. Nothing was written.
+type Conflict struct {
+	// Base is the version the change was made from.
+	Base uint64
+	// Newer are the revisions that came after it, without their contents.
+	Newer []Revision
+}
+
+// Error names the changes that came in between.
+func (c *Conflict) Error() string {
+	text := fmt.Sprintf("the change was made from version %d, which is no longer the newest:", c.Base)
+	for _, r := range c.Newer {
+		text += fmt.Sprintf("\nversion %d by %s at %s (%s) changed %s",
+			r.Version, r.Author, r.Time.UTC().Format(time.RFC3339), r.Reason, r.changed())
+	}
+	return text
+}
+
+// Unwrap makes errors.Is(err, storer.ErrConflict) hold.
+func (c *Conflict) Unwrap() error { return storer.ErrConflict }
+
+// Show returns the newest document. An empty document of version 0 stands for
+// none.
+func (e *Editor) Show(ctx context.Context) (*Document, error) {
+	s, err := e.load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if s.Document() == nil {
+		return &Document{}, nil
+	}
+	return s.Document(), nil
+}
+
+// Set replaces the document. The document's Version is the version it was made
+// from; if another change was accepted since, the error is a Conflict. The
+// update returned may be handed to a Configurer as Accepted.
+func (e *Editor) Set(ctx context.Context, d *Document, n Note) (Update, error) {
+	s, err := e.load(ctx)
+	if err != nil {
+		return Update{}, err
+	}
+	if d.Version != s.Version() {
+		return Update{}, e.conflict(ctx, d.Version)
+	}
+	return e.commit(ctx, s, d, n)
+}
+
+// Except adds or replaces one exception. Base is the version the operator has
+// seen; 0 means whichever is the newest.
+func (e *Editor) Except(ctx context.Context, base uint64, id string, x Exception) (Update, error) {
+	n := Note{Author: x.Author, Reason: x.Reason}
+	return e.edit(ctx, base, n, func(exceptions map[string]Exception) error {
+		exceptions[id] = x
+		return nil
+	})
+}
+
+// Remove ends an exception.
+func (e *Editor) Remove(ctx context.Context, base uint64, id string, n Note) (Update, error) {
+	return e.edit(ctx, base, n, func(exceptions map[string]Exception) error {
+		if _, ok := exceptions[id]; !ok {
+			return merry.Prepend(ErrNoException, id)
+		}
+		delete(exceptions, id)
+		return nil
+	})
+}
+
+// editAttempts is how often a change that names no base is made anew when
+// another one came first.
+const editAttempts = 5
+
+// edit changes the exceptions of the newest document.
+func (e *Editor) edit(ctx context.Context, base uint64, n Note, change func(map[string]Exception) error) (Update, error) {
+	for attempt := 1; ; attempt++ {
+		s, err := e.load(ctx)
+		if err != nil {
+			return Update{}, err
+		}
+		if base != 0 && base != s.Version() {
+			return Update{}, e.conflict(ctx, base)
+		}
+		d, err := documentOf(s.entriesOrNone(), s.Version())
+		if err != nil {
+			return Update{}, err
+		}
+		if err := change(d.Exceptions); err != nil {
+			return Update{}, err
+		}
+		u, err := e.commit(ctx, s, d, n)
+		if err == nil || base != 0 || attempt == editAttempts || !errors.Is(err, storer.ErrConflict) {
+			return u, err
+		}
+	}
+}
+
+// Revert makes the document of an older version the newest one, as a new
+// version. Base is the version the operator has seen; 0 means the newest.
+func (e *Editor) Revert(ctx context.Context, base, version uint64, n Note) (Update, error) {
+	s, err := e.load(ctx)
+	if err != nil {
+		return Update{}, err
+	}
+	if base != 0 && base != s.Version() {
+		return Update{}, e.conflict(ctx, base)
+	}
+	old, err := e.at(ctx, version)
+	if err != nil {
+		return Update{}, err
+	}
+	d, err := documentOf(old, s.Version())
+	if err != nil {
+		return Update{}, err
+	}
+	return e.commit(ctx, s, d, n)
+}
+
+// load reads the newest state.
+func (e *Editor) load(ctx context.Context) (*State, error) {
+	u, err := Fetch(ctx, e.Store, nil)
+	if err != nil {
+		return nil, err
+	}
+	return (*State)(nil).Apply(u)
+}
+
+// commit checks a document and writes it as the version after s.
+func (e *Editor) commit(ctx context.Context, s *State, d *Document, n Note) (Update, error) {
+	if n.Author == "" || n.Reason == "" {
+		return Update{}, ErrNoReason
+	}
+	if err := Check(d); err != nil {
+		return Update{}, err
+	}
+	to := entriesOf(d)
+	r := Revision{
+		Version: s.Version() + 1, Token: e.token(), Author: n.Author, Reason: n.Reason,
+		Time: e.now(), Changes: diff(s.entriesOrNone(), to), Sum: sumOf(to),
+	}
+	stored, err := e.store(ctx, r)
+	if err != nil {
+		return Update{}, err
+	}
+	if err := e.settle(ctx, r, e.append(ctx, s, stored)); err != nil {
+		return Update{}, err
+	}
+	e.compact(ctx, r, to)
+	return Update{Version: r.Version, Revisions: []Revision{r}}, nil
+}
+
+// store puts long changes into an object and returns the revision as its row
+// holds it.
+func (e *Editor) store(ctx context.Context, r Revision) (Revision, error) {
+	data, err := json.Marshal(r.Changes)
+	if err != nil || len(data) <= maxRowBytes {
+		return r, err
+	}
+	r.Object = "config/changes/" + r.Token
+	r.Changes = nil
+	return r, e.Store.PutObject(ctx, r.Object, data)
+}
+
+// append writes a revision if its predecessor is still the newest. The row's
+// token tells this attempt from any other if the answer is lost.
+func (e *Editor) append(ctx context.Context, s *State, r Revision) error {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	var seen storer.Row
+	if s.Version() > 0 {
+		if seen, err = e.Store.Read(ctx, Table, headKey); err != nil {
+			return gone(err)
+		}
+		var h head
+		if err := json.Unmarshal(seen.Value, &h); err != nil {
+			return merry.Prepend(err, "decode the head row")
+		}
+		if h.Version != s.Version() {
+			return storer.ErrConflict
+		}
+	}
+	top, err := json.Marshal(head{Version: r.Version, Token: r.Token})
+	if err != nil {
+		return err
+	}
+	return e.Store.Commit(ctx, []storer.Op{
+		{Table: Table, Key: revisionKey(r.Version), Value: value},
+		{Table: Table, Key: headKey, Value: top, IfVersion: seen.Version},
+	})
+}
+
+// settle turns the outcome of an append into a certain one where it can: the
+// history tells whether the version is this attempt's or another's.
+func (e *Editor) settle(ctx context.Context, r Revision, err error) error {
+	if err == nil || !errors.Is(err, storer.ErrConflict) && !errors.Is(err, storer.ErrUnknown) {
+		return err
+	}
+	newer, readErr := e.History(ctx, r.Version-1)
+	if readErr != nil || len(newer) == 0 {
+		return err
+	}
+	if newer[0].Token == r.Token {
+		return nil
+	}
+	return &Conflict{Base: r.Version - 1, Newer: newer}
+}
+
+// conflict reports what was accepted after base.
+func (e *Editor) conflict(ctx context.Context, base uint64) error {
+	c := &Conflict{Base: base}
+	revisions, err := e.History(ctx, base)
+	if err != nil {
+		return merry.Prepend(err, "conflict with a newer version that could not be read")
+	}
+	c.Newer = revisions
+	return c
+}
+
+func (e *Editor) token() string {
+	if e.Token != nil {
+		return e.Token()
+	}
+	return rand.Text()
+}
+
+func (e *Editor) now() time.Time {
+	if e.Clock != nil {
+		return e.Clock.Now()
+	}
+	return timekeeper.System{}.Now()
+}
+
+func (s *State) entriesOrNone() Entries {
+	if s == nil {
+		return nil
+	}
+	return s.entries
+}
--- /dev/null
+++ b/internal/configurer/ready.go
@@ -0,0 +1,61 @@
+package configurer
+
+import (
+	"slices"
+	"time"
+)
+
+// judge decides whether the router is ready and reports a change.
+func (c *Configurer) judge(now time.Time) []Action {
+	c.settle()
+	ready, reason := true, NotReady("")
+	switch {
+	case c.Version() == 0:
+		ready, reason = false, NoConfiguration
+	case !c.settled:
+		ready, reason = false, NotConfirmed
+	case !c.fresh(now) && !c.majority(len(c.live)):
+		ready, reason = false, CutOff
+	}
+	if c.told && ready == c.ready && reason == c.reason {
+		return nil
+	}
+	c.told, c.ready, c.reason = true, ready, reason
+	return []Action{ReadyChange{Ready: ready, Reason: reason}}
+}
+
+// settle notes that most of the routers have said, since this one started,
+// that they know of nothing newer. An accepted change that most routers held
+// is among their answers, so that a restart in an outage of the store does not
+// go back behind it.
+func (c *Configurer) settle() {
+	if c.settled || c.Version() == 0 {
+		return
+	}
+	behind := 0
+	for _, p := range c.peers {
+		if p.version <= c.Version() {
+			behind++
+		}
+	}
+	c.settled = c.majority(behind) && behind == len(c.peers)
+}
+
+// majority reports whether n other routers and this one are most of the fleet.
+func (c *Configurer) majority(n int) bool { return 2*(n+1) > c.known }
+
+// fresh reports whether the table was seen lately by a router, this one or
+// one that this one has heard of.
+func (c *Configurer) fresh(now time.Time) bool {
+	age, ok := c.Age(now)
+	return ok && age <= StaleLimit
+}
+
+// forget drops what is known of routers that are no longer live.
+func (c *Configurer) forget() {
+	for id := range c.peers {
+		if !slices.Contains(c.live, id) {
+			delete(c.peers, id)
+		}
+	}
+}
