Configuration: refuse exceptions that clash, narrower scopes win

Cause: two exceptions on the same field applied in the order of their ids, so one of them silently did not hold. Change: the narrower scope applies last; of two as wide the check reports the field. Tests for resolution, findings, races, lost answers, history, revert.

--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -37,6 +37,7 @@
 	for _, id := range sortedKeys(d.Exceptions) {
 		f.checkException(join("exceptions", id), d, d.Exceptions[id])
 	}
+	f.checkOverlaps(d)
 	return f.err()
 }
 
--- /dev/null
+++ b/internal/configurer/editor_test.go
@@ -0,0 +1,270 @@
+package configurer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"lentilwood.example/lentilwood/internal/keeper"
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/storer"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+var note = Note{Author: "ilze", Reason: "test"}
+
+// newEditor returns an editor on an empty platform, with tokens that are the
+// same on every run.
+func newEditor() (*Editor, *keeper.Keeper) {
+	clock := timekeeper.NewManual(start)
+	k := keeper.New(clock)
+	n := 0
+	token := func() string { n++; return fmt.Sprintf("token-%d", n) }
+	return &Editor{Store: k, Clock: clock, Token: token}, k
+}
+
+func set(t testing.TB, e *Editor, d *Document) *Document {
+	t.Helper()
+	if _, err := e.Set(t.Context(), d, note); err != nil {
+		t.Fatal(err)
+	}
+	return show(t, e)
+}
+
+func show(t testing.TB, e *Editor) *Document {
+	t.Helper()
+	d, err := e.Show(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func weight(w float64) Exception {
+	return Exception{
+		Scope: Scope{Account: "riga-2"}, Reason: fmt.Sprintf("weight %v", w), Author: "janis",
+		Account: &AccountSettings{Weight: &w},
+	}
+}
+
+func TestRaceOfOperators(t *testing.T) {
+	e, _ := newEditor()
+	base := set(t, e, parse(t, sample))
+	if _, err := e.Except(t.Context(), base.Version, "x1", weight(4)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := e.Except(t.Context(), base.Version, "x1", weight(5))
+	var c *Conflict
+	if !errors.As(err, &c) {
+		t.Fatalf("second operator: got %v, want a conflict", err)
+	}
+	if len(c.Newer) != 1 || c.Newer[0].Author != "janis" || c.Newer[0].Reason != "weight 4" {
+		t.Errorf("newer: got %+v, want the change by janis", c.Newer)
+	}
+	if !strings.Contains(err.Error(), "exceptions/x1") {
+		t.Errorf("got %v, want the changed entry named", err)
+	}
+	if got := show(t, e).Resolve(start, "r1", "d1").AccountOf("riga-2").Weight; got != 4 {
+		t.Errorf("weight: got %v, want the winner's 4", got)
+	}
+}
+
+// racing lets another operator commit just before each commit of this one.
+type racing struct {
+	storer.Store
+	other func()
+}
+
+func (s *racing) Commit(ctx context.Context, ops []storer.Op) error {
+	other := s.other
+	s.other = nil
+	if other != nil {
+		other()
+	}
+	return s.Store.Commit(ctx, ops)
+}
+
+func TestRaceBetweenCheckAndCommit(t *testing.T) {
+	e, k := newEditor()
+	base := set(t, e, parse(t, sample))
+	loser := *e
+	loser.Store = &racing{Store: k, other: func() {
+		if _, err := e.Except(t.Context(), base.Version, "x1", weight(4)); err != nil {
+			t.Error(err)
+		}
+	}}
+	_, err := loser.Except(t.Context(), base.Version, "x1", weight(5))
+	var c *Conflict
+	if !errors.As(err, &c) || len(c.Newer) != 1 {
+		t.Fatalf("got %v, want a conflict with one change", err)
+	}
+	loser.Store = &racing{Store: k, other: func() {
+		if _, err := e.Remove(t.Context(), 0, "x1", note); err != nil {
+			t.Error(err)
+		}
+	}}
+	if _, err := loser.Except(t.Context(), 0, "x1", weight(5)); err != nil {
+		t.Errorf("without a base: got %v, want the change made anew", err)
+	}
+}
+
+func TestLostAnswerOfOperatorsChange(t *testing.T) {
+	e, k := newEditor()
+	base := set(t, e, parse(t, sample))
+	k.SetFaults(keeper.Faults{Seed: 1, LoseAnswers: 1})
+	u, err := e.Except(t.Context(), base.Version, "x1", weight(4))
+	if err != nil || u.Version != 2 {
+		t.Fatalf("got version %d, %v, want version 2 settled by reading back", u.Version, err)
+	}
+	if got := show(t, e).Resolve(start, "r1", "d1").AccountOf("riga-2").Weight; got != 4 {
+		t.Errorf("weight: got %v, want 4", got)
+	}
+}
+
+func TestEditorRefuses(t *testing.T) {
+	e, _ := newEditor()
+	d := set(t, e, parse(t, sample))
+	bad := *d
+	bad.Pools = nil
+	if _, err := e.Set(t.Context(), &bad, note); len(FindingsOf(err)) < 3 {
+		t.Errorf("document without pools: got %v, want findings", err)
+	}
+	if _, err := e.Set(t.Context(), d, Note{Author: "ilze"}); !errors.Is(err, ErrNoReason) {
+		t.Errorf("no reason: got %v", err)
+	}
+	if _, err := e.Remove(t.Context(), 0, "none", note); !errors.Is(err, ErrNoException) {
+		t.Errorf("unknown exception: got %v", err)
+	}
+	if _, err := e.Revert(t.Context(), 0, 9, note); !errors.Is(err, ErrNoRevision) {
+		t.Errorf("unknown version: got %v", err)
+	}
+	if got := show(t, e).Version; got != 1 {
+		t.Errorf("version: got %d, want 1: nothing was written", got)
+	}
+}
+
+// TestLongHistory goes past two snapshots, reverts to versions in the object
+// store and in the table, and lets routers of all ages catch up.
+func TestLongHistory(t *testing.T) {
+	e, k := newEditor()
+	set(t, e, parse(t, sample))
+	const last = 2*compactEvery + 10
+	states := map[uint64]*State{}
+	var s *State
+	for v := uint64(2); v <= last; v++ {
+		if _, err := e.Except(t.Context(), 0, "x1", weight(float64(v))); err != nil {
+			t.Fatal(err)
+		}
+		if v%50 == 0 {
+			states[v] = catchUp(t, k, s)
+		}
+	}
+	rows, _ := k.Scan(t.Context(), Table, 0, 0)
+	live := 0
+	for _, r := range rows {
+		if !r.Deleted {
+			live++
+		}
+	}
+	if live != 12 {
+		t.Errorf("live rows: got %d, want 10 revisions, the head and the snapshot", live)
+	}
+	for v, old := range states {
+		if got := catchUp(t, k, old); got.Version() != last {
+			t.Errorf("from version %d: got %d, want %d", v, got.Version(), last)
+		}
+	}
+	for _, v := range []uint64{1, 100, compactEvery, compactEvery + 1, last - 1} {
+		checkRevert(t, e, v)
+	}
+	history, err := e.History(t.Context(), 0)
+	if err != nil || len(history) != last+5 {
+		t.Errorf("history: got %d revisions, %v, want %d", len(history), err, last+5)
+	}
+	for i, r := range history {
+		if r.Version != uint64(i+1) {
+			t.Fatalf("history[%d]: got version %d", i, r.Version)
+		}
+	}
+	part, err := e.History(t.Context(), 200)
+	if err != nil || part[0].Version != 201 {
+		t.Errorf("history after 200: got %+v, %v", part[0], err)
+	}
+}
+
+func catchUp(t *testing.T, store storer.Store, s *State) *State {
+	t.Helper()
+	u, err := Fetch(t.Context(), store, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, err := s.Apply(u)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+func checkRevert(t *testing.T, e *Editor, version uint64) {
+	t.Helper()
+	before := show(t, e).Version
+	if _, err := e.Revert(t.Context(), before, version, note); err != nil {
+		t.Errorf("revert to %d: %v", version, err)
+		return
+	}
+	d := show(t, e)
+	want := float64(version)
+	if version == 1 {
+		want = 3
+	}
+	if got := d.Resolve(start, "r1", "d1").AccountOf("riga-2").Weight; got != want || d.Version != before+1 {
+		t.Errorf("revert to %d: got weight %v in version %d, want %v in %d", version, got, d.Version, want, before+1)
+	}
+}
+
+func TestLongChangeGoesToObject(t *testing.T) {
+	e, k := newEditor()
+	d := parse(t, sample)
+	for i := range 2000 {
+		d.Accounts[messenger.AccountID(fmt.Sprintf("account-%d", i))] = AccountSettings{Weight: d.Account.Weight}
+	}
+	set(t, e, d)
+	row, err := k.Read(t.Context(), Table, revisionKey(1))
+	if err != nil || len(row.Value) > 1000 {
+		t.Errorf("row: got %d bytes, %v, want the changes in an object", len(row.Value), err)
+	}
+	if got := len(show(t, e).Accounts); got != 2002 {
+		t.Errorf("accounts: got %d, want 2002", got)
+	}
+}
+
+func TestApplyNeverGoesBack(t *testing.T) {
+	e, k := newEditor()
+	set(t, e, parse(t, sample))
+	old := catchUp(t, k, nil)
+	if _, err := e.Except(t.Context(), 0, "x1", weight(4)); err != nil {
+		t.Fatal(err)
+	}
+	s := catchUp(t, k, old)
+	for name, u := range map[string]Update{
+		"whole":     {Version: old.version, Whole: old.entries, Sum: old.sum},
+		"revisions": {Version: 1, Revisions: old.recent},
+		"nothing":   {},
+	} {
+		if got, err := s.Apply(u); err != nil || got.Version() != 2 {
+			t.Errorf("%s: got version %d, %v, want 2", name, got.Version(), err)
+		}
+	}
+	r := s.recent[1]
+	r.Sum++
+	if _, err := old.Apply(Update{Version: 2, Revisions: []Revision{r}}); !errors.Is(err, ErrGap) {
+		t.Errorf("wrong checksum: got %v, want it refused", err)
+	}
+	r = s.recent[1]
+	r.Version = 3
+	if _, err := old.Apply(Update{Version: 3, Revisions: []Revision{r}}); !errors.Is(err, ErrGap) {
+		t.Errorf("gap: got %v, want it refused", err)
+	}
+}
--- a/internal/configurer/resolve.go
+++ b/internal/configurer/resolve.go
@@ -8,11 +8,11 @@
 )
 
 // Resolve returns the policy in force at a time on one router, which stands in
-// a failure domain: defaults, then exceptions that have not ended, in the
-// order of their ids.
+// a failure domain: defaults, then exceptions that have not ended, the
+// narrower after the wider.
 func (d *Document) Resolve(now time.Time, self messenger.RouterID, domain string) *messenger.Policy {
 	r := resolver{doc: d, now: now, self: self, domain: domain}
-	for _, id := range sortedKeys(d.Exceptions) {
+	for _, id := range d.ordered() {
 		if e := d.Exceptions[id]; r.applies(e) {
 			r.exceptions = append(r.exceptions, e)
 		}
--- /dev/null
+++ b/internal/configurer/scope.go
@@ -0,0 +1,94 @@
+package configurer
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+)
+
+// parts returns the fields of a scope, empty where they do not narrow it.
+func (s Scope) parts() []string {
+	return []string{string(s.Account), string(s.Class), string(s.Pool), string(s.Upstream), string(s.Router), s.Domain}
+}
+
+// width is how many fields narrow the scope.
+func (s Scope) width() int {
+	n := 0
+	for _, p := range s.parts() {
+		if p != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// meets reports whether something may be in both scopes.
+func (s Scope) meets(o Scope) bool {
+	theirs := o.parts()
+	for i, p := range s.parts() {
+		if p != "" && theirs[i] != "" && p != theirs[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// ordered returns the ids of the exceptions in the order in which they apply:
+// the narrower after the wider.
+func (d *Document) ordered() []string {
+	ids := sortedKeys(d.Exceptions)
+	slices.SortStableFunc(ids, func(a, b string) int {
+		return cmp.Compare(d.Exceptions[a].Scope.width(), d.Exceptions[b].Scope.width())
+	})
+	return ids
+}
+
+// checkOverlaps finds exceptions that change the same field of the same thing
+// while neither is the narrower: one of them would not hold.
+func (f *Findings) checkOverlaps(d *Document) {
+	ids := sortedKeys(d.Exceptions)
+	for i, id := range ids {
+		e := d.Exceptions[id]
+		for _, other := range ids[:i] {
+			o := d.Exceptions[other]
+			if e.Scope.width() != o.Scope.width() || !e.Scope.meets(o.Scope) {
+				continue
+			}
+			for _, field := range commonFields(e, o) {
+				f.add(join("exceptions", id)+"."+field, "already changed by the exception "+quote(other)+", whose scope is as wide")
+			}
+		}
+	}
+}
+
+func commonFields(a, b Exception) []string {
+	fields, theirs := a.fields(), b.fields()
+	maps.DeleteFunc(fields, func(name string, _ bool) bool { return !theirs[name] })
+	return slices.Sorted(maps.Keys(fields))
+}
+
+// fields returns the fields that an exception changes, such as
+// "account.weight".
+func (e Exception) fields() map[string]bool {
+	names := make(map[string]bool)
+	addFields(names, "account", e.Account)
+	addFields(names, "class", e.Class)
+	addFields(names, "pool", e.Pool)
+	addFields(names, "upstream", e.Upstream)
+	return names
+}
+
+func addFields[T any](names map[string]bool, section string, settings *T) {
+	data, err := json.Marshal(settings)
+	if err != nil {
+		panic(err) // every field can be written
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		panic(err) // settings are written as objects
+	}
+	for name := range fields {
+		names[section+"."+name] = true
+	}
+}
