--- a/internal/listener/boundary.go
+++ b/internal/listener/boundary.go
@@ -40,6 +40,8 @@
 	wire   *wire
 	ctx    context.Context
 	cancel context.CancelFunc
+	// openedAt is when the connection was opened.
+	openedAt time.Time
 
 	// written and sent count the bytes handed to nbio and to the system.
 	written, sent atomic.Int64
@@ -69,7 +71,8 @@
 }
 
 func newBoundary(l *Listener, c *nbio.Conn, parser *nbhttp.Parser) *boundary {
-	b := &boundary{l: l, nbc: c, parser: parser, idleSince: l.cfg.Clock.Now()}
+	now := l.cfg.Clock.Now()
+	b := &boundary{l: l, nbc: c, parser: parser, openedAt: now, idleSince: now}
 	b.wire = &wire{Conn: c, b: b}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	return b
--- a/internal/listener/caller.go
+++ b/internal/listener/caller.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 )
@@ -127,6 +128,9 @@
 // Done is closed once the connection is gone.
 func (c *Caller) Done() <-chan struct{} { return c.b.ctx.Done() }
 
+// Opened returns when the connection was opened.
+func (c *Caller) Opened() time.Time { return c.b.openedAt }
+
 // serve is nbhttp's handler; it calls ours.
 func (l *Listener) serve(w http.ResponseWriter, r *http.Request) {
 	res, ok := w.(*nbhttp.Response)
