--- a/internal/parser/decoder.go
+++ b/internal/parser/decoder.go
@@ -37,6 +37,8 @@
 	d.findings.places[path] = d.lines.place(v.StartOffset)
 	t := target.Type()
 	switch {
+	case isNull(v) && mayBeNull(t):
+		target.SetZero()
 	case t == durationType:
 		d.duration(path, v, target)
 	case t == rawType:
@@ -51,9 +53,6 @@
 func (d *decoder) kind(path string, v hujson.Value, target reflect.Value) {
 	switch target.Kind() {
 	case reflect.Pointer:
-		if isNull(v) {
-			return
-		}
 		if target.IsNil() {
 			target.Set(reflect.New(target.Type().Elem()))
 		}
@@ -283,6 +282,11 @@
 	}
 }
 
+// mayBeNull reports whether null stands for "none" in a field of type t.
+func mayBeNull(t reflect.Type) bool {
+	return t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice || t.Kind() == reflect.Map
+}
+
 func isNull(v hujson.Value) bool { return v.Value.Kind() == 'n' }
 
 func stringOf(v hujson.Value) (string, bool) {
--- a/internal/parser/parser_test.go
+++ b/internal/parser/parser_test.go
@@ -27,6 +27,7 @@
 	Routers []inner            `json:"routers"`
 	Weights map[string]float64 `json:"weights"`
 	Extra   *inner             `json:"extra"`
+	None    []inner            `json:"none"`
 }
 
 func TestDecode(t *testing.T) {
@@ -35,7 +36,7 @@
   "name": "ā", "count": 3, "ratio": 0.5, "on": true,
   "wait": "250ms", "until": "2027-03-31T18:00:00Z", "colour": "red",
   "routers": [{"address": "a"}, {"address": "b", "port": 7}],
-  "weights": {"x.y": 2}, "extra": null,
+  "weights": {"x.y": 2}, "extra": null, "none": null,
 }`
 	got, findings := Decode[sample]("f", []byte(text))
 	if err := findings.Err(); err != nil {
