--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,7 +28,13 @@
 	Router   routerCommand   `cmd:"" help:"Run a router."`
 	Standin  standinCommands `cmd:"" help:"Run a small stand-in for a part of the platform."`
 	Settings settingsCommand `cmd:"" help:"Work with settings files."`
-	Version  versionCommand  `cmd:"" help:"Print the version."`
+
+	Config   configCommands   `cmd:"" help:"Show and change the configuration of the fleet."`
+	Status   statusCommand    `cmd:"" help:"Show the fleet or a client account."`
+	Drain    drainCommand     `cmd:"" help:"Give an upstream no new work."`
+	Evacuate evacuateCommands `cmd:"" help:"Empty old VMs by a deadline."`
+
+	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
 // streams are where commands write.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -77,6 +77,8 @@
 // the same id.
 type AddException struct {
 	Precondition
+	ID string `json:"id"`
+	// Exception is its scope, its end and what it changes.
 	Exception json.RawMessage `json:"exception"`
 }
 
