The thin path runs as separate processes

Change: the commands router and standin start the real parts; the router gives a caller its own request id back in X-Request-Id and the fleet's id in Lentilwood-Request-Id.

--- a/internal/cli/daemons.go
+++ b/internal/cli/daemons.go
@@ -15,22 +15,17 @@
 	"lentilwood.example/lentilwood/internal/parser"
 )
 
-// errNotBuilt is returned by commands whose daemon is not part of this build.
-var errNotBuilt = merry.Sentinel("this daemon is not part of the build")
-
 // daemon runs until ctx is cancelled and then shuts down gracefully.
 type daemon[T any] func(ctx context.Context, settings T, log *logrus.Logger) error
 
 // The daemons that the commands start. A test replaces them.
 var (
-	runRouter   daemon[loader.Router]   = notBuilt[loader.Router]
-	runPlatform daemon[loader.Platform] = notBuilt[loader.Platform]
-	runWorker   daemon[loader.Worker]   = notBuilt[loader.Worker]
-	runService  daemon[loader.Service]  = notBuilt[loader.Service]
+	runRouter   daemon[loader.Router]   = serveRouter
+	runPlatform daemon[loader.Platform] = servePlatform
+	runWorker   daemon[loader.Worker]   = serveWorker
+	runService  daemon[loader.Service]  = serveService
 )
 
-func notBuilt[T any](context.Context, T, *logrus.Logger) error { return errNotBuilt }
-
 type routerCommand struct {
 	File string `arg:"" help:"Settings file of the kind \"router\"."`
 }
--- a/internal/configurer/document.go
+++ b/internal/configurer/document.go
@@ -10,6 +10,8 @@
 // Document is the configuration of the whole fleet: defaults and a short list
 // of exceptions. It is read-only once parsed.
 type Document struct {
+	// Kind is "configuration" in a file; it tells settings files apart.
+	Kind string `json:"kind,omitempty"`
 	// Version is the version of the document; an operator's edit carries the
 	// version it was made from.
 	Version uint64 `json:"version,omitempty"`
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -54,8 +54,11 @@
 	DeadlineHeader = "Lentilwood-Deadline-Ms"
 	// PrefixHeader names the prompt prefix, for cache affinity.
 	PrefixHeader = "Lentilwood-Prefix"
-	// RequestIDHeader travels from caller to upstream and back.
+	// RequestIDHeader is the caller's id of its request. Towards upstreams it
+	// carries the fleet's id.
 	RequestIDHeader = "X-Request-Id"
+	// FleetRequestIDHeader is the fleet's id of a request, on every answer.
+	FleetRequestIDHeader = "Lentilwood-Request-Id"
 	// IdempotencyKeyHeader is the caller's key for work that runs at most once.
 	IdempotencyKeyHeader = "Idempotency-Key"
 	// LastEventIDHeader names the last event of a stream that was delivered.
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -48,12 +48,6 @@
 	queues map[messenger.RequestID]*requestQueue
 }
 
-// inspection is a function that the control goroutine runs between events.
-type inspection struct {
-	run  func()
-	done chan struct{}
-}
-
 func newControl(clock timekeeper.Clock, d decider) *control {
 	return &control{
 		clock:   clock,
@@ -89,9 +83,6 @@
 		c.handle(m)
 	case configurer.Event:
 		c.fleet.configuration(m)
-	case inspection:
-		m.run()
-		close(m.done)
 	}
 }
 
@@ -151,19 +142,6 @@
 	}
 }
 
-// call runs f on the control goroutine and waits for it. It returns false if
-// the control goroutine has ended.
-func (c *control) call(f func()) bool {
-	i := inspection{run: f, done: make(chan struct{})}
-	c.submit(i)
-	select {
-	case <-i.done:
-		return true
-	case <-c.done:
-		return false
-	}
-}
-
 // requestQueue is the scheduler as one request sees it.
 type requestQueue struct {
 	control *control
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -11,9 +11,6 @@
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
-// callerIDHeader returns to a caller the request id that it sent.
-const callerIDHeader = "Lentilwood-Caller-Request-Id"
-
 // notReadySeconds is when a caller may come back that met a router which is
 // not ready.
 const notReadySeconds = 1
@@ -57,10 +54,7 @@
 	h.Set("Content-Type", "application/problem+json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set(messenger.RunHeader, string(messenger.NotRun))
-	h.Set(messenger.RequestIDHeader, wireID)
-	if callerID != "" {
-		h.Set(callerIDHeader, callerID)
-	}
+	setRequestIDs(h, wireID, callerID)
 	if p.status == http.StatusUnauthorized {
 		h.Set(identifier.ChallengeHeader, identifier.Challenge)
 	}
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -63,12 +63,9 @@
 func (r *Router) carry(c *listener.Caller, out *dispatcher.Request, callerID string) {
 	series := r.meter.Series(out.Arrive.Account, out.Arrive.Class)
 	series.Accept()
-	if callerID != "" {
-		c.Header().Set(callerIDHeader, callerID)
-	}
 	arrived := r.clock.Now()
 	q := &meteredQueue{requestQueue: r.control.open(out.ID), series: series, clock: r.clock}
-	result := r.dispatcher.Serve(r.serving, out, q, c)
+	result := r.dispatcher.Serve(r.serving, out, q, &namedCaller{Caller: c, wireID: out.WireID, callerID: callerID})
 	r.control.closeQueue(out.ID)
 	r.observe(series, arrived, result)
 	r.log.WithFields(logrus.Fields{
@@ -206,3 +203,24 @@
 	}
 	q.requestQueue.Tell(e)
 }
+
+// namedCaller gives the caller its own request id back, beside the one that
+// the fleet uses.
+type namedCaller struct {
+	*listener.Caller
+	wireID, callerID string
+}
+
+// WriteHeader sets the status of the answer and its request ids.
+func (c *namedCaller) WriteHeader(status int) {
+	setRequestIDs(c.Header(), c.wireID, c.callerID)
+	c.Caller.WriteHeader(status)
+}
+
+func setRequestIDs(h http.Header, wireID, callerID string) {
+	h.Set(messenger.FleetRequestIDHeader, wireID)
+	h.Set(messenger.RequestIDHeader, wireID)
+	if callerID != "" {
+		h.Set(messenger.RequestIDHeader, callerID)
+	}
+}
