--- a/internal/cli/document.go
+++ b/internal/cli/document.go
@@ -13,7 +13,7 @@
 // readConfiguration checks a fleet configuration document and returns it as
 // the API takes it, with the version that it was made from.
 func readConfiguration(s *streams, file string) (json.RawMessage, uint64, error) {
-	kind, findings := loader.CheckFile(file, checkConfiguration)
+	kind, findings := loader.CheckFile(file)
 	if findings.Len() == 0 && kind != loader.KindConfiguration {
 		findings.Add("kind", "is "+string(kind), string(loader.KindConfiguration))
 	}
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -10,11 +10,6 @@
 	"lentilwood.example/lentilwood/internal/parser"
 )
 
-// checkConfiguration checks a fleet configuration document.
-var checkConfiguration loader.ConfigurationChecker = func(string, []byte) parser.Findings {
-	return parser.Findings{}
-}
-
 type settingsCommand struct {
 	Check settingsCheckCommand `cmd:"" help:"Check settings files and report all findings together."`
 }
@@ -36,7 +31,7 @@
 	reports := make([]fileReport, 0, len(c.Files))
 	total := 0
 	for _, file := range c.Files {
-		kind, findings := loader.CheckFile(file, checkConfiguration)
+		kind, findings := loader.CheckFile(file)
 		total += findings.Len()
 		reports = append(reports, fileReport{File: file, Kind: kind, Findings: findings.All()})
 	}
--- a/internal/generator/generator_test.go
+++ b/internal/generator/generator_test.go
@@ -166,9 +166,8 @@
 		}), Group{Cut: 1, Tokens: 1}, "stream-broken"},
 		{"no answer", func(http.ResponseWriter, string) { panic(http.ErrAbortHandler) }, Group{Lost: 1}, "EOF"},
 		{"other request's id", func(w http.ResponseWriter, _ string) { w.Header().Set(messenger.RequestIDHeader, "other") }, Group{Wrong: 1}, `request "other"`},
-		{"own id of the router", func(w http.ResponseWriter, id string) {
-			w.Header().Set(callerIDHeader, id)
-			w.Header().Set(messenger.RequestIDHeader, "wire-1")
+		{"own id of the router", func(w http.ResponseWriter, _ string) {
+			w.Header().Set(messenger.FleetRequestIDHeader, "wire-1")
 			_, _ = w.Write([]byte(tokenEvent("wire-1", 1) + tokenEvent("wire-1", 2) + usage + done))
 		}, Group{Complete: 1, Tokens: 2}, ""},
 		{"refused", problem(429, messenger.NotRun, messenger.NotRun, "3"), Group{Refused: 1}, ""},
@@ -231,9 +230,8 @@
 }
 
 func TestTwoAnswersWithOneID(t *testing.T) {
-	s := serveFake(func(w http.ResponseWriter, id string) {
-		w.Header().Set(callerIDHeader, id)
-		w.Header().Set(messenger.RequestIDHeader, "wire-1")
+	s := serveFake(func(w http.ResponseWriter, _ string) {
+		w.Header().Set(messenger.FleetRequestIDHeader, "wire-1")
 		_, _ = w.Write([]byte(tokenEvent("wire-1", 1) + event(2, "[DONE]")))
 	})
 	defer s.Close()
--- a/internal/generator/request.go
+++ b/internal/generator/request.go
@@ -70,11 +70,11 @@
 		statement: messenger.RunState(resp.Header.Get(messenger.RunHeader)),
 		firstByte: r.since(a),
 	}
-	o.wireID = resp.Header.Get(messenger.RequestIDHeader)
-	switch {
-	case callerID(resp.Header) != a.id:
+	o.wireID = wireID(resp.Header)
+	switch echoed := resp.Header.Get(messenger.RequestIDHeader); {
+	case echoed != a.id:
 		o.kind = wrong
-		o.problem = fmt.Sprintf("answer to request %q, want %q", callerID(resp.Header), a.id)
+		o.problem = fmt.Sprintf("answer to request %q, want %q", echoed, a.id)
 	case !r.results.claim(o.wireID):
 		o.kind = wrong
 		o.problem = fmt.Sprintf("answer with the id %q of another answer", o.wireID)
@@ -89,13 +89,10 @@
 	return o
 }
 
-// callerIDHeader carries the caller's request id back where the router gave
-// the request an id of its own.
-const callerIDHeader = "Lentilwood-Caller-Request-Id"
-
-// callerID returns the caller's id of the request that an answer belongs to.
-func callerID(h http.Header) string {
-	if id := h.Get(callerIDHeader); id != "" {
+// wireID returns the id under which the upstream saw the request. Without a
+// router between the two it is the caller's.
+func wireID(h http.Header) string {
+	if id := h.Get(messenger.FleetRequestIDHeader); id != "" {
 		return id
 	}
 	return h.Get(messenger.RequestIDHeader)
--- a/internal/loader/files.go
+++ b/internal/loader/files.go
@@ -2,12 +2,8 @@
 
 import "lentilwood.example/lentilwood/internal/parser"
 
-// ConfigurationChecker checks the content of a fleet configuration document.
-type ConfigurationChecker func(file string, data []byte) parser.Findings
-
-// CheckFile checks one settings file of any kind. Documents of the kind
-// "configuration" are passed to check.
-func CheckFile(file string, check ConfigurationChecker) (Kind, parser.Findings) {
+// CheckFile checks one settings file of any kind.
+func CheckFile(file string) (Kind, parser.Findings) {
 	data, findings := Read(file)
 	if findings.Len() > 0 {
 		return "", findings
@@ -26,7 +22,7 @@
 	case KindService:
 		_, findings = decode(file, data, DefaultService(), kind, checkService)
 	case KindConfiguration:
-		findings = check(file, data)
+		_, findings = DecodeConfiguration(file, data)
 	}
 	return kind, findings
 }
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
 	"strconv"
 
 	"lentilwood.example/lentilwood/internal/identifier"
@@ -64,6 +65,8 @@
 	Identify(header http.Header) (name string, ok bool)
 }
 
+var changeIDPattern = regexp.MustCompile(`^[A-Za-z0-9_-]{1,64}$`)
+
 type handler struct {
 	backend Backend
 	auth    Authenticator
@@ -210,8 +213,8 @@
 	if p.Reason == "" {
 		findings.Add("reason", "is missing", "why the change is made, in a few words")
 	}
-	if p.ChangeID == "" {
-		findings.Add("changeId", "is missing", "a random id that is unique to the change")
+	if !changeIDPattern.MatchString(p.ChangeID) {
+		findings.Add("changeId", "is missing or malformed", "a random id that is unique to the change, up to 64 letters, digits, '-' or '_'")
 	}
 }
 
