Operators' API on the router

Cause: operators had no way to change the configuration of a running fleet. Change: the router's backend embeds the configuration editor and tells status.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,10 +12,12 @@
 
 	"lentilwood.example/lentilwood/internal/configurer"
 	"lentilwood.example/lentilwood/internal/dispatcher"
+	"lentilwood.example/lentilwood/internal/identifier"
 	"lentilwood.example/lentilwood/internal/listener"
 	"lentilwood.example/lentilwood/internal/loader"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/meter"
+	"lentilwood.example/lentilwood/internal/operator"
 	"lentilwood.example/lentilwood/internal/scheduler"
 	"lentilwood.example/lentilwood/internal/storer"
 	"lentilwood.example/lentilwood/internal/timekeeper"
@@ -53,6 +55,7 @@
 
 	current     atomic.Pointer[inForce]
 	ready       atomic.Pointer[readiness]
+	started     time.Time
 	lastRequest atomic.Uint64
 	inProgress  atomic.Int64
 
@@ -106,6 +109,7 @@
 		r.stopAll()
 		return err
 	}
+	r.started = r.clock.Now()
 	r.goroutines.Go(func() { r.control.run(r.background) })
 	r.log.WithFields(logrus.Fields{
 		"event": "started", "router": r.self, "incarnation": r.incarnation,
@@ -127,10 +131,31 @@
 	if err != nil {
 		return err
 	}
-	r.operators, err = listener.Start(r.listenerConfig("operators", r.settings.Listeners.Operators, operatorsTLS, r.serveOperator))
+	var authors identifier.Identifier
+	if err := authors.Replace(operatorTokens(r.settings.Operators)); err != nil {
+		return err
+	}
+	api := operator.NewHandler(newBackend(r), &authors)
+	r.operators, err = listener.Start(r.listenerConfig("operators", r.settings.Listeners.Operators, operatorsTLS, func(c *listener.Caller, req *http.Request) {
+		api.ServeHTTP(c, req)
+	}))
 	return err
 }
 
+// operatorTokens returns the tokens of the operators that settings name. The
+// loader has checked the digests.
+func operatorTokens(operators []loader.Operator) []identifier.Entry {
+	entries := make([]identifier.Entry, 0, len(operators))
+	for _, o := range operators {
+		digest, err := identifier.ParseDigest(o.TokenDigest)
+		if err != nil {
+			continue
+		}
+		entries = append(entries, identifier.Entry{Name: o.Name, Digest: digest})
+	}
+	return entries
+}
+
 func (r *Router) listenerConfig(name string, l loader.Listener, secure *tls.Config, h listener.Handler) listener.Config {
 	limits := r.settings.Limits
 	return listener.Config{
@@ -157,31 +182,6 @@
 // tick is called by the control goroutine as time passes.
 func (r *Router) tick() { r.configuration(configurer.Tick{}) }
 
-// serveOperator answers an operator, a probe or a reader of metrics.
-func (r *Router) serveOperator(c *listener.Caller, req *http.Request) {
-	switch req.URL.Path {
-	case "/healthz":
-		c.WriteHeader(http.StatusOK)
-	case "/readyz":
-		r.serveReady(c)
-	case "/metrics":
-		c.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		r.meter.WritePrometheus(c)
-	default:
-		c.WriteHeader(http.StatusNotFound)
-	}
-}
-
-func (r *Router) serveReady(w http.ResponseWriter) {
-	ready, reason := r.Ready()
-	if ready {
-		w.WriteHeader(http.StatusOK)
-		return
-	}
-	w.WriteHeader(http.StatusServiceUnavailable)
-	_, _ = w.Write([]byte(reason + "\n")) // the listener notes callers that are gone
-}
-
 // Shutdown makes the router not ready, waits for the balancer to notice,
 // finishes every request in progress and stops. If ctx or the drain limit ends
 // first, the requests that are left are cut off and the error says how many.
