lentilwood demo: a whole fleet in one process

Nothing showed the fleet at work without settings files. The demonstration runs three routers, four workers, an order desk and the store on loopback, sends a bounded mix of five client accounts of which one floods, drains a worker half way, shuts all routers down with requests in progress, and checks eleven promises against the stand-ins' journals.

Each check finds its violation when the evidence is made to hold one (TestPromisesFindViolations).

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,6 +26,7 @@
 // commands is the whole command line, as kong reads it.
 type commands struct {
 	Router   routerCommand   `cmd:"" help:"Run a router."`
+	Demo     demoCommand     `cmd:"" help:"Run a whole fleet in this process and show what it does under load."`
 	Load     loadCommand     `cmd:"" help:"Send a load to routers on this machine and check the answers."`
 	Standin  standinCommands `cmd:"" help:"Run a small stand-in for a part of the platform."`
 	Settings settingsCommand `cmd:"" help:"Work with settings files."`
--- /dev/null
+++ b/internal/demonstrator/evidence.go
@@ -0,0 +1,59 @@
+package demonstrator
+
+import (
+	"sync"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/emulator"
+	"lentilwood.example/lentilwood/internal/generator"
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// evidence is what callers saw and what the stand-ins' journals say.
+type evidence struct {
+	load       *generator.Report
+	drained    time.Time
+	drainErr   error
+	cutRouters int
+
+	mu           sync.Mutex
+	observations []generator.Observation
+
+	// workers and desk are the journals.
+	workers map[messenger.UpstreamID][]emulator.Entry
+	desk    []emulator.Entry
+}
+
+// observe notes one ended request.
+func (e *evidence) observe(o generator.Observation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.observations = append(e.observations, o)
+}
+
+// collect reads the journals.
+func (e *evidence) collect(f *fleet) {
+	e.workers = map[messenger.UpstreamID][]emulator.Entry{}
+	for id, w := range f.workers {
+		e.workers[id] = w.Journal()
+	}
+	e.desk = f.desk.Journal()
+}
+
+// ran returns the journal entries by the id of the request, the earliest
+// first.
+func (e *evidence) ran() map[string]emulator.Entry {
+	ran := map[string]emulator.Entry{}
+	add := func(entries []emulator.Entry) {
+		for _, entry := range entries {
+			if earlier, ok := ran[entry.RequestID]; !ok || entry.Arrived.Before(earlier.Arrived) {
+				ran[entry.RequestID] = entry
+			}
+		}
+	}
+	for _, entries := range e.workers {
+		add(entries)
+	}
+	add(e.desk)
+	return ran
+}
--- a/internal/generator/arrivals.go
+++ b/internal/generator/arrivals.go
@@ -116,6 +116,14 @@
 	return a
 }
 
+// asked returns the tokens that the request asks for.
+func (a arrival) asked() int {
+	if a.stream.Kind != Completion {
+		return 0
+	}
+	return a.tokens
+}
+
 // items is how many different items stock lookups ask for.
 const items = 1000
 
--- a/internal/generator/collector.go
+++ b/internal/generator/collector.go
@@ -50,7 +50,8 @@
 	return &collector{run: run, groups: map[groupKey]*group{}, problems: map[string]int{}, claimed: map[string]bool{}}
 }
 
-func newHistogram() *hdrhistogram.Histogram {
+// NewHistogram returns a histogram of latencies.
+func NewHistogram() *hdrhistogram.Histogram {
 	return hdrhistogram.New(lowestMicros, highestMicros, significantDigits)
 }
 
@@ -61,10 +62,10 @@
 	if !ok {
 		g = &group{
 			Group:         Group{Account: key.account, Class: key.class, Kind: key.kind, Statements: map[messenger.RunState]int{}},
-			firstByte:     newHistogram(),
-			firstToken:    newHistogram(),
-			betweenTokens: newHistogram(),
-			total:         newHistogram(),
+			firstByte:     NewHistogram(),
+			firstToken:    NewHistogram(),
+			betweenTokens: NewHistogram(),
+			total:         NewHistogram(),
 		}
 		c.groups[key] = g
 		c.order = append(c.order, key)
@@ -87,7 +88,9 @@
 func (c *collector) skip(a arrival) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.of(a).Skipped++
+	g := c.of(a)
+	g.Skipped++
+	g.AskedTokens += a.asked()
 }
 
 // send counts a request that is being sent.
@@ -95,7 +98,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent++
-	c.of(a).Sent++
+	g := c.of(a)
+	g.Sent++
+	g.AskedTokens += a.asked()
 }
 
 // add counts what came of a request.
@@ -153,15 +158,16 @@
 }
 
 func (g *group) record(o outcome) {
-	record(g.firstByte, o.firstByte)
-	record(g.firstToken, o.firstToken)
-	record(g.total, o.total)
+	Record(g.firstByte, o.firstByte)
+	Record(g.firstToken, o.firstToken)
+	Record(g.total, o.total)
 	for _, gap := range o.gaps {
-		record(g.betweenTokens, gap)
+		Record(g.betweenTokens, gap)
 	}
 }
 
-func record(h *hdrhistogram.Histogram, d time.Duration) {
+// Record counts one latency.
+func Record(h *hdrhistogram.Histogram, d time.Duration) {
 	micros := min(max(d.Microseconds(), lowestMicros), highestMicros)
 	// The value was brought into the range just now.
 	_ = h.RecordValue(micros)
--- a/internal/generator/generator.go
+++ b/internal/generator/generator.go
@@ -85,7 +85,7 @@
 	// RequestID is the id that the caller gave, and WireID the one that the
 	// upstream saw, as far as the answer tells it.
 	RequestID, WireID string
-	Account           string
+	Account, Class    string
 	Kind              Kind
 	// Key is the idempotency key, or empty.
 	Key string
@@ -234,7 +234,7 @@
 		return
 	}
 	r.cfg.Observe(Observation{
-		RequestID: a.id, WireID: o.wireID, Account: a.stream.Account, Kind: a.stream.Kind, Key: a.key,
+		RequestID: a.id, WireID: o.wireID, Account: a.stream.Account, Class: a.stream.Class, Kind: a.stream.Kind, Key: a.key,
 		Statement: stated(o.statement), Complete: o.kind == complete, Tokens: o.tokens, Due: r.start.Add(a.at),
 	})
 }
--- a/internal/generator/report.go
+++ b/internal/generator/report.go
@@ -46,6 +46,8 @@
 	// NoRetryAfter is refusals that do not say when to come back.
 	NoRetryAfter int `json:"noRetryAfter"`
 	Tokens       int `json:"tokens"`
+	// AskedTokens is what the requests asked for, skipped ones included.
+	AskedTokens int `json:"askedTokens"`
 	// Statements counts what answers say of the run: "not-run", "run",
 	// "unknown", or "none" without a statement.
 	Statements map[messenger.RunState]int `json:"statements"`
@@ -77,7 +79,11 @@
 
 const microsPerMilli = float64(time.Millisecond / time.Microsecond)
 
-func latencyOf(h *hdrhistogram.Histogram) Latency {
+// LatencyOf returns the quantiles of a histogram; nil is an empty one.
+func LatencyOf(h *hdrhistogram.Histogram) Latency {
+	if h == nil {
+		return Latency{}
+	}
 	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / microsPerMilli }
 	return Latency{Count: h.TotalCount(), P50: at(50), P95: at(95), P99: at(99), Max: float64(h.Max()) / microsPerMilli}
 }
@@ -89,10 +95,10 @@
 	for _, key := range c.order {
 		g := c.groups[key]
 		out := g.Group
-		out.FirstByte = latencyOf(g.firstByte)
-		out.FirstToken = latencyOf(g.firstToken)
-		out.BetweenTokens = latencyOf(g.betweenTokens)
-		out.Total = latencyOf(g.total)
+		out.FirstByte = LatencyOf(g.firstByte)
+		out.FirstToken = LatencyOf(g.firstToken)
+		out.BetweenTokens = LatencyOf(g.betweenTokens)
+		out.Total = LatencyOf(g.total)
 		out.firstTokens = g.firstToken
 		r.Groups = append(r.Groups, out)
 	}
@@ -123,6 +129,7 @@
 		sum.Lost += g.Lost
 		sum.NoRetryAfter += g.NoRetryAfter
 		sum.Tokens += g.Tokens
+		sum.AskedTokens += g.AskedTokens
 		for state, n := range g.Statements {
 			sum.Statements[state] += n
 		}
