--- a/internal/cli/daemons_test.go
+++ b/internal/cli/daemons_test.go
@@ -36,7 +36,7 @@
 	if code := Run([]string{"standin", "worker", file}, &out, &errOut); code != exitOK {
 		t.Fatalf("Run() = %d, want %d; stderr: %s", code, exitOK, errOut.String())
 	}
-	if got.Name != "w1" || got.Slots != 3 || got.TimePerToken != loader.DefaultWorker().TimePerToken {
+	if got.Name != "w1" || got.Slots != 3 || got.StepTime != loader.DefaultWorker().StepTime {
 		t.Errorf("settings = %+v, want those of the file over the defaults", got)
 	}
 }
--- a/internal/cli/processes.go
+++ b/internal/cli/processes.go
@@ -87,7 +87,8 @@
 func serveWorker(ctx context.Context, settings loader.Worker, log *logrus.Logger) error {
 	w := emulator.NewWorker(emulator.WorkerConfig{
 		Name: settings.Name, Slots: settings.Slots,
-		PrefillPerToken: settings.PrefillPerToken, StepTime: settings.TimePerToken,
+		PrefillPerToken: settings.PrefillPerToken,
+		StepTime:        settings.StepTime, StepTimePerStream: settings.StepTimePerStream, CacheTokens: settings.CacheTokens,
 		CacheLag: settings.CacheLag, CacheGaps: settings.CacheLoss, LoadLag: settings.LoadLag,
 		GraceTime: settings.ResumeGrace, Models: settings.Models, ChecksFence: settings.ChecksFence,
 		Seed: settings.Seed, Log: log,
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"lentilwood.example/lentilwood/internal/generator"
 	"lentilwood.example/lentilwood/internal/loader"
 	"lentilwood.example/lentilwood/internal/parser"
 )
@@ -31,7 +32,7 @@
 	reports := make([]fileReport, 0, len(c.Files))
 	total := 0
 	for _, file := range c.Files {
-		kind, findings := loader.CheckFile(file)
+		kind, findings := checkFile(file)
 		total += findings.Len()
 		reports = append(reports, fileReport{File: file, Kind: kind, Findings: findings.All()})
 	}
@@ -44,6 +45,15 @@
 	return nil
 }
 
+// checkFile checks one file of any kind.
+func checkFile(file string) (loader.Kind, parser.Findings) {
+	kind, findings := loader.CheckFile(file)
+	if kind == loader.KindLoad && findings.Len() == 0 {
+		_, findings = generator.LoadMix(file)
+	}
+	return kind, findings
+}
+
 func (c settingsCheckCommand) print(s *streams, reports []fileReport) error {
 	if c.JSON {
 		return json.NewEncoder(s.out).Encode(struct {
--- a/internal/generator/generator_test.go
+++ b/internal/generator/generator_test.go
@@ -272,7 +272,7 @@
 
 func TestLoadMix(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "mix.jsonc")
-	text := `{"streams": [
+	text := `{"kind": "load", "streams": [
   {"account": "a", "token": "t", "rate": 5, "kind": "commit"}, // fine
   {"token": "hidden-token", "rate": -1, "tokens": {"min": 5, "max": 2}, "repeat": 2, "colour": 1},
 ]}`
--- a/internal/generator/mix.go
+++ b/internal/generator/mix.go
@@ -32,7 +32,9 @@
 
 // Mix is what a load consists of.
 type Mix struct {
-	Streams []Stream `json:"streams"`
+	// Kind is "load" in a file.
+	Kind    loader.Kind `json:"kind"`
+	Streams []Stream    `json:"streams"`
 }
 
 // Stream is requests of one client account and class that arrive at random at
@@ -79,6 +81,9 @@
 		return Mix{}, findings
 	}
 	mix, findings := parser.Decode[Mix](file, data)
+	if mix.Kind != loader.KindLoad && !findings.Reported("kind") {
+		findings.Add("kind", "is not that of a load", string(loader.KindLoad))
+	}
 	mix.setDefaults()
 	mix.check(&findings)
 	return mix, findings
--- a/internal/loader/check.go
+++ b/internal/loader/check.go
@@ -40,12 +40,9 @@
 		c.Add(path, "is missing", allowed)
 		return
 	}
-	for _, finding := range c.All() {
-		if finding.Path == path {
-			return
-		}
+	if !c.Reported(path) {
+		c.Add(path, "is empty", allowed)
 	}
-	c.Add(path, "is empty", allowed)
 }
 
 func (c checker) address(path, address string) {
@@ -159,9 +156,10 @@
 	c.name("name", s.Name)
 	c.address("address", s.Address)
 	atLeast(c, "slots", s.Slots, 1)
-	atLeast(c, "prefillPerToken", s.PrefillPerToken, 0)
-	atLeast(c, "timePerToken", s.TimePerToken, 0)
-	atLeast(c, "cachePrefixes", s.CachePrefixes, 0)
+	atLeast(c, "prefillPerToken", s.PrefillPerToken, time.Nanosecond)
+	atLeast(c, "stepTime", s.StepTime, time.Microsecond)
+	atLeast(c, "stepTimePerStream", s.StepTimePerStream, time.Microsecond)
+	atLeast(c, "cacheTokens", s.CacheTokens, 1)
 	atLeast(c, "loadLag", s.LoadLag, 0)
 	atLeast(c, "cacheLag", s.CacheLag, 0)
 	c.share("cacheLoss", s.CacheLoss)
--- a/internal/loader/configuration.go
+++ b/internal/loader/configuration.go
@@ -11,15 +11,12 @@
 // findings have the same form as those of settings files.
 func DecodeConfiguration(file string, data []byte) (*configurer.Document, parser.Findings) {
 	document, findings := parser.Decode[configurer.Document](file, data)
-	known := map[string]bool{}
-	for _, f := range findings.All() {
-		if f.Path == "" {
-			return &document, findings
-		}
-		known[f.Path] = true
+	if findings.Reported("") {
+		return &document, findings
 	}
+	shape := findings
 	for _, f := range configurer.FindingsOf(configurer.Check(&document)) {
-		if known[f.Path] {
+		if shape.Reported(f.Path) {
 			continue
 		}
 		if allowed, ok := strings.CutPrefix(f.Text, "want "); ok {
--- a/internal/loader/defaults.go
+++ b/internal/loader/defaults.go
@@ -32,16 +32,17 @@
 // none.
 func DefaultWorker() Worker {
 	return Worker{
-		Slots:           8,
-		PrefillPerToken: 100 * time.Microsecond,
-		TimePerToken:    5 * time.Millisecond,
-		CachePrefixes:   64,
-		LoadLag:         500 * time.Millisecond,
-		CacheLag:        500 * time.Millisecond,
-		ResumeGrace:     10 * time.Second,
-		ChecksFence:     true,
-		Seed:            1,
-		Log:             Log{Level: "info"},
+		Slots:             8,
+		PrefillPerToken:   20 * time.Microsecond,
+		StepTime:          4 * time.Millisecond,
+		StepTimePerStream: 250 * time.Microsecond,
+		CacheTokens:       8192,
+		LoadLag:           500 * time.Millisecond,
+		CacheLag:          500 * time.Millisecond,
+		ResumeGrace:       5 * time.Second,
+		ChecksFence:       true,
+		Seed:              1,
+		Log:               Log{Level: "info"},
 	}
 }
 
--- a/internal/loader/files.go
+++ b/internal/loader/files.go
@@ -2,7 +2,8 @@
 
 import "lentilwood.example/lentilwood/internal/parser"
 
-// CheckFile checks one settings file of any kind.
+// CheckFile checks one settings file. Of a file of the kind "load" it checks
+// only that; its package is the generator.
 func CheckFile(file string) (Kind, parser.Findings) {
 	data, findings := Read(file)
 	if findings.Len() > 0 {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -29,13 +29,14 @@
 	KindWorker        Kind = "worker"
 	KindService       Kind = "service"
 	KindConfiguration Kind = "configuration"
+	KindLoad          Kind = "load"
 )
 
 // Values returns every kind.
 func (Kind) Values() []string {
 	return []string{
 		string(KindRouter), string(KindPlatform), string(KindWorker),
-		string(KindService), string(KindConfiguration),
+		string(KindService), string(KindConfiguration), string(KindLoad),
 	}
 }
 
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -157,18 +157,19 @@
 
 // Worker is the settings of the stand-in for a model engine.
 type Worker struct {
-	Kind          Kind   `json:"kind"`
-	Name          string `json:"name"`
-	Address       string `json:"address"`
-	FailureDomain string `json:"failureDomain"`
+	Kind    Kind   `json:"kind"`
+	Name    string `json:"name"`
+	Address string `json:"address"`
 	// Slots is how many requests the engine batches.
 	Slots int `json:"slots"`
 	// PrefillPerToken is the time to read one token of a prompt.
 	PrefillPerToken time.Duration `json:"prefillPerToken"`
-	// TimePerToken is the time to generate one token.
-	TimePerToken time.Duration `json:"timePerToken"`
-	// CachePrefixes is how many prompt prefixes the engine keeps.
-	CachePrefixes int `json:"cachePrefixes"`
+	// StepTime is the time of one step, in which each running stream gets one
+	// token, and StepTimePerStream is what each of them adds to it.
+	StepTime          time.Duration `json:"stepTime"`
+	StepTimePerStream time.Duration `json:"stepTimePerStream"`
+	// CacheTokens is the memory for prompt prefixes.
+	CacheTokens int `json:"cacheTokens"`
 	// LoadLag is how old a load report is.
 	LoadLag time.Duration `json:"loadLag"`
 	// CacheLag is how late a cache event is published.
@@ -188,10 +189,9 @@
 
 // Service is the settings of the stand-in for a plain service.
 type Service struct {
-	Kind          Kind   `json:"kind"`
-	Name          string `json:"name"`
-	Address       string `json:"address"`
-	FailureDomain string `json:"failureDomain"`
+	Kind    Kind   `json:"kind"`
+	Name    string `json:"name"`
+	Address string `json:"address"`
 	// Slots is how many calls run at a time.
 	Slots int `json:"slots"`
 	// TimePerCall is how long one call runs.
--- a/internal/parser/findings.go
+++ b/internal/parser/findings.go
@@ -88,6 +88,16 @@
 	}
 }
 
+// Reported reports whether there is a finding for the field at path.
+func (f *Findings) Reported(path string) bool {
+	for _, finding := range f.list {
+		if finding.Path == path {
+			return true
+		}
+	}
+	return false
+}
+
 // Len returns the number of findings.
 func (f *Findings) Len() int { return len(f.list) }
 
