Claim idempotency keys in the router

Cause: in the demo every print run with a key was refused as not run, because no recorder was wired.

--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"lentilwood.example/lentilwood/internal/configurer"
 	"lentilwood.example/lentilwood/internal/messenger"
@@ -34,7 +35,7 @@
 }
 
 func (r *Router) readConfiguration(s *configurer.State) {
-	ctx, cancel := context.WithTimeout(r.background, r.settings.Platform.Timeout)
+	ctx, cancel := r.storeContext()
 	defer cancel()
 	u, err := configurer.Fetch(ctx, r.store.For(purposeConfiguration), s)
 	r.control.submit(configurer.TableRead{Update: u, Err: err})
@@ -47,3 +48,11 @@
 	r.control.handle(messenger.PolicyChange{Policy: a.Policy})
 	r.log.WithField("event", "configuration").WithField("version", a.Document.Version).Info("configuration in force")
 }
+
+// storeTimeout bounds one use of the platform's store with its retries.
+const storeTimeout = 10 * time.Second
+
+// storeContext bounds a use of the platform's store.
+func (r *Router) storeContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(r.background, storeTimeout)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/meter"
 	"lentilwood.example/lentilwood/internal/operator"
+	"lentilwood.example/lentilwood/internal/recorder"
 	"lentilwood.example/lentilwood/internal/scheduler"
 	"lentilwood.example/lentilwood/internal/storer"
 	"lentilwood.example/lentilwood/internal/timekeeper"
@@ -47,6 +49,7 @@
 	store      *storer.Guard
 	control    *control
 	configurer *configurer.Configurer
+	recorder   *recorder.Recorder
 	dispatcher *dispatcher.Dispatcher
 	meter      *meter.Meter
 
@@ -99,7 +102,13 @@
 	r.ready.Store(&readiness{reason: string(configurer.NoConfiguration)})
 	r.control = newControl(cfg.Clock, scheduler.New(scheduler.Config{Self: r.self, Seed: cfg.Incarnation}))
 	r.control.fleet = r
-	r.dispatcher = dispatcher.New(dispatcher.Config{Upstreams: r, Clock: cfg.Clock, Log: cfg.Log, Seed: cfg.Incarnation})
+	r.recorder = recorder.New(recorder.Config{
+		Store: r.store.For(purposeIdempotency), Clock: cfg.Clock,
+		Router: r.self, Incarnation: strconv.FormatUint(cfg.Incarnation, 36),
+	})
+	r.dispatcher = dispatcher.New(dispatcher.Config{
+		Upstreams: r, Recorder: r.recorder, Clock: cfg.Clock, Log: cfg.Log, Seed: cfg.Incarnation,
+	})
 	return r
 }
 
@@ -111,6 +120,7 @@
 	}
 	r.started = r.clock.Now()
 	r.goroutines.Go(func() { r.control.run(r.background) })
+	r.goroutines.Go(r.sweepRecords)
 	r.log.WithFields(logrus.Fields{
 		"event": "started", "router": r.self, "incarnation": r.incarnation,
 		"callers": r.CallersAddr(), "operators": r.OperatorsAddr(),
