--- a/internal/cli/daemons.go
+++ b/internal/cli/daemons.go
@@ -110,13 +110,13 @@
 	if !ok {
 		return
 	}
-	log.WithField("signal", sig).Info("shutting down gracefully; a second signal ends the process at once")
+	log.WithField("event", "signal").WithField("signal", sig).Info("shutting down gracefully; a second signal ends the process at once")
 	cancel()
 	<-ctx.Done()
 	sig, ok = <-signals
 	if !ok {
 		return
 	}
-	log.WithField("signal", sig).Error("second signal: ending at once, requests in progress are cut off")
+	log.WithField("event", "signal").WithField("signal", sig).Error("second signal: ending at once, requests in progress are cut off")
 	exit(exitFailed)
 }
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -67,8 +67,11 @@
 	defer f.stop()
 	e := evidence{}
 	var background sync.WaitGroup
-	background.Go(func() { e.drained, e.drainErr = drainHalfWay(ctx, f, cfg.For) })
-	background.Go(func() { e.cutRouters = shutDownAtTheEnd(ctx, f, cfg.For) })
+	end := f.clock.After(cfg.For)
+	background.Go(func() {
+		e.drainHalfWay(ctx, f, cfg.For/2)
+		e.shutDown(ctx, f, end)
+	})
 	e.load, err = generator.Run(ctx, generator.Config{
 		Routers: f.callers(), Mix: mix(), For: cfg.For, MaxRequests: maxRequests, MaxOpen: maxOpen,
 		Timeout: answerTimeout, Seed: cfg.Seed, Run: "demo", Expect: generator.StandIns{},
@@ -82,21 +85,26 @@
 	return e.report(), nil
 }
 
-func drainHalfWay(ctx context.Context, f *fleet, d time.Duration) (time.Time, error) {
+// drainHalfWay drains a worker once d has passed.
+func (e *evidence) drainHalfWay(ctx context.Context, f *fleet, d time.Duration) {
 	select {
-	case <-f.clock.After(d / 2):
-		return f.drain(ctx, drained)
+	case <-f.clock.After(d):
 	case <-ctx.Done():
-		return time.Time{}, ctx.Err()
+		e.drainErr = ctx.Err()
+		return
+	}
+	change, err := f.drain(ctx, drained)
+	e.drained, e.drainErr = f.clock.Now(), err
+	if err == nil {
+		e.lateRouters = f.awaitVersion(ctx, change.Version, configurationLimit)
 	}
 }
 
-// shutDownAtTheEnd shuts the routers down as soon as no more requests are
-// sent.
-func shutDownAtTheEnd(ctx context.Context, f *fleet, d time.Duration) int {
+// shutDown shuts the routers down at the end of the load.
+func (e *evidence) shutDown(ctx context.Context, f *fleet, end <-chan time.Time) {
 	select {
-	case <-f.clock.After(d):
+	case <-end:
 	case <-ctx.Done():
 	}
-	return f.shutdown(ctx)
+	e.cutRouters = f.shutdown(ctx)
 }
--- a/internal/demonstrator/evidence.go
+++ b/internal/demonstrator/evidence.go
@@ -11,9 +11,13 @@
 
 // evidence is what callers saw and what the stand-ins' journals say.
 type evidence struct {
-	load       *generator.Report
-	drained    time.Time
-	drainErr   error
+	load *generator.Report
+	// drained is when the worker's drain was accepted.
+	drained  time.Time
+	drainErr error
+	// lateRouters counts the routers where that took too long to be in force.
+	lateRouters int
+	// cutRouters counts the routers whose shutdown cut off requests.
 	cutRouters int
 
 	mu           sync.Mutex
--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -13,6 +13,7 @@
 
 	"lentilwood.example/lentilwood/internal/configurer"
 	"lentilwood.example/lentilwood/internal/emulator"
+	"lentilwood.example/lentilwood/internal/identifier"
 	"lentilwood.example/lentilwood/internal/keeper"
 	"lentilwood.example/lentilwood/internal/loader"
 	"lentilwood.example/lentilwood/internal/messenger"
@@ -29,7 +30,7 @@
 	// balancerLag and drainLimit are the routers' settings for the shutdown.
 	balancerLag = 300 * time.Millisecond
 	drainLimit  = 7 * time.Second
-	// author of the configuration.
+	// author is the operator who makes the configuration.
 	author = "demo"
 )
 
@@ -38,7 +39,6 @@
 	clock   timekeeper.Clock
 	log     *logrus.Logger
 	store   *keeper.Keeper
-	editor  *operator.ConfigEditor
 	workers map[messenger.UpstreamID]*emulator.Worker
 	desk    *emulator.Service
 	routers []*router.Router
@@ -48,7 +48,6 @@
 func startFleet(ctx context.Context, log *logrus.Logger) (*fleet, error) {
 	clock := timekeeper.System{}
 	f := &fleet{clock: clock, log: log, store: keeper.New(clock), workers: map[messenger.UpstreamID]*emulator.Worker{}}
-	f.editor = &operator.ConfigEditor{Store: f.store, Clock: clock}
 	if err := f.start(ctx); err != nil {
 		f.stop()
 		return nil, err
@@ -114,6 +113,7 @@
 	}
 	s.BalancerLag = balancerLag
 	s.DrainLimit = drainLimit
+	s.Operators = []loader.Operator{{Name: author, TokenDigest: identifier.DigestOf(tokenOf(author)).Hex()}}
 	s.PeerKey = loader.NewSecret("key of the demonstration")
 	return s
 }
@@ -134,13 +134,45 @@
 	return addresses
 }
 
-// drain gives a worker no new work and returns when that was accepted.
-func (f *fleet) drain(ctx context.Context, id messenger.UpstreamID) (time.Time, error) {
-	_, err := f.editor.Drain(ctx, author, operator.Drain{
-		Precondition: operator.Precondition{ChangeID: "drain", Reason: "the VM is leaving"},
+// drain gives a worker no new work, through the operators' API of the first
+// router that answers.
+func (f *fleet) drain(ctx context.Context, id messenger.UpstreamID) (operator.Change, error) {
+	return f.client(f.routers...).Drain(ctx, operator.Drain{
+		Precondition: operator.Precondition{Reason: "the VM is leaving"},
 		Upstream:     string(id),
 	})
-	return f.clock.Now(), err
+}
+
+// awaitVersion returns how many routers do not run a version when limit has
+// passed.
+func (f *fleet) awaitVersion(ctx context.Context, version uint64, limit time.Duration) int {
+	late := slices.Clone(f.routers)
+	deadline := f.clock.After(limit)
+	for {
+		late = slices.DeleteFunc(late, func(r *router.Router) bool {
+			status, err := f.client(r).Status(ctx)
+			return err == nil && status.Version >= version
+		})
+		if len(late) == 0 {
+			return 0
+		}
+		select {
+		case <-f.clock.After(pollInterval):
+		case <-deadline:
+			return len(late)
+		case <-ctx.Done():
+			return len(late)
+		}
+	}
+}
+
+// client returns a client of the operators' API of routers.
+func (f *fleet) client(routers ...*router.Router) *operator.Client {
+	cfg := operator.ClientConfig{Token: tokenOf(author), Timeout: readyLimit}
+	for _, r := range routers {
+		cfg.Routers = append(cfg.Routers, r.OperatorsAddr())
+	}
+	return operator.NewClient(cfg)
 }
 
 // shutdown shuts all routers down gracefully and returns how many had to cut
--- a/internal/demonstrator/judge.go
+++ b/internal/demonstrator/judge.go
@@ -13,6 +13,9 @@
 const (
 	// drainGrace is how long a leaving upstream may still get new work.
 	drainGrace = 2 * time.Second
+	// configurationLimit is how long an accepted configuration may take to be
+	// in force at every router.
+	configurationLimit = 2 * time.Second
 	// starvedBelow is the part of its fair share below which a client account
 	// counts as starved.
 	starvedBelow = 0.5
@@ -40,6 +43,7 @@
 		e.runMeansRun(),
 		e.atMostOnce(),
 		e.leavingGetsNothing(),
+		e.configurationIsInForce(),
 		{"a graceful shutdown cuts off nothing", routerCount, e.cutRouters},
 		nobodyStarves(accounts),
 	}
@@ -98,6 +102,18 @@
 	return p
 }
 
+// configurationIsInForce looks for routers that did not follow the drain.
+func (e *evidence) configurationIsInForce() Promise {
+	p := Promise{
+		Name:    fmt.Sprintf("a configuration is in force everywhere within %v", configurationLimit),
+		Checked: routerCount, Violations: e.lateRouters,
+	}
+	if e.drainErr != nil {
+		p.Violations = routerCount
+	}
+	return p
+}
+
 // leavingGetsNothing looks for work that reached the drained worker late.
 func (e *evidence) leavingGetsNothing() Promise {
 	p := Promise{Name: fmt.Sprintf("a leaving upstream gets no new work after %v", drainGrace)}
--- a/internal/demonstrator/scene.go
+++ b/internal/demonstrator/scene.go
@@ -53,7 +53,8 @@
 	{flooder, 1},
 }
 
-func tokenOf(id messenger.AccountID) string { return fmt.Sprintf("demo-token-of-%s", id) }
+// tokenOf returns the bearer token of a client account or operator.
+func tokenOf[T ~string](name T) string { return fmt.Sprintf("demo-token-of-%s", name) }
 
 // document returns the fleet configuration.
 func document(workers map[messenger.UpstreamID]string, deskAddress string) *configurer.Document {
