Cut what goes into a caller's connection to its window

A whole answer of megabytes went into the connection in one write, past the bound that the listener sets for waiting bytes. Pump now writes no more than the window leaves room for.

Run: go test -race ./internal/relayer, ok.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -146,20 +146,17 @@
 // Pump writes to the caller what its window takes.
 func (s *Stream) Pump() error {
 	wrote := false
-	for len(s.queue) > 0 && s.caller.Pending() < s.limits.WindowBytes {
-		p := s.queue[0]
-		s.queue[0] = nil
-		s.queue = s.queue[1:]
-		s.queued -= len(p)
-		if _, err := s.caller.Write(p); err != nil {
+	for len(s.queue) > 0 {
+		room := s.limits.WindowBytes - s.caller.Pending()
+		if room <= 0 {
+			break
+		}
+		if _, err := s.caller.Write(s.next(room)); err != nil {
 			s.charge()
 			return err
 		}
 		wrote = true
 	}
-	if len(s.queue) == 0 {
-		s.queue = nil
-	}
 	if wrote {
 		s.caller.Flush()
 	}
@@ -167,6 +164,23 @@
 	return nil
 }
 
+// next takes up to n bytes from the head of the queue.
+func (s *Stream) next(n int) []byte {
+	head := s.queue[0]
+	n = min(n, len(head))
+	s.queued -= n
+	if n < len(head) {
+		s.queue[0] = head[n:]
+		return head[:n]
+	}
+	s.queue[0] = nil
+	s.queue = s.queue[1:]
+	if len(s.queue) == 0 {
+		s.queue = nil
+	}
+	return head
+}
+
 // Waiting reports whether something is held that Pump could not yet write.
 func (s *Stream) Waiting() bool { return s.queued > 0 }
 
