Check random schedules and fuzzed answers of the dispatcher

It found two faults, which are mended. A Dispatch that was not used could leave its request without an end.

The fuzz targets found a third: a stream that always broke at the same event was resumed without end, because any bytes counted as progress. Only an event that is delivered does now.

--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -81,6 +81,9 @@
 			tokens++
 		}
 	})
+	if len(out) > 0 {
+		at.resumes = 0
+	}
 	f.deliver(at, out)
 	if tokens > 0 {
 		f.progress(at, float64(tokens))
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -99,7 +99,6 @@
 	}
 	if len(p.body) > 0 {
 		at.progressed(f.now(), f.progressTimeout())
-		at.resumes = 0
 		if !f.body(at, p.body) {
 			return
 		}
@@ -133,7 +132,7 @@
 	if at.resuming {
 		return f.resumed(at)
 	}
-	if busy(p.status) && f.retryable(at) {
+	if busy(p.status) && f.mayRetry() {
 		f.attemptFailed(at, ProblemUpstreamFailed, false)
 		return false
 	}
@@ -205,31 +204,27 @@
 	if resumable && f.resume(at) {
 		return
 	}
-	if f.retryable(at) && f.d.spendRetry() {
+	f.close(at, true)
+	if len(f.attempts) == 0 && f.mayRetry() && f.d.spendRetry() {
 		f.scheduleRetry(at)
 		return
 	}
-	f.close(at, true)
 	f.finish(at.upstream, at.tokens(), true, false)
 	if len(f.attempts) == 0 {
 		f.fail(problem)
 	}
 }
 
-// retryable reports whether the request may be placed again after at.
-func (f *flight) retryable(at *attempt) bool {
+// mayRetry reports whether the request may be placed again.
+func (f *flight) mayRetry() bool {
 	if f.gone || f.late() || len(f.attempts) > 1 || f.retries+1 >= f.d.cfg.MaxAttempts {
 		return false
 	}
-	if !at.sent {
-		return true
-	}
-	return f.req.Arrive.Idempotent && !f.outcome.Delivered()
+	return f.outcome.MaySend()
 }
 
-// scheduleRetry ends at and asks for another upstream after a short wait.
+// scheduleRetry asks for another upstream than at after a short wait.
 func (f *flight) scheduleRetry(at *attempt) {
-	f.close(at, true)
 	f.retries++
 	f.retry = at
 	f.retryAt = f.now()
--- /dev/null
+++ b/internal/dispatcher/checker_test.go
@@ -0,0 +1,277 @@
+package dispatcher
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/keeper"
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/recorder"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// Flags of TestRandomSchedules: how many schedules it runs, and from which seed.
+var (
+	schedules = flag.Int("schedules", 1500, "random schedules to run")
+	firstSeed = flag.Uint64("firstSeed", 0, "seed of the first random schedule")
+)
+
+const (
+	// parallelSchedules is how many run at a time.
+	parallelSchedules = 24
+	// requestsEach is how many requests one schedule has.
+	requestsEach = 6
+)
+
+// tally counts what the schedules brought about.
+type tally struct {
+	mu sync.Mutex
+	n  map[string]int
+}
+
+func (y *tally) add(name string) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.n[name]++
+}
+
+// TestRandomSchedules runs requests against upstreams and a store that go
+// wrong at every step, and checks what callers were told against the journal
+// of what ran: nothing twice that may not be repeated, nothing that was said
+// not to have run, no answer that is wrong or cut.
+func TestRandomSchedules(t *testing.T) {
+	counts := &tally{n: make(map[string]int)}
+	seeds := make(chan uint64)
+	var wg sync.WaitGroup
+	for range parallelSchedules {
+		wg.Go(func() {
+			for seed := range seeds {
+				runSchedule(t, seed, counts)
+			}
+		})
+	}
+	for seed := range uint64(*schedules) {
+		seeds <- *firstSeed + seed
+	}
+	close(seeds)
+	wg.Wait()
+	t.Logf("%d schedules: %v", *schedules, counts.n)
+	for _, name := range []string{"run", "not-run", "unknown", "resumed", "retried", "replayed", "gone", "stream-broken"} {
+		if counts.n[name] < *schedules/100 {
+			t.Errorf("%q came about %d times, too few for the check to mean much", name, counts.n[name])
+		}
+	}
+}
+
+// schedule is one run of a few requests.
+type schedule struct {
+	t       *testing.T
+	seed    uint64
+	rng     *rand.Rand
+	journal *journal
+	counts  *tally
+	engines fixedUpstreams
+	service fixedUpstreams
+	routers []*Dispatcher
+}
+
+func runSchedule(t *testing.T, seed uint64, counts *tally) {
+	s := &schedule{
+		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), journal: newJournal(), counts: counts,
+		engines: make(fixedUpstreams), service: make(fixedUpstreams),
+	}
+	network := &memoryNetwork{}
+	all := fixedUpstreams{"dead": {Address: "dead"}}
+	for i := range 2 {
+		engine, service := newFaultyUpstream(s.journal, true, seed*4+uint64(i)), newFaultyUpstream(s.journal, false, seed*4+2+uint64(i))
+		defer engine.close()
+		defer service.close()
+		e, v := fmt.Sprint("e", i), fmt.Sprint("s", i)
+		network.listen(e, engine.accept)
+		network.listen(v, service.accept)
+		s.engines[messenger.UpstreamID(e)] = messenger.UpstreamPolicy{Address: e, Engine: true}
+		s.service[messenger.UpstreamID(v)] = messenger.UpstreamPolicy{Address: v}
+	}
+	for _, m := range []fixedUpstreams{s.engines, s.service} {
+		for id, p := range m {
+			all[id] = p
+		}
+		m["dead"] = all["dead"]
+	}
+	clock := timekeeper.NewManual(time.Unix(1_800_000_000, 0))
+	stop := make(chan struct{})
+	var ticking sync.WaitGroup
+	ticking.Go(func() { tick(clock, stop) })
+	store := keeper.New(clock)
+	store.SetFaults(keeper.Faults{Seed: seed, FailShare: 0.1, LoseAnswers: 0.2})
+	for i := range 2 {
+		rec := recorder.New(recorder.Config{Store: store, Clock: clock, Router: messenger.RouterID(fmt.Sprint("r", i)), ClaimsPerSecond: 1000})
+		s.routers = append(s.routers, New(Config{Upstreams: all, Recorder: rec, Clock: clock, Log: quietLog(), Seed: seed, ConnectTimeout: time.Second, Dial: network.dial}))
+	}
+	var wg sync.WaitGroup
+	for i := range requestsEach {
+		kind, seed := s.rng.IntN(5), s.rng.Uint64()
+		wg.Go(func() { s.request(i, kind, seed) })
+	}
+	wg.Wait()
+	for _, d := range s.routers {
+		d.Close()
+	}
+	close(stop)
+	ticking.Wait()
+	s.checkKeys()
+}
+
+// tick moves the clock on, fifty times as fast as real time.
+func tick(clock *timekeeper.Manual, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Millisecond):
+			clock.Advance(50 * time.Millisecond)
+		}
+	}
+}
+
+// The kinds of requests.
+const (
+	kindCompletion = iota
+	kindSingleCompletion
+	kindLookup
+	kindReservation
+	kindKeyed
+)
+
+// request serves one request, or a keyed one and its repeats, and checks it.
+func (s *schedule) request(i, kind int, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	id := fmt.Sprintf("w%d", i)
+	req := &Request{ID: messenger.RequestID(i), WireID: id, Method: http.MethodPost, URI: "/reservations", Body: []byte("{}")}
+	req.Arrive.Request = req.ID
+	req.Class.ProgressTimeout = 2 * time.Second
+	pool := s.service
+	switch kind {
+	case kindCompletion, kindSingleCompletion:
+		req.URI, req.Streaming = "/v1/completions", true
+		req.Arrive.Idempotent = kind == kindCompletion
+		pool = s.engines
+	case kindLookup:
+		req.Method, req.URI, req.Body = http.MethodGet, "/stock/7", nil
+		req.Arrive.Idempotent = true
+	case kindKeyed:
+		s.keyed(rng, req)
+		return
+	}
+	s.serve(s.routers[rng.IntN(2)], rng, req, pool)
+}
+
+// keyed serves a request with a key and repeats of it, some at the same moment.
+func (s *schedule) keyed(rng *rand.Rand, req *Request) {
+	var wg sync.WaitGroup
+	for n := range 3 {
+		repeat := *req
+		repeat.Key = "key-" + req.WireID
+		repeat.WireID = fmt.Sprintf("%s.%d", req.WireID, n)
+		repeat.Header = http.Header{messenger.IdempotencyKeyHeader: {repeat.Key}}
+		d, own := s.routers[n%2], rand.New(rand.NewPCG(rng.Uint64(), 4))
+		wg.Go(func() { s.serve(d, own, &repeat, s.service) })
+		if rng.IntN(2) == 0 {
+			wg.Wait()
+		}
+	}
+	wg.Wait()
+}
+
+func (s *schedule) serve(d *Dispatcher, rng *rand.Rand, req *Request, pool fixedUpstreams) {
+	q, c := newRandomQueue(rng, req, pool), newFakeCaller()
+	var leaving sync.WaitGroup
+	served := make(chan struct{})
+	if rng.IntN(8) == 0 {
+		after := time.Duration(rng.IntN(8)) * time.Millisecond
+		leaving.Go(func() {
+			select {
+			case <-time.After(after):
+				close(c.done)
+			case <-served:
+			}
+		})
+	}
+	res := d.Serve(context.Background(), req, q, c)
+	close(served)
+	leaving.Wait()
+	s.check(req, q, c, res)
+}
+
+// check compares what the caller was told with what ran.
+func (s *schedule) check(req *Request, q *randomQueue, c *fakeCaller, res Result) {
+	s.journal.mu.Lock()
+	ran := s.journal.runs[req.WireID]
+	s.journal.mu.Unlock()
+	told := messenger.RunState(c.header.Get(messenger.RunHeader))
+	fail := func(what string) {
+		s.t.Errorf("seed %d, request %s %s (idempotent %v): %s; told %q, ran %d times, result %+v, answer %q",
+			s.seed, req.WireID, req.URI, req.Arrive.Idempotent, what, told, ran, res, c.text())
+	}
+	if !req.Arrive.Idempotent && ran > 1 {
+		fail("ran twice")
+	}
+	if (told == messenger.NotRun || res.Run == messenger.NotRun) && ran > 0 {
+		fail("said not-run but ran")
+	}
+	replayed := c.header.Get(replayedHeader) != ""
+	if told == messenger.Run && ran == 0 && !replayed {
+		fail("said run but did not run")
+	}
+	if c.status == 0 && !res.CallerGone {
+		fail("no answer")
+	}
+	if !res.CallerGone && c.status == http.StatusOK && !replayed && !wholeOrMarked(req, c.text()) {
+		fail("wrong or cut answer")
+	}
+	if open := q.open(); open != 0 {
+		fail(fmt.Sprintf("%d slots not given back", open))
+	}
+	s.count(res, told, replayed)
+}
+
+func (s *schedule) count(res Result, told messenger.RunState, replayed bool) {
+	s.counts.add(string(told))
+	for name, came := range map[string]bool{
+		"resumed": res.Resumes > 0, "retried": res.Attempts > 1, "gone": res.CallerGone,
+		"replayed": replayed, res.Problem: res.Problem != "",
+	} {
+		if came {
+			s.counts.add(name)
+		}
+	}
+}
+
+// wholeOrMarked reports whether an answer is the whole right one, or a right
+// beginning of it that says itself that it broke off.
+func wholeOrMarked(req *Request, text string) bool {
+	want := serviceText(req.WireID)
+	if req.Streaming {
+		want = strings.Join(tokenEvents(req.WireID, streamTokens), "")
+	}
+	if begin, _, marked := strings.Cut(text, "event: error\n"); marked {
+		return strings.HasPrefix(want, begin)
+	}
+	return text == want
+}
+
+// checkKeys checks that no key ran twice, whatever repeats there were.
+func (s *schedule) checkKeys() {
+	for key, n := range s.journal.keys {
+		if n > 1 {
+			s.t.Errorf("seed %d: key %s ran %d times", s.seed, key, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/checkerupstream_test.go
@@ -0,0 +1,288 @@
+package dispatcher
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// journal is what really ran, by request id and by idempotency key.
+type journal struct {
+	mu   sync.Mutex
+	runs map[string]int
+	keys map[string]int
+}
+
+func newJournal() *journal { return &journal{runs: make(map[string]int), keys: make(map[string]int)} }
+
+func (j *journal) run(r *http.Request) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.runs[r.Header.Get(messenger.RequestIDHeader)]++
+	if key := r.Header.Get(messenger.IdempotencyKeyHeader); key != "" {
+		j.keys[key]++
+	}
+}
+
+// mishap is what goes wrong with one request at an upstream.
+type mishap uint8
+
+const (
+	fine mishap = iota
+	closeBeforeRun
+	closeAfterRun
+	silentBeforeRun
+	silentAfterRun
+	busyUpstream
+	busyAfterRun
+	wrongID
+	garbageAnswer
+	cutHead
+	cutBody
+	silentBody
+	endWithoutDone
+	repeatedEvents
+	missingEvent
+	leftoverAnswer
+	noReasonPhrase
+	unframedAnswer
+	forgetStream
+	mishaps
+)
+
+// faultyUpstream is an engine or a service that goes wrong often and keeps a
+// journal of what it ran.
+type faultyUpstream struct {
+	engine  bool
+	journal *journal
+	wg      sync.WaitGroup
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	streams map[string]bool
+	conns   map[net.Conn]bool
+}
+
+func newFaultyUpstream(j *journal, engine bool, seed uint64) *faultyUpstream {
+	return &faultyUpstream{
+		engine: engine, journal: j, rng: rand.New(rand.NewPCG(seed, 2)),
+		streams: make(map[string]bool), conns: make(map[net.Conn]bool),
+	}
+}
+
+func (u *faultyUpstream) accept(conn net.Conn) {
+	u.mu.Lock()
+	u.conns[conn] = true
+	u.mu.Unlock()
+	u.wg.Go(func() { u.serve(conn) })
+}
+
+func (u *faultyUpstream) close() {
+	u.mu.Lock()
+	for conn := range u.conns {
+		_ = conn.Close()
+	}
+	u.mu.Unlock()
+	u.wg.Wait()
+}
+
+// draw returns what goes wrong next, and a number to place it.
+func (u *faultyUpstream) draw() (mishap, int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.rng.IntN(2) == 0 {
+		return fine, 0
+	}
+	return mishap(u.rng.IntN(int(mishaps))), u.rng.IntN(8)
+}
+
+func (u *faultyUpstream) serve(conn net.Conn) {
+	defer func() {
+		_ = conn.Close()
+		u.mu.Lock()
+		delete(u.conns, conn)
+		u.mu.Unlock()
+	}()
+	br := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if !u.answer(conn, r) {
+			return
+		}
+	}
+}
+
+// answer answers one request and reports whether the connection goes on.
+func (u *faultyUpstream) answer(conn net.Conn, r *http.Request) bool {
+	m, n := u.draw()
+	switch {
+	case r.URL.Path == healthPath:
+		return m == fine && write(conn, head("200 OK", "", "Content-Length: 0"))
+	case r.Method == http.MethodDelete:
+		return write(conn, head("200 OK", idOf(r), "Content-Length: 0"))
+	case strings.HasPrefix(r.URL.Path, streamsPath):
+		return u.resume(conn, r, m, n)
+	}
+	switch m {
+	case closeBeforeRun:
+		return false
+	case silentBeforeRun:
+		return stall(conn)
+	case busyUpstream:
+		return write(conn, head("503 Service Unavailable", idOf(r), "Content-Length: 0"))
+	}
+	u.journal.run(r)
+	switch m {
+	case closeAfterRun:
+		return false
+	case silentAfterRun:
+		return stall(conn)
+	case busyAfterRun:
+		return write(conn, head("503 Service Unavailable", idOf(r), "Content-Length: 0"))
+	case garbageAnswer:
+		write(conn, "\x00\x01\x02 nonsense\r\n\r\n")
+		return false
+	case cutHead:
+		write(conn, "HTTP/1.1 200 OK\r\nX-Requ")
+		return false
+	}
+	if u.engine {
+		u.mu.Lock()
+		u.streams[idOf(r)] = m != forgetStream
+		u.mu.Unlock()
+		return u.stream(conn, idOf(r), 0, m, n)
+	}
+	return u.reply(conn, idOf(r), m)
+}
+
+// reply answers a request to a service.
+func (u *faultyUpstream) reply(conn net.Conn, id string, m mishap) bool {
+	body := serviceText(id)
+	length := "Content-Length: " + strconv.Itoa(len(body))
+	switch m {
+	case wrongID:
+		other := serviceText("other")
+		return write(conn, head("200 OK", "other", "Content-Length: "+strconv.Itoa(len(other)))+other)
+	case cutBody:
+		write(conn, head("200 OK", id, length)+body[:len(body)/2])
+		return false
+	case silentBody:
+		write(conn, head("200 OK", id, length)+body[:len(body)/2])
+		return stall(conn)
+	case leftoverAnswer:
+		other := serviceText("other")
+		write(conn, head("200 OK", id, length)+body)
+		return write(conn, head("200 OK", "other", "Content-Length: "+strconv.Itoa(len(other)))+other)
+	case noReasonPhrase:
+		return write(conn, head("200 ", id, length)+body)
+	case unframedAnswer:
+		write(conn, head("200 OK", id, "Connection: close")+body[:len(body)/2])
+		return false
+	}
+	return write(conn, head("200 OK", id, length)+body)
+}
+
+// resume answers a request for the rest of a stream.
+func (u *faultyUpstream) resume(conn net.Conn, r *http.Request, m mishap, n int) bool {
+	u.mu.Lock()
+	known := u.streams[idOf(r)]
+	u.mu.Unlock()
+	switch m {
+	case closeBeforeRun, garbageAnswer, cutHead:
+		return false
+	case silentBeforeRun, silentAfterRun:
+		return stall(conn)
+	case forgetStream:
+		known = false
+	}
+	if !known {
+		return write(conn, head("404 Not Found", idOf(r), "Content-Length: 0"))
+	}
+	last, err := strconv.Atoi(r.Header.Get(messenger.LastEventIDHeader))
+	if err != nil {
+		return false
+	}
+	return u.stream(conn, idOf(r), last, m, n)
+}
+
+// stream writes the events after last.
+func (u *faultyUpstream) stream(conn net.Conn, id string, last int, m mishap, n int) bool {
+	sent := id
+	if m == wrongID {
+		id, sent = "other", "other"
+	}
+	events := tokenEvents(id, streamTokens)[last:]
+	framing := "Transfer-Encoding: chunked"
+	if m == unframedAnswer {
+		framing = "Connection: close"
+	}
+	if !write(conn, head("200 OK", sent, "Content-Type: text/event-stream", framing)) {
+		return false
+	}
+	stop := min(n, len(events))
+	for i, e := range events {
+		switch {
+		case m == cutBody && i == stop:
+			write(conn, fmt.Sprintf("%x\r\n%s", len(e), e[:len(e)/2]))
+			return false
+		case m == silentBody && i == stop:
+			return stall(conn)
+		case m == endWithoutDone && i == stop:
+			return write(conn, "0\r\n\r\n")
+		case m == unframedAnswer && i == stop:
+			return false
+		case m == missingEvent && i == stop:
+			continue
+		case m == repeatedEvents && i == stop && i > 0:
+			e = events[i-1] + e
+		}
+		if m == unframedAnswer {
+			write(conn, e)
+			continue
+		}
+		if !write(conn, fmt.Sprintf("%x\r\n%s\r\n", len(e), e)) {
+			return false
+		}
+	}
+	return write(conn, "0\r\n\r\n")
+}
+
+// streamTokens is the length of each stream.
+const streamTokens = 5
+
+func idOf(r *http.Request) string { return r.Header.Get(messenger.RequestIDHeader) }
+
+// serviceText is the right answer of a service to a request.
+func serviceText(id string) string { return fmt.Sprintf("{\"for\":%q}", id) }
+
+func head(status, id string, fields ...string) string {
+	if id != "" {
+		fields = append(fields, messenger.RequestIDHeader+": "+id)
+	}
+	return "HTTP/1.1 " + status + "\r\n" + strings.Join(fields, "\r\n") + "\r\n\r\n"
+}
+
+func write(conn net.Conn, s string) bool {
+	_, err := io.WriteString(conn, s)
+	return err == nil
+}
+
+// stall says nothing more until the other side closes the connection.
+func stall(conn net.Conn) bool {
+	_, _ = io.Copy(io.Discard, conn)
+	return false
+}
--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -52,16 +52,23 @@
 // nothing twice by itself but idempotent requests that met a dead idle
 // connection, and reads no faster than its exchanges are drained.
 type connTransport struct {
-	dialer net.Dialer
-	tls    *tls.Config
-	pool   connPool
+	connect func(ctx context.Context, address string) (net.Conn, error)
+	tls     *tls.Config
+	pool    connPool
 }
 
 func newConnTransport(clock timekeeper.Clock, cfg Config) *connTransport {
+	connect := cfg.Dial
+	if connect == nil {
+		dialer := &net.Dialer{Timeout: cfg.ConnectTimeout}
+		connect = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
 	return &connTransport{
-		dialer: net.Dialer{Timeout: cfg.ConnectTimeout},
-		tls:    cfg.UpstreamTLS,
-		pool:   connPool{clock: clock, timeout: cfg.IdleTimeout},
+		connect: connect,
+		tls:     cfg.UpstreamTLS,
+		pool:    connPool{clock: clock, timeout: cfg.IdleTimeout},
 	}
 }
 
@@ -136,7 +143,7 @@
 	if !x.setControl(control{stop: cancel}) {
 		return nil, errCanceled
 	}
-	conn, err := t.dialer.DialContext(ctx, "tcp", address)
+	conn, err := t.connect(ctx, address)
 	if err != nil {
 		return nil, merry.Prepend(err, "connect to upstream")
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -21,6 +21,7 @@
 	"context"
 	"crypto/tls"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -122,6 +123,8 @@
 	Relay  relayer.Limits
 	// CallerTimeout is how long a caller may take nothing of what waits for it.
 	CallerTimeout time.Duration
+	// Dial opens a connection to an upstream; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// UpstreamTLS is how upstreams are spoken to; nil means without TLS.
 	UpstreamTLS *tls.Config
 	// ConnectTimeout bounds the opening of a connection to an upstream.
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -157,9 +157,7 @@
 	late := f.late()
 	if f.over || f.gone || late || f.pending != nil || !f.outcome.MaySend() {
 		f.finish(a.Upstream, 0, false, false)
-		if late && !f.over && len(f.attempts) == 0 && f.pending == nil {
-			f.refuse(string(messenger.RefuseDeadline), 0)
-		}
+		f.denied(late)
 		return
 	}
 	if f.keyed() && f.claim.Status != recorder.Claimed {
@@ -171,8 +169,21 @@
 	f.open(a, policy, known)
 }
 
+// denied ends a request whose Dispatch was not used, if nothing else goes on.
+func (f *flight) denied(late bool) {
+	if f.over || len(f.attempts) > 0 || f.pending != nil || f.retry != nil {
+		return
+	}
+	if late {
+		f.refuse(string(messenger.RefuseDeadline), 0)
+		return
+	}
+	f.fail(ProblemOutcomeUnknown)
+}
+
 // open starts an attempt at an upstream. One that is not known fails at once.
 func (f *flight) open(a messenger.Dispatch, policy messenger.UpstreamPolicy, known bool) {
+	f.dropRetry()
 	f.note(tracker.Open)
 	if a.Hedge {
 		f.d.counters.Hedges.Add(1)
@@ -272,13 +283,19 @@
 
 // dropAll ends every open attempt and frees its slot.
 func (f *flight) dropAll() {
+	f.dropRetry()
+	for len(f.attempts) > 0 {
+		f.drop(f.attempts[0])
+	}
+}
+
+// dropRetry gives back a failed attempt that waited to be placed again, once
+// another runs or none is wanted.
+func (f *flight) dropRetry() {
 	if f.retry != nil {
 		f.finish(f.retry.upstream, f.retry.tokens(), true, false)
 		f.retry = nil
 	}
-	for len(f.attempts) > 0 {
-		f.drop(f.attempts[0])
-	}
 }
 
 // refuse answers a request that the scheduler did not dispatch.
@@ -311,5 +328,6 @@
 	}
 	f.over = true
 	f.slowSince = f.now()
+	f.dropRetry()
 	f.settleClaim()
 }
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -30,7 +30,7 @@
 	if !at.policy.Engine || !at.sent || !f.outcome.MayResume() {
 		return false
 	}
-	if at.stream == nil && (!f.req.Streaming || at.header != nil || f.retryable(at)) {
+	if at.stream == nil && (!f.req.Streaming || at.header != nil || f.mayRetry()) {
 		return false
 	}
 	if f.gone || at.resumes >= f.d.cfg.MaxResumes {
