--- a/internal/dispatcher/fakes_test.go
+++ b/internal/dispatcher/fakes_test.go
@@ -72,6 +72,13 @@
 	return c.pending
 }
 
+// drain sends n of the bytes that wait.
+func (c *fakeCaller) drain(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending -= min(n, c.pending)
+}
+
 func (c *fakeCaller) Done() <-chan struct{} { return c.done }
 
 func (c *fakeCaller) text() string {
