--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -30,7 +30,8 @@
 //   - Announce: have the registrar send heartbeats at once;
 //   - ReadyChange: change what the readiness check answers.
 //
-// The heartbeats that the router sends carry Version and Age.
+// The heartbeats that the router sends carry Version, Age and Settled. The
+// package coordinator does all this feeding between routers.
 //
 //	c := configurer.New(configurer.Config{Self: "r1", Domain: "d1", Seed: seed})
 //	for _, a := range c.Handle(clock.Now(), configurer.Tick{}) {
@@ -119,8 +120,10 @@
 
 // peer is what another router said last.
 type peer struct {
-	version uint64
-	heard   time.Time
+	version     uint64
+	incarnation uint64
+	settled     bool
+	known       int
 }
 
 // New returns a Configurer that knows no version.
@@ -139,6 +142,18 @@
 // State returns the configuration in force.
 func (c *Configurer) State() *State { return c.state }
 
+// Settled reports whether the version was confirmed since the start.
+func (c *Configurer) Settled() bool { return c.settled }
+
+// Versions returns the versions that other routers said they have.
+func (c *Configurer) Versions() map[messenger.RouterID]uint64 {
+	versions := make(map[messenger.RouterID]uint64, len(c.peers))
+	for id, p := range c.peers {
+		versions[id] = p.version
+	}
+	return versions
+}
+
 // Ready reports whether the router may serve callers, and if not, why.
 func (c *Configurer) Ready() (bool, NotReady) { return c.ready, c.reason }
 
@@ -220,9 +235,16 @@
 // peerVersion notes a heartbeat.
 func (c *Configurer) peerVersion(now time.Time, e PeerVersion) {
 	p := c.peers[e.Router]
-	// Messages may arrive late: a peer that restarted says a lower version
-	// again, which its later heartbeats repeat.
-	c.peers[e.Router] = peer{version: max(p.version, e.Version), heard: now}
+	if e.Incarnation < p.incarnation {
+		return
+	}
+	if e.Incarnation > p.incarnation {
+		p = peer{incarnation: e.Incarnation}
+	}
+	p.version = max(p.version, e.Version)
+	p.settled = p.settled || e.Settled
+	p.known = e.Known
+	c.peers[e.Router] = p
 	if !e.Unconfirmed && e.Version == c.Version() && e.Version > 0 {
 		c.confirm(now.Add(-e.Age))
 	}
--- a/internal/configurer/editor_test.go
+++ b/internal/configurer/editor_test.go
@@ -240,6 +240,14 @@
 	}
 }
 
+func TestSmallestDocument(t *testing.T) {
+	e, k := newEditor()
+	set(t, e, parse(t, `{}`))
+	if got := catchUp(t, k, nil).Version(); got != 1 {
+		t.Errorf("got version %d, want 1", got)
+	}
+}
+
 func TestApplyNeverGoesBack(t *testing.T) {
 	e, k := newEditor()
 	set(t, e, parse(t, sample))
--- a/internal/configurer/message.go
+++ b/internal/configurer/message.go
@@ -26,8 +26,15 @@
 	// Age is how long ago, as far as the peer knows, a router last saw in the
 	// table that Version is the newest.
 	Age time.Duration
-	// Unconfirmed is true if the peer knows of no such look at the table.
+	// Unconfirmed is true if the peer knows of no such look at the table, or
+	// if the age of the message itself is not known.
 	Unconfirmed bool
+	// Incarnation tells the starts of the peer apart.
+	Incarnation uint64
+	// Settled is true if the peer's version was confirmed since its start.
+	Settled bool
+	// Known is how many routers the peer knows of.
+	Known int
 }
 
 // PeerAsk says that another router wants what came after Since.
--- a/internal/configurer/ready.go
+++ b/internal/configurer/ready.go
@@ -24,21 +24,28 @@
 	return []Action{ReadyChange{Ready: ready, Reason: reason}}
 }
 
-// settle notes that most of the routers have said, since this one started,
-// that they know of nothing newer. An accepted change that most routers held
-// is among their answers, so that a restart in an outage of the store does not
-// go back behind it.
+// settle notes that enough routers have said, since this one started, that
+// they know of nothing newer.
+//
+// A change that more than half of the fleet holds is held by at least one of
+// any half of the fleet that has not lost its memory. So the answers of half
+// of the fleet, from routers that are settled themselves, leave out none that
+// this router may have run before it restarted.
 func (c *Configurer) settle() {
 	if c.settled || c.Version() == 0 {
 		return
 	}
-	behind := 0
+	voters, known := 0, c.known
 	for _, p := range c.peers {
-		if p.version <= c.Version() {
-			behind++
+		known = max(known, p.known)
+		if p.version > c.Version() {
+			return
+		}
+		if p.settled {
+			voters++
 		}
 	}
-	c.settled = c.majority(behind) && behind == len(c.peers)
+	c.settled = voters > 0 && 2*voters >= known
 }
 
 // majority reports whether n other routers and this one are most of the fleet.
--- a/internal/configurer/state.go
+++ b/internal/configurer/state.go
@@ -135,7 +135,7 @@
 			s.sum -= entrySum(key, old)
 			delete(s.entries, key)
 		}
-		if value != nil && string(value) != "null" {
+		if value != nil && string(value) != noValue {
 			s.entries[key] = value
 			s.sum += entrySum(key, value)
 		}
@@ -193,11 +193,18 @@
 	return e
 }
 
+// noValue is how an entry that is removed is written.
+const noValue = "null"
+
+// put adds an entry, unless its value is empty.
 func put(e Entries, key string, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
 		panic(err) // every field can be written
 	}
+	if string(data) == noValue {
+		return
+	}
 	e[key] = data
 }
 
--- /dev/null
+++ b/internal/drainer/drainer.go
@@ -0,0 +1,298 @@
+// Package drainer collects the word that an upstream is leaving, from the
+// platform's list of VMs and from the upstream itself, and spreads it over the
+// fleet, so that no router gives it new work a few seconds later, also while
+// the platform's store is down.
+//
+// A drain ordered by an operator is an exception of the configuration and
+// spreads with it; Overlay puts all three together.
+//
+// Each source has its own entry for an upstream, ordered by a stamp that grows
+// with each change; at the same stamp leaving wins. The word that an upstream
+// leaves is believed at once. The word that it stays after all must hold for
+// stayTime, since the list lags and load reports come late.
+//
+// # Usage
+//
+//	d := drainer.New()
+//	d.Known(policy.Upstreams)
+//	changed := d.Listed(now, vms)                    // from store.VMs
+//	changed = d.Reported(now, "w1", report.Leaving)  // from a load report
+//	changed = d.Receive(message.Drains, message.DrainSum)
+//	message.Drains, message.DrainSum = d.News(), d.Sum()
+//	policy = d.Overlay(policy)
+package drainer
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/storer"
+)
+
+// Bounds of a Drainer.
+const (
+	// stayTime is for how long a source must say that an upstream stays before
+	// its word that it leaves is taken back.
+	stayTime = 10 * time.Second
+	// newsPerMessage bounds the entries in one message.
+	newsPerMessage = 8
+	// newsRepeats is how often each change is sent on.
+	newsRepeats = 12
+	// maxEntries bounds what is kept of upstreams that are not configured.
+	maxEntries = 8192
+)
+
+// Source is who says that an upstream leaves.
+type Source uint8
+
+// The sources.
+const (
+	// Listing is the platform's list of VMs.
+	Listing Source = iota
+	// Report is the upstream's own load report.
+	Report
+)
+
+// News is what one source says of one upstream. Codecs write it as an array,
+// so the order of the fields is part of the format between routers.
+type News struct {
+	_        struct{} `codec:",toarray"`
+	Upstream messenger.UpstreamID
+	Source   Source
+	Stamp    uint32
+	Leaving  bool
+}
+
+type key struct {
+	upstream messenger.UpstreamID
+	source   Source
+}
+
+type entry struct {
+	News
+	// left is how often it is still to be sent on.
+	left int
+	// staying is since when the source says, to this router, that the
+	// upstream stays.
+	staying time.Time
+}
+
+// Drainer keeps who is leaving. It is not safe for concurrent use.
+type Drainer struct {
+	entries map[key]*entry
+	known   map[messenger.UpstreamID]messenger.UpstreamPolicy
+	// differs is how many messages still carry entries in turn, because a
+	// peer's sum was another.
+	differs int
+	turn    int
+}
+
+// New returns a Drainer that knows of no upstream.
+func New() *Drainer { return &Drainer{entries: make(map[key]*entry)} }
+
+// Known says which upstreams are configured. Only they are spoken of.
+func (d *Drainer) Known(upstreams map[messenger.UpstreamID]messenger.UpstreamPolicy) {
+	d.known = upstreams
+	if len(d.entries) <= maxEntries {
+		return
+	}
+	maps.DeleteFunc(d.entries, func(k key, _ *entry) bool { return !d.configured(k.upstream) })
+}
+
+func (d *Drainer) configured(id messenger.UpstreamID) bool {
+	_, ok := d.known[id]
+	return ok
+}
+
+// Listed takes the platform's list. It reports whether anything changed.
+func (d *Drainer) Listed(now time.Time, vms []storer.VM) bool {
+	leaving := make(map[string]bool, 2*len(vms))
+	for _, vm := range vms {
+		leaving[vm.Name] = vm.Leaving
+		if vm.Address != "" {
+			leaving[host(vm.Address)] = vm.Leaving
+		}
+	}
+	changed := false
+	for id, u := range d.known {
+		gone, ok := leaving[string(id)]
+		if !ok {
+			gone, ok = leaving[host(u.Address)]
+		}
+		if ok && d.say(now, key{id, Listing}, gone) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// host returns the IP number of an address with or without a port.
+func host(address string) string {
+	if ap, err := netip.ParseAddrPort(address); err == nil {
+		return ap.Addr().String()
+	}
+	return address
+}
+
+// Reported takes what an upstream says of itself. It reports whether anything
+// changed.
+func (d *Drainer) Reported(now time.Time, id messenger.UpstreamID, leaving bool) bool {
+	return d.say(now, key{id, Report}, leaving)
+}
+
+// say takes the word of a source that this router asked itself.
+func (d *Drainer) say(now time.Time, k key, leaving bool) bool {
+	e, ok := d.entries[k]
+	if !ok {
+		if !leaving {
+			return false
+		}
+		e = &entry{News: News{Upstream: k.upstream, Source: k.source}}
+		d.entries[k] = e
+	}
+	if leaving {
+		e.staying = time.Time{}
+	}
+	if e.Leaving == leaving {
+		return false
+	}
+	if !leaving && !e.stays(now) {
+		return false
+	}
+	e.Stamp++
+	e.Leaving, e.left = leaving, newsRepeats
+	return true
+}
+
+// stays notes the word that an upstream stays and reports whether it has held
+// for long enough.
+func (e *entry) stays(now time.Time) bool {
+	if e.staying.IsZero() {
+		e.staying = now
+	}
+	return now.Sub(e.staying) >= stayTime
+}
+
+// Receive takes the entries and the sum of another router. It reports whether
+// anything changed.
+func (d *Drainer) Receive(news []News, sum uint64) bool {
+	changed := false
+	for _, n := range news {
+		if d.merge(n) {
+			changed = true
+		}
+	}
+	if sum != d.Sum() {
+		d.differs = 2 + len(d.entries)/newsPerMessage
+	}
+	return changed
+}
+
+func (d *Drainer) merge(n News) bool {
+	k := key{n.Upstream, n.Source}
+	e, ok := d.entries[k]
+	if !ok {
+		if len(d.entries) >= maxEntries && !d.configured(n.Upstream) {
+			return false
+		}
+		d.entries[k] = &entry{News: n, left: newsRepeats}
+		return true
+	}
+	if n.Stamp < e.Stamp || n.Stamp == e.Stamp && (e.Leaving || !n.Leaving) {
+		return false
+	}
+	*e = entry{News: n, left: newsRepeats}
+	return true
+}
+
+// News returns what to send with the next message: changes that were not sent
+// often yet, and, while a peer holds other entries, all of them in turn.
+func (d *Drainer) News() []News {
+	var fresh []*entry
+	all := d.spoken()
+	for _, e := range all {
+		if e.left > 0 {
+			fresh = append(fresh, e)
+		}
+	}
+	slices.SortStableFunc(fresh, func(a, b *entry) int { return cmp.Compare(b.left, a.left) })
+	var news []News
+	for _, e := range fresh[:min(newsPerMessage, len(fresh))] {
+		e.left--
+		news = append(news, e.News)
+	}
+	if d.differs > 0 && len(news) < newsPerMessage {
+		d.differs--
+		for range min(newsPerMessage-len(news), len(all)) {
+			d.turn++
+			news = append(news, all[d.turn%len(all)].News)
+		}
+	}
+	return news
+}
+
+// spoken returns the entries of configured upstreams, sorted.
+func (d *Drainer) spoken() []*entry {
+	var all []*entry
+	for k, e := range d.entries {
+		if d.configured(k.upstream) {
+			all = append(all, e)
+		}
+	}
+	slices.SortFunc(all, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Source, b.Source))
+	})
+	return all
+}
+
+// Sum is the same on two routers that hold the same entries for the same
+// configured upstreams.
+func (d *Drainer) Sum() uint64 {
+	var sum uint64
+	for k, e := range d.entries {
+		if d.configured(k.upstream) {
+			sum += e.sum()
+		}
+	}
+	return sum
+}
+
+func (e *entry) sum() uint64 {
+	b := append([]byte(e.Upstream), 0, byte(e.Source))
+	b = binary.BigEndian.AppendUint32(b, e.Stamp)
+	if e.Leaving {
+		b = append(b, 1)
+	}
+	return xxhash.Sum64(b)
+}
+
+// Leaving reports whether a source says that an upstream leaves.
+func (d *Drainer) Leaving(id messenger.UpstreamID) bool {
+	for _, s := range []Source{Listing, Report} {
+		if e, ok := d.entries[key{id, s}]; ok && e.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// Overlay returns the policy with the upstreams that leave marked so. The
+// policy itself is not changed.
+func (d *Drainer) Overlay(p *messenger.Policy) *messenger.Policy {
+	out := *p
+	out.Upstreams = maps.Clone(p.Upstreams)
+	for id, u := range out.Upstreams {
+		if d.Leaving(id) {
+			u.Leaving = true
+			out.Upstreams[id] = u
+		}
+	}
+	return &out
+}
