--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -51,9 +51,8 @@
 	configurer *configurer.Configurer
 	drainer    *drainer.Drainer
 
-	addresses map[messenger.RouterID]string
-	known     int
-	inForce   configurer.PutInForce
+	known   int
+	inForce configurer.PutInForce
 }
 
 // New returns a Coordinator of a router that has just started.
@@ -63,7 +62,6 @@
 		registrar:  registrar.New(registrar.Config{Self: cfg.Self, Seeds: cfg.Seeds, Seed: cfg.Seed}),
 		configurer: configurer.New(configurer.Config{Self: cfg.Self.Router, Domain: cfg.Self.Domain, Seed: cfg.Seed}),
 		drainer:    drainer.New(),
-		addresses:  make(map[messenger.RouterID]string),
 		known:      1,
 	}
 }
@@ -71,10 +69,12 @@
 // Configurer returns the part that holds the configuration, to be read only.
 func (c *Coordinator) Configurer() *configurer.Configurer { return c.configurer }
 
+// Current reports whether a statement comes from a router's newest start.
+func (c *Coordinator) Current(from registrar.Member) bool { return c.registrar.Current(from) }
+
 // Address returns the address of another router.
 func (c *Coordinator) Address(id messenger.RouterID) (string, bool) {
-	a, ok := c.addresses[id]
-	return a, ok
+	return c.registrar.Address(id)
 }
 
 // Handle takes one event and returns what is to be done.
@@ -98,6 +98,8 @@
 		return c.register(now, e)
 	case VMsRead:
 		return append(c.register(now, e), c.listed(now, e)...)
+	case Query:
+		return c.direct(now, e.Router, Message{Heartbeat: registrar.Heartbeat{Ask: true, Sent: now.UnixMilli()}})
 	case LoadWord:
 		return c.drained(now, c.drainer.Reported(now, e.Upstream, e.Leaving))
 	}
@@ -110,7 +112,6 @@
 	if from.Router == c.self {
 		return c.register(now, registrar.Receive{Heartbeat: m.Heartbeat})
 	}
-	c.addresses[from.Router] = from.Address
 	actions := c.register(now, registrar.Receive{Heartbeat: m.Heartbeat})
 	if !c.registrar.Current(from) {
 		return actions
@@ -187,11 +188,12 @@
 
 // direct sends a message that is no heartbeat of the registrar's.
 func (c *Coordinator) direct(now time.Time, to messenger.RouterID, m Message) []Action {
-	address, ok := c.addresses[to]
+	address, ok := c.registrar.Address(to)
 	if !ok {
 		return nil
 	}
-	full := c.message(now, registrar.Heartbeat{From: c.registrar.Self()})
+	m.Heartbeat.From = c.registrar.Self()
+	full := c.message(now, m.Heartbeat)
 	full.Ask, full.Answer = m.Ask, m.Answer
 	return []Action{Send{Address: address, Message: full}}
 }
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -66,6 +66,8 @@
 	Leave = registrar.Leave
 	// Stop says that this router is about to exit.
 	Stop = registrar.Stop
+	// Query asks a router for its version.
+	Query struct{ Router messenger.RouterID }
 	// LoadWord is what an upstream's load report says of leaving.
 	LoadWord struct {
 		Upstream messenger.UpstreamID
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -147,6 +147,15 @@
 	return ok && m.Incarnation == from.Incarnation
 }
 
+// Address returns the address of another router.
+func (r *Registrar) Address(id messenger.RouterID) (string, bool) {
+	m, ok := r.members[id]
+	if !ok {
+		return "", false
+	}
+	return m.Address, true
+}
+
 // Handle takes one event and returns what is to be done.
 func (r *Registrar) Handle(now time.Time, e Event) []Action {
 	if r.gone {
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -6,6 +6,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"lentilwood.example/lentilwood/internal/configurer"
+	"lentilwood.example/lentilwood/internal/coordinator"
 	"lentilwood.example/lentilwood/internal/operator"
 	"lentilwood.example/lentilwood/internal/storer"
 )
@@ -25,7 +26,7 @@
 		ConfigEditor: &operator.ConfigEditor{
 			Store:    r.store.For(purposeOperators),
 			Clock:    r.clock,
-			Accepted: func(u configurer.Update) { r.control.submit(configurer.Accepted{Update: u}) },
+			Accepted: func(u configurer.Update) { r.control.submit(coordinator.Accepted{Update: u}) },
 			InForce:  r.document,
 		},
 	}
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"lentilwood.example/lentilwood/internal/configurer"
+	"lentilwood.example/lentilwood/internal/coordinator"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
@@ -28,8 +28,9 @@
 // fleet is the decision logic about the fleet, with whatever carries out its
 // actions.
 type fleet interface {
-	tick()
-	configuration(e configurer.Event)
+	coordinate(e coordinator.Event)
+	unpack(m received)
+	postRequests(to messenger.RouterID, messages []messenger.PeerMessage)
 }
 
 // control owns all control state of a router. One goroutine runs it; traffic
@@ -38,24 +39,33 @@
 	clock   timekeeper.Clock
 	decider decider
 	fleet   fleet
-	send    func(messenger.Send)
 	inbox   chan any
 	done    chan struct{}
 	// unclaimed holds dispatches that no request took up.
 	unclaimed []messenger.Finish
+	// outgoing holds what the decisions so far have to say to other routers.
+	outgoing map[messenger.RouterID][]messenger.PeerMessage
+	// fleetTicked is when the coordinator last had a tick.
+	fleetTicked time.Time
 
 	mu     sync.Mutex
 	queues map[messenger.RequestID]*requestQueue
 }
 
+// inspection is a function that the control goroutine runs between events.
+type inspection struct {
+	run  func()
+	done chan struct{}
+}
+
 func newControl(clock timekeeper.Clock, d decider) *control {
 	return &control{
-		clock:   clock,
-		decider: d,
-		send:    func(messenger.Send) {},
-		inbox:   make(chan any, eventBacklog),
-		done:    make(chan struct{}),
-		queues:  make(map[messenger.RequestID]*requestQueue),
+		clock:    clock,
+		decider:  d,
+		outgoing: make(map[messenger.RouterID][]messenger.PeerMessage),
+		inbox:    make(chan any, eventBacklog),
+		done:     make(chan struct{}),
+		queues:   make(map[messenger.RequestID]*requestQueue),
 	}
 }
 
@@ -69,10 +79,12 @@
 			return
 		case <-tick:
 			c.handle(messenger.Tick{})
-			c.fleet.tick()
+			c.tickFleet()
+			c.flush()
 			tick = c.clock.After(messenger.TickInterval)
 		case m := <-c.inbox:
 			c.take(m)
+			c.flush()
 		}
 	}
 }
@@ -81,8 +93,32 @@
 	switch m := m.(type) {
 	case messenger.Event:
 		c.handle(m)
-	case configurer.Event:
-		c.fleet.configuration(m)
+	case received:
+		c.fleet.unpack(m)
+	case inspection:
+		m.run()
+		close(m.done)
+	default:
+		c.fleet.coordinate(m)
+	}
+}
+
+// tickFleet gives the coordinator its ticks, which are rarer than the
+// scheduler's.
+func (c *control) tickFleet() {
+	now := c.clock.Now()
+	if now.Sub(c.fleetTicked) >= coordinator.TickInterval/2 {
+		c.fleetTicked = now
+		c.fleet.coordinate(coordinator.Tick{})
+	}
+}
+
+// flush sends what the decisions since the last flush have to say, one
+// envelope for each router.
+func (c *control) flush() {
+	for to, messages := range c.outgoing {
+		c.fleet.postRequests(to, messages)
+		delete(c.outgoing, to)
 	}
 }
 
@@ -112,7 +148,7 @@
 	case messenger.Refuse:
 		c.deliver(a.Request, a)
 	case messenger.Send:
-		c.send(a)
+		c.outgoing[a.To] = append(c.outgoing[a.To], a.Message)
 	}
 }
 
@@ -133,8 +169,8 @@
 	}
 }
 
-// submit tells the control goroutine of an event: a messenger.Event or a
-// configurer.Event.
+// submit tells the control goroutine of an event: a messenger.Event, a
+// coordinator.Event, an envelope or an inspection.
 func (c *control) submit(e any) {
 	select {
 	case c.inbox <- e:
@@ -142,6 +178,19 @@
 	}
 }
 
+// call runs f on the control goroutine and waits for it. It returns false if
+// the control goroutine has ended.
+func (c *control) call(f func()) bool {
+	i := inspection{run: f, done: make(chan struct{})}
+	c.submit(i)
+	select {
+	case <-i.done:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
 // requestQueue is the scheduler as one request sees it.
 type requestQueue struct {
 	control *control
--- /dev/null
+++ b/internal/router/fleet.go
@@ -0,0 +1,120 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/configurer"
+	"lentilwood.example/lentilwood/internal/coordinator"
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/registrar"
+	"lentilwood.example/lentilwood/internal/storer"
+)
+
+// What uses of the platform's store count as.
+const (
+	purposeConfiguration storer.Purpose = "configuration"
+	purposeMembership    storer.Purpose = "membership"
+)
+
+// memberRows bounds the rows of one read of the members' table.
+const memberRows = 1000
+
+// coordinate hands an event about the fleet to the coordinator and carries out
+// what it wants. It runs on the control goroutine.
+func (r *Router) coordinate(e coordinator.Event) {
+	for _, a := range r.coordinator.Handle(r.clock.Now(), e) {
+		r.carryOut(a)
+	}
+}
+
+func (r *Router) carryOut(a coordinator.Action) {
+	switch a := a.(type) {
+	case coordinator.Send:
+		r.post(a.Address, envelope{Fleet: &a.Message})
+	case coordinator.ReadTable:
+		r.goroutines.Go(func() { r.readConfiguration(a.State) })
+	case coordinator.ReadRows:
+		r.goroutines.Go(func() { r.readMembers(a.Since) })
+	case coordinator.WriteRow:
+		r.goroutines.Go(func() { r.writeMember(a.Op) })
+	case coordinator.ReadVMs:
+		r.goroutines.Go(r.readVMs)
+	case coordinator.PutInForce:
+		r.putInForce(a)
+	case coordinator.Peers:
+		r.changePeers(a.PeersChange)
+	case coordinator.Ready:
+		r.changeReady(a.ReadyChange)
+	}
+}
+
+// putInForce replaces what requests are served by. Traffic sees it with its
+// next request, the scheduler with its next event.
+func (r *Router) putInForce(a coordinator.PutInForce) {
+	r.current.Store(&inForce{document: a.Document, policy: a.Policy})
+	r.control.handle(messenger.PolicyChange{Policy: a.Policy})
+	r.assignPolls()
+	r.log.WithFields(logrus.Fields{"event": "configuration", "version": a.Document.Version}).Info("configuration in force")
+}
+
+// changePeers tells the scheduler who takes part.
+func (r *Router) changePeers(change registrar.PeersChange) {
+	r.peers = change
+	r.control.handle(messenger.PeersChange{Routers: change.Live})
+	r.assignPolls()
+	r.log.WithFields(logrus.Fields{
+		"event": "peers", "live": len(change.Live), "reached": len(change.Reached), "known": change.Known,
+	}).Info("fleet changed")
+}
+
+// assignPolls spreads the polling of upstreams anew.
+func (r *Router) assignPolls() {
+	cfg := r.current.Load()
+	if cfg != nil {
+		r.poller.Assign(r.peers.Live, cfg.policy.Upstreams)
+	}
+}
+
+func (r *Router) changeReady(change configurer.ReadyChange) {
+	r.ready.Store(&readiness{ready: change.Ready, reason: string(change.Reason)})
+	r.log.WithFields(logrus.Fields{"event": "ready", "ready": change.Ready, "reason": change.Reason}).Info("readiness changed")
+}
+
+// storeContext bounds a use of the platform's store.
+func (r *Router) storeContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(r.background, storeTimeout)
+}
+
+// storeTimeout bounds one use of the platform's store with its retries.
+const storeTimeout = 10 * time.Second
+
+func (r *Router) readConfiguration(s *configurer.State) {
+	ctx, cancel := r.storeContext()
+	defer cancel()
+	u, err := configurer.Fetch(ctx, r.store.For(purposeConfiguration), s)
+	r.control.submit(coordinator.TableRead{Update: u, Err: err})
+}
+
+func (r *Router) readMembers(since uint64) {
+	ctx, cancel := r.storeContext()
+	defer cancel()
+	rows, err := r.store.For(purposeMembership).Scan(ctx, registrar.Table, since, memberRows)
+	r.control.submit(coordinator.RowsRead{Rows: rows, Err: err})
+}
+
+func (r *Router) writeMember(op storer.Op) {
+	ctx, cancel := r.storeContext()
+	defer cancel()
+	err := r.store.For(purposeMembership).Commit(ctx, []storer.Op{op})
+	r.control.submit(coordinator.RowWritten{Op: op, Err: err})
+}
+
+func (r *Router) readVMs() {
+	ctx, cancel := r.storeContext()
+	defer cancel()
+	vms, err := r.store.For(purposeMembership).VMs(ctx)
+	r.control.submit(coordinator.VMsRead{VMs: vms, Err: err})
+}
--- a/internal/router/fleetstatus.go
+++ b/internal/router/fleetstatus.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
+	"lentilwood.example/lentilwood/internal/coordinator"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/operator"
 )
@@ -50,15 +52,45 @@
 	return s, nil
 }
 
-// Versions says which router runs which version, as far as this one knows.
+// Versions says which router runs which version, as far as this one knows. It
+// asks the routers of which it does not know enough, so that the next call
+// knows more.
 func (b *backend) Versions(context.Context) (operator.Versions, error) {
-	cfg := b.r.current.Load()
-	if cfg == nil {
-		return operator.Versions{}, nil
+	var v operator.Versions
+	alive := b.r.control.call(func() { v = b.r.versions() })
+	if !alive {
+		return v, operator.NewUnavailable("the router is shutting down")
+	}
+	return v, nil
+}
+
+// heardLately is for how long the word of another router on its version is
+// taken for fresh.
+const heardLately = 2 * time.Second
+
+// versions collects what is known of versions. It runs on the control
+// goroutine.
+func (r *Router) versions() operator.Versions {
+	now := r.clock.Now()
+	own := r.coordinator.Configurer().Version()
+	v := operator.Versions{Newest: own}
+	for _, id := range r.peers.Live {
+		if id == r.self {
+			continue
+		}
+		p := r.heard[id]
+		v.Newest = max(v.Newest, p.version)
+		v.Routers = append(v.Routers, operator.RouterVersion{
+			Router: string(id), FailureDomain: p.domain, Version: p.version,
+			Alive: slices.Contains(r.peers.Reached, id), Heard: p.heard,
+		})
+		if p.version < own || now.Sub(p.heard) > heardLately {
+			r.coordinate(coordinator.Query{Router: id})
+		}
 	}
-	now := b.r.clock.Now()
-	return operator.Versions{Newest: cfg.policy.Version, Routers: []operator.RouterVersion{{
-		Router: string(b.r.self), FailureDomain: b.r.settings.FailureDomain,
-		Version: cfg.policy.Version, Alive: true, Heard: now,
-	}}}, nil
+	v.Routers = append(v.Routers, operator.RouterVersion{
+		Router: string(r.self), FailureDomain: r.settings.FailureDomain, Version: own, Alive: true, Heard: now,
+	})
+	slices.SortFunc(v.Routers, func(x, y operator.RouterVersion) int { return cmp.Compare(x.Router, y.Router) })
+	return v
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -1,6 +1,92 @@
 package router
 
-import "lentilwood.example/lentilwood/internal/configurer"
+import (
+	"time"
 
-// tellPeers passes a message of the configurer to other routers.
-func (r *Router) tellPeers(configurer.Action) {}
+	"lentilwood.example/lentilwood/internal/coordinator"
+	"lentilwood.example/lentilwood/internal/exchanger"
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/registrar"
+)
+
+// envelope is one message between routers. Codecs write it as an array, so the
+// order of the fields is part of the format between routers.
+type envelope struct {
+	_ struct{} `codec:",toarray"`
+	// Incarnation is the sender's.
+	Incarnation uint64
+	// Fleet is about membership, configuration and leaving upstreams.
+	Fleet *coordinator.Message
+	// Requests are the messages of the schedulers.
+	Requests []messenger.PeerMessage
+}
+
+// received is an envelope on its way to the control goroutine.
+type received struct {
+	from     messenger.RouterID
+	envelope envelope
+}
+
+// peerVersion is the configuration that another router said it runs.
+type peerVersion struct {
+	domain  string
+	version uint64
+	heard   time.Time
+}
+
+// receive passes an envelope from another router to the control goroutine.
+func (r *Router) receive(from string, e envelope) {
+	r.control.submit(received{from: messenger.RouterID(from), envelope: e})
+}
+
+// unpack takes an envelope apart. It runs on the control goroutine.
+func (r *Router) unpack(m received) {
+	if fleet := m.envelope.Fleet; fleet != nil {
+		r.coordinate(coordinator.Receive{Message: *fleet})
+		r.heard[m.from] = peerVersion{
+			domain: fleet.Heartbeat.From.Domain, version: fleet.Version, heard: r.clock.Now(),
+		}
+	}
+	if !r.coordinator.Current(registrar.Member{Router: m.from, Incarnation: m.envelope.Incarnation}) {
+		r.meter.Counter("lentilwood_stale_peer_messages_total").Inc()
+		return
+	}
+	for _, message := range m.envelope.Requests {
+		r.control.handle(messenger.Receive{From: m.from, Message: message})
+	}
+}
+
+// post sends an envelope to the router at an address. What does not arrive is
+// said again by the decision logic.
+func (r *Router) post(address string, e envelope) {
+	e.Incarnation = r.incarnation
+	_ = r.exchanger.Send(address, e)
+}
+
+// postRequests sends what the scheduler has to say to other routers, one
+// envelope for each.
+func (r *Router) postRequests(to messenger.RouterID, messages []messenger.PeerMessage) {
+	address, ok := r.coordinator.Address(to)
+	if !ok {
+		r.meter.Counter("lentilwood_unaddressed_peer_messages_total").Add(len(messages))
+		return
+	}
+	r.post(address, envelope{Requests: messages})
+}
+
+// listenToPeers opens the port for other routers.
+func (r *Router) listenToPeers() error {
+	key, err := r.settings.ReadPeerKey()
+	if err != nil {
+		return err
+	}
+	secure, err := r.settings.Listeners.Peers.TLS.Config()
+	if err != nil {
+		return err
+	}
+	r.exchanger = exchanger.New(exchanger.Config[envelope]{
+		Name: string(r.self), Address: r.settings.Listeners.Peers.Address, Key: key, TLS: secure,
+		Handler: r.receive, Dial: r.dialPeer, Clock: r.clock, Log: r.log,
+	})
+	return r.exchanger.Start()
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -12,14 +13,18 @@
 	"github.com/sirupsen/logrus"
 
 	"lentilwood.example/lentilwood/internal/configurer"
+	"lentilwood.example/lentilwood/internal/coordinator"
 	"lentilwood.example/lentilwood/internal/dispatcher"
+	"lentilwood.example/lentilwood/internal/exchanger"
 	"lentilwood.example/lentilwood/internal/identifier"
 	"lentilwood.example/lentilwood/internal/listener"
 	"lentilwood.example/lentilwood/internal/loader"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/meter"
 	"lentilwood.example/lentilwood/internal/operator"
+	"lentilwood.example/lentilwood/internal/poller"
 	"lentilwood.example/lentilwood/internal/recorder"
+	"lentilwood.example/lentilwood/internal/registrar"
 	"lentilwood.example/lentilwood/internal/scheduler"
 	"lentilwood.example/lentilwood/internal/storer"
 	"lentilwood.example/lentilwood/internal/timekeeper"
@@ -34,6 +39,9 @@
 	Clock timekeeper.Clock
 	// Log is logrus's standard logger if nil.
 	Log *logrus.Logger
+	// DialPeer opens connections to other routers; nil means TCP. Tests cut
+	// links here.
+	DialPeer func(ctx context.Context, address string) (net.Conn, error)
 	// Incarnation tells restarts of a router apart; zero takes the time.
 	Incarnation uint64
 }
@@ -48,16 +56,25 @@
 
 	store      *storer.Guard
 	control    *control
-	configurer *configurer.Configurer
 	recorder   *recorder.Recorder
 	dispatcher *dispatcher.Dispatcher
+	poller     *poller.Poller
+	exchanger  *exchanger.Exchanger[envelope]
 	meter      *meter.Meter
 
+	dialPeer func(ctx context.Context, address string) (net.Conn, error)
+
+	// The control goroutine owns these three.
+	coordinator *coordinator.Coordinator
+	peers       registrar.PeersChange
+	heard       map[messenger.RouterID]peerVersion
+
 	callers   *listener.Listener
 	operators *listener.Listener
 
 	current     atomic.Pointer[inForce]
 	ready       atomic.Pointer[readiness]
+	draining    atomic.Bool
 	started     time.Time
 	lastRequest atomic.Uint64
 	inProgress  atomic.Int64
@@ -91,17 +108,21 @@
 	r := &Router{
 		settings: cfg.Settings, self: messenger.RouterID(cfg.Settings.Name),
 		incarnation: cfg.Incarnation, clock: cfg.Clock, log: cfg.Log,
-		store: storer.NewGuard(cfg.Store, cfg.Clock, cfg.Incarnation),
-		meter: meter.New(cfg.Clock, cfg.Settings.Metrics.Accounts),
-		configurer: configurer.New(configurer.Config{
-			Self: messenger.RouterID(cfg.Settings.Name), Domain: cfg.Settings.FailureDomain, Seed: cfg.Incarnation,
-		}),
+		store:    storer.NewGuard(cfg.Store, cfg.Clock, cfg.Incarnation),
+		meter:    meter.New(cfg.Clock, cfg.Settings.Metrics.Accounts),
+		dialPeer: cfg.DialPeer,
+		heard:    make(map[messenger.RouterID]peerVersion),
 	}
 	r.serving, r.cutRequests = context.WithCancel(context.Background())
 	r.background, r.stopAll = context.WithCancel(context.Background())
 	r.ready.Store(&readiness{reason: string(configurer.NoConfiguration)})
 	r.control = newControl(cfg.Clock, scheduler.New(scheduler.Config{Self: r.self, Seed: cfg.Incarnation}))
 	r.control.fleet = r
+	r.poller = poller.New(poller.Config{
+		Self: r.self, Clock: cfg.Clock,
+		Load:  r.reportLoad,
+		Cache: func(c messenger.CacheReport) { r.control.submit(c) },
+	})
 	r.recorder = recorder.New(recorder.Config{
 		Store: r.store.For(purposeIdempotency), Clock: cfg.Clock,
 		Router: r.self, Incarnation: strconv.FormatUint(cfg.Incarnation, 36),
@@ -119,6 +140,13 @@
 		return err
 	}
 	r.started = r.clock.Now()
+	r.coordinator = coordinator.New(coordinator.Config{
+		Self: registrar.Member{
+			Router: r.self, Address: r.exchanger.Addr(), Domain: r.settings.FailureDomain, Incarnation: r.incarnation,
+		},
+		Seeds: r.settings.SeedPeers, Seed: r.incarnation,
+	})
+	r.goroutines.Go(func() { r.poller.Run(r.background) })
 	r.goroutines.Go(func() { r.control.run(r.background) })
 	r.goroutines.Go(r.sweepRecords)
 	r.log.WithFields(logrus.Fields{
@@ -137,6 +165,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.listenToPeers(); err != nil {
+		return err
+	}
 	r.callers, err = listener.Start(r.listenerConfig("callers", r.settings.Listeners.Callers, callersTLS, r.serveCaller))
 	if err != nil {
 		return err
@@ -185,18 +216,25 @@
 
 // Ready reports whether the router serves callers, and if not, why.
 func (r *Router) Ready() (bool, string) {
+	if r.draining.Load() {
+		return false, "shutting-down"
+	}
 	state := r.ready.Load()
 	return state.ready, state.reason
 }
 
-// tick is called by the control goroutine as time passes.
-func (r *Router) tick() { r.configuration(configurer.Tick{}) }
+// reportLoad passes on what an upstream said of its load.
+func (r *Router) reportLoad(report messenger.LoadReport, leaving bool) {
+	r.control.submit(report)
+	r.control.submit(coordinator.LoadWord{Upstream: report.Upstream, Leaving: leaving})
+}
 
 // Shutdown makes the router not ready, waits for the balancer to notice,
 // finishes every request in progress and stops. If ctx or the drain limit ends
 // first, the requests that are left are cut off and the error says how many.
 func (r *Router) Shutdown(ctx context.Context) error {
-	r.ready.Store(&readiness{reason: "shutting-down"})
+	r.draining.Store(true)
+	r.control.submit(coordinator.Leave{})
 	r.log.WithField("event", "draining").WithField("inProgress", r.inProgress.Load()).Info("not ready; waiting for the balancer")
 	select {
 	case <-ctx.Done():
@@ -210,8 +248,10 @@
 	stopCtx, stopCancel := context.WithTimeout(context.Background(), time.Second)
 	defer stopCancel()
 	_ = r.operators.Shutdown(stopCtx) // a probe's open connection may be cut
+	r.control.call(func() { r.coordinate(coordinator.Stop{}) })
 	r.stopAll()
 	r.goroutines.Wait()
+	r.exchanger.Stop()
 	r.log.WithField("event", "stopped").Info("router stopped")
 	return err
 }
