--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,257 @@
+package router
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/configurer"
+	"lentilwood.example/lentilwood/internal/coordinator"
+	"lentilwood.example/lentilwood/internal/dispatcher"
+	"lentilwood.example/lentilwood/internal/exchanger"
+	"lentilwood.example/lentilwood/internal/identifier"
+	"lentilwood.example/lentilwood/internal/listener"
+	"lentilwood.example/lentilwood/internal/loader"
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/meter"
+	"lentilwood.example/lentilwood/internal/operator"
+	"lentilwood.example/lentilwood/internal/poller"
+	"lentilwood.example/lentilwood/internal/recorder"
+	"lentilwood.example/lentilwood/internal/registrar"
+	"lentilwood.example/lentilwood/internal/scheduler"
+	"lentilwood.example/lentilwood/internal/storer"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// Config is what a Router is made of. Settings and Store are required.
+type Config struct {
+	Settings loader.Router
+	// Store is the platform's store.
+	Store storer.Store
+	// Clock is the system's clock if nil.
+	Clock timekeeper.Clock
+	// Log is logrus's standard logger if nil.
+	Log *logrus.Logger
+	// DialPeer opens connections to other routers; nil means TCP. Tests cut
+	// links here.
+	DialPeer func(ctx context.Context, address string) (net.Conn, error)
+	// Incarnation tells restarts of a router apart; zero takes the time.
+	Incarnation uint64
+}
+
+// Router is one router of the fleet.
+type Router struct {
+	settings    loader.Router
+	self        messenger.RouterID
+	incarnation uint64
+	clock       timekeeper.Clock
+	log         *logrus.Logger
+
+	store      *storer.Guard
+	control    *control
+	recorder   *recorder.Recorder
+	dispatcher *dispatcher.Dispatcher
+	poller     *poller.Poller
+	exchanger  *exchanger.Exchanger[envelope]
+	meter      *meter.Meter
+
+	dialPeer func(ctx context.Context, address string) (net.Conn, error)
+
+	// The control goroutine owns these three.
+	coordinator *coordinator.Coordinator
+	peers       registrar.PeersChange
+	heard       map[messenger.RouterID]peerVersion
+
+	callers   *listener.Listener
+	operators *listener.Listener
+
+	current     atomic.Pointer[inForce]
+	ready       atomic.Pointer[readiness]
+	draining    atomic.Bool
+	started     time.Time
+	lastRequest atomic.Uint64
+	inProgress  atomic.Int64
+
+	// serving ends when a shutdown gives up on requests in progress, and
+	// background when the router is done.
+	serving     context.Context
+	cutRequests context.CancelFunc
+	background  context.Context
+	stopAll     context.CancelFunc
+	goroutines  sync.WaitGroup
+}
+
+// readiness is what the readiness check answers.
+type readiness struct {
+	ready  bool
+	reason string
+}
+
+// New returns a Router that is not yet started.
+func New(cfg Config) *Router {
+	if cfg.Clock == nil {
+		cfg.Clock = timekeeper.System{}
+	}
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	if cfg.Incarnation == 0 {
+		cfg.Incarnation = uint64(cfg.Clock.Now().UnixMicro())
+	}
+	r := &Router{
+		settings: cfg.Settings, self: messenger.RouterID(cfg.Settings.Name),
+		incarnation: cfg.Incarnation, clock: cfg.Clock, log: cfg.Log,
+		store:    storer.NewGuard(cfg.Store, cfg.Clock, cfg.Incarnation),
+		meter:    meter.New(cfg.Clock, cfg.Settings.Metrics.Accounts),
+		dialPeer: cfg.DialPeer,
+		heard:    make(map[messenger.RouterID]peerVersion),
+	}
+	r.serving, r.cutRequests = context.WithCancel(context.Background())
+	r.background, r.stopAll = context.WithCancel(context.Background())
+	r.ready.Store(&readiness{reason: string(configurer.NoConfiguration)})
+	r.control = newControl(cfg.Clock, scheduler.New(scheduler.Config{Self: r.self, Seed: cfg.Incarnation}))
+	r.control.fleet = r
+	r.poller = poller.New(poller.Config{
+		Self: r.self, Clock: cfg.Clock,
+		Load:  r.reportLoad,
+		Cache: func(c messenger.CacheReport) { r.control.submit(c) },
+	})
+	r.recorder = recorder.New(recorder.Config{
+		Store: r.store.For(purposeIdempotency), Clock: cfg.Clock,
+		Router: r.self, Incarnation: strconv.FormatUint(cfg.Incarnation, 36),
+	})
+	r.dispatcher = dispatcher.New(dispatcher.Config{
+		Upstreams: r, Recorder: r.recorder, Clock: cfg.Clock, Log: cfg.Log, Seed: cfg.Incarnation,
+	})
+	return r
+}
+
+// Start opens the listeners and begins to serve.
+func (r *Router) Start() error {
+	if err := r.listen(); err != nil {
+		r.stopAll()
+		return err
+	}
+	r.started = r.clock.Now()
+	r.coordinator = coordinator.New(coordinator.Config{
+		Self: registrar.Member{
+			Router: r.self, Address: r.exchanger.Addr(), Domain: r.settings.FailureDomain, Incarnation: r.incarnation,
+		},
+		Seeds: r.settings.SeedPeers, Seed: r.incarnation,
+	})
+	r.goroutines.Go(func() { r.poller.Run(r.background) })
+	r.goroutines.Go(func() { r.control.run(r.background) })
+	r.goroutines.Go(r.sweepRecords)
+	r.log.WithFields(logrus.Fields{
+		"event": "started", "router": r.self, "incarnation": r.incarnation,
+		"callers": r.CallersAddr(), "operators": r.OperatorsAddr(),
+	}).Info("router started")
+	return nil
+}
+
+func (r *Router) listen() error {
+	callersTLS, err := r.settings.Listeners.Callers.TLS.Config()
+	if err != nil {
+		return err
+	}
+	operatorsTLS, err := r.settings.Listeners.Operators.TLS.Config()
+	if err != nil {
+		return err
+	}
+	if err := r.listenToPeers(); err != nil {
+		return err
+	}
+	r.callers, err = listener.Start(r.listenerConfig("callers", r.settings.Listeners.Callers, callersTLS, r.serveCaller))
+	if err != nil {
+		return err
+	}
+	var authors identifier.Identifier
+	if err := authors.Replace(operatorTokens(r.settings.Operators)); err != nil {
+		return err
+	}
+	api := operator.NewHandler(newBackend(r), &authors)
+	r.operators, err = listener.Start(r.listenerConfig("operators", r.settings.Listeners.Operators, operatorsTLS, func(c *listener.Caller, req *http.Request) {
+		api.ServeHTTP(c, req)
+	}))
+	return err
+}
+
+// operatorTokens returns the tokens of the operators that settings name. The
+// loader has checked the digests.
+func operatorTokens(operators []loader.Operator) []identifier.Entry {
+	entries := make([]identifier.Entry, 0, len(operators))
+	for _, o := range operators {
+		digest, err := identifier.ParseDigest(o.TokenDigest)
+		if err != nil {
+			continue
+		}
+		entries = append(entries, identifier.Entry{Name: o.Name, Digest: digest})
+	}
+	return entries
+}
+
+func (r *Router) listenerConfig(name string, l loader.Listener, secure *tls.Config, h listener.Handler) listener.Config {
+	limits := r.settings.Limits
+	return listener.Config{
+		Name: name, Address: l.Address, TLS: secure,
+		MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes,
+		MaxPendingBytes: limits.MaxPendingBytes, MaxConns: limits.MaxConnections,
+		ReadTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout,
+		Handler: h, Log: r.log, Clock: r.clock,
+	}
+}
+
+// CallersAddr returns the address that callers connect to.
+func (r *Router) CallersAddr() string { return r.callers.Addr() }
+
+// OperatorsAddr returns the address that operators connect to.
+func (r *Router) OperatorsAddr() string { return r.operators.Addr() }
+
+// Ready reports whether the router serves callers, and if not, why.
+func (r *Router) Ready() (bool, string) {
+	if r.draining.Load() {
+		return false, "shutting-down"
+	}
+	state := r.ready.Load()
+	return state.ready, state.reason
+}
+
+// reportLoad passes on what an upstream said of its load.
+func (r *Router) reportLoad(report messenger.LoadReport, leaving bool) {
+	r.control.submit(report)
+	r.control.submit(coordinator.LoadWord{Upstream: report.Upstream, Leaving: leaving})
+}
+
+// Shutdown makes the router not ready, waits for the balancer to notice,
+// finishes every request in progress and stops. If ctx or the drain limit ends
+// first, the requests that are left are cut off and the error says how many.
+func (r *Router) Shutdown(ctx context.Context) error {
+	r.draining.Store(true)
+	r.control.submit(coordinator.Leave{})
+	r.log.WithField("event", "draining").WithField("inProgress", r.inProgress.Load()).Info("not ready; waiting for the balancer")
+	select {
+	case <-ctx.Done():
+	case <-r.clock.After(r.settings.BalancerLag):
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.settings.DrainLimit)
+	defer cancel()
+	err := r.callers.Shutdown(ctx)
+	r.cutRequests()
+	r.dispatcher.Close()
+	stopCtx, stopCancel := context.WithTimeout(context.Background(), time.Second)
+	defer stopCancel()
+	_ = r.operators.Shutdown(stopCtx) // a probe's open connection may be cut
+	r.control.call(func() { r.coordinate(coordinator.Stop{}) })
+	r.stopAll()
+	r.goroutines.Wait()
+	r.exchanger.Stop()
+	r.log.WithField("event", "stopped").Info("router stopped")
+	return err
+}
