Tests of the listener's bounds, ends and TLS, and a fuzz target

Cause: that nothing in progress is cut off, that an unfinished answer does not look whole and that both directions are bounded was not shown yet.

Change: tests bring about slow senders and readers, a shutdown with streams in progress, callers that leave, handlers that fail, large writes of many callers at a time; FuzzRawInput compares what is served with the standard library's reader.

--- /dev/null
+++ b/internal/listener/fuzz_test.go
@@ -0,0 +1,88 @@
+package listener
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// FuzzRawInput sends any bytes and then closes its side. Each input must end
+// with answers that can be read, or with a closed connection, and a handler
+// must see only requests that a strict reader of HTTP accepts as well.
+func FuzzRawInput(f *testing.F) {
+	for _, tt := range refusals {
+		f.Add([]byte(tt.raw))
+	}
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add([]byte("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
+	var calls atomic.Int64
+	l, err := Start(Config{
+		Name: "fuzz", Address: "127.0.0.1:0", Log: quiet(),
+		MaxHeaderBytes: 512, MaxBodyBytes: 1024, ReadTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond,
+		Handler: func(c *Caller, r *http.Request) { calls.Add(1); echo(c, r) },
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		before := calls.Load()
+		got := fuzzExchange(t, l.Addr(), raw)
+		served := int(calls.Load() - before)
+		if want := acceptable(raw); served > want {
+			t.Errorf("got %d requests served, want at most %d", served, want)
+		}
+		answers := bufio.NewReader(bytes.NewReader(got))
+		for {
+			res, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				break
+			}
+			if _, err := io.Copy(io.Discard, res.Body); err != nil {
+				t.Fatalf("got %q, want answers that are whole: %v", got, err)
+			}
+		}
+	})
+}
+
+func fuzzExchange(t *testing.T, address string, raw []byte) []byte {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	_, _ = conn.Write(raw)
+	got, err := io.ReadAll(conn)
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		t.Fatalf("got neither an answer nor an end for %q", raw)
+	}
+	return got
+}
+
+// acceptable returns how many requests the standard library reads from raw.
+func acceptable(raw []byte) int {
+	r := bufio.NewReader(strings.NewReader(strings.TrimLeft(string(raw), "\r\n")))
+	for n := 0; ; n++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return n
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return n
+		}
+		for {
+			c, err := r.Peek(1)
+			if err != nil || c[0] != '\r' && c[0] != '\n' {
+				break
+			}
+			_, _ = r.Discard(1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/listener/lifecycle_test.go
@@ -0,0 +1,348 @@
+package listener
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const getClose = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+const getKeep = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+func send(t *testing.T, conn net.Conn, raw string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, raw); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// readBody reads one answer and returns its body.
+func readBody(t *testing.T, conn net.Conn) (*http.Response, []byte) {
+	t.Helper()
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatalf("after %d bytes: %v", len(body), err)
+	}
+	return res, body
+}
+
+func TestShutdownCutsOffNoRequestInProgress(t *testing.T) {
+	begun, finish := make(chan struct{}), make(chan struct{})
+	l := start(t, Config{Handler: func(c *Caller, _ *http.Request) {
+		fmt.Fprint(c, "first ")
+		c.Flush()
+		close(begun)
+		<-finish
+		fmt.Fprint(c, "last")
+	}})
+	idle, busy, half := dial(t, l), dial(t, l), dial(t, l)
+	send(t, busy, getKeep)
+	<-begun
+	send(t, half, "GET / HT")
+	for l.Conns() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		ended <- l.Shutdown(ctx)
+	}()
+	if _, err := idle.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("got %v on the idle connection, want its end", err)
+	}
+	if conn, err := net.Dial("tcp", l.Addr()); err == nil {
+		_ = conn.Close()
+		t.Error("got a new connection while shutting down")
+	}
+	select {
+	case err := <-ended:
+		t.Fatalf("got the shutdown ended (%v) with a request in progress", err)
+	default:
+	}
+	close(finish)
+	if _, body := readBody(t, busy); string(body) != "first last" {
+		t.Errorf("got %q, want the whole answer", body)
+	}
+	_ = busy.Close()
+	_ = half.Close()
+	if err := <-ended; err != nil {
+		t.Errorf("got %v, want a clean end", err)
+	}
+}
+
+func TestStopAcceptingEndsKeepAlive(t *testing.T) {
+	l := start(t, Config{Handler: echo})
+	conn := dial(t, l)
+	send(t, conn, getKeep)
+	if res, _ := readBody(t, conn); res.Close {
+		t.Error("got Connection: close before the end")
+	}
+	l.StopAccepting()
+	send(t, conn, getKeep)
+	if res, _ := readBody(t, conn); !res.Close {
+		t.Error("got no Connection: close after StopAccepting")
+	}
+}
+
+func TestSlowSenderGetsTimeout(t *testing.T) {
+	l := start(t, Config{ReadTimeout: 20 * time.Millisecond, Handler: echo})
+	for _, raw := range []string{"GET / HT", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab"} {
+		if got := exchange(t, l, raw); !strings.HasPrefix(got, "HTTP/1.1 408 ") {
+			t.Errorf("got %q for %q, want status 408", got, raw)
+		}
+	}
+}
+
+func TestIdleConnectionIsClosed(t *testing.T) {
+	l := start(t, Config{IdleTimeout: 20 * time.Millisecond, Handler: echo})
+	conn := dial(t, l)
+	send(t, conn, getKeep)
+	readBody(t, conn)
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("got %v, want the end", err)
+	}
+}
+
+func TestStreamOutlivesTheIdleTimeout(t *testing.T) {
+	const events = 30
+	l := start(t, Config{IdleTimeout: 20 * time.Millisecond, ReadTimeout: 20 * time.Millisecond,
+		Handler: func(c *Caller, _ *http.Request) {
+			for range events {
+				fmt.Fprint(c, "x")
+				c.Flush()
+				time.Sleep(5 * time.Millisecond)
+			}
+		}})
+	conn := dial(t, l)
+	send(t, conn, getClose)
+	if _, body := readBody(t, conn); len(body) != events {
+		t.Errorf("got %d events, want %d", len(body), events)
+	}
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	l := start(t, Config{MaxConns: 1, Handler: echo})
+	first := dial(t, l)
+	send(t, first, getKeep)
+	readBody(t, first)
+	if res, _ := readBody(t, dial(t, l)); res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" {
+		t.Errorf("got %v, want 503 with Retry-After", res)
+	}
+}
+
+func TestSlowReaderIsSeenAndBounded(t *testing.T) {
+	const limit = 1 << 20
+	var most int
+	left := make(chan struct{})
+	l := start(t, Config{MaxPendingBytes: limit, Handler: func(c *Caller, _ *http.Request) {
+		piece := bytes.Repeat([]byte("x"), 64<<10)
+		for {
+			if _, err := c.Write(piece); err != nil {
+				<-c.Done()
+				close(left)
+				return
+			}
+			c.Flush()
+			most = max(most, c.Pending())
+		}
+	}})
+	send(t, dial(t, l), getKeep)
+	select {
+	case <-left:
+	case <-time.After(patience):
+		t.Fatal("the connection of a caller that reads nothing stayed open")
+	}
+	if most < limit/2 || most > limit+128<<10 {
+		t.Errorf("got at most %d bytes pending, want them to reach the limit of %d and not pass it", most, limit)
+	}
+}
+
+func TestPendingFallsToZero(t *testing.T) {
+	const size = 2 << 20
+	pending := make(chan int, 1)
+	l := start(t, Config{Handler: func(c *Caller, _ *http.Request) {
+		_, _ = c.Write(make([]byte, size))
+		c.Flush()
+		for c.Pending() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		pending <- c.Pending()
+	}})
+	conn := dial(t, l)
+	send(t, conn, getClose)
+	if _, body := readBody(t, conn); len(body) != size {
+		t.Errorf("got %d bytes, want %d", len(body), size)
+	}
+	if got := <-pending; got != 0 {
+		t.Errorf("got %d pending, want 0", got)
+	}
+}
+
+func TestSlowReaderGetsTheWholeAnswerBeforeTheClose(t *testing.T) {
+	const size = 3 << 20
+	l := start(t, Config{Handler: func(c *Caller, _ *http.Request) { _, _ = c.Write(make([]byte, size)) }})
+	conn := dial(t, l)
+	send(t, conn, getClose)
+	time.Sleep(50 * time.Millisecond)
+	if _, body := readBody(t, conn); len(body) != size {
+		t.Errorf("got %d bytes, want %d", len(body), size)
+	}
+}
+
+func TestCallerThatLeavesIsNoticedWhileTheHandlerRuns(t *testing.T) {
+	begun, left := make(chan struct{}), make(chan struct{})
+	l := start(t, Config{Handler: func(c *Caller, r *http.Request) {
+		close(begun)
+		<-c.Done()
+		<-r.Context().Done()
+		close(left)
+	}})
+	conn := dial(t, l)
+	send(t, conn, getKeep)
+	<-begun
+	_ = conn.Close()
+	select {
+	case <-left:
+	case <-time.After(patience):
+		t.Fatal("the handler was not told that its caller left")
+	}
+}
+
+func TestUnfinishedAnswerDoesNotLookWhole(t *testing.T) {
+	tests := map[string]Handler{
+		"abort":          func(c *Caller, _ *http.Request) { fmt.Fprint(c, "part"); c.Flush(); panic(http.ErrAbortHandler) },
+		"panic":          func(c *Caller, _ *http.Request) { fmt.Fprint(c, "part"); c.Flush(); panic("broken") },
+		"fewer bytes":    func(c *Caller, _ *http.Request) { c.Header().Set("Content-Length", "9"); fmt.Fprint(c, "part") },
+		"nothing at all": func(*Caller, *http.Request) { panic(http.ErrAbortHandler) },
+	}
+	for name, handler := range tests {
+		t.Run(name, func(t *testing.T) {
+			conn := dial(t, start(t, Config{Handler: handler}))
+			send(t, conn, getKeep)
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil {
+				_, err = io.ReadAll(res.Body)
+			}
+			if !errors.Is(err, io.ErrUnexpectedEOF) {
+				t.Errorf("got error %v, want %v", err, io.ErrUnexpectedEOF)
+			}
+		})
+	}
+}
+
+// TestLargeWritesStayIntact fails on nbhttp's own Response with writes of
+// 64 KiB and more: it frees a buffer and goes on to use it.
+func TestLargeWritesStayIntact(t *testing.T) {
+	const callers, writes, size = 16, 8, 100_000
+	l := start(t, Config{Handler: func(c *Caller, r *http.Request) {
+		piece := bytes.Repeat([]byte(r.URL.Path[1:]), size)
+		for range writes {
+			fmt.Fprint(c, r.URL.Path[1:])
+			_, _ = c.Write(piece)
+		}
+	}})
+	var wg sync.WaitGroup
+	for i := range callers {
+		mark := string(rune('a' + i))
+		conn := dial(t, l)
+		wg.Go(func() {
+			fmt.Fprintf(conn, "GET /%s HTTP/1.1\r\nHost: h\r\n\r\n", mark)
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			body, err := io.ReadAll(res.Body)
+			if want := strings.Repeat(mark, writes*(size+1)); err != nil || string(body) != want {
+				t.Errorf("got %d bytes and error %v, want %d times %s", len(body), err, len(want), mark)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func TestStatusWithoutStandardText(t *testing.T) {
+	l := start(t, Config{Handler: func(c *Caller, _ *http.Request) { c.WriteHeader(http.StatusContinue); c.WriteHeader(599) }})
+	conn := dial(t, l)
+	send(t, conn, getClose)
+	if res, _ := readBody(t, conn); res.StatusCode != http.StatusInternalServerError {
+		t.Errorf("got status %d, want 500", res.StatusCode)
+	}
+}
+
+func TestHeadersOfAnswersCanNotBeSplit(t *testing.T) {
+	l := start(t, Config{Handler: func(c *Caller, _ *http.Request) {
+		c.Header().Set("X-A", "b\r\nX-Evil: yes")
+		c.Header()["Bad Name"] = []string{"x"}
+	}})
+	got := exchange(t, l, getClose)
+	if strings.Contains(got, "\nX-Evil") || strings.Contains(got, "Bad Name") {
+		t.Errorf("got %q, want no header added", got)
+	}
+}
+
+func TestTLSStreams(t *testing.T) {
+	const size = 1 << 20
+	serverConfig, clientConfig := certificates(t)
+	l := start(t, Config{TLS: serverConfig, Handler: func(c *Caller, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = c.Write(body)
+		c.Flush()
+		_, _ = c.Write(make([]byte, size))
+	}})
+	conn, err := tls.Dial("tcp", l.Addr(), clientConfig)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nConnection: close\r\n\r\nhello")
+	if _, body := readBody(t, conn); len(body) != size+5 || string(body[:5]) != "hello" {
+		t.Errorf("got %d bytes, want %d", len(body), size+5)
+	}
+}
+
+func certificates(t *testing.T) (server, client *tls.Config) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(cert)
+	server = &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}, MinVersion: tls.VersionTLS12}
+	client = &tls.Config{RootCAs: pool, ServerName: "127.0.0.1", MinVersion: tls.VersionTLS12}
+	return server, client
+}
