Scenarios: a test language over the real routers

Cause: the promises are to be proved by scripted scenarios, and users want to write their own.

Change: scripter runs testscript scenarios with commands for a fleet in one process; the platform, upstreams and callers are stand-ins, the routers are the real ones. A target of the poller no longer changes once made: the scenarios showed a data race between Assign and an open question.

--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -117,10 +117,9 @@
 			continue
 		}
 		t := p.targets[id]
-		if t == nil || t.address != u.Address {
-			t = &target{id: id, address: u.Address}
+		if t == nil || t.address != u.Address || t.engine != u.Engine {
+			t = &target{id: id, address: u.Address, engine: u.Engine}
 		}
-		t.engine = u.Engine
 		targets[id] = t
 	}
 	p.targets = targets
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -214,6 +214,9 @@
 // OperatorsAddr returns the address that operators connect to.
 func (r *Router) OperatorsAddr() string { return r.operators.Addr() }
 
+// PeersAddr returns the address that other routers connect to.
+func (r *Router) PeersAddr() string { return r.exchanger.Addr() }
+
 // Ready reports whether the router serves callers, and if not, why.
 func (r *Router) Ready() (bool, string) {
 	if r.draining.Load() {
--- /dev/null
+++ b/internal/scripter/scripter_test.go
@@ -0,0 +1,45 @@
+package scripter
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// scenarios is where the scenarios of the project are.
+const scenarios = "../../testdata/scenarios"
+
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join(scenarios, "*.txt"))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("got %d scenarios and error %v", len(files), err)
+	}
+	testscript.Run(t, Params(files...))
+}
+
+func TestFailedScenarioIsReported(t *testing.T) {
+	dir := t.TempDir()
+	good, bad := filepath.Join(dir, "good.txt"), filepath.Join(dir, "bad.txt")
+	if err := os.WriteFile(good, []byte("platform\nruns 0\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(bad, []byte("platform\nruns 1\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := Run(&out, Options{Files: []string{good}}); err != nil {
+		t.Errorf("got %v for a scenario that holds: %s", err, out.String())
+	}
+	out.Reset()
+	if err := Run(&out, Options{Files: []string{good, bad}}); err == nil {
+		t.Error("got no error for a scenario that does not hold")
+	}
+	for _, want := range []string{"ok good", "FAILED bad", "got 0 runs, want 1"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("got %q, want %q in it", out.String(), want)
+		}
+	}
+}
