Listener allocates less for each request; tables fit the process's limit

Cause: the check of a head split it into slices and strings, the body was read in growing steps, and nbio's table of connections was of a fixed size that the garbage collector scans.

Change: the check looks at the bytes in place, the body is read into a slice of its size, the table has an entry for each file that the process may open. Two Host headers are refused in HTTP/1.0 as well.

--- a/internal/listener/caller.go
+++ b/internal/listener/caller.go
@@ -162,10 +162,14 @@
 // detach copies what nbhttp takes back when the handler returns.
 func detach(r *http.Request, b *boundary) *http.Request {
 	out := r.WithContext(b.ctx)
-	body, err := io.ReadAll(r.Body)
-	if err != nil || len(body) == 0 {
-		out.Body = http.NoBody
-		out.ContentLength = 0
+	out.Body = http.NoBody
+	out.ContentLength = 0
+	received, ok := r.Body.(*nbhttp.BodyReader)
+	if !ok || received.Left() == 0 {
+		return out
+	}
+	body := make([]byte, received.Left())
+	if _, err := io.ReadFull(received, body); err != nil {
 		return out
 	}
 	out.Body = io.NopCloser(bytes.NewReader(body))
--- a/internal/listener/head.go
+++ b/internal/listener/head.go
@@ -36,16 +36,17 @@
 			return h, malformed("A line feed stands alone.")
 		}
 	}
-	lines := bytes.Split(bytes.TrimSuffix(raw, []byte("\r\n\r\n")), []byte("\r\n"))
-	if p := h.readRequestLine(string(lines[0])); p != nil {
+	line, rest, _ := bytes.Cut(bytes.TrimSuffix(raw, []byte(endOfHead)), []byte(crlf))
+	if p := h.readRequestLine(string(line)); p != nil {
 		return h, p
 	}
-	for _, line := range lines[1:] {
+	for more := len(rest) > 0; more; {
+		line, rest, more = bytes.Cut(rest, []byte(crlf))
 		if p := h.readHeader(line); p != nil {
 			return h, p
 		}
 	}
-	if h.hosts != 1 && !h.http10 {
+	if h.hosts > 1 || h.hosts == 0 && !h.http10 {
 		return h, malformed("Exactly one Host header is needed.")
 	}
 	if h.chunked && h.length >= 0 {
@@ -104,26 +105,31 @@
 	if line[0] == ' ' || line[0] == '\t' {
 		return malformed("A header is folded over two lines.")
 	}
-	name, value, ok := strings.Cut(string(line), ":")
+	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !isToken(name) {
 		return malformed("A header's name is not a token followed by a colon.")
 	}
-	value = strings.Trim(value, " \t")
+	value = bytes.Trim(value, " \t")
 	if !isFieldValue(value) {
 		return malformed("A header's value has a control character.")
 	}
+	return h.readFraming(name, value)
+}
+
+// readFraming reads the headers that say how a request is framed.
+func (h *head) readFraming(name, value []byte) *problem {
 	switch {
-	case strings.EqualFold(name, "Host"):
+	case isNamed(name, "Host"):
 		h.hosts++
-		return checkHost(value)
-	case strings.EqualFold(name, "Content-Length"):
-		return h.readLength(value)
-	case strings.EqualFold(name, "Transfer-Encoding"):
-		return h.readCoding(value)
-	case strings.EqualFold(name, "Trailer"):
+		return checkHost(string(value))
+	case isNamed(name, "Content-Length"):
+		return h.readLength(string(value))
+	case isNamed(name, "Transfer-Encoding"):
+		return h.readCoding(string(value))
+	case isNamed(name, "Trailer"):
 		return malformed("Trailer fields are not served.")
-	case strings.EqualFold(name, "Expect"):
-		if !strings.EqualFold(value, "100-continue") {
+	case isNamed(name, "Expect"):
+		if !isNamed(value, "100-continue") {
 			return &problemExpect
 		}
 		h.expectContinue = true
@@ -131,6 +137,11 @@
 	return nil
 }
 
+// isNamed compares without regard to case, and allocates nothing.
+func isNamed(got []byte, want string) bool {
+	return len(got) == len(want) && strings.EqualFold(string(got), want)
+}
+
 func (h *head) readLength(value string) *problem {
 	if h.length >= 0 {
 		return malformed("Content-Length is given twice.")
@@ -167,8 +178,8 @@
 	return nil
 }
 
-func isToken(s string) bool {
-	if s == "" {
+func isToken[T ~string | ~[]byte](s T) bool {
+	if len(s) == 0 {
 		return false
 	}
 	for i := range len(s) {
@@ -181,7 +192,7 @@
 	return true
 }
 
-func isFieldValue(s string) bool {
+func isFieldValue[T ~string | ~[]byte](s T) bool {
 	for i := range len(s) {
 		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
 			return false
--- /dev/null
+++ b/internal/listener/idle_bench_test.go
@@ -0,0 +1,68 @@
+package listener
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"testing"
+	"time"
+)
+
+// BenchmarkIdleStreams measures the memory of streams that are open and
+// silent, without the client's end of the connection where that is in the
+// same process.
+func BenchmarkIdleStreams(b *testing.B) {
+	for _, n := range []int{1000, 4000, 8000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l, err := Start(Config{Name: "bench", Address: "127.0.0.1:0", Log: quiet(), Handler: func(c *Caller, _ *http.Request) {
+				_, _ = c.Write([]byte("id: 1\ndata: x\n\n"))
+				c.Flush()
+				<-c.Done()
+			}})
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Cleanup(func() { l.stop() })
+			for b.Loop() {
+				before := inUse()
+				conns := openIdle(b, l.Addr(), n)
+				b.ReportMetric((inUse()-before)/float64(n), "B/stream")
+				for _, conn := range conns {
+					_ = conn.Close()
+				}
+				for l.Conns() > 0 {
+					time.Sleep(time.Millisecond)
+				}
+			}
+		})
+	}
+}
+
+func inUse() float64 {
+	debug.FreeOSMemory()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse + m.StackInuse)
+}
+
+func openIdle(b *testing.B, address string, n int) []net.Conn {
+	buf := make([]byte, 256)
+	conns := make([]net.Conn, 0, n)
+	for range n {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.WriteString(conn, getKeep); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := conn.Read(buf); err != nil {
+			b.Fatal(err)
+		}
+		conns = append(conns, conn)
+	}
+	return conns
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -28,6 +28,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -51,9 +52,9 @@
 const (
 	readBufferBytes = 16 << 10
 	pollers         = 2
-	// maxOpenFiles sizes nbio's table of connections, which is indexed by
+	// mostOpenFiles bounds nbio's table of connections, which is indexed by
 	// file descriptor.
-	maxOpenFiles = 1 << 17
+	mostOpenFiles = 1 << 20
 	// never is a deadline for nbhttp's own timers; the sweeper has ours.
 	never = 100 * 365 * 24 * time.Hour
 )
@@ -106,8 +107,14 @@
 	}
 }
 
-// sizeTables keeps nbio from allocating 16 MiB for each listener.
-var sizeTables = sync.OnceFunc(func() { nbio.MaxOpenFiles = maxOpenFiles })
+// sizeTables gives nbio's tables an entry for each file that the process may
+// open; by itself nbio takes 16 MiB for each listener.
+var sizeTables = sync.OnceFunc(func() {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
+		nbio.MaxOpenFiles = int(min(limit.Cur, mostOpenFiles))
+	}
+})
 
 func orDefault[T int | time.Duration](v, def T) T {
 	if v <= 0 {
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -124,6 +124,7 @@
 	"tab before colon":        {"GET / HTTP/1.1\r\nHost: h\r\nContent-Length\t: 1\r\n\r\nx", 400},
 	"no host":                 {"GET / HTTP/1.1\r\n\r\n", 400},
 	"two hosts":               {"GET / HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n", 400},
+	"two hosts in 1.0":        {"GET / HTTP/1.0\r\nHost: a\r\nHost: b\r\n\r\n", 400},
 	"bad host":                {"GET / HTTP/1.1\r\nHost: a/b\r\n\r\n", 400},
 	"length list":             {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3, 3\r\n\r\nabc", 400},
 	"length twice":            {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400},
