--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -5,6 +5,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -132,12 +133,21 @@
 	if err := New(Config[note]{}).Start(); !errors.Is(err, ErrNoCredential) {
 		t.Errorf("got error %v without key or TLS, want %v", err, ErrNoCredential)
 	}
+}
+
+func TestClientThatGuessesTheKeyIsRejected(t *testing.T) {
 	client, server := net.Pipe()
-	defer func() { _ = client.Close() }()
-	go func() { _ = greetAsClient(client, []byte("guess"), "r9") }()
-	go func() { _, _ = io.Copy(io.Discard, client) }()
-	if _, err := greetAsServer(server, []byte("shared"), "r2"); err == nil {
-		t.Error("got a client accepted that does not know the key")
+	t.Cleanup(func() { _ = client.Close() })
+	_ = server.SetDeadline(time.Now().Add(patience))
+	go func() {
+		greeting := newGreeting("r9")
+		_, _ = client.Write(greeting)
+		answer, _, _ := readGreeting(client)
+		_, _ = io.ReadFull(client, make([]byte, sha256.Size))
+		_, _ = client.Write(proof([]byte("guess"), clientLabel, greeting, answer))
+	}()
+	if _, err := greetAsServer(server, []byte("shared"), "r2"); !errors.Is(err, errProof) {
+		t.Errorf("got %v, want %v", err, errProof)
 	}
 }
 
