Share tags and leased slots among routers

Cause: a router by itself knows neither the service that others gave an account nor the slots they leave idle, so accounts behind a busy router fall behind without bound.

Change: each account has a home that sums up its service, each cell of upstreams an owner that leases the window's slots; routers give a freed slot back where another router's request has a lower tag. A governor keeps the messages within a byte budget. The former policy stays as Mode Alone.

--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -10,7 +10,7 @@
 }
 
 // refill adds what the time since the last call brought.
-func (b *bucket) refill(now time.Time, perSecond, size float64) {
+func (b *bucket) refill(now time.Time, perSecond float64) {
 	if !b.last.IsZero() && now.After(b.last) {
 		b.used -= now.Sub(b.last).Seconds() * perSecond
 	}
@@ -21,7 +21,7 @@
 // wait returns how long it takes until n can be taken from a bucket of a size;
 // an n of zero waits for a bucket that is not empty.
 func (b *bucket) wait(now time.Time, perSecond, size, n float64) time.Duration {
-	b.refill(now, perSecond, size)
+	b.refill(now, perSecond)
 	missing := b.used + n - size
 	if missing <= 0 && (n > 0 || missing < 0) {
 		return 0
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -14,6 +14,7 @@
 package limiter
 
 import (
+	"math"
 	"time"
 
 	"lentilwood.example/lentilwood/internal/messenger"
@@ -27,10 +28,20 @@
 	accounts map[messenger.AccountID]*account
 }
 
+// Fleet is what the fleet says of one client account.
+type Fleet struct {
+	// Share is this router's part of the account's limits, 0 to 1.
+	Share float64
+	// Waiting and Running count the account's requests at other routers.
+	Waiting, Running int
+	// Until is when this ceases to be true.
+	Until time.Time
+}
+
 // account is what one client account uses through this router.
 type account struct {
 	policy           messenger.AccountPolicy
-	share            float64
+	fleet            Fleet
 	waiting, running int
 	requests         bucket
 	tokens           bucket
@@ -65,35 +76,56 @@
 	return a
 }
 
-// part returns this router's part of a limit, at least one.
-func (l *Limiter) part(a *account, limit float64) float64 {
-	share := a.share
-	if share <= 0 {
-		share = 1 / float64(l.routers)
+// SetFleet takes in what the fleet says of an account.
+func (l *Limiter) SetFleet(id messenger.AccountID, f Fleet) { l.accountOf(id).fleet = f }
+
+// Forget drops an account that uses nothing.
+func (l *Limiter) Forget(id messenger.AccountID) {
+	if a, ok := l.accounts[id]; ok && a.waiting+a.running == 0 {
+		delete(l.accounts, id)
+	}
+}
+
+// share returns this router's part of an account's limits: even among all
+// routers until the fleet has said otherwise.
+func (l *Limiter) share(now time.Time, a *account) float64 {
+	if a.fleet.Share > 0 && now.Before(a.fleet.Until) {
+		return a.fleet.Share
+	}
+	return 1 / float64(l.routers)
+}
+
+// reached reports whether own requests, with those of other routers, are as
+// many as a limit allows. Each router may have one at least.
+func (l *Limiter) reached(now time.Time, a *account, limit, own, others int) bool {
+	if limit <= 0 {
+		return false
+	}
+	if now.Before(a.fleet.Until) && own+others >= limit {
+		return true
 	}
-	return max(1, limit*share)
+	return float64(own) >= max(1, math.Round(l.share(now, a)*float64(limit)))
 }
 
 // Admit counts one more waiting request, or returns why it must be refused and
 // when it may come back.
 func (l *Limiter) Admit(now time.Time, id messenger.AccountID) (messenger.RefuseReason, time.Duration, bool) {
 	a := l.accountOf(id)
-	if n := a.policy.QueueLength; n > 0 && float64(a.waiting) >= l.part(a, float64(n)) {
-		if l.AtConcurrency(id) {
+	if l.reached(now, a, a.policy.QueueLength, a.waiting, a.fleet.Waiting) {
+		if l.AtConcurrency(now, id) {
 			return messenger.RefuseConcurrency, 0, false
 		}
 		return messenger.RefuseQueueFull, 0, false
 	}
-	if rate := a.policy.TokensPerMinute; rate > 0 {
-		perSecond := l.part(a, rate) / time.Minute.Seconds()
-		if wait := a.tokens.wait(now, perSecond, l.part(a, rate), 0); wait > 0 {
+	share := l.share(now, a)
+	if size := share * a.policy.TokensPerMinute; size > 0 {
+		if wait := a.tokens.wait(now, size/time.Minute.Seconds(), size, 0); wait > 0 {
 			return messenger.RefuseTokens, wait, false
 		}
 	}
-	if rate := a.policy.RequestsPerSecond; rate > 0 {
-		perSecond := rate * l.part(a, rate) / max(rate, 1)
-		size := l.part(a, float64(max(1, a.policy.Burst)))
-		if wait := a.requests.wait(now, perSecond, size, 1); wait > 0 {
+	if rate := share * a.policy.RequestsPerSecond; rate > 0 {
+		size := max(1, share*float64(a.policy.Burst))
+		if wait := a.requests.wait(now, rate, size, 1); wait > 0 {
 			return messenger.RefuseRate, wait, false
 		}
 		a.requests.take(1)
@@ -103,10 +135,9 @@
 }
 
 // AtConcurrency reports whether the account runs all the requests it may.
-func (l *Limiter) AtConcurrency(id messenger.AccountID) bool {
+func (l *Limiter) AtConcurrency(now time.Time, id messenger.AccountID) bool {
 	a := l.accountOf(id)
-	n := a.policy.Concurrency
-	return n > 0 && float64(a.running) >= l.part(a, float64(n))
+	return l.reached(now, a, a.policy.Concurrency, a.running, a.fleet.Running)
 }
 
 // Drop counts one waiting request less.
@@ -137,7 +168,6 @@
 	if rate <= 0 {
 		return
 	}
-	part := l.part(a, rate)
-	a.tokens.refill(now, part/time.Minute.Seconds(), part)
+	a.tokens.refill(now, l.share(now, a)*rate/time.Minute.Seconds())
 	a.tokens.take(tokens)
 }
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -7,6 +7,8 @@
 	_ struct{} `codec:",toarray"`
 	// Service reports the service that the sender gave to client accounts.
 	Service []ServiceReport
+	// Control is what the sender says in its roles for the receiver.
+	Control *Control
 }
 
 // ServiceReport is the service one router gave one client account in one pool.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -9,7 +9,7 @@
 //
 //	p := placer.New(seed)
 //	p.Set("worker-1", messenger.UpstreamPolicy{Pool: "assistant", Window: 16})
-//	p.Lease("worker-1", 4)
+//	p.Lease("worker-1", 4, 1)
 //	if u, ok := p.Pick(now, placer.Query{Prefix: prefix}); ok {
 //		p.Start(now, u, false)
 //	}
@@ -38,19 +38,25 @@
 // Placer places the requests of one pool. It is not safe for concurrent use.
 type Placer struct {
 	rand      *rand.Rand
-	longShare float64
 	upstreams map[messenger.UpstreamID]*upstream
 	// free lists the upstreams with a free slot, in no order.
 	free []*upstream
+	// longFree counts the slots that long work may still take; usable counts
+	// the upstreams that may get new work.
+	longFree, usable int
 }
 
 // upstream is what one router knows of one upstream.
 type upstream struct {
-	id      messenger.UpstreamID
-	policy  messenger.UpstreamPolicy
-	lease   int
-	running int
-	long    int
+	id     messenger.UpstreamID
+	policy messenger.UpstreamPolicy
+	// slots and longSlots are what this router may use; running and long are
+	// what it uses.
+	slots, longSlots int
+	running, long    int
+	// longFree is the upstream's part of Placer.longFree.
+	longFree int
+	usable   bool
 	// freeAt is the index in Placer.free, or -1.
 	freeAt int
 }
@@ -63,10 +69,6 @@
 	}
 }
 
-// SetLongShare bounds the share of each lease that long work may hold; zero
-// means no bound.
-func (p *Placer) SetLongShare(share float64) { p.longShare = share }
-
 // Set adds an upstream or changes its policy.
 func (p *Placer) Set(id messenger.UpstreamID, policy messenger.UpstreamPolicy) {
 	u, ok := p.upstreams[id]
@@ -84,30 +86,38 @@
 	if !ok {
 		return
 	}
-	p.unlist(u)
+	u.slots, u.longSlots = 0, 0
+	u.policy.Leaving = true
+	p.refresh(u)
 	delete(p.upstreams, id)
 }
 
-// Lease sets how many requests this router may run on an upstream.
-func (p *Placer) Lease(id messenger.UpstreamID, slots int) {
+// Lease sets how many requests this router may run on an upstream, and how
+// many of them may be long.
+func (p *Placer) Lease(id messenger.UpstreamID, slots, long int) {
 	if u, ok := p.upstreams[id]; ok {
-		u.lease = slots
+		u.slots, u.longSlots = slots, long
 		p.refresh(u)
 	}
 }
 
+// Running returns how many requests run on an upstream, and how many of them
+// are long.
+func (p *Placer) Running(id messenger.UpstreamID) (running, long int) {
+	if u, ok := p.upstreams[id]; ok {
+		return u.running, u.long
+	}
+	return 0, 0
+}
+
+// LongFree returns how many slots long work may still take.
+func (p *Placer) LongFree() int { return p.longFree }
+
 // Len returns how many upstreams are known.
 func (p *Placer) Len() int { return len(p.upstreams) }
 
 // Usable reports whether any upstream may get new work.
-func (p *Placer) Usable() bool {
-	for _, u := range p.upstreams {
-		if !u.policy.Leaving {
-			return true
-		}
-	}
-	return false
-}
+func (p *Placer) Usable() bool { return p.usable > 0 }
 
 // Pick returns the best of a few upstreams that can take the request now.
 func (p *Placer) Pick(_ time.Time, q Query) (messenger.UpstreamID, bool) {
@@ -139,15 +149,7 @@
 	if u.id == q.Avoid {
 		return false
 	}
-	return !q.Long || u.long < p.longSlots(u)
-}
-
-// longSlots returns how many slots of u long work may hold, at least one.
-func (p *Placer) longSlots(u *upstream) int {
-	if p.longShare <= 0 {
-		return u.lease
-	}
-	return max(1, int(p.longShare*float64(u.lease)))
+	return !q.Long || u.long < u.longSlots
 }
 
 // Start notes that a request was sent to an upstream.
@@ -167,6 +169,7 @@
 func (p *Placer) Outgrow(id messenger.UpstreamID) {
 	if u, ok := p.upstreams[id]; ok {
 		u.long++
+		p.refresh(u)
 	}
 }
 
@@ -185,18 +188,38 @@
 
 // load is the fraction of the lease in use.
 func (u *upstream) load() float64 {
-	return float64(u.running) / float64(max(1, u.lease))
+	return float64(u.running) / float64(max(1, u.slots))
 }
 
-// refresh keeps the list of upstreams with a free slot in step with u.
+// refresh keeps the list of upstreams with a free slot and the sums in step
+// with u.
 func (p *Placer) refresh(u *upstream) {
-	if u.running < u.lease && !u.policy.Leaving {
+	open := !u.policy.Leaving
+	if open != u.usable {
+		u.usable = open
+		p.usable += sign(open)
+	}
+	longFree := 0
+	if open {
+		longFree = max(0, min(u.longSlots-u.long, u.slots-u.running))
+	}
+	p.longFree += longFree - u.longFree
+	u.longFree = longFree
+	if u.running < u.slots && open {
 		p.list(u)
 		return
 	}
 	p.unlist(u)
 }
 
+// sign returns 1 for true and -1 for false.
+func sign(b bool) int {
+	if b {
+		return 1
+	}
+	return -1
+}
+
 func (p *Placer) list(u *upstream) {
 	if u.freeAt >= 0 {
 		return
--- /dev/null
+++ b/internal/scheduler/cell.go
@@ -0,0 +1,104 @@
+package scheduler
+
+import (
+	"slices"
+	"strconv"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// The sizes of cells. A cell is a group of upstreams of a pool that have one
+// owner and are used by the same routers.
+const (
+	// cellsPerRouter is how many cells of a pool a router uses at least.
+	cellsPerRouter = 3
+	// routersPerCell is how many routers use a cell at least.
+	routersPerCell = 8
+)
+
+// cell is a group of upstreams with one owner.
+type cell struct {
+	owner     messenger.RouterID
+	users     []messenger.RouterID
+	upstreams []messenger.UpstreamID
+}
+
+// cellsOf groups the upstreams of a pool. Every router that knows the same
+// upstreams and routers gets the same cells.
+func cellsOf(id messenger.PoolID, upstreams []messenger.UpstreamID, routers []messenger.RouterID, size int) []cell {
+	n := (len(upstreams) + size - 1) / size
+	cells := make([]cell, n)
+	keys := make([]string, n)
+	for i := range cells {
+		keys[i] = string(id) + "/" + strconv.Itoa(i)
+		cells[i].owner = winner(keys[i], routers)
+	}
+	for _, u := range upstreams {
+		i := cellOf(u, keys)
+		cells[i].upstreams = append(cells[i].upstreams, u)
+	}
+	chooseUsers(cells, keys, routers)
+	return cells
+}
+
+// cellOf returns the index of the cell with the highest rank for an upstream.
+func cellOf(u messenger.UpstreamID, keys []string) int {
+	best := 0
+	var top uint64
+	for i, key := range keys {
+		if h := rank(key, messenger.RouterID(u)); i == 0 || h > top {
+			best, top = i, h
+		}
+	}
+	return best
+}
+
+// chooseUsers names the routers that use each cell: each cell has its
+// routersPerCell highest ranked routers, and each router its cellsPerRouter
+// highest ranked cells.
+func chooseUsers(cells []cell, keys []string, routers []messenger.RouterID) {
+	if len(cells) <= cellsPerRouter {
+		for i := range cells {
+			cells[i].users = routers
+		}
+		return
+	}
+	byRouter := make([][]ranked, len(routers))
+	for i, key := range keys {
+		byCell := make([]ranked, len(routers))
+		for j, r := range routers {
+			h := rank(key, r)
+			byCell[j] = ranked{index: j, rank: h}
+			byRouter[j] = append(byRouter[j], ranked{index: i, rank: h})
+		}
+		for _, x := range highest(byCell, routersPerCell) {
+			cells[i].users = append(cells[i].users, routers[x.index])
+		}
+	}
+	for j, r := range routers {
+		for _, x := range highest(byRouter[j], cellsPerRouter) {
+			cells[x.index].users = append(cells[x.index].users, r)
+		}
+	}
+	for i := range cells {
+		slices.Sort(cells[i].users)
+		cells[i].users = slices.Compact(cells[i].users)
+	}
+}
+
+// ranked is an index with its rank.
+type ranked struct {
+	index int
+	rank  uint64
+}
+
+// highest returns the n entries of the highest rank.
+func highest(all []ranked, n int) []ranked {
+	slices.SortFunc(all, func(a, b ranked) int {
+		if a.rank > b.rank {
+			return -1
+		}
+		return 1
+	})
+	return all[:min(n, len(all))]
+}
--- a/internal/scheduler/charge.go
+++ b/internal/scheduler/charge.go
@@ -1,9 +1,14 @@
 package scheduler
 
+import "lentilwood.example/lentilwood/internal/messenger"
+
 // maxCredit bounds what a class's floor may owe it, in multiples of its mean
 // cost.
 const maxCredit = 20
 
+// costSmoothing is the weight of the past in the mean cost of a pool.
+const costSmoothing = 0.99
+
 // hintTrust bounds how far a caller's hint moves an estimate, as a factor.
 const hintTrust = 4
 
@@ -43,6 +48,7 @@
 	f.reorder()
 	p.sched.limits.Charge(p.sched.now, f.account, tokens)
 	p.credit(r.queue.class, tokens)
+	p.updateUse(f)
 }
 
 // credit pays every class with a floor its part of the tokens charged to one.
@@ -63,10 +69,22 @@
 	f.running--
 	f.idleSince = p.sched.now
 	p.sched.limits.End(f.account)
+	p.sched.unblock(f.account)
 	p.charge(r, r.tokens-r.charged)
 	if failed || r.tokens <= 0 {
 		return
 	}
 	c := r.queue.class
 	c.mean = smoothing*c.expected() + (1-smoothing)*r.tokens
+	p.cost = costSmoothing*p.meanCost() + (1-costSmoothing)*r.tokens
+	p.large = max(r.tokens, p.large*costSmoothing)
+}
+
+// unblock lets the requests of an account go on in every pool.
+func (s *Scheduler) unblock(id messenger.AccountID) {
+	for _, p := range s.poolList {
+		if f, ok := p.flows[id]; ok {
+			p.unblock(f)
+		}
+	}
 }
--- /dev/null
+++ b/internal/scheduler/governor.go
@@ -0,0 +1,133 @@
+package scheduler
+
+import (
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// Settings of the governor.
+const (
+	// defaultControlBytes is the budget for control messages, in bytes a second.
+	defaultControlBytes = 2048
+	// lateAfter is the age of an unsent report at which pressure grows.
+	lateAfter = 250 * time.Millisecond
+	// pressureUp and pressureDown are the factors by which pressure changes in
+	// each tick; maxPressure bounds it.
+	pressureUp   = 1.02
+	pressureDown = 0.99
+	maxPressure  = 64
+)
+
+// governor keeps the control messages of a router within a byte budget. Slot
+// movements go first and may run up a debt of one second; reports share what
+// is left, the oldest first. Pressure grows while reports are late: it widens
+// the steps at which something counts as worth reporting.
+type governor struct {
+	bytesPerSecond float64
+	// credit is what may be sent now, in bytes; negative is a debt.
+	credit   float64
+	last     time.Time
+	pressure float64
+	// scale is the ratio of real to estimated sizes.
+	scale float64
+	// sentBytes and sentMessages count since the start.
+	sentBytes, sentMessages uint64
+}
+
+// refill adds the credit that the time since the last call brought.
+func (g *governor) refill(now time.Time) {
+	if !g.last.IsZero() {
+		g.credit += now.Sub(g.last).Seconds() * g.bytesPerSecond
+	}
+	g.last = now
+	g.credit = min(g.credit, g.bytesPerSecond/4)
+}
+
+// spend counts a message.
+func (g *governor) spend(m *messenger.PeerMessage) {
+	n := float64(m.Size()) * g.scale
+	g.credit -= n
+	g.sentBytes += uint64(n)
+	g.sentMessages++
+}
+
+// adapt changes the pressure by whether reports are late.
+func (g *governor) adapt(late bool) {
+	if late {
+		g.pressure = min(g.pressure*pressureUp, maxPressure)
+		return
+	}
+	g.pressure = max(g.pressure*pressureDown, 1)
+}
+
+// flushUrgent sends what cannot wait, and what is for this router itself.
+func (s *Scheduler) flushUrgent() {
+	for i := 0; i < len(s.urgent); i++ {
+		l := s.urgent[i]
+		if !l.urgent {
+			continue
+		}
+		if l.router != s.cfg.Self && s.governor.credit < -s.governor.bytesPerSecond {
+			continue
+		}
+		s.send(l)
+	}
+	s.urgent = s.urgent[:0]
+}
+
+// flushPending sends reports, the oldest first, as far as the credit goes.
+func (s *Scheduler) flushPending() {
+	g := &s.governor
+	kept := s.pending[:0]
+	late := false
+	for _, l := range s.pending {
+		if !l.pending {
+			continue
+		}
+		if s.due(l) && (g.credit > 0 || l.router == s.cfg.Self) {
+			s.send(l)
+			continue
+		}
+		late = late || s.contended && s.now.Sub(l.since) > lateAfter
+		kept = append(kept, l)
+	}
+	clear(s.pending[len(kept):])
+	s.pending = kept
+	g.adapt(late)
+}
+
+// due reports whether the pause since the last message to l is over.
+func (s *Scheduler) due(l *link) bool {
+	if l.urgent {
+		return true
+	}
+	pause := calmPause
+	if s.contended {
+		pause = contendedPause
+	}
+	return s.now.Sub(l.sentAt) >= pause
+}
+
+// send passes everything pending to a router.
+func (s *Scheduler) send(l *link) {
+	m := s.build(l)
+	if l.router == s.cfg.Self {
+		s.receive(l.router, m)
+		return
+	}
+	message := messenger.PeerMessage{Control: m}
+	s.governor.spend(&message)
+	s.act(messenger.Send{To: l.router, Message: message})
+}
+
+// quantum is the change of a tag, in normalised tokens, that is worth a report.
+func (p *pool) quantum() float64 {
+	return p.sched.cfg.ReportStep * p.meanCost() * p.sched.governor.pressure
+}
+
+// slack is how far the tag of another router's request must be below that of
+// a local one before a slot moves.
+func (p *pool) slack() float64 {
+	return p.sched.cfg.MoveStep * p.largeCost()
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -21,9 +23,37 @@
 	classes []*class
 	// vtime is the virtual time: no account that becomes active starts below.
 	vtime float64
-	// backlogged counts the accounts with waiting requests.
-	backlogged int
-	turns      cadence
+	// backlogged counts the accounts with waiting requests, waiting the
+	// requests that are held back by nothing but the lack of a slot.
+	backlogged, waiting int
+	turns               cadence
+	// cost is a moving average of the cost of finished requests.
+	cost float64
+	// large is a decaying maximum of the cost of requests.
+	large float64
+	// flowList holds the flows for sweep, which goes on at cursor.
+	flowList []*flow
+	cursor   int
+	rand    *rand.Rand
+
+	// What this router may use of the pool's upstreams.
+	longShare float64
+	leases    map[messenger.UpstreamID]*lease
+	sources   []*source
+	demand    messenger.Demand
+
+	// What this router divides among others.
+	owned     map[messenger.UpstreamID]*owned
+	ownedList []*owned
+	spare     []*owned
+	users     []messenger.RouterID
+	wants     map[messenger.RouterID]*want
+	wantHeap  heap[*want]
+	wanting   messenger.Demand
+	told      messenger.Demand
+
+	// homes are the accounts whose service this router sums up.
+	homes map[messenger.AccountID]*home
 }
 
 // flow is one client account in one pool.
@@ -39,6 +69,20 @@
 	queues           []*queue
 	turns            cadence
 	idleSince        time.Time
+	// blocked is true while a limit keeps the account's requests back.
+	blocked bool
+	// rate counts recent requests, decayed up to rateAt.
+	rate   float64
+	rateAt time.Time
+
+	// home is the router that sums up the account's service; told, toldActive
+	// and toldAt are what it was told last; heard is its newest message.
+	home       messenger.RouterID
+	told       float64
+	toldActive bool
+	toldAt     time.Time
+	heard      uint64
+	queued     bool
 }
 
 // class is one class of requests in one pool.
@@ -47,6 +91,8 @@
 	policy messenger.ClassPolicy
 	// queues holds the accounts with waiting requests, the lowest tag first.
 	queues heap[*queue]
+	// waiting counts its requests in queues.
+	waiting int
 	// credit is the service that the class's floor still owes it, in tokens.
 	credit float64
 	// mean is a moving average of the cost of finished requests.
@@ -54,17 +100,23 @@
 }
 
 func newPool(s *Scheduler, id messenger.PoolID) *pool {
+	seed := s.cfg.Seed ^ rank(string(id), s.cfg.Self)
 	return &pool{
 		sched:  s,
 		id:     id,
-		placer: placer.New(s.cfg.Seed ^ rank(string(id), s.cfg.Self)),
+		placer: placer.New(seed),
+		rand:   rand.New(rand.NewPCG(seed, 1)),
 		flows:  make(map[messenger.AccountID]*flow),
+		leases: make(map[messenger.UpstreamID]*lease),
+		owned:  make(map[messenger.UpstreamID]*owned),
+		wants:  make(map[messenger.RouterID]*want),
+		homes:  make(map[messenger.AccountID]*home),
 	}
 }
 
 // applyPolicy takes in the classes, weights and bounds of another policy.
 func (p *pool) applyPolicy(policy *messenger.Policy) {
-	p.placer.SetLongShare(policy.Pools[p.id].LongShare)
+	p.longShare = policy.Pools[p.id].LongShare
 	for id := range policy.Classes {
 		p.classOf(id)
 	}
@@ -108,10 +160,33 @@
 	if !ok {
 		f = &flow{pool: p, account: id, weight: weightOf(p.sched.policy, id), tag: p.vtime}
 		p.flows[id] = f
+		p.flowList = append(p.flowList, f)
 	}
 	return f
 }
 
+// rehome looks up anew which routers sum up the service of accounts.
+func (p *pool) rehome() {
+	for _, f := range p.flowList {
+		home := p.sched.homeOf(f.account)
+		if f.home != home {
+			f.home, f.heard = home, 0
+			f.told = math.Inf(-1)
+		}
+	}
+}
+
+// largeCost returns the cost of a large request.
+func (p *pool) largeCost() float64 { return max(p.large, p.meanCost()) }
+
+// meanCost returns the mean cost of a request.
+func (p *pool) meanCost() float64 {
+	if p.cost > 0 {
+		return p.cost
+	}
+	return defaultTokens
+}
+
 // queueOf returns the flow's queue for a class, new if it has to be.
 func (f *flow) queueOf(c *class) *queue {
 	for _, q := range f.queues {
@@ -129,11 +204,11 @@
 	f := r.queue.flow
 	r.long = r.queue.class.policy.Long
 	r.queue.push(r)
-	p.wait(r)
-	if f.waiting == 1 && f.running == 0 {
+	if f.waiting == 0 {
 		f.tag = max(f.tag, p.vtime)
-		f.reorder()
 	}
+	p.wait(r)
+	p.updateUse(f)
 }
 
 // requeue lets a request whose attempt failed wait again, before all others
@@ -156,7 +231,14 @@
 	if !r.expires.IsZero() {
 		p.sched.expiries.push(r)
 	}
+	if f.blocked {
+		return
+	}
+	p.count(r.queue, 1)
 	r.queue.class.queues.push(r.queue)
+	if p.sched.limits.AtConcurrency(p.sched.now, f.account) {
+		p.block(f)
+	}
 }
 
 // unwait counts r as no longer waiting.
@@ -165,6 +247,9 @@
 	r.waiting = false
 	r.queue.remove(r)
 	p.sched.expiries.remove(r)
+	if !f.blocked {
+		p.count(r.queue, -1)
+	}
 	if r.queue.n == 0 {
 		r.queue.class.queues.remove(r.queue)
 	}
@@ -175,11 +260,41 @@
 	}
 }
 
+// count changes the number of requests that only lack a slot.
+func (p *pool) count(q *queue, n int) {
+	p.waiting += n
+	q.class.waiting += n
+}
+
+// block keeps back the waiting requests of an account.
+func (p *pool) block(f *flow) {
+	f.blocked = true
+	for _, q := range f.queues {
+		p.count(q, -q.n)
+		q.class.queues.remove(q)
+	}
+}
+
+// unblock ends a block if the account's limit leaves room.
+func (p *pool) unblock(f *flow) {
+	if !f.blocked || p.sched.limits.AtConcurrency(p.sched.now, f.account) {
+		return
+	}
+	f.blocked = false
+	for _, q := range f.queues {
+		if q.n > 0 {
+			p.count(q, q.n)
+			q.class.queues.push(q)
+		}
+	}
+}
+
 // dequeue takes out a request that was not dispatched.
 func (p *pool) dequeue(r *request) {
 	p.unwait(r)
 	p.sched.limits.Drop(r.arrive.Account)
 	r.queue.flow.idleSince = p.sched.now
+	p.updateUse(r.queue.flow)
 }
 
 // reorder restores the order of the class heaps after the tag has changed.
@@ -194,10 +309,13 @@
 	for {
 		r, u, ok := p.next()
 		if !ok {
-			return
+			break
 		}
 		p.start(r, u)
 	}
+	if p.sched.cfg.Mode == Fleet {
+		p.updateDemand()
+	}
 }
 
 // next returns the request whose turn it is and the upstream that takes it.
@@ -230,12 +348,15 @@
 // start dispatches r to an upstream.
 func (p *pool) start(r *request, u messenger.UpstreamID) {
 	f := r.queue.flow
-	p.vtime = max(p.vtime, f.tag)
+	p.advance(f.tag)
 	p.unwait(r)
 	p.turns.note(p.sched.now)
 	f.turns.note(p.sched.now)
 	f.running++
 	p.sched.limits.Start(r.arrive.Account)
+	if f.waiting > 0 && p.sched.limits.AtConcurrency(p.sched.now, f.account) {
+		p.block(f)
+	}
 	r.upstreams = append(r.upstreams, u)
 	p.placer.Start(p.sched.now, u, r.long)
 	if r.charged == 0 {
@@ -244,3 +365,14 @@
 	}
 	p.sched.act(messenger.Dispatch{Request: r.arrive.Request, Upstream: u})
 }
+
+// advance moves the virtual time up to the tag of a dispatched request, but
+// not past a request that waits at another router.
+func (p *pool) advance(tag float64) {
+	for _, src := range p.sources {
+		if src.rival.Want > 0 {
+			tag = min(tag, float64(src.rival.Tag))
+		}
+	}
+	p.vtime = max(p.vtime, tag)
+}
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -108,6 +108,7 @@
 		return
 	}
 	f := p.flowOf(e.Account)
+	f.offer(s.now)
 	q := f.queueOf(p.classOf(e.Class))
 	r := &request{arrive: e, queue: q, arrived: s.now, expiryAt: -1}
 	r.expires = expiry(s.now, e.Deadline, q.class.policy.QueueTimeout)
@@ -169,6 +170,9 @@
 	}
 	p := r.queue.flow.pool
 	p.placer.End(s.now, e.Upstream, r.long)
+	if l, ok := p.leases[e.Upstream]; ok {
+		p.yieldFreed(l)
+	}
 	r.tokens = max(r.tokens, e.Tokens)
 	switch {
 	case len(r.upstreams) > 0:
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -19,6 +19,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -45,6 +47,40 @@
 	Seed uint64
 	// Mode selects how routers share upstreams.
 	Mode Mode
+	// ControlBytes is the budget for control messages in bytes a second; zero
+	// means defaultControlBytes.
+	ControlBytes int
+	// CellSize is how many upstreams of a pool have one owner, on average;
+	// zero means defaultCellSize.
+	CellSize int
+	// ReportStep and MoveStep are how far tags must differ, in mean costs of a
+	// request, before it is reported and before a slot moves; zero means
+	// the defaults.
+	ReportStep, MoveStep float64
+}
+
+// Defaults of a Config.
+const (
+	defaultCellSize   = 8
+	defaultReportStep = 0.5
+	defaultMoveStep   = 1
+)
+
+// withDefaults fills in what is not set.
+func (c Config) withDefaults() Config {
+	if c.ControlBytes <= 0 {
+		c.ControlBytes = defaultControlBytes
+	}
+	if c.CellSize <= 0 {
+		c.CellSize = defaultCellSize
+	}
+	if c.ReportStep <= 0 {
+		c.ReportStep = defaultReportStep
+	}
+	if c.MoveStep <= 0 {
+		c.MoveStep = defaultMoveStep
+	}
+	return c
 }
 
 // Scheduler is the decision logic of one router.
@@ -55,13 +91,26 @@
 	peers    []messenger.RouterID
 	limits   *limiter.Limiter
 	pools    map[messenger.PoolID]*pool
+	poolList []*pool
 	requests map[messenger.RequestID]*request
 	expiries heap[*request]
 	actions  []messenger.Action
+
+	// incarnation tells this start of the router from earlier ones.
+	incarnation uint64
+	governor    governor
+	links       map[messenger.RouterID]*link
+	linkList    []*link
+	// pending and urgent list the links that have something to tell.
+	pending, urgent []*link
+	// contended is true while requests wait here or at another router.
+	contended bool
+	ticks     uint64
 }
 
 // New returns a Scheduler that knows no policy and no peers.
 func New(cfg Config) *Scheduler {
+	cfg = cfg.withDefaults()
 	return &Scheduler{
 		cfg:      cfg,
 		policy:   &messenger.Policy{},
@@ -69,6 +118,8 @@
 		limits:   limiter.New(),
 		pools:    make(map[messenger.PoolID]*pool),
 		requests: make(map[messenger.RequestID]*request),
+		links:    make(map[messenger.RouterID]*link),
+		governor: governor{bytesPerSecond: float64(cfg.ControlBytes), pressure: 1, scale: 1},
 	}
 }
 
@@ -78,6 +129,9 @@
 	if now.After(s.now) {
 		s.now = now
 	}
+	if s.incarnation == 0 {
+		s.incarnation = uint64(uint32(s.now.UnixMilli())) | 1
+	}
 	s.actions = s.actions[:0]
 	switch e := e.(type) {
 	case messenger.Arrive:
@@ -92,9 +146,12 @@
 		s.changePolicy(e.Policy)
 	case messenger.PeersChange:
 		s.changePeers(e.Routers)
+	case messenger.Receive:
+		s.receive(e.From, e.Message.Control)
 	case messenger.Tick:
 		s.tick()
 	}
+	s.flushUrgent()
 	return s.actions
 }
 
@@ -108,16 +165,17 @@
 	}
 	s.policy = policy
 	s.limits.SetPolicy(policy)
-	for id := range policy.Pools {
+	for _, id := range slices.Sorted(maps.Keys(policy.Pools)) {
 		s.poolOf(id)
 	}
-	for id, u := range policy.Upstreams {
+	for _, id := range slices.Sorted(maps.Keys(policy.Upstreams)) {
+		u := policy.Upstreams[id]
 		s.poolOf(u.Pool).placer.Set(id, u)
 	}
-	for _, p := range s.pools {
+	for _, p := range s.poolList {
 		p.applyPolicy(policy)
 	}
-	s.share()
+	s.relate()
 }
 
 // poolOf returns the pool with a name, new if it has to be.
@@ -126,6 +184,8 @@
 	if !ok {
 		p = newPool(s, id)
 		s.pools[id] = p
+		at, _ := slices.BinarySearchFunc(s.poolList, p, func(a, b *pool) int { return cmp.Compare(a.id, b.id) })
+		s.poolList = slices.Insert(s.poolList, at, p)
 	}
 	return p
 }
@@ -139,24 +199,29 @@
 	slices.Sort(peers)
 	s.peers = slices.Compact(peers)
 	s.limits.SetRouters(len(s.peers))
-	s.share()
+	for _, l := range slices.Clone(s.linkList) {
+		if _, ok := slices.BinarySearch(s.peers, l.router); !ok {
+			s.forget(l)
+		}
+	}
+	s.relate()
 }
 
-// share gives this router its fixed part of every window.
-func (s *Scheduler) share() {
-	for id, u := range s.policy.Upstreams {
-		p := s.pools[u.Pool]
-		p.placer.Lease(id, staticShare(string(id), u.Window, s.cfg.Self, s.peers))
-	}
-	for _, p := range s.pools {
-		p.dispatch()
+// forget drops a router that is no longer alive.
+func (s *Scheduler) forget(l *link) {
+	l.pending, l.urgent = false, false
+	delete(s.links, l.router)
+	s.linkList = slices.DeleteFunc(s.linkList, func(other *link) bool { return other == l })
+	for _, p := range s.poolList {
+		p.forget(l.router)
 	}
 }
 
-// tick does the work that time alone makes due.
-func (s *Scheduler) tick() {
-	s.expire()
-	for _, p := range s.pools {
+// relate works out anew what routers are to each other.
+func (s *Scheduler) relate() {
+	for _, p := range s.poolList {
+		p.relate()
+		p.rehome()
 		p.dispatch()
 	}
 }
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -16,6 +16,18 @@
 	return d.Sum64()
 }
 
+// winner returns the router with the highest rank for a key.
+func winner(key string, routers []messenger.RouterID) messenger.RouterID {
+	var best messenger.RouterID
+	var top uint64
+	for _, r := range routers {
+		if h := rank(key, r); best == "" || h > top {
+			best, top = r, h
+		}
+	}
+	return best
+}
+
 // staticShare returns the part of n slots that self holds if routers divide
 // them evenly. The parts of all routers sum up to n: what does not divide goes
 // to the routers of the highest ranks.
