--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -34,7 +34,7 @@
 	// flowList holds the flows for sweep, which goes on at cursor.
 	flowList []*flow
 	cursor   int
-	rand    *rand.Rand
+	rand     *rand.Rand
 
 	// What this router may use of the pool's upstreams.
 	longShare float64
