Keep slots busy and moves damped under a small byte budget

Cause: reports lost while the list of pending links was walked, slots given back that the budget could not pass on, and routers that gave back every free slot on late news, overshooting.

Change: the list is swapped before it is walked; a router out of credit keeps its slots busy itself; the chance of giving a slot back grows with the lead of the waiting request elsewhere; reports leave a part of the credit to moves; size estimates fitted to the codec.

--- a/internal/messenger/size.go
+++ b/internal/messenger/size.go
@@ -1,17 +1,21 @@
 package messenger
 
-// Sizes of encoded values, in bytes.
+// Typical sizes of encoded values, in bytes, without the names in them.
 const (
-	frameSize   = 12
-	controlSize = 24
-	poolSize    = 12
+	frameSize   = 3
+	controlSize = 15
+	poolSize    = 13
+	demandSize  = 7
+	slotsSize   = 5
+	useSize     = 16
+	tagSize     = 17
 )
 
 // Size estimates the encoded size of a message in bytes.
 func (m *PeerMessage) Size() int {
 	n := frameSize
 	for _, s := range m.Service {
-		n += 11 + len(s.Account) + len(s.Pool)
+		n += useSize + len(s.Account) + len(s.Pool)
 	}
 	if m.Control != nil {
 		n += m.Control.size()
@@ -29,18 +33,18 @@
 
 func (p *PoolControl) size() int {
 	n := poolSize + len(p.Pool)
-	n += 9 * (len(p.Demand) + len(p.Rivals))
+	n += demandSize * (len(p.Demand) + len(p.Rivals))
 	for i := range p.Holdings {
-		n += 6 + len(p.Holdings[i].Upstream)
+		n += slotsSize + len(p.Holdings[i].Upstream)
 	}
 	for i := range p.Grants {
-		n += 6 + len(p.Grants[i].Upstream)
+		n += slotsSize + len(p.Grants[i].Upstream)
 	}
 	for i := range p.Uses {
-		n += 16 + len(p.Uses[i].Account)
+		n += useSize + len(p.Uses[i].Account)
 	}
 	for i := range p.Tags {
-		n += 17 + len(p.Tags[i].Account)
+		n += tagSize + len(p.Tags[i].Account)
 	}
 	return n
 }
--- a/internal/scheduler/governor.go
+++ b/internal/scheduler/governor.go
@@ -17,6 +17,10 @@
 	pressureUp   = 1.02
 	pressureDown = 0.99
 	maxPressure  = 64
+	// maxCreditSeconds bounds the credit, and reserveSeconds is the part of it
+	// that reports leave to slot movements, in seconds of the budget.
+	maxCreditSeconds = 0.5
+	reserveSeconds   = 0.25
 )
 
 // governor keeps the control messages of a router within a byte budget. Slot
@@ -41,7 +45,7 @@
 		g.credit += now.Sub(g.last).Seconds() * g.bytesPerSecond
 	}
 	g.last = now
-	g.credit = min(g.credit, g.bytesPerSecond/4)
+	g.credit = min(g.credit, g.bytesPerSecond*maxCreditSeconds)
 }
 
 // spend counts a message.
@@ -79,21 +83,22 @@
 // flushPending sends reports, the oldest first, as far as the credit goes.
 func (s *Scheduler) flushPending() {
 	g := &s.governor
-	kept := s.pending[:0]
 	late := false
-	for _, l := range s.pending {
+	batch := s.pending
+	s.pending = s.parked[:0]
+	for _, l := range batch {
 		if !l.pending {
 			continue
 		}
-		if s.due(l) && (g.credit > 0 || l.router == s.cfg.Self) {
+		if s.due(l) && (g.credit > g.bytesPerSecond*reserveSeconds || s.now.Sub(l.sentAt) >= keepAlive) {
 			s.send(l)
 			continue
 		}
 		late = late || s.contended && s.now.Sub(l.since) > lateAfter
-		kept = append(kept, l)
+		s.pending = append(s.pending, l)
 	}
-	clear(s.pending[len(kept):])
-	s.pending = kept
+	clear(batch)
+	s.parked = batch[:0]
 	g.adapt(late)
 }
 
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -41,12 +41,12 @@
 	tag        float64
 }
 
-// before reports whether u goes before v by more than a slack in tags.
-func (u urgency) before(v urgency, slack float64) bool {
+// before reports whether u goes before v.
+func (u urgency) before(v urgency) bool {
 	if u.precedence != v.precedence {
 		return u.precedence > v.precedence
 	}
-	return u.tag+slack < v.tag
+	return u.tag < v.tag
 }
 
 func urgencyOf(d messenger.Demand) urgency {
@@ -209,13 +209,30 @@
 // loses reports whether the next local request goes after that of others.
 func (p *pool) loses(v *messenger.Demand) bool {
 	own, ok := p.first()
-	return !ok || urgencyOf(*v).before(own, p.slack())
+	return !ok || p.overdue(urgencyOf(*v), own)
 }
 
+// overdue reports whether a request elsewhere has waited so much longer for
+// service than an own one that a slot should move. It is the likelier the
+// larger the lead is: what is known of others is late, and a router that gave
+// back all it could would overshoot. A router that is out of credit keeps its
+// slots busy itself.
+func (p *pool) overdue(other, own urgency) bool {
+	if other.precedence != own.precedence {
+		return other.precedence > own.precedence
+	}
+	lead := own.tag - other.tag - p.slack()
+	return lead > 0 && p.sched.governor.credit > 0 && lead > p.rand.Float64()*yieldRange*p.slack()
+}
+
+// yieldRange is the lead, in multiples of the slack, at which every free slot
+// is given back.
+const yieldRange = 2
+
 // losesLong is loses for long work.
 func (p *pool) losesLong(v *messenger.Demand) bool {
 	own, ok := p.firstLong()
-	return !ok || urgencyOf(*v).before(own, p.slack())
+	return !ok || p.overdue(urgencyOf(*v), own)
 }
 
 // updateDemand notes what this router lacks and has it told where it changed.
--- a/internal/scheduler/link.go
+++ b/internal/scheduler/link.go
@@ -9,9 +9,9 @@
 // Times of the exchange between routers.
 const (
 	// leaseTTL is how long a router acts on the last word of another.
-	leaseTTL = 2 * time.Second
+	leaseTTL = 3 * time.Second
 	// keepAlive is the longest silence towards a router that relies on this one.
-	keepAlive = 500 * time.Millisecond
+	keepAlive = time.Second
 	// retiredTTL is how long messages of an earlier incarnation may be under way.
 	retiredTTL = time.Minute
 	// contendedPause and calmPause are the shortest times between two messages
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -46,7 +46,7 @@
 func (w *want) less(other *want) bool {
 	a, b := urgencyOf(w.Demand), urgencyOf(other.Demand)
 	if a != b {
-		return a.before(b, 0)
+		return a.before(b)
 	}
 	return w.router < other.router
 }
@@ -300,7 +300,7 @@
 		if w.router == r {
 			continue
 		}
-		if d.Want+d.Long == 0 || urgencyOf(w.Demand).before(urgencyOf(d), 0) {
+		if d.Want+d.Long == 0 || urgencyOf(w.Demand).before(urgencyOf(d)) {
 			d = w.Demand
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -103,6 +103,8 @@
 	linkList    []*link
 	// pending and urgent list the links that have something to tell.
 	pending, urgent []*link
+	// parked is the spare array of pending.
+	parked []*link
 	// contended is true while requests wait here or at another router.
 	contended bool
 	ticks     uint64
--- a/internal/scheduler/upkeep.go
+++ b/internal/scheduler/upkeep.go
@@ -79,13 +79,9 @@
 // greet has something told to a router that relies on hearing from this one.
 func (s *Scheduler) greet(k *link) {
 	for _, p := range s.poolList {
-		if p.sourceOf(k.router) != nil && p.stirred() {
-			k.boxOf(p).demand = true
-			s.mark(k, false)
-		}
-		if p.serves(k.router) && s.now.Sub(k.heardAt) < leaseTTL {
-			k.boxOf(p).rivals = true
+		if p.sourceOf(k.router) != nil || p.serves(k.router) {
 			s.mark(k, false)
+			return
 		}
 	}
 }
