--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
 	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -138,3 +140,32 @@
 		t.Errorf("Run() = %d with a missing file, want %d", code, exitFailed)
 	}
 }
+
+func TestTLSRouter(t *testing.T) {
+	f := &fakeRouter{answers: map[string]any{"GET /v1/evacuation": operator.Evacuation{State: "none"}}}
+	s := httptest.NewTLSServer(f)
+	defer s.Close()
+	s.Config.ErrorLog = log.New(io.Discard, "", 0)
+	authority := writeFile(t, "ca.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: s.Certificate().Raw})))
+	t.Setenv(tokenVariable, "secret-token")
+	tests := []struct {
+		name string
+		args []string
+		want int
+	}{
+		{"known authority", []string{"--ca-file", authority}, exitOK},
+		{"unknown authority", nil, exitFailed},
+		{"no certificate", []string{"--ca-file", writeFile(t, "empty.pem", "")}, exitFailed},
+		{"no file", []string{"--ca-file", "does-not-exist.pem"}, exitFailed},
+	}
+	for _, tt := range tests {
+		var out, errOut bytes.Buffer
+		args := append([]string{"evacuate", "status", "--router", s.URL}, tt.args...)
+		if code := Run(args, &out, &errOut); code != tt.want {
+			t.Errorf("%s: Run() = %d, want %d; stderr %s", tt.name, code, tt.want, errOut.String())
+		}
+	}
+	if got, want := len(f.requests), 1; got != want {
+		t.Errorf("the router got %d requests, want %d: no token leaves without a known authority", got, want)
+	}
+}
