Scenario on its own loopback address; demo freezes connections

Cause: the scenario took free ports from the system and gave them back before the processes opened them; another program took one meanwhile, and the script waited for that program's port (seen once: 'bind: address already in use'). Change: each run of a script has a loopback address of its own with fixed ports. The demo makes the open connections of a worker silent for good, lists what it did, and counts the requests in progress at the shutdown. A load stream can be spread over many client accounts.

--- a/internal/cli/scenario_test.go
+++ b/internal/cli/scenario_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,7 +27,7 @@
 		Dir:                 "testdata/scenarios",
 		RequireExplicitExec: true,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"ports":   setPorts,
+			"host":    setHost,
 			"expand":  expandFiles,
 			"await":   await,
 			"request": request,
@@ -36,18 +36,15 @@
 	})
 }
 
-// setPorts sets each variable named to a free port.
-func setPorts(ts *testscript.TestScript, _ bool, names []string) {
-	listeners := make([]net.Listener, 0, len(names))
-	for _, name := range names {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		listeners = append(listeners, l)
-		ts.Setenv(name, strconv.Itoa(l.Addr().(*net.TCPAddr).Port))
-	}
-	for _, l := range listeners {
-		ts.Check(l.Close())
-	}
+// scripts counts the scripts of this process.
+var scripts atomic.Int32
+
+// setHost sets a variable to a loopback address that no other script and no
+// other process of this test uses, so that scripts can use fixed ports.
+func setHost(ts *testscript.TestScript, _ bool, args []string) {
+	const firstNet = 10
+	pid := os.Getpid()
+	ts.Setenv(args[0], fmt.Sprintf("127.%d.%d.%d", firstNet+scripts.Add(1), pid>>8&0xff, pid&0xff))
 }
 
 // expandFiles puts the values of variables into files.
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -2,9 +2,10 @@
 // does under load: three routers, several workers, an order desk and the
 // platform's store, all on loopback and in memory.
 //
-// Several client accounts send a bounded mix of work; one of them floods. Half
-// way a worker is drained, and at the end all routers shut down while requests
-// are in progress. The promises are then checked against the journals of the
+// Several client accounts send a bounded mix of work; one of them floods. Early
+// on the open connections of a worker go silent for good, half way another
+// worker is drained, and at the end all routers shut down while requests are
+// in progress. The promises are then checked against the journals of the
 // stand-ins, which say what really ran.
 //
 // # Usage
@@ -22,7 +23,6 @@
 	"github.com/ansel1/merry/v2"
 
 	"lentilwood.example/lentilwood/internal/generator"
-	"lentilwood.example/lentilwood/internal/messenger"
 )
 
 // Bounds of a run.
@@ -37,9 +37,6 @@
 	answerTimeout = 8 * time.Second
 )
 
-// drained is the worker that leaves half way.
-const drained messenger.UpstreamID = "worker-4"
-
 // Config is the settings of a demonstration.
 type Config struct {
 	// For is how long requests are sent; zero means DefaultFor.
@@ -67,11 +64,8 @@
 	defer f.stop()
 	e := evidence{}
 	var background sync.WaitGroup
-	end := f.clock.After(cfg.For)
-	background.Go(func() {
-		e.drainHalfWay(ctx, f, cfg.For/2)
-		e.shutDown(ctx, f, end)
-	})
+	s := script{fleet: f, evidence: &e, length: cfg.For, start: f.clock.Now()}
+	background.Go(func() { s.run(ctx) })
 	e.load, err = generator.Run(ctx, generator.Config{
 		Routers: f.callers(), Mix: mix(), For: cfg.For, MaxRequests: maxRequests, MaxOpen: maxOpen,
 		Timeout: answerTimeout, Seed: cfg.Seed, Run: "demo", Expect: generator.StandIns{},
@@ -84,27 +78,3 @@
 	e.collect(f)
 	return e.report(), nil
 }
-
-// drainHalfWay drains a worker once d has passed.
-func (e *evidence) drainHalfWay(ctx context.Context, f *fleet, d time.Duration) {
-	select {
-	case <-f.clock.After(d):
-	case <-ctx.Done():
-		e.drainErr = ctx.Err()
-		return
-	}
-	change, err := f.drain(ctx, drained)
-	e.drained, e.drainErr = f.clock.Now(), err
-	if err == nil {
-		e.lateRouters = f.awaitVersion(ctx, change.Version, configurationLimit)
-	}
-}
-
-// shutDown shuts the routers down at the end of the load.
-func (e *evidence) shutDown(ctx context.Context, f *fleet, end <-chan time.Time) {
-	select {
-	case <-end:
-	case <-ctx.Done():
-	}
-	e.cutRouters = f.shutdown(ctx)
-}
--- a/internal/demonstrator/demonstrator_test.go
+++ b/internal/demonstrator/demonstrator_test.go
@@ -70,6 +70,7 @@
 			e.workers[drained] = append(e.workers[drained], emulator.Entry{RequestID: "late", Arrived: moment.Add(drainGrace + time.Millisecond)})
 		}, false},
 		{"in force everywhere", func(e *evidence) { e.lateRouters = 1 }, false},
+		{"cuts off", func(e *evidence) { e.late = []generator.Observation{{Complete: true}, {Broken: true}} }, false},
 		{"cuts off nothing", func(e *evidence) { e.cutRouters = 1 }, false},
 		{"starves", func(*evidence) {}, true},
 	}
--- a/internal/demonstrator/evidence.go
+++ b/internal/demonstrator/evidence.go
@@ -22,6 +22,11 @@
 
 	mu           sync.Mutex
 	observations []generator.Observation
+	events       []Event
+	// shuttingDown is true once the routers have been told to shut down, and
+	// late holds the requests that ended after that.
+	shuttingDown bool
+	late         []generator.Observation
 
 	// workers and desk are the journals.
 	workers map[messenger.UpstreamID][]emulator.Entry
@@ -33,6 +38,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.observations = append(e.observations, o)
+	if e.shuttingDown {
+		e.late = append(e.late, o)
+	}
+}
+
+// note records what was done to the fleet, and when.
+func (e *evidence) note(at time.Duration, what string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.events = append(e.events, Event{Seconds: at.Seconds(), What: what})
 }
 
 // collect reads the journals.
--- a/internal/demonstrator/judge.go
+++ b/internal/demonstrator/judge.go
@@ -44,7 +44,7 @@
 		e.atMostOnce(),
 		e.leavingGetsNothing(),
 		e.configurationIsInForce(),
-		{"a graceful shutdown cuts off nothing", routerCount, e.cutRouters},
+		e.shutdownCutsNothing(),
 		nobodyStarves(accounts),
 	}
 }
@@ -130,6 +130,18 @@
 	return p
 }
 
+// shutdownCutsNothing looks for requests that were in progress when the routers
+// shut down and came to no good end, and for routers that gave up.
+func (e *evidence) shutdownCutsNothing() Promise {
+	p := Promise{Name: "a graceful shutdown cuts off nothing", Checked: len(e.late), Violations: e.cutRouters}
+	for _, o := range e.late {
+		if o.Broken {
+			p.Violations++
+		}
+	}
+	return p
+}
+
 // nobodyStarves looks for client accounts that got far less than they asked
 // for and than they had a right to.
 func nobodyStarves(accounts []AccountReport) Promise {
--- a/internal/demonstrator/report.go
+++ b/internal/demonstrator/report.go
@@ -17,11 +17,20 @@
 	Workers  int             `json:"workers"`
 	Accounts []AccountReport `json:"accounts"`
 	Promises []Promise       `json:"promises"`
+	// Events are what was done to the fleet.
+	Events []Event `json:"events"`
 	// Problems counts the problem types that callers saw.
 	Problems map[string]int     `json:"problems"`
 	Faults   []generator.Sample `json:"faults"`
 }
 
+// Event is one thing that was done to the fleet.
+type Event struct {
+	// Seconds counts from the begin of the load.
+	Seconds float64 `json:"seconds"`
+	What    string  `json:"what"`
+}
+
 // AccountReport is what one client account got.
 type AccountReport struct {
 	Account string  `json:"account"`
@@ -58,7 +67,7 @@
 func (e *evidence) report() *Report {
 	r := &Report{
 		Seconds: e.load.Seconds, Routers: routerCount, Workers: workerCount,
-		Problems: e.load.Problems, Faults: e.load.Faults,
+		Events: e.events, Problems: e.load.Problems, Faults: e.load.Faults,
 	}
 	r.Accounts = e.accounts()
 	r.Promises = e.promises(r.Accounts)
@@ -120,6 +129,10 @@
 // Write prints the report.
 func (r *Report) Write(out io.Writer) error {
 	fmt.Fprintf(out, "%d routers, %d workers and an order desk, %.1f s; times in milliseconds, p50/p95/p99\n\n", r.Routers, r.Workers, r.Seconds)
+	for _, event := range r.Events {
+		fmt.Fprintf(out, "%4.1f s: %s\n", event.Seconds, event.What)
+	}
+	fmt.Fprintln(out)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ACCOUNT\tWEIGHT\tSHARE\tFAIR SHARE\tCLASS\tREQUESTS\tREFUSED\tTOKENS\tWAIT\tFIRST TOKEN")
 	for _, a := range r.Accounts {
--- a/internal/demonstrator/scene.go
+++ b/internal/demonstrator/scene.go
@@ -40,8 +40,8 @@
 	flooder messenger.AccountID = "flooder"
 )
 
-// accounts are the client accounts and their weights. The first three together
-// ask for less than the fleet can do; the last two are always backlogged.
+// accounts are the client accounts and their weights. The first three ask for
+// less than their share; the last two are always backlogged.
 var accounts = []struct {
 	id     messenger.AccountID
 	weight float64
@@ -62,10 +62,10 @@
 		Account:  configurer.AccountSettings{QueueLength: ptr(queueLength)},
 		Accounts: map[messenger.AccountID]configurer.AccountSettings{},
 		Classes: map[messenger.ClassID]configurer.ClassSettings{
-			consultation: {Precedence: ptr(2), Long: ptr(true), ExpectedTokens: ptr(120.0), ProgressTimeout: seconds(5), QueueTimeout: seconds(30)},
-			question:     {Precedence: ptr(1), Floor: ptr(0.25), ExpectedTokens: ptr(16.0), ProgressTimeout: seconds(5), QueueTimeout: seconds(10)},
-			lookup:       {Precedence: ptr(1), ExpectedTokens: ptr(1.0), ProgressTimeout: seconds(5), QueueTimeout: seconds(10)},
-			order:        {Precedence: ptr(1), ExpectedTokens: ptr(1.0), ProgressTimeout: seconds(5), QueueTimeout: seconds(10)},
+			consultation: {Precedence: ptr(2), Long: ptr(true), ExpectedTokens: ptr(120.0), ProgressTimeout: seconds(1), QueueTimeout: seconds(30)},
+			question:     {Precedence: ptr(1), Floor: ptr(0.25), ExpectedTokens: ptr(16.0), ProgressTimeout: seconds(1), QueueTimeout: seconds(10)},
+			lookup:       {Precedence: ptr(1), ExpectedTokens: ptr(1.0), ProgressTimeout: seconds(1), QueueTimeout: seconds(10)},
+			order:        {Precedence: ptr(1), ExpectedTokens: ptr(1.0), ProgressTimeout: seconds(1), QueueTimeout: seconds(10)},
 		},
 		Pools: map[messenger.PoolID]configurer.PoolSettings{assistantPool: {LongShare: ptr(0.5)}, deskPool: {}},
 		Upstreams: map[messenger.UpstreamID]configurer.UpstreamSettings{
@@ -110,7 +110,7 @@
 		completions("large-clinic", question, 12, short),
 		completions("small-clinic", question, 8, short),
 		desk("small-clinic", lookup, generator.Stock, "/stock", 10),
-		completions("small-bindery", consultation, 1, long),
+		completions("small-bindery", consultation, 0.5, long),
 		completions("small-bindery", question, 6, short),
 		desk("small-bindery", order, generator.Commit, "/printRuns", 6),
 		completions("large-bindery", question, 160, short),
--- a/internal/generator/arrivals.go
+++ b/internal/generator/arrivals.go
@@ -14,6 +14,8 @@
 	stream *Stream
 	// id is the request id, unique in the run.
 	id string
+	// token is the bearer token.
+	token string
 	// router is the index of the router that gets the request.
 	router int
 	// key is the idempotency key, or empty.
@@ -97,12 +99,16 @@
 	a := arrival{
 		at:           s.next,
 		stream:       s.stream,
+		token:        s.stream.Token.Reveal(),
 		id:           fmt.Sprintf("%s-%d-%d", sched.run, s.index, s.count),
 		router:       s.rnd.IntN(sched.routers),
 		tokens:       s.within(s.stream.Tokens),
 		promptTokens: s.within(s.stream.PromptTokens),
 		item:         fmt.Sprintf("item-%d", s.rnd.IntN(items)),
 	}
+	if n := s.stream.Accounts; n > 0 {
+		a.token = fmt.Sprintf("%s-%d", a.token, s.rnd.IntN(n)+1)
+	}
 	if s.stream.Keyed {
 		a.key = "key-" + a.id
 	}
--- a/internal/generator/collector.go
+++ b/internal/generator/collector.go
@@ -120,7 +120,7 @@
 	if o.problem != "" {
 		c.problems[o.problem]++
 	}
-	if o.kind == wrong || o.kind == cut || o.kind == lost {
+	if o.broken() {
 		c.sample(a, o)
 	}
 	if o.kind == complete {
--- a/internal/generator/generator_test.go
+++ b/internal/generator/generator_test.go
@@ -75,6 +75,19 @@
 	}
 }
 
+func TestStreamSpreadsOverAccounts(t *testing.T) {
+	mix := mixOf(Stream{Rate: 1000, Accounts: 20})
+	mix.setDefaults()
+	s := newSchedule(&mix, 1, "run", 1, time.Second)
+	tokens := map[string]int{}
+	for a, ok := s.take(); ok; a, ok = s.take() {
+		tokens[a.token]++
+	}
+	if len(tokens) != 20 || tokens["secret-token-1"] == 0 || tokens["secret-token-20"] == 0 {
+		t.Errorf("got tokens %v, want secret-token-1 to -20", tokens)
+	}
+}
+
 func TestRunAgainstStandIns(t *testing.T) {
 	clock := timekeeper.System{}
 	worker := emulator.NewWorker(emulator.WorkerConfig{Name: "w1", Instant: true}, clock)
--- a/internal/generator/mix.go
+++ b/internal/generator/mix.go
@@ -43,8 +43,11 @@
 	Account string `json:"account"`
 	// Token is the account's bearer token.
 	Token loader.Secret `json:"token"`
-	Class string        `json:"class"`
-	Kind  Kind          `json:"kind"`
+	// Accounts spreads the requests evenly over that many client accounts,
+	// whose tokens end in "-1", "-2" and so on; zero means the one account.
+	Accounts int    `json:"accounts"`
+	Class    string `json:"class"`
+	Kind     Kind   `json:"kind"`
 	// Path is where requests go; empty means the usual path of the kind.
 	Path string `json:"path"`
 	// Rate is the mean number of requests a second.
@@ -113,6 +116,9 @@
 	Commit:     "/reservations",
 }
 
+// maxAccounts bounds the client accounts of one stream.
+const maxAccounts = 100_000
+
 // maxRate bounds the requests a second of one stream.
 const maxRate = 20_000
 
@@ -133,6 +139,9 @@
 		}
 		checkRange(f, parser.Join(at, "tokens"), s.Tokens)
 		checkRange(f, parser.Join(at, "promptTokens"), s.PromptTokens)
+		if s.Accounts < 0 || s.Accounts > maxAccounts {
+			f.Add(parser.Join(at, "accounts"), fmt.Sprintf("is %d", s.Accounts), fmt.Sprintf("0 to %d", maxAccounts))
+		}
 		if s.Repeat < 0 || s.Repeat > 1 {
 			f.Add(parser.Join(at, "repeat"), fmt.Sprintf("is %v", s.Repeat), "a share from 0 to 1")
 		}
--- a/internal/generator/request.go
+++ b/internal/generator/request.go
@@ -51,6 +51,9 @@
 	lost
 )
 
+// broken reports whether the caller got no answer that it can rely on.
+func (o outcome) broken() bool { return o.kind == wrong || o.kind == cut || o.kind == lost }
+
 // maxAnswerBytes bounds an answer that is read in one piece.
 const maxAnswerBytes = 64 << 20
 
@@ -118,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set(identifier.AuthorizationHeader, "Bearer "+a.stream.Token.Reveal())
+	req.Header.Set(identifier.AuthorizationHeader, "Bearer "+a.token)
 	req.Header.Set(messenger.RequestIDHeader, a.id)
 	set := func(name, value string) {
 		if value != "" {
