--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -93,7 +93,7 @@
 	members map[messenger.RouterID]*member
 	// ids are the keys of members, sorted.
 	ids  []messenger.RouterID
-	ring    []messenger.RouterID
+	ring []messenger.RouterID
 
 	last      time.Time
 	nextRound time.Time
@@ -108,7 +108,7 @@
 	told     PeersChange
 	// changed is true if the view of the fleet may have changed.
 	changed bool
-	gone     bool
+	gone    bool
 }
 
 // member is one other router and what is remembered of it.
