--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -122,8 +122,9 @@
 type peer struct {
 	version     uint64
 	incarnation uint64
-	settled     bool
-	known       int
+	// votes is true if it was settled when it answered this router.
+	votes bool
+	known int
 }
 
 // New returns a Configurer that knows no version.
@@ -154,6 +155,22 @@
 	return versions
 }
 
+// Holders returns how many routers, this one included, are known to have at
+// least a version. Once they are more than half of the fleet, no outage of the
+// store and no restart makes the fleet go back behind it.
+func (c *Configurer) Holders(version uint64) int {
+	n := 0
+	if c.Version() >= version {
+		n++
+	}
+	for _, p := range c.peers {
+		if p.version >= version {
+			n++
+		}
+	}
+	return n
+}
+
 // Ready reports whether the router may serve callers, and if not, why.
 func (c *Configurer) Ready() (bool, NotReady) { return c.ready, c.reason }
 
@@ -242,7 +259,7 @@
 		p = peer{incarnation: e.Incarnation}
 	}
 	p.version = max(p.version, e.Version)
-	p.settled = p.settled || e.Settled
+	p.votes = p.votes || e.Settled && e.Answers
 	p.known = e.Known
 	c.peers[e.Router] = p
 	if !e.Unconfirmed && e.Version == c.Version() && e.Version > 0 {
--- a/internal/configurer/message.go
+++ b/internal/configurer/message.go
@@ -33,6 +33,9 @@
 	Incarnation uint64
 	// Settled is true if the peer's version was confirmed since its start.
 	Settled bool
+	// Answers is true if the heartbeat answers one that this router has sent
+	// since its start, and so was not under way for longer.
+	Answers bool
 	// Known is how many routers the peer knows of.
 	Known int
 }
--- a/internal/configurer/ready.go
+++ b/internal/configurer/ready.go
@@ -30,7 +30,8 @@
 // A change that more than half of the fleet holds is held by at least one of
 // any half of the fleet that has not lost its memory. So the answers of half
 // of the fleet, from routers that are settled themselves, leave out none that
-// this router may have run before it restarted.
+// this router may have run before it restarted. Only answers count: another
+// heartbeat may have been under way since before the restart.
 func (c *Configurer) settle() {
 	if c.settled || c.Version() == 0 {
 		return
@@ -41,7 +42,7 @@
 		if p.version > c.Version() {
 			return
 		}
-		if p.settled {
+		if p.votes {
 			voters++
 		}
 	}
--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -26,7 +26,7 @@
 	f.run(30 * time.Second)
 	f.measure = true
 	begin := f.clock.Now()
-	before := f.keeper.Counts()
+	clear(f.calls)
 	var took []time.Duration
 	for i := range changes {
 		if i%2 == 0 {
@@ -38,11 +38,11 @@
 	}
 	slices.Sort(took)
 	seconds := f.clock.Now().Sub(begin).Seconds()
-	after := f.keeper.Counts()
 	b.ReportMetric(took[len(took)/2].Seconds(), "p50-s")
 	b.ReportMetric(took[len(took)-1].Seconds(), "max-s")
 	b.ReportMetric(float64(f.bytes)/seconds/float64(routers), "B/s/router")
 	b.ReportMetric(float64(f.messages)/seconds/float64(routers), "msg/s/router")
-	b.ReportMetric(float64(after.Reads-before.Reads)/seconds, "reads/s")
-	b.ReportMetric(float64(after.Writes-before.Writes)/seconds, "writes/s")
+	for purpose, n := range f.calls {
+		b.ReportMetric(float64(n)/seconds, purpose+"/s")
+	}
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -53,6 +53,7 @@
 
 	addresses map[messenger.RouterID]string
 	known     int
+	started   time.Time
 	inForce   configurer.PutInForce
 }
 
@@ -79,6 +80,9 @@
 
 // Handle takes one event and returns what is to be done.
 func (c *Coordinator) Handle(now time.Time, e Event) []Action {
+	if c.started.IsZero() {
+		c.started = now
+	}
 	switch e := e.(type) {
 	case Tick:
 		return append(c.register(now, registrar.Tick{}), c.configure(now, configurer.Tick{})...)
@@ -115,7 +119,7 @@
 	if !c.registrar.Current(from) {
 		return actions
 	}
-	actions = append(actions, c.configure(now, versionOf(now, m))...)
+	actions = append(actions, c.configure(now, versionOf(now, c.started, m))...)
 	if m.Ask != nil {
 		actions = append(actions, c.configure(now, configurer.PeerAsk{Router: from.Router, Since: m.Ask.Since})...)
 	}
@@ -127,7 +131,7 @@
 
 // versionOf reads what a message says of the configuration. How old the
 // message is at most is known only of answers.
-func versionOf(now time.Time, m Message) configurer.PeerVersion {
+func versionOf(now, started time.Time, m Message) configurer.PeerVersion {
 	age := time.Duration(m.AgeMS) * time.Millisecond
 	if m.Heartbeat.Echo != 0 {
 		age += now.Sub(time.UnixMilli(m.Heartbeat.Echo))
@@ -135,7 +139,8 @@
 	return configurer.PeerVersion{
 		Router: m.Heartbeat.From.Router, Incarnation: m.Heartbeat.From.Incarnation,
 		Version: m.Version, Settled: m.Settled, Known: int(m.Known),
-		Age: age, Unconfirmed: m.Unconfirmed || m.Heartbeat.Echo == 0,
+		Answers: m.Heartbeat.Echo != 0 && m.Heartbeat.Echo >= started.UnixMilli(),
+		Age:     age, Unconfirmed: m.Unconfirmed || m.Heartbeat.Echo == 0,
 	}
 }
 
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -35,6 +35,24 @@
 	}
 }
 
+// TestHoldersTellWhenChangeIsSafe makes a change through one router while two
+// are cut off.
+func TestHoldersTellWhenChangeIsSafe(t *testing.T) {
+	f := newFleet(t, 8, 1)
+	f.waitReady()
+	f.waitMembers()
+	apart := func(a string) bool { return a >= "r006" }
+	f.cut = func(a, b string) bool { return apart(a) != apart(b) }
+	f.storeCut = apart
+	v := f.change(2)
+	holders := func() int { return f.nodes["r000"].c.Configurer().Holders(v) }
+	f.runUntil(time.Minute, func() bool { return holders() == 6 })
+	f.run(20 * time.Second)
+	if got := holders(); got != 6 {
+		t.Errorf("holders: got %d, want the 6 that are reached", got)
+	}
+}
+
 // TestChangeReachesRoutersCutFromStore lets one router of eight reach the
 // store.
 func TestChangeReachesRoutersCutFromStore(t *testing.T) {
--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -51,6 +51,7 @@
 	measure  bool
 	messages int
 	bytes    int
+	calls    map[string]int
 	handle   codec.MsgpackHandle
 }
 
@@ -101,8 +102,8 @@
 	k := keeper.New(clock)
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, 2)), clock: clock, keeper: k,
-		nodes: make(map[string]*node),
-		cut:   func(string, string) bool { return false }, storeCut: func(string) bool { return false },
+		nodes: make(map[string]*node), calls: make(map[string]int),
+		cut: func(string, string) bool { return false }, storeCut: func(string) bool { return false },
 	}
 	f.handle.StructToArray = true
 	tokens := 0
@@ -238,21 +239,21 @@
 	case Send:
 		f.deliver(n, a)
 	case ReadTable:
-		f.call(n, func(s storer.Store) Event {
+		f.call(n, "config-reads", func(s storer.Store) Event {
 			u, err := configurer.Fetch(f.t.Context(), s, a.State)
 			return TableRead{Update: u, Err: err}
 		})
 	case ReadRows:
-		f.call(n, func(s storer.Store) Event {
+		f.call(n, "member-reads", func(s storer.Store) Event {
 			rows, err := s.Scan(f.t.Context(), registrar.Table, a.Since, 1000)
 			return RowsRead{Rows: rows, Err: err}
 		})
 	case WriteRow:
-		f.call(n, func(s storer.Store) Event {
+		f.call(n, "member-writes", func(s storer.Store) Event {
 			return RowWritten{Op: a.Op, Err: s.Commit(f.t.Context(), []storer.Op{a.Op})}
 		})
 	case ReadVMs:
-		f.call(n, func(s storer.Store) Event {
+		f.call(n, "list-reads", func(s storer.Store) Event {
 			vms, err := s.VMs(f.t.Context())
 			return VMsRead{VMs: vms, Err: err}
 		})
@@ -266,7 +267,8 @@
 }
 
 // call makes a call to the store; its effect comes after half the delay.
-func (f *fleet) call(n *node, do func(storer.Store) Event) {
+func (f *fleet) call(n *node, purpose string, do func(storer.Store) Event) {
+	f.calls[purpose]++
 	c := n.c
 	f.after(storeDelay/2, func() {
 		var s storer.Store = f.keeper
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -255,3 +256,18 @@
 	}
 	return t
 }
+
+// Clone returns a platform with the same tables and objects, without faults,
+// that changes independently of k. Explorations of states use it.
+func (k *Keeper) Clone() *Keeper {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.applyDue()
+	c := New(k.clock)
+	c.objects = maps.Clone(k.objects)
+	c.list.states = slices.Clone(k.list.states)
+	for name, t := range k.tables {
+		c.tables[name] = &table{name: name, last: t.last, rows: maps.Clone(t.rows), changes: slices.Clone(t.changes)}
+	}
+	return c
+}
