Add orders to engines by wanted state

Cause: models, adapters, versions and roles must be set and stay set, under a lease, within the weight store's rate, also on engines that ignore fences.

--- a/internal/configurer/document.go
+++ b/internal/configurer/document.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/orderer"
 )
 
 // Document is the configuration of the whole fleet: defaults and a short list
@@ -78,6 +79,8 @@
 type PoolSettings struct {
 	LongShare   *float64 `json:"longShare,omitempty"`
 	HedgeBudget *float64 `json:"hedgeBudget,omitempty"`
+	// State is what the pool's engines should have loaded and do.
+	State *orderer.State `json:"state,omitempty"`
 }
 
 // UpstreamSettings describe an upstream.
@@ -89,6 +92,8 @@
 	Engine      *bool            `json:"engine,omitempty"`
 	Leaving     *bool            `json:"leaving,omitempty"`
 	ChecksFence *bool            `json:"checksFence,omitempty"`
+	// State replaces the pool's, as a whole.
+	State *orderer.State `json:"state,omitempty"`
 }
 
 // Route sends requests under a path to a pool.
--- a/internal/configurer/document_test.go
+++ b/internal/configurer/document_test.go
@@ -82,6 +82,15 @@
 	}
 }
 
+func TestEngines(t *testing.T) {
+	text := strings.Replace(sample, `"longShare": 0.5`, `"longShare": 0.5, "state": {"models": {"fitting": "7"}}`, 1)
+	text = strings.Replace(text, `"upstream": {"leaving": true}`, `"upstream": {"leaving": true, "state": {"role": "prefill"}}`, 1)
+	got := parse(t, text).Engines(start)
+	if len(got) != 2 || got["w1"].Want.Models["fitting"] != "7" || got["w2"].Want.Role != "prefill" {
+		t.Errorf("got %+v, want the pool's state for w1 and the exception's for w2", got)
+	}
+}
+
 func TestPeriodCovers(t *testing.T) {
 	night := Period{Days: []string{"mon"}, From: "22:00", To: "06:00"}
 	day := Period{From: "08:00", To: "18:00"}
--- a/internal/configurer/resolve.go
+++ b/internal/configurer/resolve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/orderer"
 )
 
 // Resolve returns the policy in force at a time on one router, which stands in
@@ -112,6 +113,47 @@
 	return policies
 }
 
+// Engines returns the wanted state of the model engines that have one, for the
+// orderer.
+func (d *Document) Engines(now time.Time) map[messenger.UpstreamID]orderer.Engine {
+	r := resolver{doc: d, now: now}
+	engines := make(map[messenger.UpstreamID]orderer.Engine)
+	for id, p := range d.Resolve(now, "", "").Upstreams {
+		if want := r.state(id, p); want != nil && p.Engine {
+			engines[id] = orderer.Engine{Want: *want, ChecksFence: p.ChecksFence}
+		}
+	}
+	return engines
+}
+
+// state resolves the wanted state of one engine: the pool's, its own, then
+// exceptions to either.
+func (r *resolver) state(id messenger.UpstreamID, p messenger.UpstreamPolicy) *orderer.State {
+	u := r.doc.Upstreams[id]
+	want := r.doc.Pools[p.Pool].State
+	replace(&want, u.State)
+	for _, name := range r.doc.ordered() {
+		e := r.doc.Exceptions[name]
+		if !r.applies(e) {
+			continue
+		}
+		if e.Pool != nil && (e.Scope.Pool == "" || e.Scope.Pool == p.Pool) && u.State == nil {
+			replace(&want, e.Pool.State)
+		}
+		if e.Upstream != nil && e.Scope.holds(id, u) {
+			replace(&want, e.Upstream.State)
+		}
+	}
+	return want
+}
+
+// replace sets *to unless from is nil.
+func replace[T any](to **T, from *T) {
+	if from != nil {
+		*to = from
+	}
+}
+
 // holds reports whether an upstream, as it stands in the document, is in scope.
 func (s Scope) holds(id messenger.UpstreamID, u UpstreamSettings) bool {
 	return (s.Upstream == "" || s.Upstream == id) &&
