Bytes that a connection refuses do not count as pending

Cause: TestSlowReaderIsSeenAndBounded failed once under load with 1272240 pending at a limit of 1048576 plus one buffer: a write that nbio refuses, since the connection holds too much, was still counted as written until the connection was gone. Ruled out: memory beyond the limit, nbio refuses before it queues.

--- a/internal/listener/wire.go
+++ b/internal/listener/wire.go
@@ -21,10 +21,15 @@
 	b *boundary
 }
 
-// Write queues p for sending.
+// Write queues p for sending. What nbio refuses, because the connection is
+// gone or holds too much, does not count as written.
 func (w *wire) Write(p []byte) (int, error) {
 	w.b.written.Add(int64(len(p)))
-	return w.Conn.Write(p)
+	n, err := w.Conn.Write(p)
+	if err != nil {
+		w.b.written.Add(int64(max(n, 0) - len(p)))
+	}
+	return n, err
 }
 
 // SetReadDeadline does nothing: the sweeper bounds reading.
