Balance owners and let debts pay for large leads

Cause: a router that owned many slots ran out of credit and then kept its own slots whatever others lacked; slots of routers that had left a cell were never counted as free.

Change: cells of 4 upstreams, owned by rendezvous hashing with a bound on the load; slots of an own cell move free of cost, others on credit that grows with the lead; a router answers grants for upstreams that it no longer uses.

--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -28,10 +28,11 @@
 func cellsOf(id messenger.PoolID, upstreams []messenger.UpstreamID, routers []messenger.RouterID, size int) []cell {
 	n := (len(upstreams) + size - 1) / size
 	cells := make([]cell, n)
+	load := make(map[messenger.RouterID]int)
 	keys := make([]string, n)
 	for i := range cells {
 		keys[i] = string(id) + "/" + strconv.Itoa(i)
-		cells[i].owner = winner(keys[i], routers)
+		cells[i].owner = leastLoaded(keys[i], routers, load, (n+len(routers)-1)/len(routers))
 	}
 	for _, u := range upstreams {
 		i := cellOf(u, keys)
@@ -41,6 +42,20 @@
 	return cells
 }
 
+// leastLoaded returns the router with the highest rank for a key among those
+// that own fewer cells than a limit, and counts the cell as its own.
+func leastLoaded(key string, routers []messenger.RouterID, load map[messenger.RouterID]int, limit int) messenger.RouterID {
+	var best messenger.RouterID
+	var top uint64
+	for _, r := range routers {
+		if h := rank(key, r); load[r] < limit && (best == "" || h > top) {
+			best, top = r, h
+		}
+	}
+	load[best]++
+	return best
+}
+
 // cellOf returns the index of the cell with the highest rank for an upstream.
 func cellOf(u messenger.UpstreamID, keys []string) int {
 	best := 0
--- a/internal/scheduler/governor.go
+++ b/internal/scheduler/governor.go
@@ -21,10 +21,16 @@
 	// that reports leave to slot movements, in seconds of the budget.
 	maxCreditSeconds = 0.5
 	reserveSeconds   = 0.25
+	// fullLead is the lead, in multiples of the slack, that is worth a debt of
+	// one second; moveDebtSeconds bounds the debt for moves that fairness asks
+	// for, and maxDebtSeconds the debt for telling of any move.
+	fullLead        = 1
+	moveDebtSeconds = 0.5
+	maxDebtSeconds  = 2
 )
 
 // governor keeps the control messages of a router within a byte budget. Slot
-// movements go first and may run up a debt of one second; reports share what
+// movements go first and may run up a short debt; reports share what
 // is left, the oldest first. Pressure grows while reports are late: it widens
 // the steps at which something counts as worth reporting.
 type governor struct {
@@ -56,6 +62,12 @@
 	g.sentMessages++
 }
 
+// affords reports whether a slot may be moved for the sake of fairness. The
+// larger the lead, the more debt it may run up.
+func (g *governor) affords(lead float64) bool {
+	return g.credit > -g.bytesPerSecond*min(moveDebtSeconds, lead/fullLead)
+}
+
 // adapt changes the pressure by whether reports are late.
 func (g *governor) adapt(late bool) {
 	if late {
@@ -72,7 +84,7 @@
 		if !l.urgent {
 			continue
 		}
-		if l.router != s.cfg.Self && s.governor.credit < -s.governor.bytesPerSecond {
+		if l.router != s.cfg.Self && s.governor.credit < -s.governor.bytesPerSecond*maxDebtSeconds {
 			continue
 		}
 		s.send(l)
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -22,6 +22,8 @@
 	// seen is the sequence of the newest grant.
 	seen   uint64
 	queued bool
+	// gone is true once this router uses the upstream no more.
+	gone bool
 }
 
 // source is an owner of upstreams that this router may use.
@@ -109,7 +111,16 @@
 // takeGrant takes in how much of an upstream this router may use.
 func (p *pool) takeGrant(k *link, g messenger.Grant) {
 	l, ok := p.leases[g.Upstream]
-	if !ok || l.owner != k.router || g.Sequence <= l.seen {
+	if !ok {
+		l = &lease{upstream: g.Upstream, owner: k.router, gone: true}
+		p.leases[g.Upstream] = l
+	}
+	if l.owner != k.router || g.Sequence <= l.seen {
+		return
+	}
+	if l.gone {
+		l.seen = g.Sequence
+		p.tellLease(l, true)
 		return
 	}
 	shrunk := g.Slots < l.allowed.slots
@@ -165,14 +176,15 @@
 		return
 	}
 	v := &src.rival
+	free := l.owner == p.sched.cfg.Self
 	running, long := p.placer.Running(l.upstream)
 	changed := false
-	for v.Want > 0 && l.allowed.slots > running && p.loses(v) {
+	for v.Want > 0 && l.allowed.slots > running && p.loses(v, free) {
 		l.allowed.slots--
 		v.Want = consume(v.Want)
 		changed = true
 	}
-	for v.Long > 0 && l.allowed.long > long && p.losesLong(v) {
+	for v.Long > 0 && l.allowed.long > long && p.losesLong(v, free) {
 		l.allowed.long--
 		v.Long = consume(v.Long)
 		changed = true
@@ -207,22 +219,25 @@
 }
 
 // loses reports whether the next local request goes after that of others.
-func (p *pool) loses(v *messenger.Demand) bool {
+func (p *pool) loses(v *messenger.Demand, free bool) bool {
 	own, ok := p.first()
-	return !ok || p.overdue(urgencyOf(*v), own)
+	return !ok || p.overdue(urgencyOf(*v), own, free)
 }
 
 // overdue reports whether a request elsewhere has waited so much longer for
 // service than an own one that a slot should move. It is the likelier the
 // larger the lead is: what is known of others is late, and a router that gave
 // back all it could would overshoot. A router that is out of credit keeps its
-// slots busy itself.
-func (p *pool) overdue(other, own urgency) bool {
+// slots busy itself, unless the lead is large or giving back is free of cost.
+func (p *pool) overdue(other, own urgency, free bool) bool {
 	if other.precedence != own.precedence {
 		return other.precedence > own.precedence
 	}
 	lead := own.tag - other.tag - p.slack()
-	return lead > 0 && p.sched.governor.credit > 0 && lead > p.rand.Float64()*yieldRange*p.slack()
+	if lead <= 0 || !free && !p.sched.governor.affords(lead/p.slack()) {
+		return false
+	}
+	return lead > p.rand.Float64()*yieldRange*p.slack()
 }
 
 // yieldRange is the lead, in multiples of the slack, at which every free slot
@@ -230,9 +245,9 @@
 const yieldRange = 2
 
 // losesLong is loses for long work.
-func (p *pool) losesLong(v *messenger.Demand) bool {
+func (p *pool) losesLong(v *messenger.Demand, free bool) bool {
 	own, ok := p.firstLong()
-	return !ok || p.overdue(urgencyOf(*v), own)
+	return !ok || p.overdue(urgencyOf(*v), own, free)
 }
 
 // updateDemand notes what this router lacks and has it told where it changed.
--- a/internal/scheduler/relation.go
+++ b/internal/scheduler/relation.go
@@ -71,10 +71,12 @@
 			if !ok {
 				continue
 			}
-			l.owner, l.floor, l.allowed, l.seen = cells[i].owner, amounts{}, amounts{}, 0
+			if l.owner != cells[i].owner {
+				l.owner, l.seen = cells[i].owner, 0
+			}
+			l.floor, l.allowed, l.gone = amounts{}, amounts{}, true
 			p.place(l)
 			p.tellLease(l, true)
-			delete(p.leases, id)
 		}
 	}
 }
@@ -104,6 +106,9 @@
 		l = &lease{upstream: id, owner: c.owner, allowed: floor}
 		p.leases[id] = l
 	}
+	if l.gone {
+		l.gone, l.allowed = false, floor
+	}
 	l.floor = floor
 	if p.sched.cfg.Mode == Alone {
 		l.allowed = floor
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -61,7 +61,7 @@
 
 // Defaults of a Config.
 const (
-	defaultCellSize   = 8
+	defaultCellSize   = 4
 	defaultReportStep = 0.5
 	defaultMoveStep   = 1
 )
