Adapt windows to observed speed, hedge, correct late reports

Cause: the placer used every lease in full whatever the upstream's speed, and an account that lagged after a cut was owed without bound.

Change: windows shrink within a second where an upstream is slower than its pool or silent, and grow back by probes; late load reports are corrected by what was sent since; prompt prefixes draw requests within a load bound; second copies within a budget; repayment after a cut is capped.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -17,6 +17,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lentilwood.example/lentilwood/internal/messenger"
@@ -44,6 +45,13 @@
 	// longFree counts the slots that long work may still take; usable counts
 	// the upstreams that may get new work.
 	longFree, usable int
+	// list holds the upstreams for Sweep, which goes on at cursor.
+	list   []*upstream
+	cursor int
+	speed  speed
+	cache  affinity
+	// running counts the requests on all upstreams.
+	running int
 }
 
 // upstream is what one router knows of one upstream.
@@ -57,6 +65,8 @@
 	// longFree is the upstream's part of Placer.longFree.
 	longFree int
 	usable   bool
+	pace     pace
+	report   report
 	// freeAt is the index in Placer.free, or -1.
 	freeAt int
 }
@@ -74,7 +84,9 @@
 	u, ok := p.upstreams[id]
 	if !ok {
 		u = &upstream{id: id, freeAt: -1}
+		u.pace.health = 1
 		p.upstreams[id] = u
+		p.list = append(p.list, u)
 	}
 	u.policy = policy
 	p.refresh(u)
@@ -90,6 +102,7 @@
 	u.policy.Leaving = true
 	p.refresh(u)
 	delete(p.upstreams, id)
+	p.list = slices.DeleteFunc(p.list, func(other *upstream) bool { return other == u })
 }
 
 // Lease sets how many requests this router may run on an upstream, and how
@@ -119,9 +132,15 @@
 // Usable reports whether any upstream may get new work.
 func (p *Placer) Usable() bool { return p.usable > 0 }
 
-// Pick returns the best of a few upstreams that can take the request now.
-func (p *Placer) Pick(_ time.Time, q Query) (messenger.UpstreamID, bool) {
+// Pick returns the upstream with the least expected latency out of a few that
+// can take the request now. An upstream that holds the prompt prefix goes
+// first, unless it is loaded much more than the others.
+func (p *Placer) Pick(now time.Time, q Query) (messenger.UpstreamID, bool) {
+	if u := p.holder(now, q); u != nil {
+		return u.id, true
+	}
 	var best *upstream
+	var least float64
 	n := len(p.free)
 	if n == 0 {
 		return "", false
@@ -134,8 +153,8 @@
 			continue
 		}
 		found++
-		if best == nil || u.load() < best.load() {
-			best = u
+		if cost := p.expected(now, u); best == nil || cost < least {
+			best, least = u, cost
 		}
 	}
 	if best == nil {
@@ -153,12 +172,18 @@
 }
 
 // Start notes that a request was sent to an upstream.
-func (p *Placer) Start(_ time.Time, id messenger.UpstreamID, long bool) {
+func (p *Placer) Start(now time.Time, id messenger.UpstreamID, long bool) {
 	u, ok := p.upstreams[id]
 	if !ok {
 		return
 	}
+	if u.running == 0 {
+		u.pace.seen = now
+	}
 	u.running++
+	p.running++
+	u.report.note(now, u.running)
+	u.pace.probed = now
 	if long {
 		u.long++
 	}
@@ -174,23 +199,20 @@
 }
 
 // End notes that a request has left an upstream.
-func (p *Placer) End(_ time.Time, id messenger.UpstreamID, long bool) {
+func (p *Placer) End(now time.Time, id messenger.UpstreamID, long bool) {
 	u, ok := p.upstreams[id]
 	if !ok {
 		return
 	}
 	u.running--
+	p.running--
+	u.report.note(now, u.running)
 	if long {
 		u.long--
 	}
 	p.refresh(u)
 }
 
-// load is the fraction of the lease in use.
-func (u *upstream) load() float64 {
-	return float64(u.running) / float64(max(1, u.slots))
-}
-
 // refresh keeps the list of upstreams with a free slot and the sums in step
 // with u.
 func (p *Placer) refresh(u *upstream) {
@@ -201,12 +223,12 @@
 	}
 	longFree := 0
 	if open {
-		longFree = max(0, min(u.longSlots-u.long, u.slots-u.running))
+		longFree = max(0, min(u.longSlots-u.long, u.limit()-u.running))
 	}
 	p.longFree += longFree - u.longFree
 	u.longFree = longFree
-	if u.running < u.slots && open {
-		p.list(u)
+	if u.running < u.limit() && open {
+		p.enlist(u)
 		return
 	}
 	p.unlist(u)
@@ -220,7 +242,7 @@
 	return -1
 }
 
-func (p *Placer) list(u *upstream) {
+func (p *Placer) enlist(u *upstream) {
 	if u.freeAt >= 0 {
 		return
 	}
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -89,6 +89,7 @@
 	if h.waiting == 0 && u.Waiting > 0 {
 		h.tag = max(h.tag, p.vtime)
 	}
+	h.tag = max(h.tag, p.oldest())
 	h.tag += float64(u.Served-c.served) / weightOf(p.sched.policy, u.Account)
 	h.waiting += u.Waiting - c.waiting
 	h.running += u.Running - c.running
@@ -132,6 +133,7 @@
 		return
 	}
 	f.heard = sequence
+	f.elsewhere, f.elsewhereAt = t.Waiting, p.sched.now
 	f.tag = float64(t.Tag) + (f.served-float64(t.Included))/f.weight
 	f.reorder()
 	p.sched.limits.SetFleet(t.Account, p.fleetUse(f, t))
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -27,6 +27,8 @@
 	// requests that are held back by nothing but the lack of a slot.
 	backlogged, waiting int
 	turns               cadence
+	// hedgeCredit is how many second copies the budget allows now.
+	hedgeCredit float64
 	// cost is a moving average of the cost of finished requests.
 	cost float64
 	// large is a decaying maximum of the cost of requests.
@@ -83,6 +85,16 @@
 	toldAt     time.Time
 	heard      uint64
 	queued     bool
+	// elsewhere counts the account's requests waiting at other routers, as its
+	// home said at elsewhereAt.
+	elsewhere   int
+	elsewhereAt time.Time
+}
+
+// waitsElsewhere reports whether requests of the account wait at other routers,
+// so that it has not been idle.
+func (f *flow) waitsElsewhere(now time.Time) bool {
+	return f.elsewhere > 0 && now.Sub(f.elsewhereAt) < leaseTTL
 }
 
 // class is one class of requests in one pool.
@@ -204,7 +216,7 @@
 	f := r.queue.flow
 	r.long = r.queue.class.policy.Long
 	r.queue.push(r)
-	if f.waiting == 0 {
+	if f.waiting == 0 && !f.waitsElsewhere(p.sched.now) {
 		f.tag = max(f.tag, p.vtime)
 	}
 	p.wait(r)
@@ -348,6 +360,7 @@
 // start dispatches r to an upstream.
 func (p *pool) start(r *request, u messenger.UpstreamID) {
 	f := r.queue.flow
+	f.tag = max(f.tag, p.oldest())
 	p.advance(f.tag)
 	p.unwait(r)
 	p.turns.note(p.sched.now)
@@ -358,7 +371,10 @@
 		p.block(f)
 	}
 	r.upstreams = append(r.upstreams, u)
+	r.started, r.heard = p.sched.now, time.Time{}
 	p.placer.Start(p.sched.now, u, r.long)
+	p.placer.Cached(u, r.arrive.Prefix, true)
+	p.planHedge(r)
 	if r.charged == 0 {
 		r.estimate = r.queue.estimate(r.arrive.CostHint)
 		p.charge(r, r.estimate)
@@ -366,6 +382,14 @@
 	p.sched.act(messenger.Dispatch{Request: r.arrive.Request, Upstream: u})
 }
 
+// repayment bounds how far an account's tag may lag behind the virtual time, in
+// large costs: what it was denied during a cut is repaid up to that much, so
+// that the others are not starved to settle it.
+const repayment = 2
+
+// oldest returns the lowest tag that an account may have.
+func (p *pool) oldest() float64 { return p.vtime - repayment*p.largeCost() }
+
 // advance moves the virtual time up to the tag of a dispatched request, but
 // not past a request that waits at another router.
 func (p *pool) advance(tag float64) {
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -26,6 +26,11 @@
 	upstreams []messenger.UpstreamID
 	avoid     messenger.UpstreamID
 
+	// started is when the request was dispatched and heard when it last
+	// produced something.
+	started, heard time.Time
+	hedge          *hedge
+
 	prev, next *request
 	expiryAt   int
 }
@@ -149,8 +154,9 @@
 	if !ok || r.waiting {
 		return
 	}
-	r.tokens += e.Tokens
 	p := r.queue.flow.pool
+	p.observe(r, e)
+	r.tokens += e.Tokens
 	if r.tokens > r.charged {
 		p.charge(r, r.tokens-r.charged)
 	}
@@ -162,6 +168,22 @@
 	}
 }
 
+// observe tells the placer how fast an upstream was.
+func (p *pool) observe(r *request, e messenger.Progress) {
+	now := p.sched.now
+	if e.First || r.heard.IsZero() {
+		p.sched.unhedge(r)
+	}
+	if len(r.upstreams) == 1 {
+		if e.First || r.heard.IsZero() {
+			p.placer.ObserveFirst(now, r.upstreams[0], now.Sub(r.started))
+		} else {
+			p.placer.ObserveTokens(now, r.upstreams[0], e.Tokens, now.Sub(r.heard))
+		}
+	}
+	r.heard = now
+}
+
 // finish ends an attempt and, unless another one runs or is due, the request.
 func (s *Scheduler) finish(e messenger.Finish) {
 	r, ok := s.requests[e.Request]
@@ -170,6 +192,7 @@
 	}
 	p := r.queue.flow.pool
 	p.placer.End(s.now, e.Upstream, r.long)
+	s.unhedge(r)
 	if l, ok := p.leases[e.Upstream]; ok {
 		p.yieldFreed(l)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -94,7 +94,9 @@
 	poolList []*pool
 	requests map[messenger.RequestID]*request
 	expiries heap[*request]
-	actions  []messenger.Action
+	// hedges holds the requests that may need a second copy.
+	hedges  heap[*hedge]
+	actions []messenger.Action
 
 	// incarnation tells this start of the router from earlier ones.
 	incarnation uint64
@@ -148,6 +150,14 @@
 		s.changePolicy(e.Policy)
 	case messenger.PeersChange:
 		s.changePeers(e.Routers)
+	case messenger.LoadReport:
+		if p := s.poolWith(e.Upstream); p != nil {
+			p.placer.Report(e)
+		}
+	case messenger.CacheReport:
+		if p := s.poolWith(e.Upstream); p != nil {
+			p.placer.Cached(e.Upstream, e.Prefix, e.Cached)
+		}
 	case messenger.Receive:
 		s.receive(e.From, e.Message.Control)
 	case messenger.Tick:
@@ -160,6 +170,15 @@
 // act adds an action to the answer of the current call.
 func (s *Scheduler) act(a messenger.Action) { s.actions = append(s.actions, a) }
 
+// poolWith returns the pool of an upstream, or nil.
+func (s *Scheduler) poolWith(id messenger.UpstreamID) *pool {
+	u, ok := s.policy.Upstreams[id]
+	if !ok {
+		return nil
+	}
+	return s.pools[u.Pool]
+}
+
 // changePolicy puts another policy in force.
 func (s *Scheduler) changePolicy(policy *messenger.Policy) {
 	if policy == nil || policy.Version < s.policy.Version {
--- a/internal/scheduler/upkeep.go
+++ b/internal/scheduler/upkeep.go
@@ -19,8 +19,10 @@
 	s.ticks++
 	s.governor.refill(s.now)
 	s.expire()
+	s.sendHedges()
 	s.contended = false
 	for _, p := range s.poolList {
+		p.placer.Sweep(s.now)
 		p.sweep()
 		s.contended = s.contended || p.contended()
 		p.dispatch()
--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -35,6 +35,15 @@
 	c.last = now
 }
 
+// expected returns the time to expect between events, which is no less than
+// the time since the last one.
+func (c *cadence) expected(now time.Time) time.Duration {
+	if c.last.IsZero() || c.interval == 0 {
+		return c.interval
+	}
+	return max(c.interval, now.Sub(c.last))
+}
+
 // pause forgets the last event, so that an idle time counts for nothing.
 func (c *cadence) pause() { c.last = time.Time{} }
 
@@ -44,7 +53,7 @@
 	if ahead == 0 {
 		return 0
 	}
-	interval := q.flow.turns.interval
+	interval := q.flow.turns.expected(p.sched.now)
 	if interval == 0 {
 		interval = p.turns.interval * time.Duration(max(1, p.backlogged))
 	}
