Move slots only for a large lead

Cause: slots followed leads within the noise of single requests; small limits counted late news of other routers against local requests.

Change: the lead is three large requests; only limits too coarse to divide count what others had.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -20,6 +20,10 @@
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
+// smallLimit is the limit, in requests for each router, below which parts of
+// it are too coarse to go by alone.
+const smallLimit = 2
+
 // Limiter holds client accounts to their limits. It is not safe for concurrent
 // use.
 type Limiter struct {
@@ -95,13 +99,14 @@
 	return 1 / float64(l.routers)
 }
 
-// reached reports whether own requests, with those of other routers, are as
-// many as a limit allows. Each router may have one at least.
+// reached reports whether own requests are as many as this router's part of a
+// limit allows. Each router may have one at least; where that could add up to
+// more than the limit, what others last had counts too.
 func (l *Limiter) reached(now time.Time, a *account, limit, own, others int) bool {
 	if limit <= 0 {
 		return false
 	}
-	if now.Before(a.fleet.Until) && own+others >= limit {
+	if limit < smallLimit*l.routers && now.Before(a.fleet.Until) && own+others >= limit {
 		return true
 	}
 	return float64(own) >= max(1, math.Round(l.share(now, a)*float64(limit)))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -63,7 +63,7 @@
 const (
 	defaultCellSize   = 4
 	defaultReportStep = 0.5
-	defaultMoveStep   = 1
+	defaultMoveStep   = 3
 )
 
 // withDefaults fills in what is not set.
