Metrics of control traffic, store calls and dispatches; accounts by constant-time compare

Cause: control.bytesPerSecond was read by nobody, control bytes and store calls were counted but not shown, and client accounts were looked up by a map of digests instead of the identifier. Change: the scheduler gets the byte budget; metrics copy the counters of exchanger, store guard and dispatcher; tokens are compared in constant time.

--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -51,4 +51,4 @@
 }
 
 // WriteMetrics writes all metrics.
-func (b *backend) WriteMetrics(w io.Writer) { b.r.meter.WritePrometheus(w) }
+func (b *backend) WriteMetrics(w io.Writer) { b.r.writeMetrics(w) }
--- /dev/null
+++ b/internal/router/metrics.go
@@ -0,0 +1,90 @@
+package router
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+
+	"lentilwood.example/lentilwood/internal/meter"
+)
+
+// writeMetrics writes all metrics of the router. Counters that other packages
+// keep are copied first.
+func (r *Router) writeMetrics(w io.Writer) {
+	r.copyPeerCounters()
+	r.copyStoreCounters()
+	r.copyRequestCounters()
+	r.meter.WritePrometheus(w)
+}
+
+// copyPeerCounters copies what the exchanger counted.
+func (r *Router) copyPeerCounters() {
+	s := r.exchanger.Stats()
+	for kind, traffic := range s.Traffic {
+		r.meter.ControlSent(meter.PeerKind(kind)).Set(traffic.Sent)
+		r.meter.ControlReceived(meter.PeerKind(kind)).Set(traffic.Received)
+	}
+	r.meter.Counter("lentilwood_peer_messages_total{event=\"sent\"}").Set(s.Sent)
+	r.meter.Counter("lentilwood_peer_messages_total{event=\"received\"}").Set(s.Received)
+	r.meter.Counter("lentilwood_peer_messages_total{event=\"dropped\"}").Set(s.Dropped)
+	r.meter.Counter("lentilwood_peer_messages_total{event=\"lost\"}").Set(s.Lost)
+	r.meter.Counter("lentilwood_peer_connections_total{event=\"rejected\"}").Set(s.Rejected)
+}
+
+// copyStoreCounters copies what the guard of the platform's store counted.
+func (r *Router) copyStoreCounters() {
+	for purpose, n := range r.store.Counts() {
+		set := func(event string, value uint64) {
+			name := fmt.Sprintf("lentilwood_store_calls_total{purpose=%q,event=%q}", purpose, event)
+			r.meter.Counter(name).Set(value)
+		}
+		set("read", n.Reads)
+		set("write", n.Writes)
+		set("failure", n.Failures)
+		set("retry", n.Retries)
+		set("rejected", n.Rejected)
+	}
+}
+
+// copyRequestCounters copies what the dispatcher counted.
+func (r *Router) copyRequestCounters() {
+	c := r.dispatcher.Counters()
+	counters := map[string]*atomic.Uint64{
+		"lentilwood_wrong_answers_total":               &c.WrongAnswers,
+		"lentilwood_retries_total":                     &c.Retries,
+		"lentilwood_retries_denied_total":              &c.RetriesDenied,
+		"lentilwood_hedges_total":                      &c.Hedges,
+		"lentilwood_resumes_total":                     &c.Resumes,
+		"lentilwood_cancels_total":                     &c.Cancels,
+		"lentilwood_silent_upstream_connections_total": &c.Silences,
+		"lentilwood_callers_gone_total":                &c.CallersGone,
+		"lentilwood_unknown_outcomes_total":            &c.Unknown,
+	}
+	for name, value := range counters {
+		r.meter.Counter(name).Set(value.Load())
+	}
+}
+
+// registerGauges registers the values that are read when metrics are.
+func (r *Router) registerGauges() {
+	r.meter.Gauge("lentilwood_ready", func() float64 {
+		ready, _ := r.Ready()
+		return toFloat(ready)
+	})
+	r.meter.Gauge("lentilwood_store_circuit_open", func() float64 { return toFloat(r.store.Open()) })
+	r.meter.Gauge("lentilwood_requests_in_progress", func() float64 { return float64(r.inProgress.Load()) })
+	r.meter.Gauge("lentilwood_configuration_version", func() float64 {
+		cfg := r.current.Load()
+		if cfg == nil {
+			return 0
+		}
+		return float64(cfg.policy.Version)
+	})
+}
+
+func toFloat(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -72,6 +72,8 @@
 	callers   *listener.Listener
 	operators *listener.Listener
 
+	// accounts finds client accounts by their tokens.
+	accounts    identifier.Identifier
 	current     atomic.Pointer[inForce]
 	ready       atomic.Pointer[readiness]
 	draining    atomic.Bool
@@ -116,8 +118,11 @@
 	r.serving, r.cutRequests = context.WithCancel(context.Background())
 	r.background, r.stopAll = context.WithCancel(context.Background())
 	r.ready.Store(&readiness{reason: string(configurer.NoConfiguration)})
-	r.control = newControl(cfg.Clock, scheduler.New(scheduler.Config{Self: r.self, Seed: cfg.Incarnation}))
+	r.control = newControl(cfg.Clock, scheduler.New(scheduler.Config{
+		Self: r.self, Seed: cfg.Incarnation, ControlBytes: cfg.Settings.Control.BytesPerSecond,
+	}))
 	r.control.fleet = r
+	r.registerGauges()
 	r.poller = poller.New(poller.Config{
 		Self: r.self, Clock: cfg.Clock,
 		Load:  r.reportLoad,
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -12,7 +12,6 @@
 
 	"lentilwood.example/lentilwood/internal/configurer"
 	"lentilwood.example/lentilwood/internal/dispatcher"
-	"lentilwood.example/lentilwood/internal/identifier"
 	"lentilwood.example/lentilwood/internal/listener"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/meter"
@@ -85,7 +84,7 @@
 	if cfg == nil {
 		return nil, refuseNotReady
 	}
-	account, ok := identify(cfg.document, req.Header)
+	account, ok := r.accounts.Identify(req.Header)
 	if !ok {
 		return nil, refuseToken
 	}
@@ -101,7 +100,7 @@
 	if problem != nil {
 		return nil, problem
 	}
-	arrive.Account, arrive.Class, arrive.Pool, arrive.Idempotent = account, class, route.Pool, route.Idempotent
+	arrive.Account, arrive.Class, arrive.Pool, arrive.Idempotent = messenger.AccountID(account), class, route.Pool, route.Idempotent
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return nil, refuseBody
@@ -120,15 +119,6 @@
 	}, nil
 }
 
-// identify returns the client account of a request.
-func identify(doc *configurer.Document, h http.Header) (messenger.AccountID, bool) {
-	token, ok := identifier.TokenOf(h)
-	if !ok {
-		return "", false
-	}
-	return doc.AccountByDigest(configurer.Digest(token))
-}
-
 // classify returns the class that the caller chose, or the route's.
 func classify(route configurer.Route, h http.Header) (messenger.ClassID, *refusal) {
 	class := messenger.ClassID(h.Get(messenger.ClassHeader))
