A handler that was just started goes before its poller

Cause: the poller's goroutine entered epoll_wait with the handler next in its own queue, where it waited until another thread took it.

Change: after a request was handed over the poller yields.

--- a/internal/listener/boundary.go
+++ b/internal/listener/boundary.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -56,6 +57,8 @@
 	held  []byte
 	left  int
 	body  int
+	// handedOver is true once a request was handed to its handler.
+	handedOver bool
 
 	mu           sync.Mutex
 	jobs         []func()
@@ -112,9 +115,20 @@
 			return nil
 		}
 	}
+	b.yield()
 	return nil
 }
 
+// yield lets a handler that was just started go first. The poller's goroutine
+// would otherwise enter a system call with the handler next in its queue, and
+// the handler would wait until another thread takes it from there.
+func (b *boundary) yield() {
+	if b.handedOver {
+		b.handedOver = false
+		runtime.Gosched()
+	}
+}
+
 // takeHead collects a request's head, checks it whole and hands it on.
 func (b *boundary) takeHead(data []byte) []byte {
 	if len(b.held) == 0 {
@@ -316,5 +330,6 @@
 	g.b.mu.Lock()
 	g.b.readingSince = time.Time{}
 	g.b.mu.Unlock()
+	g.b.handedOver = true
 	g.ServerProcessor.OnComplete(parser)
 }
