--- a/internal/scripter/commands.go
+++ b/internal/scripter/commands.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -80,7 +81,7 @@
 }
 
 func cmdRouter(w *world, ts *testscript.TestScript, args []string) {
-	args, o := parse(ts, args, "domain", "lag", "drain", "ready")
+	args, o := parse(ts, args, "domain", "lag", "drain", "ready", "seeds")
 	need(ts, args, 1, "router NAME [OPTION=VALUE]...")
 	ts.Check(w.startRouter(args[0], o))
 }
@@ -121,13 +122,13 @@
 // cmdAwait waits for an answer, for some of its events, for a router to be
 // ready or not, or for a version to be in force.
 func cmdAwait(w *world, ts *testscript.TestScript, args []string) {
-	args, o := parse(ts, args, "events", "ready", "version")
-	need(ts, args, 1, "await NAME [events=N | ready=yes | ready=no | version=N]")
+	args, o := parse(ts, args, "events", "ready", "version", "leaving")
+	need(ts, args, 1, "await NAME [events=N | ready=yes | ready=no | version=N | leaving=UPSTREAM]")
 	name := args[0]
 	if r, ok := w.routers[name]; ok {
 		ts.Check(w.until("router "+name, func() bool {
 			ready, _ := r.Ready()
-			return yesOrNo(ready) == o.text("ready", yesOrNo(ready)) && w.version(name) >= o.number("version", 0)
+			return yesOrNo(ready) == o.text("ready", yesOrNo(ready)) && w.agrees(name, o)
 		}))
 		return
 	}
@@ -147,15 +148,18 @@
 	ts.Check(w.until(fmt.Sprintf("%d events of %s", n, name), func() bool { return a.eventCount() >= n }))
 }
 
-// version returns the version that a router runs.
-func (w *world) version(name string) int {
+// agrees says whether a router's status is what a command waits for.
+func (w *world) agrees(name string, o options) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	s, err := w.client(name).Status(ctx)
-	if err != nil {
-		return 0
+	status, err := w.client(name).Status(ctx)
+	if err != nil || int(status.Version) < o.number("version", 0) {
+		return false
 	}
-	return int(s.Version)
+	leaving := o.text("leaving", "")
+	return leaving == "" || slices.ContainsFunc(status.Upstreams, func(u operator.UpstreamStatus) bool {
+		return u.Upstream == leaving && u.Leaving
+	})
 }
 
 func (w *world) client(name string) *operator.Client {
@@ -335,9 +339,9 @@
 		Mix: mix, For: o.duration("for", time.Second), Seed: uint64(o.number("seed", 1)), Run: name,
 		Timeout: patience, Expect: generator.StandIns{}, Clock: w.clock,
 	}
-	through := strings.FieldsFunc(o.text("through", ""), func(r rune) bool { return r == ',' })
+	through := o.list("through")
 	for n, r := range w.routers {
-		if len(through) == 0 || contains(through, n) {
+		if len(through) == 0 || slices.Contains(through, n) {
 			cfg.Routers = append(cfg.Routers, r.CallersAddr())
 		}
 	}
--- a/internal/scripter/load.go
+++ b/internal/scripter/load.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
+	"strings"
 
 	"lentilwood.example/lentilwood/internal/generator"
 )
@@ -24,10 +26,12 @@
 	return l
 }
 
-// check compares one count of a finished load. A value that ends in "+" is the
-// least that is wanted.
+// check compares one count of a finished load, of one client account if the
+// name ends in "@" and its name. A value that ends in "+" is the least that is
+// wanted.
 func (l *load) check(name, want string) string {
-	total := l.report.Total()
+	name, account, _ := strings.Cut(name, "@")
+	total := l.total(account)
 	counts := map[string]int{
 		"sent": total.Sent, "complete": total.Complete, "refused": total.Refused, "failed": total.Failed,
 		"wrong": total.Wrong, "cut": total.Cut, "lost": total.Lost, "skipped": total.Skipped,
@@ -47,6 +51,17 @@
 	return fmt.Sprintf("got %s %d, want %s (problems %v, faults %v)", name, got, want, l.report.Problems, l.report.Faults)
 }
 
+// total adds the groups of a client account up, or all of them.
+func (l *load) total(account string) generator.Group {
+	report := *l.report
+	if account != "" {
+		report.Groups = slices.DeleteFunc(slices.Clone(l.report.Groups), func(g generator.Group) bool {
+			return g.Account != account
+		})
+	}
+	return report.Total()
+}
+
 func cutPlus(s string) (int, bool) {
 	if len(s) == 0 || s[len(s)-1] != '+' {
 		return 0, false
--- a/internal/scripter/options.go
+++ b/internal/scripter/options.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -33,7 +34,7 @@
 			positional = append(positional, arg)
 			continue
 		}
-		if !contains(allowed, name) {
+		if !slices.Contains(allowed, name) {
 			ts.Fatalf("option %s is not known here; want one of %s", name, strings.Join(allowed, " "))
 		}
 		o.values[name] = value
@@ -41,15 +42,6 @@
 	return positional, o
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (o options) text(name, def string) string {
 	if v, ok := o.values[name]; ok {
 		return v
@@ -57,6 +49,11 @@
 	return def
 }
 
+// list returns the parts of a value that commas separate.
+func (o options) list(name string) []string {
+	return strings.FieldsFunc(o.values[name], func(r rune) bool { return r == ',' })
+}
+
 func (o options) number(name string, def int) int {
 	v, ok := o.values[name]
 	if !ok {
--- a/internal/scripter/world.go
+++ b/internal/scripter/world.go
@@ -192,6 +192,11 @@
 	s.BalancerLag = o.duration("lag", defaultBalancerLag)
 	s.DrainLimit = o.duration("drain", defaultDrainLimit)
 	s.PeerKey = loader.NewSecret(peerKey)
+	for _, seed := range o.list("seeds") {
+		if r, ok := w.routers[seed]; ok {
+			s.SeedPeers = append(s.SeedPeers, r.PeersAddr())
+		}
+	}
 	s.Operators = []loader.Operator{{Name: author, TokenDigest: identifier.DigestOf(tokenPrefix + author).Hex()}}
 	r := router.New(router.Config{
 		Settings: s, Store: w.platform(), Clock: w.clock, Log: w.log, DialPeer: w.dialFrom(name),
