--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -61,7 +61,8 @@
 // maxBatch bounds the messages of one call.
 const maxBatch = 64
 
-const codecBufferBytes = 1 << 10
+// codecBufferBytes is kept small: each connection has four such buffers.
+const codecBufferBytes = 512
 
 // Config says how an Exchanger works. Zero values mean the defaults above.
 type Config[M any] struct {
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -140,7 +140,7 @@
 	t.Cleanup(func() { _ = client.Close() })
 	_ = server.SetDeadline(time.Now().Add(patience))
 	go func() {
-		greeting := newGreeting("r9")
+		greeting := newGreeting("r9", 1)
 		_, _ = client.Write(greeting)
 		answer, _, _ := readGreeting(client)
 		_, _ = io.ReadFull(client, make([]byte, sha256.Size))
--- a/internal/exchanger/handshake.go
+++ b/internal/exchanger/handshake.go
@@ -15,12 +15,14 @@
 // key. The client opens with a greeting, the server answers with its own and a
 // proof over both, the client ends with its proof. A greeting is
 //
-//	protocol (4 bytes) | nonce (16 bytes) | length (1 byte) | name
+//	protocol (4 bytes) | nonce (16 bytes) | epoch (8 bytes) | length (1 byte) | name
 //
+// where the epoch tells runs of a sender apart,
 // and a proof is an HMAC-SHA256 over the role's label and both greetings.
 const (
 	protocol   = "LWX1"
 	nonceBytes = 16
+	epochBytes = 8
 	maxName    = 255
 
 	clientLabel = "client"
@@ -30,33 +32,42 @@
 var errProof = merry.Sentinel("the other end does not know the shared key")
 
 func newEpoch() uint64 {
-	var b [8]byte
+	var b [epochBytes]byte
 	_, _ = rand.Read(b[:])
 	return binary.BigEndian.Uint64(b[:])
 }
 
-func newGreeting(name string) []byte {
+func newGreeting(name string, epoch uint64) []byte {
 	name = name[:min(len(name), maxName)]
 	g := append([]byte(protocol), make([]byte, nonceBytes)...)
 	_, _ = rand.Read(g[len(protocol):])
+	g = binary.BigEndian.AppendUint64(g, epoch)
 	g = append(g, byte(len(name)))
 	return append(g, name...)
 }
 
-// readGreeting returns a greeting whole and the name in it.
-func readGreeting(r io.Reader) (greeting []byte, name string, err error) {
-	fixed := make([]byte, len(protocol)+nonceBytes+1)
+// sender is what a greeting says of the end that sent it.
+type sender struct {
+	name  string
+	epoch uint64
+}
+
+// readGreeting returns a greeting whole and the sender in it.
+func readGreeting(r io.Reader) (greeting []byte, from sender, err error) {
+	fixed := make([]byte, len(protocol)+nonceBytes+epochBytes+1)
 	if _, err := io.ReadFull(r, fixed); err != nil {
-		return nil, "", merry.Prepend(err, "read greeting")
+		return nil, from, merry.Prepend(err, "read greeting")
 	}
 	if string(fixed[:len(protocol)]) != protocol {
-		return nil, "", merry.New("the other end speaks another protocol")
+		return nil, from, merry.New("the other end speaks another protocol")
 	}
 	text := make([]byte, fixed[len(fixed)-1])
 	if _, err := io.ReadFull(r, text); err != nil {
-		return nil, "", merry.Prepend(err, "read greeting")
+		return nil, from, merry.Prepend(err, "read greeting")
 	}
-	return append(fixed, text...), string(text), nil
+	from.name = string(text)
+	from.epoch = binary.BigEndian.Uint64(fixed[len(protocol)+nonceBytes:])
+	return append(fixed, text...), from, nil
 }
 
 func proof(key []byte, label string, client, server []byte) []byte {
@@ -79,8 +90,8 @@
 }
 
 // greetAsClient authenticates the connection that this end opened.
-func greetAsClient(conn io.ReadWriter, key []byte, name string) error {
-	client := newGreeting(name)
+func greetAsClient(conn io.ReadWriter, key []byte, from sender) error {
+	client := newGreeting(from.name, from.epoch)
 	if _, err := conn.Write(client); err != nil {
 		return merry.Prepend(err, "write greeting")
 	}
@@ -96,16 +107,16 @@
 }
 
 // greetAsServer authenticates a connection that the other end opened, and
-// returns the other end's name.
-func greetAsServer(conn io.ReadWriter, key []byte, name string) (string, error) {
+// returns what the other end said of itself.
+func greetAsServer(conn io.ReadWriter, key []byte, name string) (sender, error) {
 	client, peer, err := readGreeting(conn)
 	if err != nil {
-		return "", err
+		return sender{}, err
 	}
-	server := newGreeting(name)
+	server := newGreeting(name, 0)
 	answer := slices.Concat(server, proof(key, serverLabel, client, server))
 	if _, err := conn.Write(answer); err != nil {
-		return "", merry.Prepend(err, "write greeting")
+		return sender{}, merry.Prepend(err, "write greeting")
 	}
 	return peer, checkProof(conn, proof(key, clientLabel, client, server))
 }
--- a/internal/exchanger/peer.go
+++ b/internal/exchanger/peer.go
@@ -123,7 +123,7 @@
 // deliver sends one batch, on a new connection if the one in use is in doubt.
 // It returns false if the peer could not be reached.
 func (p *peer[M]) deliver(messages []M) bool {
-	batch := &Batch[M]{Epoch: p.epoch, First: p.next, Messages: messages}
+	batch := &Batch[M]{First: p.next, Messages: messages}
 	p.next += uint64(len(messages))
 	reused := p.client != nil
 	err := p.attempt(batch)
@@ -184,7 +184,7 @@
 		secured = tls.Client(counted, p.x.cfg.TLS)
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(p.x.cfg.CallTimeout))
-	if err := greetAsClient(secured, p.x.cfg.Key, p.x.cfg.Name); err != nil {
+	if err := greetAsClient(secured, p.x.cfg.Key, sender{p.x.cfg.Name, p.epoch}); err != nil {
 		_ = conn.Close()
 		return merry.Prependf(err, "greet %s", p.address)
 	}
--- a/internal/exchanger/receiver.go
+++ b/internal/exchanger/receiver.go
@@ -14,9 +14,7 @@
 // Batch is the argument of a call: the messages that waited for a peer.
 type Batch[M any] struct {
 	_ struct{} `codec:",toarray"`
-	// Epoch tells runs of the sender apart, and First numbers the first of
-	// Messages within a run.
-	Epoch    uint64
+	// First numbers the first of Messages within the sender's epoch.
 	First    uint64
 	Messages []M
 }
@@ -49,28 +47,28 @@
 
 // deliver hands the messages on that are new. A sender has one call in
 // progress, so its messages stay in order.
-func (r *receiver[M]) deliver(from string, b *Batch[M]) {
+func (r *receiver[M]) deliver(from sender, b *Batch[M]) {
 	r.mu.Lock()
-	m, known := r.senders[from]
+	m, known := r.senders[from.name]
 	skip := 0
-	if known && m.epoch == b.Epoch && m.next > b.First {
+	if known && m.epoch == from.epoch && m.next > b.First {
 		skip = int(min(m.next-b.First, uint64(len(b.Messages))))
 	}
 	if len(r.senders) >= maxSenders && !known {
 		clear(r.senders)
 	}
-	r.senders[from] = mark{b.Epoch, b.First + uint64(len(b.Messages))}
+	r.senders[from.name] = mark{from.epoch, b.First + uint64(len(b.Messages))}
 	r.mu.Unlock()
 	r.counters.repeated.Add(uint64(skip))
 	for _, msg := range b.Messages[skip:] {
 		r.counters.received.Add(1)
-		r.handler(from, msg)
+		r.handler(from.name, msg)
 	}
 }
 
 // Session is the net/rpc service of one connection.
 type Session[M any] struct {
-	from     string
+	from     sender
 	receiver *receiver[M]
 }
 
@@ -130,7 +128,7 @@
 		return
 	}
 	_ = conn.SetDeadline(time.Time{})
-	total := x.counters.kind(x.cfg.KindOf(from))
+	total := x.counters.kind(x.cfg.KindOf(from.name))
 	total.sent.Add(count.sent.Load())
 	total.received.Add(count.received.Load())
 	counted.count = total
