Tell tags to every router that runs an account's requests

Cause: a router without waiting requests of an account kept an old tag, and gave the account too much when more arrived.

Change: homes tell tags wherever requests of the account wait or run.

--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -112,7 +112,7 @@
 // spread has the routers that need it told the tag of an account.
 func (p *pool) spread(h *home, from *contribution) {
 	step := p.quantum() / weightOf(p.sched.policy, h.account)
-	if from.waiting > 0 && math.Abs(h.tag-from.told) >= step {
+	if from.waiting+from.running > 0 && math.Abs(h.tag-from.told) >= step {
 		p.tellTag(from)
 	}
 	if math.Abs(h.tag-h.spread) < step {
@@ -120,7 +120,7 @@
 	}
 	h.spread = h.tag
 	for _, c := range h.order {
-		if c.waiting > 0 && math.Abs(h.tag-c.told) >= step {
+		if c.waiting+c.running > 0 && math.Abs(h.tag-c.told) >= step {
 			p.tellTag(c)
 		}
 	}
