Count an account's service elsewhere between reports

Cause: after each report all routers served the account that was behind, at the same time, and overshot.

Change: an own charge moves a tag by as much as the account usually gets from the whole fleet meanwhile; the home's next word corrects it.

--- a/internal/scheduler/charge.go
+++ b/internal/scheduler/charge.go
@@ -44,7 +44,7 @@
 	f := r.queue.flow
 	r.charged += tokens
 	f.served += tokens
-	f.tag += tokens / f.weight
+	f.tag += f.spread * tokens / f.weight
 	f.reorder()
 	p.sched.limits.Charge(p.sched.now, f.account, tokens)
 	p.credit(r.queue.class, tokens)
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -134,11 +134,29 @@
 	}
 	f.heard = sequence
 	f.elsewhere, f.elsewhereAt = t.Waiting, p.sched.now
-	f.tag = float64(t.Tag) + (f.served-float64(t.Included))/f.weight
+	f.learnSpread(t)
+	f.tag = float64(t.Tag) + f.spread*(f.served-float64(t.Included))/f.weight
 	f.reorder()
 	p.sched.limits.SetFleet(t.Account, p.fleetUse(f, t))
 }
 
+// learnSpread estimates how many times its own service an account gets from the
+// whole fleet. Until the next word of the home, own charges stand for as much
+// service elsewhere; otherwise all routers would serve the account that was
+// last known to be behind, at the same time.
+func (f *flow) learnSpread(t messenger.AccountTag) {
+	own := float64(t.Included - f.lastIncluded)
+	all := float64(t.Tag-f.lastTag) * f.weight
+	if f.lastTag > 0 && own > 0 && all > 0 {
+		ratio := min(max(all/own, 1), float64(max(1, t.Routers)))
+		f.spread += spreadWeight * (ratio - f.spread)
+	}
+	f.lastTag, f.lastIncluded = t.Tag, t.Included
+}
+
+// spreadWeight is the weight of a sample in a flow's spread.
+const spreadWeight = 0.2
+
 // updateUse has the use of an account told once it is worth it.
 func (p *pool) updateUse(f *flow) {
 	if p.sched.cfg.Mode == Alone || f.queued {
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -87,8 +87,12 @@
 	queued     bool
 	// elsewhere counts the account's requests waiting at other routers, as its
 	// home said at elsewhereAt.
-	elsewhere   int
-	elsewhereAt time.Time
+	elsewhere int
+	// spread is how many times its own service the account gets from the whole
+	// fleet; lastTag and lastIncluded are what the home said last.
+	spread                float64
+	lastTag, lastIncluded int64
+	elsewhereAt           time.Time
 }
 
 // waitsElsewhere reports whether requests of the account wait at other routers,
@@ -170,7 +174,7 @@
 func (p *pool) flowOf(id messenger.AccountID) *flow {
 	f, ok := p.flows[id]
 	if !ok {
-		f = &flow{pool: p, account: id, weight: weightOf(p.sched.policy, id), tag: p.vtime}
+		f = &flow{pool: p, account: id, weight: weightOf(p.sched.policy, id), tag: p.vtime, spread: 1}
 		p.flows[id] = f
 		p.flowList = append(p.flowList, f)
 	}
