--- a/internal/configurer/document.go
+++ b/internal/configurer/document.go
@@ -91,6 +91,7 @@
 	Window      *int             `json:"window,omitempty"`
 	Engine      *bool            `json:"engine,omitempty"`
 	Leaving     *bool            `json:"leaving,omitempty"`
+	NoLong      *bool            `json:"noLong,omitempty"`
 	ChecksFence *bool            `json:"checksFence,omitempty"`
 	// State replaces the pool's, as a whole.
 	State *orderer.State `json:"state,omitempty"`
--- a/internal/configurer/resolve.go
+++ b/internal/configurer/resolve.go
@@ -204,6 +204,7 @@
 	override(&p.Window, s.Window)
 	override(&p.Engine, s.Engine)
 	override(&p.Leaving, s.Leaving)
+	override(&p.NoLong, s.NoLong)
 	override(&p.ChecksFence, s.ChecksFence)
 }
 
--- a/internal/messenger/policy.go
+++ b/internal/messenger/policy.go
@@ -86,6 +86,8 @@
 	Engine bool
 	// Leaving is true once it must get no new work.
 	Leaving bool
+	// NoLong is true once it must get no new long work.
+	NoLong bool
 	// ChecksFence is true if it refuses orders with an old fencing number.
 	ChecksFence bool
 }
