--- /dev/null
+++ b/internal/limiter/limiter.go
@@ -0,0 +1,173 @@
+// Package limiter holds client accounts to the limits that the policy sets for
+// the whole fleet: request rate, concurrency, tokens a minute, queue length.
+//
+// A Limiter holds one router's part of each limit. The part is even until the
+// fleet says otherwise.
+//
+// # Usage
+//
+//	l := limiter.New()
+//	l.SetPolicy(policy)
+//	if reason, after, ok := l.Admit(now, account); !ok {
+//		// refuse, come back after that time
+//	}
+package limiter
+
+import (
+	"math"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// Limiter holds client accounts to their limits. It is not safe for concurrent
+// use.
+type Limiter struct {
+	policy   *messenger.Policy
+	routers  int
+	accounts map[messenger.AccountID]*account
+}
+
+// Fleet is what the fleet says of one client account.
+type Fleet struct {
+	// Share is this router's part of the account's limits, 0 to 1.
+	Share float64
+	// Waiting and Running count the account's requests at other routers.
+	Waiting, Running int
+	// Until is when this ceases to be true.
+	Until time.Time
+}
+
+// account is what one client account uses through this router.
+type account struct {
+	policy           messenger.AccountPolicy
+	fleet            Fleet
+	waiting, running int
+	requests         bucket
+	tokens           bucket
+}
+
+// New returns a Limiter without limits.
+func New() *Limiter {
+	return &Limiter{
+		policy:   &messenger.Policy{},
+		routers:  1,
+		accounts: make(map[messenger.AccountID]*account),
+	}
+}
+
+// SetPolicy puts the limits of a policy in force.
+func (l *Limiter) SetPolicy(policy *messenger.Policy) {
+	l.policy = policy
+	for id, a := range l.accounts {
+		a.policy = policy.AccountOf(id)
+	}
+}
+
+// SetRouters says over how many routers limits are divided.
+func (l *Limiter) SetRouters(n int) { l.routers = max(1, n) }
+
+func (l *Limiter) accountOf(id messenger.AccountID) *account {
+	a, ok := l.accounts[id]
+	if !ok {
+		a = &account{policy: l.policy.AccountOf(id)}
+		l.accounts[id] = a
+	}
+	return a
+}
+
+// SetFleet takes in what the fleet says of an account.
+func (l *Limiter) SetFleet(id messenger.AccountID, f Fleet) { l.accountOf(id).fleet = f }
+
+// Forget drops an account that uses nothing.
+func (l *Limiter) Forget(id messenger.AccountID) {
+	if a, ok := l.accounts[id]; ok && a.waiting+a.running == 0 {
+		delete(l.accounts, id)
+	}
+}
+
+// share returns this router's part of an account's limits: even among all
+// routers until the fleet has said otherwise.
+func (l *Limiter) share(now time.Time, a *account) float64 {
+	if a.fleet.Share > 0 && now.Before(a.fleet.Until) {
+		return a.fleet.Share
+	}
+	return 1 / float64(l.routers)
+}
+
+// reached reports whether own requests, with those of other routers, are as
+// many as a limit allows. Each router may have one at least.
+func (l *Limiter) reached(now time.Time, a *account, limit, own, others int) bool {
+	if limit <= 0 {
+		return false
+	}
+	if now.Before(a.fleet.Until) && own+others >= limit {
+		return true
+	}
+	return float64(own) >= max(1, math.Round(l.share(now, a)*float64(limit)))
+}
+
+// Admit counts one more waiting request, or returns why it must be refused and
+// when it may come back.
+func (l *Limiter) Admit(now time.Time, id messenger.AccountID) (messenger.RefuseReason, time.Duration, bool) {
+	a := l.accountOf(id)
+	if l.reached(now, a, a.policy.QueueLength, a.waiting, a.fleet.Waiting) {
+		if l.AtConcurrency(now, id) {
+			return messenger.RefuseConcurrency, 0, false
+		}
+		return messenger.RefuseQueueFull, 0, false
+	}
+	share := l.share(now, a)
+	if size := share * a.policy.TokensPerMinute; size > 0 {
+		if wait := a.tokens.wait(now, size/time.Minute.Seconds(), size, 0); wait > 0 {
+			return messenger.RefuseTokens, wait, false
+		}
+	}
+	if rate := share * a.policy.RequestsPerSecond; rate > 0 {
+		size := max(1, share*float64(a.policy.Burst))
+		if wait := a.requests.wait(now, rate, size, 1); wait > 0 {
+			return messenger.RefuseRate, wait, false
+		}
+		a.requests.take(1)
+	}
+	a.waiting++
+	return "", 0, true
+}
+
+// AtConcurrency reports whether the account runs all the requests it may.
+func (l *Limiter) AtConcurrency(now time.Time, id messenger.AccountID) bool {
+	a := l.accountOf(id)
+	return l.reached(now, a, a.policy.Concurrency, a.running, a.fleet.Running)
+}
+
+// Drop counts one waiting request less.
+func (l *Limiter) Drop(id messenger.AccountID) { l.accountOf(id).waiting-- }
+
+// Start counts a waiting request as running.
+func (l *Limiter) Start(id messenger.AccountID) {
+	a := l.accountOf(id)
+	a.waiting--
+	a.running++
+}
+
+// Requeue counts a running request as waiting again.
+func (l *Limiter) Requeue(id messenger.AccountID) {
+	a := l.accountOf(id)
+	a.running--
+	a.waiting++
+}
+
+// End counts one running request less.
+func (l *Limiter) End(id messenger.AccountID) { l.accountOf(id).running-- }
+
+// Charge takes generated tokens, which may be negative, from the account's
+// tokens a minute.
+func (l *Limiter) Charge(now time.Time, id messenger.AccountID, tokens float64) {
+	a := l.accountOf(id)
+	rate := a.policy.TokensPerMinute
+	if rate <= 0 {
+		return
+	}
+	a.tokens.refill(now, l.share(now, a)*rate/time.Minute.Seconds())
+	a.tokens.take(tokens)
+}
--- /dev/null
+++ b/internal/router/control.go
@@ -0,0 +1,235 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/coordinator"
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// Sizes of the control goroutine's channels.
+const (
+	// eventBacklog is how many events may wait for the control goroutine
+	// before a traffic goroutine has to wait.
+	eventBacklog = 8192
+	// actionBacklog is how many actions may wait for one request. A request
+	// has at most two attempts and one refusal outstanding.
+	actionBacklog = 4
+)
+
+// decider is the decision logic about requests.
+type decider interface {
+	Handle(now time.Time, e messenger.Event) []messenger.Action
+}
+
+// fleet is the decision logic about the fleet, with whatever carries out its
+// actions.
+type fleet interface {
+	coordinate(e coordinator.Event)
+	unpack(m received)
+	postRequests(to messenger.RouterID, messages []messenger.PeerMessage)
+}
+
+// control owns all control state of a router. One goroutine runs it; traffic
+// goroutines reach it through submit and call.
+type control struct {
+	clock   timekeeper.Clock
+	decider decider
+	fleet   fleet
+	inbox   chan any
+	done    chan struct{}
+	// unclaimed holds dispatches that no request took up.
+	unclaimed []messenger.Finish
+	// outgoing holds what the decisions so far have to say to other routers.
+	outgoing map[messenger.RouterID][]messenger.PeerMessage
+	// fleetTicked is when the coordinator last had a tick.
+	fleetTicked time.Time
+
+	mu     sync.Mutex
+	queues map[messenger.RequestID]*requestQueue
+}
+
+// inspection is a function that the control goroutine runs between events.
+type inspection struct {
+	run  func()
+	done chan struct{}
+}
+
+func newControl(clock timekeeper.Clock, d decider) *control {
+	return &control{
+		clock:    clock,
+		decider:  d,
+		outgoing: make(map[messenger.RouterID][]messenger.PeerMessage),
+		inbox:    make(chan any, eventBacklog),
+		done:     make(chan struct{}),
+		queues:   make(map[messenger.RequestID]*requestQueue),
+	}
+}
+
+// run handles events until ctx ends.
+func (c *control) run(ctx context.Context) {
+	defer close(c.done)
+	tick := c.clock.After(messenger.TickInterval)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick:
+			c.handle(messenger.Tick{})
+			c.tickFleet()
+			c.flush()
+			tick = c.clock.After(messenger.TickInterval)
+		case m := <-c.inbox:
+			c.take(m)
+			c.flush()
+		}
+	}
+}
+
+func (c *control) take(m any) {
+	switch m := m.(type) {
+	case messenger.Event:
+		c.handle(m)
+	case received:
+		c.fleet.unpack(m)
+	case inspection:
+		m.run()
+		close(m.done)
+	default:
+		c.fleet.coordinate(m)
+	}
+}
+
+// tickFleet gives the coordinator its ticks, which are rarer than the
+// scheduler's.
+func (c *control) tickFleet() {
+	now := c.clock.Now()
+	if now.Sub(c.fleetTicked) >= coordinator.TickInterval/2 {
+		c.fleetTicked = now
+		c.fleet.coordinate(coordinator.Tick{})
+	}
+}
+
+// flush sends what the decisions since the last flush have to say, one
+// envelope for each router.
+func (c *control) flush() {
+	for to, messages := range c.outgoing {
+		c.fleet.postRequests(to, messages)
+		delete(c.outgoing, to)
+	}
+}
+
+// handle decides about one event and about what follows from it.
+func (c *control) handle(e messenger.Event) {
+	c.decide(e)
+	for len(c.unclaimed) > 0 {
+		next := c.unclaimed[0]
+		c.unclaimed = c.unclaimed[1:]
+		c.decide(next)
+	}
+}
+
+func (c *control) decide(e messenger.Event) {
+	for _, a := range c.decider.Handle(c.clock.Now(), e) {
+		c.carryOut(a)
+	}
+}
+
+func (c *control) carryOut(a messenger.Action) {
+	switch a := a.(type) {
+	case messenger.Dispatch:
+		if !c.deliver(a.Request, a) {
+			// The caller left in the meantime: give the slot back.
+			c.unclaimed = append(c.unclaimed, messenger.Finish{Request: a.Request, Upstream: a.Upstream})
+		}
+	case messenger.Refuse:
+		c.deliver(a.Request, a)
+	case messenger.Send:
+		c.outgoing[a.To] = append(c.outgoing[a.To], a.Message)
+	}
+}
+
+// deliver passes an action to the request that it is for. It returns false if
+// that request is gone.
+func (c *control) deliver(id messenger.RequestID, a messenger.Action) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	q := c.queues[id]
+	if q == nil {
+		return false
+	}
+	select {
+	case q.actions <- a:
+		return true
+	default:
+		return false
+	}
+}
+
+// submit tells the control goroutine of an event: a messenger.Event, a
+// coordinator.Event, an envelope or an inspection.
+func (c *control) submit(e any) {
+	select {
+	case c.inbox <- e:
+	case <-c.done:
+	}
+}
+
+// call runs f on the control goroutine and waits for it. It returns false if
+// the control goroutine has ended.
+func (c *control) call(f func()) bool {
+	i := inspection{run: f, done: make(chan struct{})}
+	c.submit(i)
+	select {
+	case <-i.done:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+// requestQueue is the scheduler as one request sees it.
+type requestQueue struct {
+	control *control
+	actions chan messenger.Action
+}
+
+// open makes the queue of one request.
+func (c *control) open(id messenger.RequestID) *requestQueue {
+	q := &requestQueue{control: c, actions: make(chan messenger.Action, actionBacklog)}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queues[id] = q
+	return q
+}
+
+// closeQueue forgets the queue of one request and gives back what it was
+// promised but never took up.
+func (c *control) closeQueue(id messenger.RequestID) {
+	c.mu.Lock()
+	q := c.queues[id]
+	delete(c.queues, id)
+	c.mu.Unlock()
+	if q == nil {
+		return
+	}
+	for {
+		select {
+		case a := <-q.actions:
+			if d, ok := a.(messenger.Dispatch); ok {
+				c.submit(messenger.Finish{Request: id, Upstream: d.Upstream})
+			}
+		default:
+			return
+		}
+	}
+}
+
+// Actions returns the channel of what the scheduler decided for the request.
+func (q *requestQueue) Actions() <-chan messenger.Action { return q.actions }
+
+// Tell passes an event about the request to the scheduler.
+func (q *requestQueue) Tell(e messenger.Event) { q.control.submit(e) }
--- /dev/null
+++ b/internal/router/fleetstatus.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/coordinator"
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/operator"
+)
+
+// Status returns the fleet as this router sees it.
+func (b *backend) Status(ctx context.Context) (operator.Status, error) {
+	versions, err := b.Versions(ctx)
+	if err != nil {
+		return operator.Status{}, err
+	}
+	ready, _ := b.r.Ready()
+	s := operator.Status{
+		Router: string(b.r.self), FailureDomain: b.r.settings.FailureDomain, Ready: ready,
+		Started: b.r.started, StoreReachable: !b.r.store.Open(), Routers: versions.Routers,
+	}
+	cfg := b.r.current.Load()
+	if cfg == nil {
+		return s, nil
+	}
+	s.Version = cfg.policy.Version
+	for id, u := range cfg.policy.Upstreams {
+		s.Upstreams = append(s.Upstreams, operator.UpstreamStatus{
+			Upstream: string(id), Pool: string(u.Pool), FailureDomain: u.Domain, Window: u.Window, Leaving: u.Leaving,
+		})
+	}
+	slices.SortFunc(s.Upstreams, func(x, y operator.UpstreamStatus) int {
+		return cmp.Or(cmp.Compare(x.Pool, y.Pool), cmp.Compare(x.Upstream, y.Upstream))
+	})
+	return s, nil
+}
+
+// Account returns one client account as this router sees it.
+func (b *backend) Account(_ context.Context, name string) (operator.AccountStatus, error) {
+	cfg := b.r.current.Load()
+	if cfg == nil {
+		return operator.AccountStatus{}, operator.NewUnavailable("no configuration is known yet")
+	}
+	if _, known := cfg.document.Accounts[messenger.AccountID(name)]; !known {
+		return operator.AccountStatus{}, operator.NewNotFound("client account " + name)
+	}
+	policy := cfg.policy.AccountOf(messenger.AccountID(name))
+	s := operator.AccountStatus{AccountSummary: operator.AccountSummary{Account: name, Weight: max(policy.Weight, 0)}}
+	return s, nil
+}
+
+// Versions says which router runs which version, as far as this one knows. It
+// asks the routers of which it does not know enough, so that the next call
+// knows more.
+func (b *backend) Versions(context.Context) (operator.Versions, error) {
+	var v operator.Versions
+	alive := b.r.control.call(func() { v = b.r.versions() })
+	if !alive {
+		return v, operator.NewUnavailable("the router is shutting down")
+	}
+	return v, nil
+}
+
+// heardLately is for how long the word of another router on its version is
+// taken for fresh.
+const heardLately = 2 * time.Second
+
+// versions collects what is known of versions. It runs on the control
+// goroutine.
+func (r *Router) versions() operator.Versions {
+	now := r.clock.Now()
+	own := r.coordinator.Configurer().Version()
+	v := operator.Versions{Newest: own}
+	for _, id := range r.peers.Live {
+		if id == r.self {
+			continue
+		}
+		p := r.heard[id]
+		v.Newest = max(v.Newest, p.version)
+		v.Routers = append(v.Routers, operator.RouterVersion{
+			Router: string(id), FailureDomain: p.domain, Version: p.version,
+			Alive: slices.Contains(r.peers.Reached, id), Heard: p.heard,
+		})
+		if p.version < own || now.Sub(p.heard) > heardLately {
+			r.coordinate(coordinator.Query{Router: id})
+		}
+	}
+	v.Routers = append(v.Routers, operator.RouterVersion{
+		Router: string(r.self), FailureDomain: r.settings.FailureDomain, Version: own, Alive: true, Heard: now,
+	})
+	slices.SortFunc(v.Routers, func(x, y operator.RouterVersion) int { return cmp.Compare(x.Router, y.Router) })
+	return v
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,229 @@
+// Package scheduler decides whose request runs next, and where.
+//
+// Every router runs one Scheduler. It queues requests by client account in
+// the order of start-time fair queueing: each account has a tag, its service
+// divided by its weight, and the lowest tag goes first. In the mode Fleet the
+// routers exchange tags and leased slots, so that the order holds over the
+// whole fleet; in the mode Alone each router uses a fixed part of every
+// upstream's window and knows only its own service.
+//
+// A Scheduler does no I/O, starts no goroutine and reads no clock. It is not
+// safe for concurrent use: one control goroutine owns it.
+//
+// # Usage
+//
+//	sched := scheduler.New(scheduler.Config{Self: "router-1", Seed: 1})
+//	sched.Handle(now, messenger.PolicyChange{Policy: policy})
+//	sched.Handle(now, messenger.PeersChange{Routers: routers})
+//	actions := sched.Handle(now, messenger.Arrive{Request: 1, Account: "a", Pool: "p"})
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/limiter"
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// Mode selects how routers share upstreams.
+type Mode int
+
+// The modes of a Scheduler.
+const (
+	// Fleet shares slots and service counters among all routers.
+	Fleet Mode = iota
+	// Alone gives each router a fixed part of every window.
+	Alone
+)
+
+// Config sets up a Scheduler. Its zero value is usable by a lone router.
+type Config struct {
+	// Self is this router's name.
+	Self messenger.RouterID
+	// Seed makes every choice reproducible.
+	Seed uint64
+	// Mode selects how routers share upstreams.
+	Mode Mode
+	// ControlBytes is the budget for control messages in bytes a second; zero
+	// means defaultControlBytes.
+	ControlBytes int
+	// CellSize is how many upstreams of a pool have one owner, on average;
+	// zero means defaultCellSize.
+	CellSize int
+	// ReportStep and MoveStep are how far tags must differ, in mean costs of a
+	// request, before it is reported and before a slot moves; zero means
+	// the defaults.
+	ReportStep, MoveStep float64
+}
+
+// Defaults of a Config.
+const (
+	defaultCellSize   = 8
+	defaultReportStep = 0.5
+	defaultMoveStep   = 1
+)
+
+// withDefaults fills in what is not set.
+func (c Config) withDefaults() Config {
+	if c.ControlBytes <= 0 {
+		c.ControlBytes = defaultControlBytes
+	}
+	if c.CellSize <= 0 {
+		c.CellSize = defaultCellSize
+	}
+	if c.ReportStep <= 0 {
+		c.ReportStep = defaultReportStep
+	}
+	if c.MoveStep <= 0 {
+		c.MoveStep = defaultMoveStep
+	}
+	return c
+}
+
+// Scheduler is the decision logic of one router.
+type Scheduler struct {
+	cfg      Config
+	now      time.Time
+	policy   *messenger.Policy
+	peers    []messenger.RouterID
+	limits   *limiter.Limiter
+	pools    map[messenger.PoolID]*pool
+	poolList []*pool
+	requests map[messenger.RequestID]*request
+	expiries heap[*request]
+	actions  []messenger.Action
+
+	// incarnation tells this start of the router from earlier ones.
+	incarnation uint64
+	governor    governor
+	links       map[messenger.RouterID]*link
+	linkList    []*link
+	// pending and urgent list the links that have something to tell.
+	pending, urgent []*link
+	// parked is the spare array of pending.
+	parked []*link
+	// contended is true while requests wait here or at another router.
+	contended bool
+	ticks     uint64
+}
+
+// New returns a Scheduler that knows no policy and no peers.
+func New(cfg Config) *Scheduler {
+	cfg = cfg.withDefaults()
+	return &Scheduler{
+		cfg:      cfg,
+		policy:   &messenger.Policy{},
+		peers:    []messenger.RouterID{cfg.Self},
+		limits:   limiter.New(),
+		pools:    make(map[messenger.PoolID]*pool),
+		requests: make(map[messenger.RequestID]*request),
+		links:    make(map[messenger.RouterID]*link),
+		governor: governor{bytesPerSecond: float64(cfg.ControlBytes), pressure: 1, scale: 1},
+	}
+}
+
+// Handle takes in one event and returns what is to be done about it, in order.
+// The returned slice is valid until the next call.
+func (s *Scheduler) Handle(now time.Time, e messenger.Event) []messenger.Action {
+	if now.After(s.now) {
+		s.now = now
+	}
+	if s.incarnation == 0 {
+		s.incarnation = uint64(uint32(s.now.UnixMilli())) | 1
+	}
+	s.actions = s.actions[:0]
+	switch e := e.(type) {
+	case messenger.Arrive:
+		s.arrive(e)
+	case messenger.Progress:
+		s.progress(e)
+	case messenger.Finish:
+		s.finish(e)
+	case messenger.Abandon:
+		s.abandon(e)
+	case messenger.PolicyChange:
+		s.changePolicy(e.Policy)
+	case messenger.PeersChange:
+		s.changePeers(e.Routers)
+	case messenger.Receive:
+		s.receive(e.From, e.Message.Control)
+	case messenger.Tick:
+		s.tick()
+	}
+	s.flushUrgent()
+	return s.actions
+}
+
+// act adds an action to the answer of the current call.
+func (s *Scheduler) act(a messenger.Action) { s.actions = append(s.actions, a) }
+
+// changePolicy puts another policy in force.
+func (s *Scheduler) changePolicy(policy *messenger.Policy) {
+	if policy == nil || policy.Version < s.policy.Version {
+		return
+	}
+	s.policy = policy
+	s.limits.SetPolicy(policy)
+	for _, id := range slices.Sorted(maps.Keys(policy.Pools)) {
+		s.poolOf(id)
+	}
+	for _, id := range slices.Sorted(maps.Keys(policy.Upstreams)) {
+		u := policy.Upstreams[id]
+		s.poolOf(u.Pool).placer.Set(id, u)
+	}
+	for _, p := range s.poolList {
+		p.applyPolicy(policy)
+	}
+	s.relate()
+}
+
+// poolOf returns the pool with a name, new if it has to be.
+func (s *Scheduler) poolOf(id messenger.PoolID) *pool {
+	p, ok := s.pools[id]
+	if !ok {
+		p = newPool(s, id)
+		s.pools[id] = p
+		at, _ := slices.BinarySearchFunc(s.poolList, p, func(a, b *pool) int { return cmp.Compare(a.id, b.id) })
+		s.poolList = slices.Insert(s.poolList, at, p)
+	}
+	return p
+}
+
+// changePeers takes in which routers are alive.
+func (s *Scheduler) changePeers(routers []messenger.RouterID) {
+	peers := slices.Clone(routers)
+	if !slices.Contains(peers, s.cfg.Self) {
+		peers = append(peers, s.cfg.Self)
+	}
+	slices.Sort(peers)
+	s.peers = slices.Compact(peers)
+	s.limits.SetRouters(len(s.peers))
+	for _, l := range slices.Clone(s.linkList) {
+		if _, ok := slices.BinarySearch(s.peers, l.router); !ok {
+			s.forget(l)
+		}
+	}
+	s.relate()
+}
+
+// forget drops a router that is no longer alive.
+func (s *Scheduler) forget(l *link) {
+	l.pending, l.urgent = false, false
+	delete(s.links, l.router)
+	s.linkList = slices.DeleteFunc(s.linkList, func(other *link) bool { return other == l })
+	for _, p := range s.poolList {
+		p.forget(l.router)
+	}
+}
+
+// relate works out anew what routers are to each other.
+func (s *Scheduler) relate() {
+	for _, p := range s.poolList {
+		p.relate()
+		p.rehome()
+		p.dispatch()
+	}
+}
--- /dev/null
+++ b/internal/scheduler/share.go
@@ -0,0 +1,51 @@
+package scheduler
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// rank is the rendezvous hash of a router for a key; the highest rank wins.
+func rank(key string, router messenger.RouterID) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(router))
+	return d.Sum64()
+}
+
+// winner returns the router with the highest rank for a key.
+func winner(key string, routers []messenger.RouterID) messenger.RouterID {
+	var best messenger.RouterID
+	var top uint64
+	for _, r := range routers {
+		if h := rank(key, r); best == "" || h > top {
+			best, top = r, h
+		}
+	}
+	return best
+}
+
+// staticShare returns the part of n slots that self holds if routers divide
+// them evenly. The parts of all routers sum up to n: what does not divide goes
+// to the routers of the highest ranks.
+func staticShare(key string, n int, self messenger.RouterID, routers []messenger.RouterID) int {
+	count := max(1, len(routers))
+	share, rest := n/count, n%count
+	if rest == 0 {
+		return share
+	}
+	own := rank(key, self)
+	above := 0
+	for _, r := range routers {
+		if r != self && rank(key, r) > own {
+			above++
+		}
+	}
+	if above < rest {
+		share++
+	}
+	return share
+}
