The demo shuts down once every request has reached a router

Cause: under load TestRun counted 24 cut requests, EOF or connection refused. The load tool was behind its schedule by more than the 300 ms of balancer lag, so requests came to ports that were closed, which a balancer prevents and a router cannot. Ruled out: requests in progress being cut; none of the 24 had reached a router. Change: the shutdown step waits until all requests are sent and each is either in progress at a router or answered.

--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -64,13 +64,16 @@
 	defer f.stop()
 	e := evidence{}
 	var background sync.WaitGroup
-	s := script{fleet: f, evidence: &e, length: cfg.For, start: f.clock.Now()}
+	allSent := make(chan int, 1)
+	s := script{fleet: f, evidence: &e, length: cfg.For, start: f.clock.Now(), allSent: allSent}
 	background.Go(func() { s.run(ctx) })
 	e.load, err = generator.Run(ctx, generator.Config{
 		Routers: f.callers(), Mix: mix(), For: cfg.For, MaxRequests: maxRequests, MaxOpen: maxOpen,
 		Timeout: answerTimeout, Seed: cfg.Seed, Run: "demo", Expect: generator.StandIns{},
 		Clock: f.clock, Progress: cfg.Progress, Observe: e.observe,
+		AllSent: func(sent int) { allSent <- sent },
 	})
+	close(allSent)
 	background.Wait()
 	if err != nil {
 		return nil, err
--- a/internal/demonstrator/evidence.go
+++ b/internal/demonstrator/evidence.go
@@ -43,6 +43,13 @@
 	}
 }
 
+// ended returns how many requests have ended.
+func (e *evidence) ended() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.observations)
+}
+
 // note records what was done to the fleet, and when.
 func (e *evidence) note(at time.Duration, what string) {
 	e.mu.Lock()
--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -175,6 +175,15 @@
 	return operator.NewClient(cfg)
 }
 
+// inProgress returns how many requests the routers work on.
+func (f *fleet) inProgress() int {
+	n := 0
+	for _, r := range f.routers {
+		n += r.InProgress()
+	}
+	return n
+}
+
 // shutdown shuts all routers down gracefully and returns how many had to cut
 // requests off.
 func (f *fleet) shutdown(ctx context.Context) int {
--- a/internal/demonstrator/script.go
+++ b/internal/demonstrator/script.go
@@ -23,6 +23,8 @@
 	start    time.Time
 	// length is how long requests are sent.
 	length time.Duration
+	// allSent brings the number of requests once all are sent.
+	allSent <-chan int
 }
 
 // run goes through the steps, each at its time.
@@ -63,9 +65,19 @@
 	}
 }
 
-// shutDown shuts all routers down.
+// shutDown shuts all routers down once every request has reached one: what is
+// still on its way then would meet a closed port, which is the balancer's to
+// prevent and not the routers'.
 func (s *script) shutDown(ctx context.Context) {
 	e := s.evidence
+	sent := <-s.allSent
+	for s.fleet.inProgress()+e.ended() < sent {
+		select {
+		case <-s.fleet.clock.After(pollInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
 	e.mu.Lock()
 	e.shuttingDown = true
 	e.mu.Unlock()
--- a/internal/generator/generator.go
+++ b/internal/generator/generator.go
@@ -75,6 +75,9 @@
 	Clock timekeeper.Clock
 	// Progress is called about once a second; nil means never.
 	Progress func(Progress)
+	// AllSent is called once, with the number of requests, after the last one
+	// was started; nil means never.
+	AllSent func(sent int)
 	// Observe is called for each request once it has ended, from several
 	// goroutines; nil means never.
 	Observe func(Observation)
@@ -207,7 +210,8 @@
 	defer stop()
 	slots := make(chan struct{}, r.cfg.MaxOpen)
 	sched := newSchedule(&r.cfg.Mix, r.cfg.Seed, r.cfg.Run, len(r.cfg.Routers), r.cfg.For)
-	for sent := 0; sent < r.cfg.MaxRequests; {
+	sent := 0
+	for sent < r.cfg.MaxRequests {
 		a, ok := sched.take()
 		if !ok || !r.waitUntil(ctx, a.at) {
 			break
@@ -225,6 +229,9 @@
 			r.finish(a, r.do(ctx, a))
 		})
 	}
+	if r.cfg.AllSent != nil {
+		r.cfg.AllSent(sent)
+	}
 	r.open.Wait()
 	r.results.finish(r.cfg.Clock.Now().Sub(r.start))
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -222,6 +222,9 @@
 // PeersAddr returns the address that other routers connect to.
 func (r *Router) PeersAddr() string { return r.exchanger.Addr() }
 
+// InProgress returns how many callers' requests the router works on.
+func (r *Router) InProgress() int { return int(r.inProgress.Load()) }
+
 // Ready reports whether the router serves callers, and if not, why.
 func (r *Router) Ready() (bool, string) {
 	if r.draining.Load() {
