Routers give orders to engines and empty sites

Cause: orderer, leaser and evacuator were decided but carried out by nobody, and the operators' API knew a plan of another shape. Change: each router runs the conductor, which works under a lease; the API and the evacuate commands make, show and pause the evacuator's plans by name and site. Result: go test ./internal/operator ./internal/cli ./internal/scripter pass; a plan has not yet been run on separate processes.

--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -51,7 +51,7 @@
 	moment := time.Date(2027, 1, 2, 3, 4, 5, 0, time.UTC)
 	change := operator.Change{Version: 8, Author: "eva", Reason: "campaign", Changed: moment}
 	routers := []operator.RouterVersion{{Router: "riga-1", Version: 8, Alive: true}, {Router: "riga-2", Version: 7}}
-	plan := operator.Evacuation{State: "running", Steps: []operator.EvacuationStep{{Upstream: "w1"}}}
+	plan := operator.Evacuation{Name: "move", Steps: []operator.EvacuationStep{{Upstream: "w1"}}}
 	f := &fakeRouter{answers: map[string]any{
 		"GET /v1/config":                   operator.Config{Change: change, Document: json.RawMessage(`{"version":8}`)},
 		"PUT /v1/config":                   change,
@@ -63,9 +63,9 @@
 		"GET /v1/status":                   operator.Status{Router: "riga-1", Routers: routers, Upstreams: []operator.UpstreamStatus{{Upstream: "w1", Slow: true}}},
 		"GET /v1/status/accounts/hospital": operator.AccountStatus{AccountSummary: operator.AccountSummary{Account: "hospital"}, Classes: []operator.ClassStatus{{Class: "short"}}},
 		"POST /v1/drains":                  change,
-		"POST /v1/evacuation":              plan,
-		"GET /v1/evacuation":               plan,
-		"POST /v1/evacuation/pause":        plan,
+		"POST /v1/evacuations":             plan,
+		"GET /v1/evacuations":              operator.Evacuations{Plans: []operator.Evacuation{plan}},
+		"POST /v1/evacuations/pause":       plan,
 	}}
 	file := writeFile(t, "fleet.jsonc", `{"kind": "configuration", "version": 7, /* note */ "timeZone": "Europe/Riga"}`)
 	tests := []struct {
@@ -89,10 +89,11 @@
 		{"account", "status --account hospital", exitOK, "account hospital", ""},
 		{"unknown account", "status --account nobody", exitFailed, "Not found", ""},
 		{"drain", "drain w1 --reason r", exitOK, "version 8", `"upstream":"w1"`},
-		{"evacuate", "evacuate create w1 w2 --by 2027-01-01T00:00:00Z --reason r", exitOK, "running", `"upstreams":["w1","w2"]`},
+		{"evacuate", "evacuate create move --site d1 --by 2027-01-01T00:00:00Z --reason r", exitOK, "move empties", `"site":"d1"`},
 		{"evacuate status", "evacuate status", exitOK, "w1", ""},
-		{"evacuate pause", "evacuate pause --reason r", exitOK, "running", `"paused":true`},
-		{"evacuate resume", "evacuate pause --resume --reason r", exitOK, "running", `"paused":false`},
+		{"evacuate status of another plan", "evacuate status other", exitFailed, "", ""},
+		{"evacuate pause", "evacuate pause move --reason r", exitOK, "move empties", `"paused":true`},
+		{"evacuate resume", "evacuate pause move --resume --reason r", exitOK, "move empties", `"paused":false`},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -130,7 +131,7 @@
 }
 
 func TestTokenFile(t *testing.T) {
-	f := &fakeRouter{answers: map[string]any{"GET /v1/evacuation": operator.Evacuation{State: "none"}}}
+	f := &fakeRouter{answers: map[string]any{"GET /v1/evacuations": operator.Evacuations{}}}
 	file := writeFile(t, "token", "secret-of-file\n")
 	if code, _, stderr := runWith(t, f, "evacuate", "status", "--token-file", file); code != exitOK {
 		t.Errorf("Run() = %d, stderr %s, want success", code, stderr)
@@ -142,7 +143,7 @@
 }
 
 func TestTLSRouter(t *testing.T) {
-	f := &fakeRouter{answers: map[string]any{"GET /v1/evacuation": operator.Evacuation{State: "none"}}}
+	f := &fakeRouter{answers: map[string]any{"GET /v1/evacuations": operator.Evacuations{}}}
 	s := httptest.NewTLSServer(f)
 	defer s.Close()
 	s.Config.ErrorLog = log.New(io.Discard, "", 0)
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -91,9 +91,9 @@
 	return get[AccountStatus](ctx, c, PathAccounts+"/"+url.PathEscape(name))
 }
 
-// Evacuation returns the plan that empties old VMs.
-func (c *Client) Evacuation(ctx context.Context) (Evacuation, error) {
-	return get[Evacuation](ctx, c, PathEvacuation)
+// Evacuations returns the plans that empty sites.
+func (c *Client) Evacuations(ctx context.Context) (Evacuations, error) {
+	return get[Evacuations](ctx, c, PathEvacuations)
 }
 
 // SetConfig replaces the configuration.
@@ -121,12 +121,12 @@
 	return send[Change](ctx, c, http.MethodPost, PathDrains, &r)
 }
 
-// Evacuate makes a plan that empties old VMs.
+// Evacuate makes a plan that empties a site.
 func (c *Client) Evacuate(ctx context.Context, r Evacuate) (Evacuation, error) {
-	return send[Evacuation](ctx, c, http.MethodPost, PathEvacuation, &r)
+	return send[Evacuation](ctx, c, http.MethodPost, PathEvacuations, &r)
 }
 
-// PauseEvacuation stops or resumes the evacuation.
+// PauseEvacuation pauses a plan or lets it go on.
 func (c *Client) PauseEvacuation(ctx context.Context, r PauseEvacuation) (Evacuation, error) {
 	return send[Evacuation](ctx, c, http.MethodPost, PathEvacuationPause, &r)
 }
--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -107,12 +107,12 @@
 	return AccountStatus{AccountSummary: AccountSummary{Account: name}}, nil
 }
 
-func (b *fakeBackend) Evacuation(context.Context) (Evacuation, error) { return Evacuation{}, nil }
+func (b *fakeBackend) Evacuations(context.Context) (Evacuations, error) { return Evacuations{}, nil }
 
 func (b *fakeBackend) Evacuate(_ context.Context, _ string, r Evacuate) (Evacuation, error) {
-	return Evacuation{State: "planned", Deadline: r.Deadline}, nil
+	return Evacuation{Name: r.Name, By: r.By}, nil
 }
 
 func (b *fakeBackend) PauseEvacuation(context.Context, string, PauseEvacuation) (Evacuation, error) {
-	return Evacuation{State: "paused"}, nil
+	return Evacuation{Paused: true}, nil
 }
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -53,9 +53,9 @@
 	Account(ctx context.Context, name string) (AccountStatus, error)
 }
 
-// EvacuationBackend empties old VMs.
+// EvacuationBackend empties sites.
 type EvacuationBackend interface {
-	Evacuation(ctx context.Context) (Evacuation, error)
+	Evacuations(ctx context.Context) (Evacuations, error)
 	Evacuate(ctx context.Context, author string, r Evacuate) (Evacuation, error)
 	PauseEvacuation(ctx context.Context, author string, r PauseEvacuation) (Evacuation, error)
 }
@@ -88,7 +88,7 @@
 	h.get(PathAccounts+"/{name}", func(r *http.Request) (any, error) {
 		return backend.Account(r.Context(), r.PathValue("name"))
 	})
-	h.get(PathEvacuation, func(r *http.Request) (any, error) { return backend.Evacuation(r.Context()) })
+	h.get(PathEvacuations, func(r *http.Request) (any, error) { return backend.Evacuations(r.Context()) })
 
 	handleChange(h, "PUT "+PathConfig, backend.SetConfig)
 	handleChange(h, "POST "+PathExceptions, backend.AddException)
@@ -97,7 +97,7 @@
 	})
 	handleChange(h, "POST "+PathRevert, backend.Revert)
 	handleChange(h, "POST "+PathDrains, backend.Drain)
-	handleChange(h, "POST "+PathEvacuation, backend.Evacuate)
+	handleChange(h, "POST "+PathEvacuations, backend.Evacuate)
 	handleChange(h, "POST "+PathEvacuationPause, backend.PauseEvacuation)
 	return h
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -36,8 +36,8 @@
 	PathStatus          = "/v1/status"
 	PathAccounts        = "/v1/status/accounts"
 	PathDrains          = "/v1/drains"
-	PathEvacuation      = "/v1/evacuation"
-	PathEvacuationPause = "/v1/evacuation/pause"
+	PathEvacuations     = "/v1/evacuations"
+	PathEvacuationPause = "/v1/evacuations/pause"
 )
 
 // Change describes one accepted version of the configuration.
@@ -123,36 +123,60 @@
 	Upstream string `json:"upstream"`
 }
 
-// Evacuate asks that a list of upstreams is emptied by a deadline.
+// Evacuate asks that a site is emptied by a date.
 type Evacuate struct {
 	Precondition
-	Upstreams []string  `json:"upstreams"`
-	Deadline  time.Time `json:"deadline"`
+	// Name is the name of the plan.
+	Name string `json:"name"`
+	// Site is the failure domain to be emptied.
+	Site string    `json:"site"`
+	By   time.Time `json:"by"`
+	// LongestRunSeconds is how long the longest work may run.
+	LongestRunSeconds float64 `json:"longestRunSeconds"`
 }
 
-// PauseEvacuation stops or resumes the evacuation.
+// PauseEvacuation pauses a plan or lets it go on.
 type PauseEvacuation struct {
 	Precondition
-	Paused bool `json:"paused"`
+	Name   string `json:"name"`
+	Paused bool   `json:"paused"`
 }
 
-// Evacuation is the plan that empties old VMs, and its progress.
+// Evacuations are all plans that empty sites.
+type Evacuations struct {
+	Plans []Evacuation `json:"plans"`
+}
+
+// Evacuation is a plan that empties a site, and its progress.
 type Evacuation struct {
-	Version  uint64           `json:"version"`
-	State    string           `json:"state"`
-	Deadline time.Time        `json:"deadline"`
-	Forecast time.Time        `json:"forecast"`
-	AtRisk   bool             `json:"atRisk"`
-	Steps    []EvacuationStep `json:"steps"`
+	Name   string    `json:"name"`
+	Site   string    `json:"site"`
+	By     time.Time `json:"by"`
+	Author string    `json:"author"`
+	Reason string    `json:"reason"`
+	Paused bool      `json:"paused"`
+	// Remaining is how many upstreams are not empty yet.
+	Remaining int `json:"remaining"`
+	// Finish is the expected time, Latest one that is rarely passed; absent
+	// while too little was seen to say.
+	Finish *time.Time `json:"finish,omitempty"`
+	Latest *time.Time `json:"latest,omitempty"`
+	// AtRisk is true if Latest is after By.
+	AtRisk bool              `json:"atRisk"`
+	Steps  []EvacuationStep  `json:"steps"`
+	Log    []EvacuationEvent `json:"log"`
 }
 
-// EvacuationStep is the progress of emptying one upstream.
+// EvacuationStep is the replacement of one upstream.
 type EvacuationStep struct {
 	Upstream    string    `json:"upstream"`
 	Replacement string    `json:"replacement"`
-	State       string    `json:"state"`
-	Streams     int       `json:"streams"`
-	LoadedBytes int64     `json:"loadedBytes"`
-	TotalBytes  int64     `json:"totalBytes"`
-	LatestStart time.Time `json:"latestStart"`
+	Phase       string    `json:"phase"`
+	Since       time.Time `json:"since"`
+}
+
+// EvacuationEvent is one line of a plan's log.
+type EvacuationEvent struct {
+	Time time.Time `json:"time"`
+	Text string    `json:"text"`
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -217,12 +217,12 @@
 	c := newClient(newRouter(t, &fakeBackend{}).URL)
 	p := Precondition{Reason: "x"}
 	calls := map[string]func() error{
-		"Versions":   func() error { _, err := c.Versions(ctx); return err },
-		"Status":     func() error { _, err := c.Status(ctx); return err },
-		"Account":    func() error { _, err := c.Account(ctx, "riga/1"); return err },
-		"Evacuation": func() error { _, err := c.Evacuation(ctx); return err },
-		"Evacuate":   func() error { _, err := c.Evacuate(ctx, Evacuate{Precondition: p}); return err },
-		"Pause":      func() error { _, err := c.PauseEvacuation(ctx, PauseEvacuation{Precondition: p}); return err },
+		"Versions":    func() error { _, err := c.Versions(ctx); return err },
+		"Status":      func() error { _, err := c.Status(ctx); return err },
+		"Account":     func() error { _, err := c.Account(ctx, "riga/1"); return err },
+		"Evacuations": func() error { _, err := c.Evacuations(ctx); return err },
+		"Evacuate":    func() error { _, err := c.Evacuate(ctx, Evacuate{Precondition: p}); return err },
+		"Pause":       func() error { _, err := c.PauseEvacuation(ctx, PauseEvacuation{Precondition: p}); return err },
 		"Exceptions": func() error {
 			for i, do := range []func(Precondition) error{
 				func(p Precondition) error {
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -18,6 +18,7 @@
 const (
 	purposeConfiguration storer.Purpose = "configuration"
 	purposeMembership    storer.Purpose = "membership"
+	purposeJobs          storer.Purpose = "jobs"
 )
 
 // memberRows bounds the rows of one read of the members' table.
@@ -61,6 +62,7 @@
 	r.current.Store(&inForce{document: a.Document, policy: a.Policy})
 	r.control.handle(messenger.PolicyChange{Policy: a.Policy})
 	r.assignPolls()
+	r.conductor.Update(a.Document, a.Policy)
 	r.log.WithFields(logrus.Fields{"event": "configuration", "version": a.Document.Version}).Info("configuration in force")
 }
 
@@ -85,6 +87,7 @@
 	r.peers = change
 	r.control.handle(messenger.PeersChange{Routers: change.Live})
 	r.assignPolls()
+	r.conductor.Peers(change.Live)
 	r.log.WithFields(logrus.Fields{
 		"event": "peers", "live": len(change.Live), "reached": len(change.Reached), "known": change.Known,
 	}).Info("fleet changed")
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lentilwood.example/lentilwood/internal/conductor"
 	"lentilwood.example/lentilwood/internal/configurer"
 	"lentilwood.example/lentilwood/internal/coordinator"
 	"lentilwood.example/lentilwood/internal/dispatcher"
@@ -59,6 +60,7 @@
 	recorder   *recorder.Recorder
 	dispatcher *dispatcher.Dispatcher
 	poller     *poller.Poller
+	conductor  *conductor.Conductor
 	exchanger  *exchanger.Exchanger[envelope]
 	meter      *meter.Meter
 
@@ -123,6 +125,9 @@
 	}))
 	r.control.fleet = r
 	r.registerGauges()
+	r.conductor = conductor.New(conductor.Config{
+		Self: r.self, Seed: cfg.Incarnation, Clock: cfg.Clock, Store: r.store.For(purposeJobs), Log: cfg.Log,
+	})
 	r.poller = poller.New(poller.Config{
 		Self: r.self, Clock: cfg.Clock,
 		Load:  r.reportLoad,
@@ -152,6 +157,7 @@
 		Seeds: r.settings.SeedPeers, Seed: r.incarnation,
 	})
 	r.goroutines.Go(func() { r.poller.Run(r.background) })
+	r.goroutines.Go(func() { r.conductor.Run(r.background) })
 	r.goroutines.Go(func() { r.control.run(r.background) })
 	r.goroutines.Go(r.sweepRecords)
 	r.log.WithFields(logrus.Fields{
