Prove the exchange against lost, late and repeated messages

Cause: a wish for slots whose message was lost was told again only after ten seconds or never; a change of owner left the router with more than its floor.

Change: keep-alives carry wishes, wishes are repeated every three seconds, and a lease whose owner changes shrinks to its floor or to what runs. Tests with duplicated, delayed, reordered and lost messages, cuts, restarts without memory, a dead owner, a flood, and random faults.

--- /dev/null
+++ b/internal/scheduler/fault_test.go
@@ -0,0 +1,279 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// failer is what a test and a property have in common.
+type failer interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// small is a fleet for tests.
+var small = shape{"small", 4, 6, 8, 6}
+
+// overWindow returns by how many requests an engine was used beyond its window.
+func (f *fleet) overWindow() int {
+	over := 0
+	for _, e := range f.engines {
+		over = max(over, e.peak-e.window)
+	}
+	return over
+}
+
+// drain stops the arrivals and returns how many jobs are left after a while.
+func (f *fleet) drain(d time.Duration) int {
+	f.run(f.now + d)
+	left := 0
+	for _, n := range f.nodes {
+		left += len(n.jobs)
+	}
+	return left
+}
+
+// checkState fails if sums that must agree differ.
+func checkState(t failer, f *fleet) {
+	t.Helper()
+	for _, n := range f.nodes {
+		p := n.sched.pools["assistant"]
+		for _, o := range p.ownedList {
+			var held, granted amounts
+			for _, h := range o.holders {
+				held.slots += h.held.slots
+				granted.slots += h.granted.slots
+				if h.granted.slots > h.held.slots || h.granted.slots < 0 {
+					t.Fatalf("%s: %s grants %d of %d held slots to %s", n.id, o.id, h.granted.slots, h.held.slots, h.router)
+				}
+			}
+			if held.slots != o.held.slots || granted.slots != o.granted.slots {
+				t.Fatalf("%s: sums of %s are off: got %+v and %+v, want %+v and %+v", n.id, o.id, o.held, o.granted, held, granted)
+			}
+		}
+		waiting := 0
+		for _, q := range p.flowList {
+			waiting += q.waiting
+		}
+		if waiting != p.waiting {
+			t.Fatalf("%s: got %d waiting, want %d", n.id, p.waiting, waiting)
+		}
+	}
+}
+
+func TestFleetKeepsGapTenTimesSmaller(t *testing.T) {
+	gaps := make(map[Mode]float64)
+	for _, m := range modes {
+		f := newFleet(riga.routers, policyOf(riga), Config{Seed: 1, Mode: m.mode})
+		f.skewed(riga, 0.01)
+		f.run(10 * time.Second)
+		g := f.gauge()
+		g.watch(riga, 50*time.Second)
+		gaps[m.mode] = g.gap
+		if got := f.overWindow(); got > 0 {
+			t.Errorf("%s: got %d requests beyond a window, want none", m.name, got)
+		}
+	}
+	if gaps[Fleet]*10 > gaps[Alone] {
+		t.Errorf("got gap %.0f, want a tenth of %.0f", gaps[Fleet], gaps[Alone])
+	}
+}
+
+func TestDuplicatedDelayedReorderedMessagesDoNoHarm(t *testing.T) {
+	f := newFleet(small.routers, policyOf(small), Config{Seed: 2})
+	f.warp = func() (int, time.Duration) { return 1 + f.rand.IntN(3), f.jitter(300 * time.Millisecond) }
+	ended := 0
+	f.pulses(60, &ended)
+	for f.now < 40*time.Second {
+		f.run(f.now + 100*time.Millisecond)
+		checkWindows(t, f)
+	}
+	checkState(t, f)
+	if got := f.overWindow(); got > 0 {
+		t.Errorf("got %d requests beyond a window, want none", got)
+	}
+}
+
+// pulses lets bursts of jobs arrive at one router after the other, so that
+// slots have to follow.
+func (f *fleet) pulses(n int, ended *int) {
+	for i := range n {
+		at := f.nodes[f.rand.IntN(2)]
+		f.after(time.Duration(i)*400*time.Millisecond, func() {
+			for k := range 30 {
+				j := &job{router: at, account: accountName(k % small.accounts), class: "chat", pool: "assistant"}
+				j.cost, j.hint = f.cost(0)
+				j.ended = func(*job, *messenger.Refuse) { *ended++ }
+				f.submit(j)
+			}
+		})
+	}
+}
+
+// checkWindows fails if routers may use more of an upstream than its window.
+func checkWindows(t failer, f *fleet) {
+	t.Helper()
+	allowed := make(map[messenger.UpstreamID]int)
+	for _, n := range f.nodes {
+		for _, l := range n.sched.pools["assistant"].leases {
+			allowed[l.upstream] += l.allowed.slots
+		}
+	}
+	for id, got := range allowed {
+		if want := f.engines[id].window; got > want {
+			t.Fatalf("at %v routers may use %d slots of %s, want at most %d", f.now, got, id, want)
+		}
+	}
+}
+
+func TestLostMessagesAreRepaired(t *testing.T) {
+	f := newFleet(small.routers, policyOf(small), Config{Seed: 2})
+	f.warp = func() (int, time.Duration) { return min(1, f.rand.IntN(5)), 0 }
+	f.skewed(small, 0)
+	f.run(20 * time.Second)
+	f.warp = nil
+	f.run(35 * time.Second)
+	f.measuring = true
+	f.run(45 * time.Second)
+	if got := float64(f.busy) / float64(f.full); got < 0.97 {
+		t.Errorf("got %.3f of the slots in use after losses, want 0.97", got)
+	}
+}
+
+func TestRestartedRouterStarvesNobody(t *testing.T) {
+	f := newFleet(small.routers, policyOf(small), Config{Seed: 3})
+	f.skewed(small, 0)
+	f.run(10 * time.Second)
+	lost := f.nodes[1].jobs
+	f.start(f.nodes[1])
+	for _, j := range lost {
+		if j.copies == 0 {
+			f.waiting--
+		}
+		f.after(time.Second, func() { j.ended(j, nil) })
+	}
+	f.run(20 * time.Second)
+	g := f.gauge()
+	f.run(40 * time.Second)
+	checkState(t, f)
+	for i := range small.accounts {
+		if got := f.served[accountName(i)] - g.start[accountName(i)]; got < 1000 {
+			t.Errorf("%s got %.0f tokens in 20 s after a restart", accountName(i), got)
+		}
+	}
+}
+
+func TestDeadOwnerIsReplaced(t *testing.T) {
+	f := newFleet(small.routers, policyOf(small), Config{Seed: 3})
+	f.skewed(small, 0)
+	f.run(10 * time.Second)
+	dead := f.nodes[small.routers-1]
+	dead.sched = nil
+	f.cut = func(a, b int) bool { return a == dead.index || b == dead.index }
+	alive := f.names[:small.routers-1]
+	f.after(5*time.Second, func() {
+		for _, n := range f.nodes[:small.routers-1] {
+			f.tell(n, messenger.PeersChange{Routers: alive})
+		}
+	})
+	f.run(25 * time.Second)
+	slots := 0
+	for _, n := range f.nodes[:small.routers-1] {
+		for _, l := range n.sched.pools["assistant"].leases {
+			slots += l.allowed.slots
+		}
+	}
+	if slots != f.slots {
+		t.Errorf("got %d slots in use by the rest, want all %d", slots, f.slots)
+	}
+}
+
+func TestFloodCostsOthersNothing(t *testing.T) {
+	policy := policyOf(small)
+	policy.Accounts[accountName(1)] = messenger.AccountPolicy{QueueLength: 40}
+	served := make(map[bool]float64)
+	for _, flood := range []bool{false, true} {
+		f := newFleet(small.routers, policy, Config{Seed: 4})
+		for i := 2; i < small.accounts; i++ {
+			f.backlog(accountName(i), []int{i % small.routers}, 40, 0)
+		}
+		f.backlog(accountName(1), []int{0, 1, 2, 3}, map[bool]int{false: 60, true: 600}[flood], 0)
+		f.run(10 * time.Second)
+		g := f.gauge()
+		f.run(40 * time.Second)
+		served[flood] = f.served[accountName(2)] - g.start[accountName(2)]
+	}
+	if served[true] < 0.9*served[false] {
+		t.Errorf("got %.0f tokens during a flood, want close to %.0f", served[true], served[false])
+	}
+}
+
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(small.routers, policyOf(small), Config{Seed: rapid.Uint64().Draw(t, "seed")})
+		faults := rapid.SliceOfN(rapid.IntRange(0, 4), 1, 6).Draw(t, "faults")
+		ended := 0
+		f.pulses(12, &ended)
+		vtime := make(map[*Scheduler]float64)
+		for _, fault := range faults {
+			f.inject(fault)
+			f.run(f.now + time.Second)
+			checkState(t, f)
+			for _, n := range f.nodes {
+				v := n.sched.pools["assistant"].vtime
+				if v < vtime[n.sched] {
+					t.Fatalf("virtual time of %s went back from %.0f to %.0f", n.id, vtime[n.sched], v)
+				}
+				vtime[n.sched] = v
+			}
+		}
+		f.cut, f.warp = nil, nil
+		if left := f.drain(45 * time.Second); left > 0 || ended != 12*30 {
+			t.Fatalf("got %d jobs left and %d ended, want 0 and 360", left, ended)
+		}
+		checkConserved(t, f)
+		for _, e := range f.engines {
+			if e.peak > 2*e.window {
+				t.Fatalf("%s ran %d, want at most twice its window of %d", e.id, e.peak, e.window)
+			}
+		}
+	})
+}
+
+// inject brings one kind of fault about.
+func (f *fleet) inject(fault int) {
+	switch fault {
+	case 0:
+		f.cut, f.warp = nil, nil
+	case 1:
+		f.cut = func(a, b int) bool { return (a < 2) != (b < 2) }
+	case 2:
+		f.warp = func() (int, time.Duration) { return f.rand.IntN(3), f.jitter(time.Second) }
+	case 3:
+		f.start(f.nodes[2+f.rand.IntN(2)]) // carries no jobs in this test
+	case 4:
+		at := f.rand.IntN(small.routers)
+		f.cut = func(a, b int) bool { return a == at || b == at }
+	}
+}
+
+// checkConserved fails if an account was not charged what it used.
+func checkConserved(t failer, f *fleet) {
+	t.Helper()
+	charged := make(map[messenger.AccountID]float64)
+	for _, n := range f.nodes {
+		for _, q := range n.sched.pools["assistant"].flowList {
+			charged[q.account] += q.served
+		}
+	}
+	for id, got := range charged {
+		if want := f.served[id]; fmt.Sprintf("%.3f", got) != fmt.Sprintf("%.3f", want) {
+			t.Fatalf("%s was charged %.3f, want %.3f", id, got, want)
+		}
+	}
+}
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -172,6 +172,9 @@
 
 // tell hands an event to a node and carries out the actions.
 func (f *fleet) tell(n *node, e messenger.Event) {
+	if n.sched == nil {
+		return
+	}
 	for _, a := range append([]messenger.Action(nil), n.sched.Handle(epoch.Add(f.now), e)...) {
 		switch a := a.(type) {
 		case messenger.Dispatch:
--- a/internal/scheduler/relation.go
+++ b/internal/scheduler/relation.go
@@ -115,13 +115,22 @@
 	}
 	if l.owner != c.owner {
 		l.owner, l.seen = c.owner, 0
-		p.place(l)
+		p.keepUsed(l)
 		p.tellLease(l, true)
 	}
 	p.addSource(l, old)
 	p.place(l)
 }
 
+// keepUsed reduces l to its floor or to what runs. A new owner takes it for
+// granted that nobody has more.
+func (p *pool) keepUsed(l *lease) {
+	running, long := p.placer.Running(l.upstream)
+	l.allowed.slots = min(l.allowed.slots, max(running, l.floor.slots))
+	l.allowed.long = min(l.allowed.long, max(long, l.floor.long))
+	p.place(l)
+}
+
 // addSource adds l to the source of its owner, which keeps what was known.
 func (p *pool) addSource(l *lease, old []*source) {
 	src := p.sourceOf(l.owner)
--- a/internal/scheduler/upkeep.go
+++ b/internal/scheduler/upkeep.go
@@ -8,7 +8,10 @@
 
 // Periods of upkeep, in ticks.
 const (
-	linkTicks    = 10
+	linkTicks = 10
+	// wishTicks and refreshTicks are the periods at which wishes and leases are
+	// told again, for the case that a message was lost.
+	wishTicks    = 300
 	refreshTicks = 1000
 	// flowsPerTick and homesPerTick bound the accounts looked at in one tick.
 	flowsPerTick = 8
@@ -33,6 +36,9 @@
 	if s.ticks%linkTicks == 0 {
 		s.watch()
 	}
+	if s.ticks%wishTicks == 0 {
+		s.repeatWishes()
+	}
 	if s.ticks%refreshTicks == 0 {
 		s.refresh()
 	}
@@ -81,9 +87,13 @@
 // greet has something told to a router that relies on hearing from this one.
 func (s *Scheduler) greet(k *link) {
 	for _, p := range s.poolList {
-		if p.sourceOf(k.router) != nil || p.serves(k.router) {
+		if p.sourceOf(k.router) != nil {
+			k.boxOf(p).demand = p.waiting > 0
+			s.mark(k, false)
+		}
+		if p.serves(k.router) {
+			k.boxOf(p).rivals = p.wantHeap.len() > 0
 			s.mark(k, false)
-			return
 		}
 	}
 }
@@ -104,6 +114,20 @@
 	return false
 }
 
+// repeatWishes tells again what this router wants and what others want of it.
+func (s *Scheduler) repeatWishes() {
+	for _, p := range s.poolList {
+		if p.waiting > 0 {
+			for _, src := range p.sources {
+				p.tellDemand(src, false)
+			}
+		}
+		if p.wantHeap.len() > 0 {
+			p.tellRivals(false)
+		}
+	}
+}
+
 // refresh repeats what lost messages may have left unsaid.
 func (s *Scheduler) refresh() {
 	for _, p := range s.poolList {
