--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -176,3 +176,34 @@
 	a.tokens.refill(now, l.share(now, a)*rate/time.Minute.Seconds())
 	a.tokens.take(tokens)
 }
+
+// State is what one client account uses of its limits through one router.
+type State struct {
+	// Share is the router's part of the limits.
+	Share   float64 `json:"share"`
+	Waiting int     `json:"waiting"`
+	Running int     `json:"running"`
+	// QueueLength, Concurrency, RequestsPerSecond and TokensPerMinute are the
+	// limits over the whole fleet; zero means none.
+	QueueLength       int     `json:"queueLength"`
+	Concurrency       int     `json:"concurrency"`
+	RequestsPerSecond float64 `json:"requestsPerSecond"`
+	TokensPerMinute   float64 `json:"tokensPerMinute"`
+}
+
+// State returns what an account uses of its limits.
+func (l *Limiter) State(now time.Time, id messenger.AccountID) State {
+	policy := l.policy.AccountOf(id)
+	state := State{
+		Share:             1 / float64(l.routers),
+		QueueLength:       policy.QueueLength,
+		Concurrency:       policy.Concurrency,
+		RequestsPerSecond: policy.RequestsPerSecond,
+		TokensPerMinute:   policy.TokensPerMinute,
+	}
+	if a, ok := l.accounts[id]; ok {
+		state.Share = l.share(now, a)
+		state.Waiting, state.Running = a.waiting, a.running
+	}
+	return state
+}
--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -233,7 +233,7 @@
 			}
 		}
 		f.cut, f.warp = nil, nil
-		if left := f.drain(45 * time.Second); left > 0 || ended != 12*30 {
+		if left := f.drain(25 * time.Second); left > 0 || ended != 12*30 {
 			t.Fatalf("got %d jobs left and %d ended, want 0 and 360", left, ended)
 		}
 		checkConserved(t, f)
--- /dev/null
+++ b/internal/scheduler/status.go
@@ -0,0 +1,187 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+
+	"lentilwood.example/lentilwood/internal/limiter"
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// Explanation says how one router sees a client account, and so why its
+// requests wait.
+type Explanation struct {
+	Account messenger.AccountID `json:"account"`
+	Weight  float64             `json:"weight"`
+	// Home is the router that sums up the account's service.
+	Home   messenger.RouterID `json:"home"`
+	Limits limiter.State      `json:"limits"`
+	// Pools holds the pools in which the account was active of late.
+	Pools []PoolExplanation `json:"pools"`
+}
+
+// PoolExplanation is the part of an Explanation that concerns one pool.
+type PoolExplanation struct {
+	Pool messenger.PoolID `json:"pool"`
+	// Tag is the account's virtual start tag; VirtualTime is that of the pool.
+	// The account with the lowest tag goes first.
+	Tag         float64 `json:"tag"`
+	VirtualTime float64 `json:"virtualTime"`
+	// Served is the sum of the charges at this router, in tokens.
+	Served float64 `json:"served"`
+	// Share is the part of the pool's slots at this router that the account has.
+	Share float64 `json:"share"`
+	// Blocked is true while the account's concurrency limit keeps it back.
+	Blocked bool `json:"blocked"`
+	// Waiting counts the requests waiting here, Elsewhere those at others.
+	Waiting   []ClassCount `json:"waiting"`
+	Elsewhere int          `json:"elsewhere"`
+	// Ahead counts the accounts at this router whose tags are lower.
+	Ahead int `json:"ahead"`
+	// Expected is the expected wait of a new request, in seconds.
+	Expected float64 `json:"expectedWaitSeconds"`
+	// Holds lists the upstreams that run the account's requests.
+	Holds []UpstreamCount `json:"holds"`
+}
+
+// ClassCount counts requests of one class.
+type ClassCount struct {
+	Class   messenger.ClassID `json:"class"`
+	Waiting int               `json:"waiting"`
+}
+
+// UpstreamCount counts requests on one upstream.
+type UpstreamCount struct {
+	Upstream messenger.UpstreamID `json:"upstream"`
+	Running  int                  `json:"running"`
+}
+
+// Explain says how this router sees a client account. It looks at all running
+// requests, so it is meant for operators and not for every event.
+func (s *Scheduler) Explain(account messenger.AccountID) Explanation {
+	e := Explanation{
+		Account: account,
+		Weight:  weightOf(s.policy, account),
+		Home:    s.homeOf(account),
+		Limits:  s.limits.State(s.now, account),
+	}
+	for _, p := range s.poolList {
+		if f, ok := p.flows[account]; ok {
+			e.Pools = append(e.Pools, p.explain(f))
+		}
+	}
+	return e
+}
+
+func (p *pool) explain(f *flow) PoolExplanation {
+	e := PoolExplanation{
+		Pool: p.id, Tag: f.tag, VirtualTime: p.vtime, Served: f.served,
+		Blocked: f.blocked, Elsewhere: f.elsewhere,
+	}
+	for _, q := range f.queues {
+		e.Waiting = append(e.Waiting, ClassCount{Class: q.class.id, Waiting: q.n})
+		e.Expected = max(e.Expected, p.waitFor(q).Seconds())
+	}
+	running := 0
+	for _, other := range p.flowList {
+		running += other.running
+		if other.waiting > 0 && other.tag < f.tag {
+			e.Ahead++
+		}
+	}
+	e.Share = float64(f.running) / float64(max(1, running))
+	e.Holds = p.holds(f)
+	return e
+}
+
+// holds counts the running requests of an account on each upstream.
+func (p *pool) holds(f *flow) []UpstreamCount {
+	counts := make(map[messenger.UpstreamID]int)
+	for _, r := range p.sched.requests {
+		if r.queue.flow != f {
+			continue
+		}
+		for _, u := range r.upstreams {
+			counts[u]++
+		}
+	}
+	list := make([]UpstreamCount, 0, len(counts))
+	for u, n := range counts {
+		list = append(list, UpstreamCount{Upstream: u, Running: n})
+	}
+	slices.SortFunc(list, func(a, b UpstreamCount) int {
+		return strings.Compare(string(a.Upstream), string(b.Upstream))
+	})
+	return list
+}
+
+// Snapshot is the state of a Scheduler for status and metrics.
+type Snapshot struct {
+	Pools []PoolSnapshot `json:"pools"`
+	// ControlBytes and ControlMessages count what was sent since the start, by
+	// estimated sizes times the scale that was set.
+	ControlBytes    uint64 `json:"controlBytes"`
+	ControlMessages uint64 `json:"controlMessages"`
+	// ControlPressure is 1 while the budget suffices and grows as reports are
+	// late.
+	ControlPressure float64 `json:"controlPressure"`
+	// Requests counts the waiting and running requests.
+	Requests int `json:"requests"`
+	// LostRouters counts the routers that have fallen silent.
+	LostRouters int `json:"lostRouters"`
+}
+
+// PoolSnapshot is the part of a Snapshot that concerns one pool.
+type PoolSnapshot struct {
+	Pool        messenger.PoolID `json:"pool"`
+	Waiting     []ClassCount     `json:"waiting"`
+	Running     int              `json:"running"`
+	Slots       int              `json:"slots"`
+	Accounts    int              `json:"accounts"`
+	Homes       int              `json:"homes"`
+	Owned       int              `json:"ownedUpstreams"`
+	VirtualTime float64          `json:"virtualTime"`
+}
+
+// Snapshot returns the state for status and metrics.
+func (s *Scheduler) Snapshot() Snapshot {
+	snapshot := Snapshot{
+		ControlBytes:    s.governor.sentBytes,
+		ControlMessages: s.governor.sentMessages,
+		ControlPressure: s.governor.pressure,
+		Requests:        len(s.requests),
+	}
+	for _, l := range s.linkList {
+		if l.lost {
+			snapshot.LostRouters++
+		}
+	}
+	for _, p := range s.poolList {
+		snapshot.Pools = append(snapshot.Pools, p.snapshot())
+	}
+	return snapshot
+}
+
+func (p *pool) snapshot() PoolSnapshot {
+	m := PoolSnapshot{
+		Pool: p.id, Accounts: len(p.flows), Homes: len(p.homes),
+		Owned: len(p.ownedList), VirtualTime: p.vtime,
+	}
+	for _, c := range p.classes {
+		m.Waiting = append(m.Waiting, ClassCount{Class: c.id, Waiting: c.waiting})
+	}
+	for _, l := range p.leases {
+		running, _ := p.placer.Running(l.upstream)
+		m.Running += running
+		m.Slots += l.allowed.slots
+	}
+	return m
+}
+
+// SetControlScale corrects the estimated sizes of control messages: the ratio
+// of the bytes that were really sent to those in the Snapshot.
+func (s *Scheduler) SetControlScale(ratio float64) {
+	if ratio > 0 {
+		s.governor.scale = ratio
+	}
+}
