--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -143,6 +143,7 @@
 }
 
 func TestEnginesGetTheirWantedState(t *testing.T) {
+	t.Parallel()
 	for _, checksFence := range []bool{true, false} {
 		f := newFleet(t, checksFence)
 		if !f.runUntil(time.Hour, f.inState("old0", "old1", "new0", "new1")) {
@@ -158,6 +159,7 @@
 
 // TestSiteIsEmptiedThoughTheLeaderStops stops the router that runs the plan.
 func TestSiteIsEmptiedThoughTheLeaderStops(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, true)
 	doc, err := f.editor.Show(t.Context())
 	if err != nil {
--- a/internal/configurer/editor_test.go
+++ b/internal/configurer/editor_test.go
@@ -148,6 +148,7 @@
 // TestLongHistory goes past two snapshots, reverts to versions in the object
 // store and in the table, and lets routers of all ages catch up.
 func TestLongHistory(t *testing.T) {
+	t.Parallel()
 	e, k := newEditor()
 	set(t, e, parse(t, sample))
 	const last = 2*compactEvery + 10
--- a/internal/configurer/interleaving_test.go
+++ b/internal/configurer/interleaving_test.go
@@ -196,6 +196,7 @@
 
 // TestAllInterleavingsOfOperatorsAndRestart explores every order of the steps.
 func TestAllInterleavingsOfOperatorsAndRestart(t *testing.T) {
+	t.Parallel()
 	e, k := newEditor()
 	set(t, e, parse(t, `{}`))
 	w := &world{k: k, a: newRouter(), b: newRouter()}
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -14,11 +14,15 @@
 // seeds runs a test with several seeds.
 func seeds(t *testing.T, n uint64, do func(t *testing.T, seed uint64)) {
 	for seed := range n {
-		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { do(t, seed) })
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			do(t, seed)
+		})
 	}
 }
 
 func TestChangeIsInForceWithinSeconds(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		routers int
 		limit   time.Duration
@@ -101,6 +105,7 @@
 // TestLongOutage keeps the store down for hours: the fleet serves on, and a
 // change made just before reaches everybody.
 func TestLongOutage(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 8, 1)
 	f.waitReady()
 	f.waitMembers()
@@ -150,6 +155,7 @@
 // TestRestartBehindCutDoesNotGoBack restarts a router in an outage where it
 // reaches only routers that missed the last change, which most of them hold.
 func TestRestartBehindCutDoesNotGoBack(t *testing.T) {
+	t.Parallel()
 	seeds(t, 5, func(t *testing.T, seed uint64) {
 		f := newFleet(t, 8, seed)
 		f.waitReady()
@@ -279,6 +285,7 @@
 // TestRandomFaults mixes cuts, outages, restarts, pauses and late messages.
 // checkVersion fails on any step back; in the end all agree.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	seeds(t, 10, func(t *testing.T, seed uint64) {
 		f := newFleet(t, 8, seed)
 		f.waitReady()
--- a/internal/coordinator/drains_test.go
+++ b/internal/coordinator/drains_test.go
@@ -23,6 +23,7 @@
 }
 
 func TestLeavingUpstreamIsKnownWithinThreeSeconds(t *testing.T) {
+	t.Parallel()
 	const limit = 3 * time.Second
 	tests := []struct {
 		name string
@@ -54,6 +55,7 @@
 	for _, tt := range tests {
 		for _, routers := range []int{8, 60} {
 			t.Run(fmt.Sprint(tt.name, "/", routers), func(t *testing.T) {
+				t.Parallel()
 				f := newFleet(t, routers, 1)
 				f.waitReady()
 				f.waitMembers()
--- a/internal/evacuator/evacuator_test.go
+++ b/internal/evacuator/evacuator_test.go
@@ -42,6 +42,7 @@
 }
 
 func TestSiteIsEmptiedWithoutLossOfCapacity(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 6, 1)
 	s.create(24 * time.Hour)
 	least := s.floor
@@ -63,6 +64,7 @@
 // TestAnyRouterGoesOn replaces the router that runs the plan again and again,
 // over a store that fails and loses answers.
 func TestAnyRouterGoesOn(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		s := newSite(t, 4, seed)
 		s.create(24 * time.Hour)
@@ -135,6 +137,7 @@
 }
 
 func TestDateAtRiskIsToldEarly(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 8, 1)
 	s.loadEvery = 40 * time.Minute
 	s.create(5 * time.Hour)
@@ -167,6 +170,7 @@
 }
 
 func TestPause(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 3, 1)
 	s.create(24 * time.Hour)
 	s.run(8 * time.Minute)
--- a/internal/leaser/interleaving_test.go
+++ b/internal/leaser/interleaving_test.go
@@ -222,6 +222,7 @@
 // TestAllInterleavingsOfTwoContenders explores every order of calls, answers,
 // losses, late writes and pauses of two contenders, up to a bound.
 func TestAllInterleavingsOfTwoContenders(t *testing.T) {
+	t.Parallel()
 	w := world{now: start, losses: maxLosses, pauses: maxPauses}
 	for i := range w.l {
 		w.l[i] = *New(Config{Self: []messenger.RouterID{"a", "b"}[i], Name: "orders", TTL: ttl, Seed: 1})
--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -168,6 +168,7 @@
 // TestLeaseUnderFaults runs two contenders over a store that loses answers,
 // fails and is down, with pauses, under many seeds.
 func TestLeaseUnderFaults(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(100) {
 		clock := timekeeper.NewManual(start)
 		k := keeper.New(clock)
