Configuration: take a change in without reading all entries anew

Change: the new document shares the sections that do not change; accounts that do not differ from the default are left out of the policy.

--- /dev/null
+++ b/internal/configurer/bench_test.go
@@ -0,0 +1,70 @@
+package configurer
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"lentilwood.example/lentilwood/internal/keeper"
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// largeState returns the state of a configuration of many client accounts, and
+// an update with one more exception.
+func largeState(b *testing.B, accounts int) (*State, Update) {
+	b.Helper()
+	d := &Document{Accounts: make(map[messenger.AccountID]AccountSettings)}
+	for i := range accounts {
+		w := float64(1 + i%5)
+		d.Accounts[messenger.AccountID(fmt.Sprintf("account-%05d", i))] = AccountSettings{
+			Weight: &w, Tokens: []string{Digest(fmt.Sprint(i))},
+		}
+	}
+	clock := timekeeper.NewManual(start)
+	e := &Editor{Store: keeper.New(clock), Clock: clock}
+	if _, err := e.Set(b.Context(), d, note); err != nil {
+		b.Fatal(err)
+	}
+	s, err := e.load(b.Context())
+	if err != nil {
+		b.Fatal(err)
+	}
+	w := 2.0
+	u, err := e.Except(b.Context(), 0, "x", Exception{
+		Scope: Scope{Account: "account-00007"}, Reason: "test", Author: "ilze", Account: &AccountSettings{Weight: &w},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return s, u
+}
+
+// BenchmarkApply measures what a change costs a router with 14,000 client
+// accounts: taking it in, and resolving the policy.
+func BenchmarkApply(b *testing.B) {
+	s, u := largeState(b, 14000)
+	data, err := json.Marshal(u)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("apply", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			if _, err := s.Apply(u); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(len(data)), "B/change")
+	})
+	next, err := s.Apply(u)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("resolve", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			next.Document().Resolve(start, "r1", "d1")
+		}
+	})
+}
--- /dev/null
+++ b/internal/configurer/entries.go
@@ -0,0 +1,198 @@
+package configurer
+
+import (
+	"encoding/json"
+	"maps"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// sumOf adds up the entries, so that the order of entries does not matter and
+// a change costs only its own entries.
+func sumOf(e Entries) uint64 {
+	var sum uint64
+	for key, value := range e {
+		sum += entrySum(key, value)
+	}
+	return sum
+}
+
+func entrySum(key string, value json.RawMessage) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(key)
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write(value)
+	return h.Sum64()
+}
+
+// entriesOf takes a document apart.
+func entriesOf(d *Document) Entries {
+	e := make(Entries)
+	put(e, "timeZone", d.TimeZone)
+	put(e, "account", d.Account)
+	put(e, "routes", d.Routes)
+	putAll(e, "accounts", d.Accounts)
+	putAll(e, "classes", d.Classes)
+	putAll(e, "pools", d.Pools)
+	putAll(e, "upstreams", d.Upstreams)
+	putAll(e, "exceptions", d.Exceptions)
+	return e
+}
+
+// noValue is how an entry that is removed is written.
+const noValue = "null"
+
+// removed reports whether a change removes its entry.
+func removed(value json.RawMessage) bool { return value == nil || string(value) == noValue }
+
+// put adds an entry, unless its value is empty.
+func put(e Entries, key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // every field can be written
+	}
+	if string(data) == noValue {
+		return
+	}
+	e[key] = data
+}
+
+func putAll[K ~string, V any](e Entries, section string, values map[K]V) {
+	for name, v := range values {
+		put(e, section+"/"+string(name), v)
+	}
+}
+
+// documentOf puts a document together from its entries.
+func documentOf(e Entries, version uint64) (*Document, error) {
+	d := &Document{
+		Version:    version,
+		Accounts:   make(map[messenger.AccountID]AccountSettings),
+		Classes:    make(map[messenger.ClassID]ClassSettings),
+		Pools:      make(map[messenger.PoolID]PoolSettings),
+		Upstreams:  make(map[messenger.UpstreamID]UpstreamSettings),
+		Exceptions: make(map[string]Exception),
+	}
+	if err := d.setAll(e); err != nil {
+		return nil, err
+	}
+	d.index()
+	return d, nil
+}
+
+// with returns the document with some entries changed. What they leave alone
+// is shared with d.
+func (d *Document) with(changes Entries, version uint64) (*Document, error) {
+	out := *d
+	out.Version = version
+	sections := make(map[string]bool)
+	for key := range changes {
+		section, _, _ := strings.Cut(key, "/")
+		sections[section] = true
+	}
+	out.unshare(sections)
+	if err := out.setAll(changes); err != nil {
+		return nil, err
+	}
+	if sections["accounts"] {
+		out.index()
+	}
+	return &out, nil
+}
+
+// unshare copies the sections that are going to change.
+func (d *Document) unshare(sections map[string]bool) {
+	if sections["accounts"] {
+		d.Accounts = maps.Clone(d.Accounts)
+	}
+	if sections["classes"] {
+		d.Classes = maps.Clone(d.Classes)
+	}
+	if sections["pools"] {
+		d.Pools = maps.Clone(d.Pools)
+	}
+	if sections["upstreams"] {
+		d.Upstreams = maps.Clone(d.Upstreams)
+	}
+	if sections["exceptions"] {
+		d.Exceptions = maps.Clone(d.Exceptions)
+	}
+}
+
+// setAll sets or removes entries. Sections that this release does not know are
+// left out.
+func (d *Document) setAll(e Entries) error {
+	for key, value := range e {
+		if err := d.set(key, value); err != nil {
+			return merry.Prependf(err, "entry %s of version %d", key, d.Version)
+		}
+	}
+	return nil
+}
+
+func (d *Document) set(key string, value json.RawMessage) error {
+	section, name, _ := strings.Cut(key, "/")
+	switch section {
+	case "timeZone":
+		return setField(&d.TimeZone, value)
+	case "account":
+		return setField(&d.Account, value)
+	case "routes":
+		return setField(&d.Routes, value)
+	case "accounts":
+		return setEntry(d.Accounts, messenger.AccountID(name), value)
+	case "classes":
+		return setEntry(d.Classes, messenger.ClassID(name), value)
+	case "pools":
+		return setEntry(d.Pools, messenger.PoolID(name), value)
+	case "upstreams":
+		return setEntry(d.Upstreams, messenger.UpstreamID(name), value)
+	case "exceptions":
+		return setEntry(d.Exceptions, name, value)
+	}
+	return nil
+}
+
+// setField reads an entry anew; nothing of its earlier value, which other
+// documents share, is kept or changed.
+func setField[T any](field *T, value json.RawMessage) error {
+	var v T
+	*field = v
+	if removed(value) {
+		return nil
+	}
+	err := json.Unmarshal(value, &v)
+	*field = v
+	return err
+}
+
+func setEntry[K comparable, V any](m map[K]V, name K, value json.RawMessage) error {
+	if removed(value) {
+		delete(m, name)
+		return nil
+	}
+	var v V
+	err := json.Unmarshal(value, &v)
+	m[name] = v
+	return err
+}
+
+// diff returns the changes that lead from one document's entries to another's.
+func diff(from, to Entries) Entries {
+	changes := make(Entries)
+	for key, value := range to {
+		if string(from[key]) != string(value) {
+			changes[key] = value
+		}
+	}
+	for key := range from {
+		if _, ok := to[key]; !ok {
+			changes[key] = nil
+		}
+	}
+	return changes
+}
--- a/internal/configurer/resolve.go
+++ b/internal/configurer/resolve.go
@@ -20,7 +20,7 @@
 	}
 	return &messenger.Policy{
 		Version:   d.Version,
-		Account:   r.account(""),
+		Account:   r.account("", &AccountSettings{}),
 		Accounts:  r.accounts(),
 		Classes:   r.classes(),
 		Pools:     r.pools(),
@@ -48,11 +48,12 @@
 }
 
 // account resolves one client account; the empty id gives the default.
-func (r *resolver) account(id messenger.AccountID) messenger.AccountPolicy {
+func (r *resolver) account(id messenger.AccountID, s *AccountSettings) messenger.AccountPolicy {
 	var p messenger.AccountPolicy
 	r.doc.Account.apply(&p)
-	r.doc.Accounts[id].apply(&p)
-	for _, e := range r.exceptions {
+	s.apply(&p)
+	for i := range r.exceptions {
+		e := &r.exceptions[i]
 		if e.Account != nil && (e.Scope.Account == "" || e.Scope.Account == id) {
 			e.Account.apply(&p)
 		}
@@ -62,8 +63,11 @@
 
 func (r *resolver) accounts() map[messenger.AccountID]messenger.AccountPolicy {
 	policies := make(map[messenger.AccountID]messenger.AccountPolicy, len(r.doc.Accounts))
-	for id := range r.doc.Accounts {
-		policies[id] = r.account(id)
+	common := r.account("", &AccountSettings{})
+	for id, s := range r.doc.Accounts {
+		if p := r.account(id, &s); p != common {
+			policies[id] = p
+		}
 	}
 	return policies
 }
@@ -161,7 +165,7 @@
 		(s.Domain == "" || s.Domain == u.Domain)
 }
 
-func (s AccountSettings) apply(p *messenger.AccountPolicy) {
+func (s *AccountSettings) apply(p *messenger.AccountPolicy) {
 	override(&p.Weight, s.Weight)
 	override(&p.RequestsPerSecond, s.RequestsPerSecond)
 	override(&p.Burst, s.Burst)
--- a/internal/configurer/state.go
+++ b/internal/configurer/state.go
@@ -3,13 +3,9 @@
 import (
 	"encoding/json"
 	"maps"
-	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/cespare/xxhash/v2"
-
-	"lentilwood.example/lentilwood/internal/messenger"
 )
 
 // Entries is a document taken apart into entries that change one by one, so
@@ -92,7 +88,8 @@
 		next = *s
 	}
 	next.cursor = max(next.cursor, u.Cursor)
-	if len(u.Whole) > 0 && u.Version-uint64(len(u.Revisions)) > next.version {
+	whole := len(u.Whole) > 0 && u.Version-uint64(len(u.Revisions)) > next.version
+	if whole {
 		next.version = u.Version - uint64(len(u.Revisions))
 		next.entries = maps.Clone(u.Whole)
 		next.sum = sumOf(u.Whole)
@@ -101,6 +98,7 @@
 			return s, merry.Prependf(ErrGap, "checksum of version %d differs", next.version)
 		}
 	}
+	changes := make(Entries)
 	for _, r := range u.Revisions {
 		if r.Version <= next.version {
 			continue
@@ -109,6 +107,7 @@
 			return s, merry.Prependf(ErrGap, "have version %d, got %d", next.version, r.Version)
 		}
 		next.advance(r)
+		maps.Copy(changes, r.Changes)
 		if next.sum != r.Sum {
 			return s, merry.Prependf(ErrGap, "checksum of version %d differs", r.Version)
 		}
@@ -116,7 +115,7 @@
 	if next.version == s.Version() {
 		return &next, nil
 	}
-	doc, err := documentOf(next.entries, next.version)
+	doc, err := next.document(s, whole, changes)
 	if err != nil {
 		return s, err
 	}
@@ -124,6 +123,15 @@
 	return &next, nil
 }
 
+// document puts the document of a state together, from that of an earlier one
+// where only some entries have changed.
+func (s *State) document(before *State, whole bool, changes Entries) (*Document, error) {
+	if whole || before.Document() == nil {
+		return documentOf(s.entries, s.version)
+	}
+	return before.doc.with(changes, s.version)
+}
+
 // advance applies one revision.
 func (s *State) advance(r Revision) {
 	s.entries = maps.Clone(s.entries)
@@ -135,7 +143,7 @@
 			s.sum -= entrySum(key, old)
 			delete(s.entries, key)
 		}
-		if value != nil && string(value) != noValue {
+		if !removed(value) {
 			s.entries[key] = value
 			s.sum += entrySum(key, value)
 		}
@@ -160,122 +168,3 @@
 	u.Whole, u.Sum = s.entries, s.sum
 	return u
 }
-
-// sumOf adds up the entries, so that the order of entries does not matter and
-// a change costs only its own entries.
-func sumOf(e Entries) uint64 {
-	var sum uint64
-	for key, value := range e {
-		sum += entrySum(key, value)
-	}
-	return sum
-}
-
-func entrySum(key string, value json.RawMessage) uint64 {
-	h := xxhash.New()
-	_, _ = h.WriteString(key)
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write(value)
-	return h.Sum64()
-}
-
-// entriesOf takes a document apart.
-func entriesOf(d *Document) Entries {
-	e := make(Entries)
-	put(e, "timeZone", d.TimeZone)
-	put(e, "account", d.Account)
-	put(e, "routes", d.Routes)
-	putAll(e, "accounts", d.Accounts)
-	putAll(e, "classes", d.Classes)
-	putAll(e, "pools", d.Pools)
-	putAll(e, "upstreams", d.Upstreams)
-	putAll(e, "exceptions", d.Exceptions)
-	return e
-}
-
-// noValue is how an entry that is removed is written.
-const noValue = "null"
-
-// put adds an entry, unless its value is empty.
-func put(e Entries, key string, value any) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic(err) // every field can be written
-	}
-	if string(data) == noValue {
-		return
-	}
-	e[key] = data
-}
-
-func putAll[K ~string, V any](e Entries, section string, values map[K]V) {
-	for name, v := range values {
-		put(e, section+"/"+string(name), v)
-	}
-}
-
-// documentOf puts a document together from its entries. Sections that this
-// release does not know are left out.
-func documentOf(e Entries, version uint64) (*Document, error) {
-	d := &Document{
-		Version:    version,
-		Accounts:   make(map[messenger.AccountID]AccountSettings),
-		Classes:    make(map[messenger.ClassID]ClassSettings),
-		Pools:      make(map[messenger.PoolID]PoolSettings),
-		Upstreams:  make(map[messenger.UpstreamID]UpstreamSettings),
-		Exceptions: make(map[string]Exception),
-	}
-	for key, value := range e {
-		if err := d.set(key, value); err != nil {
-			return nil, merry.Prependf(err, "entry %s of version %d", key, version)
-		}
-	}
-	d.index()
-	return d, nil
-}
-
-func (d *Document) set(key string, value json.RawMessage) error {
-	section, name, _ := strings.Cut(key, "/")
-	switch section {
-	case "timeZone":
-		return json.Unmarshal(value, &d.TimeZone)
-	case "account":
-		return json.Unmarshal(value, &d.Account)
-	case "routes":
-		return json.Unmarshal(value, &d.Routes)
-	case "accounts":
-		return setEntry(d.Accounts, messenger.AccountID(name), value)
-	case "classes":
-		return setEntry(d.Classes, messenger.ClassID(name), value)
-	case "pools":
-		return setEntry(d.Pools, messenger.PoolID(name), value)
-	case "upstreams":
-		return setEntry(d.Upstreams, messenger.UpstreamID(name), value)
-	case "exceptions":
-		return setEntry(d.Exceptions, name, value)
-	}
-	return nil
-}
-
-func setEntry[K comparable, V any](m map[K]V, name K, value json.RawMessage) error {
-	var v V
-	err := json.Unmarshal(value, &v)
-	m[name] = v
-	return err
-}
-
-// diff returns the changes that lead from one document's entries to another's.
-func diff(from, to Entries) Entries {
-	changes := make(Entries)
-	for key, value := range to {
-		if string(from[key]) != string(value) {
-			changes[key] = value
-		}
-	}
-	for key := range from {
-		if _, ok := to[key]; !ok {
-			changes[key] = nil
-		}
-	}
-	return changes
-}
