--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -86,6 +87,8 @@
 	engine *engine
 	load   loadHistory
 	orders orderBook
+
+	stopOnce sync.Once
 }
 
 // completion is the body of POST /v1/completions.
@@ -134,8 +137,10 @@
 
 // Stop loses everything in progress, as the loss of a VM does.
 func (w *Worker) Stop() {
-	close(w.engine.stop)
-	w.standin.Stop()
+	w.stopOnce.Do(func() {
+		close(w.engine.stop)
+		w.standin.Stop()
+	})
 }
 
 func (w *Worker) serveCompletion(rw http.ResponseWriter, r *http.Request) {
--- a/internal/listener/acceptor.go
+++ b/internal/listener/acceptor.go
@@ -17,13 +17,14 @@
 type acceptor struct {
 	net.Listener
 	full     func() bool
+	refused  func(problem string)
 	once     sync.Once
 	stopping chan struct{}
 	closed   chan struct{}
 }
 
-func newAcceptor(ln net.Listener, full func() bool) *acceptor {
-	return &acceptor{Listener: ln, full: full, stopping: make(chan struct{}), closed: make(chan struct{})}
+func newAcceptor(ln net.Listener, full func() bool, refused func(problem string)) *acceptor {
+	return &acceptor{Listener: ln, full: full, refused: refused, stopping: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // Accept returns the next connection that may be served.
@@ -31,6 +32,7 @@
 	for {
 		conn, err := a.Listener.Accept()
 		if err == nil && a.full() {
+			a.refused(problemFull.kind)
 			reject(conn)
 			continue
 		}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -86,6 +86,9 @@
 	IdleTimeout time.Duration
 	// Handler answers the requests.
 	Handler Handler
+	// Refused, if set, is called with the name of the problem for each request
+	// that is refused before any handler sees it. It must not block.
+	Refused func(problem string)
 	// Log gets one line for each event; nil means logrus's standard logger.
 	Log *logrus.Logger
 	// Clock measures the timeouts; nil means the system's clock.
@@ -99,6 +102,9 @@
 	cfg.MaxConns = orDefault(cfg.MaxConns, DefaultMaxConns)
 	cfg.ReadTimeout = orDefault(cfg.ReadTimeout, DefaultReadTimeout)
 	cfg.IdleTimeout = orDefault(cfg.IdleTimeout, DefaultIdleTimeout)
+	if cfg.Refused == nil {
+		cfg.Refused = func(string) {}
+	}
 	if cfg.Log == nil {
 		cfg.Log = logrus.StandardLogger()
 	}
@@ -176,7 +182,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.acceptor = newAcceptor(ln, l.full)
+	l.acceptor = newAcceptor(ln, l.full, l.cfg.Refused)
 	return l.acceptor, nil
 }
 
--- a/internal/listener/sweeper.go
+++ b/internal/listener/sweeper.go
@@ -54,6 +54,7 @@
 
 // timeOutRequest answers a request whose bytes came too slowly.
 func (b *boundary) timeOutRequest() {
+	b.l.cfg.Refused(problemTimeout.kind)
 	b.execute(func() {
 		b.mu.Lock()
 		b.closeAfter = true
--- a/internal/listener/wire.go
+++ b/internal/listener/wire.go
@@ -24,7 +24,12 @@
 // Write queues p for sending.
 func (w *wire) Write(p []byte) (int, error) {
 	w.b.written.Add(int64(len(p)))
-	return w.Conn.Write(p)
+	n, err := w.Conn.Write(p)
+	if err != nil {
+		// The connection is closed: nothing of p will be sent.
+		w.b.written.Add(-int64(len(p)))
+	}
+	return n, err
 }
 
 // SetReadDeadline does nothing: the sweeper bounds reading.
