--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lentilwood.example/lentilwood/internal/conductor"
 	"lentilwood.example/lentilwood/internal/configurer"
 	"lentilwood.example/lentilwood/internal/coordinator"
 	"lentilwood.example/lentilwood/internal/dispatcher"
@@ -59,6 +60,7 @@
 	recorder   *recorder.Recorder
 	dispatcher *dispatcher.Dispatcher
 	poller     *poller.Poller
+	conductor  *conductor.Conductor
 	exchanger  *exchanger.Exchanger[envelope]
 	meter      *meter.Meter
 
@@ -72,6 +74,8 @@
 	callers   *listener.Listener
 	operators *listener.Listener
 
+	// accounts finds client accounts by their tokens.
+	accounts    identifier.Identifier
 	current     atomic.Pointer[inForce]
 	ready       atomic.Pointer[readiness]
 	draining    atomic.Bool
@@ -116,8 +120,14 @@
 	r.serving, r.cutRequests = context.WithCancel(context.Background())
 	r.background, r.stopAll = context.WithCancel(context.Background())
 	r.ready.Store(&readiness{reason: string(configurer.NoConfiguration)})
-	r.control = newControl(cfg.Clock, scheduler.New(scheduler.Config{Self: r.self, Seed: cfg.Incarnation}))
+	r.control = newControl(cfg.Clock, scheduler.New(scheduler.Config{
+		Self: r.self, Seed: cfg.Incarnation, ControlBytes: cfg.Settings.Control.BytesPerSecond,
+	}))
 	r.control.fleet = r
+	r.registerGauges()
+	r.conductor = conductor.New(conductor.Config{
+		Self: r.self, Seed: cfg.Incarnation, Clock: cfg.Clock, Store: r.store.For(purposeJobs), Log: cfg.Log,
+	})
 	r.poller = poller.New(poller.Config{
 		Self: r.self, Clock: cfg.Clock,
 		Load:  r.reportLoad,
@@ -147,6 +157,7 @@
 		Seeds: r.settings.SeedPeers, Seed: r.incarnation,
 	})
 	r.goroutines.Go(func() { r.poller.Run(r.background) })
+	r.goroutines.Go(func() { r.conductor.Run(r.background) })
 	r.goroutines.Go(func() { r.control.run(r.background) })
 	r.goroutines.Go(r.sweepRecords)
 	r.log.WithFields(logrus.Fields{
@@ -217,6 +228,9 @@
 // PeersAddr returns the address that other routers connect to.
 func (r *Router) PeersAddr() string { return r.exchanger.Addr() }
 
+// InProgress returns how many callers' requests the router works on.
+func (r *Router) InProgress() int { return int(r.inProgress.Load()) }
+
 // Ready reports whether the router serves callers, and if not, why.
 func (r *Router) Ready() (bool, string) {
 	if r.draining.Load() {
