Test placing and limits

Cause: windows that follow speed, corrected reports, bounded affinity and the parts of limits had no tests.

Change: tests of each.

--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,157 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func name(i int) messenger.UpstreamID { return messenger.UpstreamID(fmt.Sprintf("w%d", i)) }
+
+// newPlacer returns a Placer of n upstreams with slots each.
+func newPlacer(n, slots int) *Placer {
+	p := New(1)
+	for i := range n {
+		p.Set(name(i), messenger.UpstreamPolicy{Window: slots})
+		p.Lease(name(i), slots, slots)
+	}
+	return p
+}
+
+// observe reports tokens of all upstreams for a while; those in slow take five
+// times as long.
+func observe(p *Placer, now time.Time, d time.Duration, n int, slow map[int]bool) time.Time {
+	for end := now.Add(d); now.Before(end); now = now.Add(50 * time.Millisecond) {
+		for i := range n {
+			took := 20 * time.Millisecond
+			if slow[i] {
+				took *= 5
+			}
+			p.ObserveTokens(now, name(i), 1, took)
+		}
+		p.Sweep(now)
+	}
+	return now
+}
+
+// placed counts how many of n requests each upstream gets.
+func placed(p *Placer, now time.Time, n int) map[messenger.UpstreamID]int {
+	counts := make(map[messenger.UpstreamID]int)
+	for range n {
+		if u, ok := p.Pick(now, Query{}); ok {
+			p.Start(now, u, false)
+			counts[u]++
+		}
+	}
+	return counts
+}
+
+func TestSlowedUpstreamLosesWindowWithinASecondAndGetsItBack(t *testing.T) {
+	p := newPlacer(5, 10)
+	now := observe(p, start, 5*time.Second, 5, nil)
+	now = observe(p, now, time.Second, 5, map[int]bool{2: true})
+	if got := p.upstreams[name(2)].limit(); got > 1 {
+		t.Errorf("got a window of %d after a second of slowness, want 1 at most", got)
+	}
+	now = observe(p, now, 2*time.Second, 5, nil)
+	if got := placed(p, now, 50)[name(2)]; got != 10 {
+		t.Errorf("got %d requests after recovery, want the whole window of 10", got)
+	}
+}
+
+func TestSilentUpstreamLosesWindow(t *testing.T) {
+	p := newPlacer(2, 10)
+	p.Start(start, name(0), false)
+	p.Start(start, name(1), false)
+	now := observe(p, start, 2*time.Second, 2, nil)
+	for end := now.Add(2 * time.Second); now.Before(end); now = now.Add(50 * time.Millisecond) {
+		p.ObserveTokens(now, name(1), 1, 20*time.Millisecond)
+		p.Sweep(now)
+	}
+	if got := p.upstreams[name(0)].limit(); got > 1 {
+		t.Errorf("got a window of %d for an upstream that says nothing, want 1 at most", got)
+	}
+}
+
+func TestIdleSlowUpstreamIsProbed(t *testing.T) {
+	p := newPlacer(2, 10)
+	now := observe(p, start, time.Second, 2, nil)
+	now = observe(p, now, time.Second, 2, map[int]bool{0: true})
+	now = now.Add(probeEvery)
+	p.Sweep(now)
+	if got := placed(p, now, 20)[name(0)]; got != 1 {
+		t.Errorf("got %d requests for an idle slow upstream, want one probe", got)
+	}
+}
+
+func TestLateReportIsCorrected(t *testing.T) {
+	p := newPlacer(2, 10)
+	for range 4 {
+		p.Start(start, name(0), false)
+	}
+	measured := start.Add(100 * time.Millisecond)
+	now := start.Add(200 * time.Millisecond)
+	for range 3 {
+		p.Start(now, name(0), false)
+	}
+	p.Report(messenger.LoadReport{Upstream: name(0), Running: 6, Measured: measured})
+	if got := p.upstreams[name(0)].busy(now); got != 9 {
+		t.Errorf("got %d requests inside, want 7 of its own and 2 of others", got)
+	}
+	p.Report(messenger.LoadReport{Upstream: name(0), Running: 60, Measured: measured.Add(-time.Second)})
+	if got := p.upstreams[name(0)].busy(now); got != 9 {
+		t.Errorf("got %d after an older report, want 9 still", got)
+	}
+}
+
+func TestPrefixAffinityIsBoundedByLoad(t *testing.T) {
+	p := newPlacer(4, 10)
+	p.Cached(name(3), 42, true)
+	u, _ := p.Pick(start, Query{Prefix: 42})
+	if u != name(3) {
+		t.Errorf("got %s, want the upstream that holds the prefix", u)
+	}
+	counts := make(map[messenger.UpstreamID]int)
+	for range 20 {
+		u, _ := p.Pick(start, Query{Prefix: 42})
+		p.Start(start, u, false)
+		counts[u]++
+	}
+	if got := counts[name(3)]; got < 5 || got > 8 {
+		t.Errorf("got %d of 20 requests on the holder, want somewhat more than the mean of 5", got)
+	}
+	p.Cached(name(3), 42, false)
+	if _, ok := p.cache.get(42); ok {
+		t.Error("got a holder after the upstream dropped the prefix, want none")
+	}
+}
+
+func TestAffinityMemoryIsBounded(t *testing.T) {
+	var a affinity
+	for i := range uint64(10 * affinitySize) {
+		a.put(i, "w")
+	}
+	if got := len(a.recent) + len(a.older); got > 2*affinitySize {
+		t.Errorf("got %d prefixes remembered, want at most %d", got, 2*affinitySize)
+	}
+}
+
+func TestLongWorkAndAvoidance(t *testing.T) {
+	p := New(1)
+	p.Set("w", messenger.UpstreamPolicy{Window: 4})
+	p.Lease("w", 4, 1)
+	p.Start(start, "w", true)
+	if _, ok := p.Pick(start, Query{Long: true}); ok {
+		t.Error("got a slot for long work beyond its part, want none")
+	}
+	if _, ok := p.Pick(start, Query{}); !ok {
+		t.Error("got no slot for short work, want one")
+	}
+	if _, ok := p.Pick(start, Query{Avoid: "w"}); ok {
+		t.Error("got the upstream to avoid, want none")
+	}
+}
