Long work that finds no slot at all asks for one

Cause: in the scenario restart, under load, a long request waited until its end (refused after 15 s, or 20 s in vain) at a router that had lent all its slots. A dump of the schedulers showed it: 16 of 16 slots at two other routers, all idle, and the router with the waiting request wanted nothing, since no slot free for long work was taken for the bound on long work. Ruled out: lost messages (the links had heard of each other within a second) and restarted incarnations (known to all). Change: it counts as the bound on long work only if slots are free that the bound keeps long work from; upstreams with noLong get no long work, which the placer did not look at yet.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -43,9 +43,10 @@
 	upstreams map[messenger.UpstreamID]*upstream
 	// free lists the upstreams with a free slot, in no order.
 	free []*upstream
-	// longFree counts the slots that long work may still take; usable counts
-	// the upstreams that may get new work.
-	longFree, usable int
+	// longFree counts the slots that long work may still take, longRoom those
+	// it could take but for its bound; usable counts the upstreams that may get
+	// new work.
+	longFree, longRoom, usable int
 	// list holds the upstreams for Sweep, which goes on at cursor.
 	list   []*upstream
 	cursor int
@@ -63,11 +64,11 @@
 	// what it uses.
 	slots, longSlots int
 	running, long    int
-	// longFree is the upstream's part of Placer.longFree.
-	longFree int
-	usable   bool
-	pace     pace
-	report   report
+	// longFree and longRoom are the upstream's parts of Placer's sums.
+	longFree, longRoom int
+	usable             bool
+	pace               pace
+	report             report
 	// freeAt is the index in Placer.free, or -1.
 	freeAt int
 }
@@ -127,6 +128,10 @@
 // LongFree returns how many slots long work may still take.
 func (p *Placer) LongFree() int { return p.longFree }
 
+// LongRoom returns how many slots are free on upstreams that take long work,
+// whether or not the bound on long work lets it use them.
+func (p *Placer) LongRoom() int { return p.longRoom }
+
 // Len returns how many upstreams are known.
 func (p *Placer) Len() int { return len(p.upstreams) }
 
@@ -172,7 +177,7 @@
 	if u.id == q.Avoid {
 		return false
 	}
-	return !q.Long || u.long < u.longSlots
+	return !q.Long || !u.policy.NoLong && u.long < u.longSlots
 }
 
 // Start notes that a request was sent to an upstream.
@@ -225,12 +230,14 @@
 		u.usable = open
 		p.usable += sign(open)
 	}
-	longFree := 0
-	if open {
-		longFree = max(0, min(u.longSlots-u.long, u.limit()-u.running))
+	longFree, longRoom := 0, 0
+	if open && !u.policy.NoLong {
+		longRoom = max(0, u.limit()-u.running)
+		longFree = max(0, min(u.longSlots-u.long, longRoom))
 	}
 	p.longFree += longFree - u.longFree
-	u.longFree = longFree
+	p.longRoom += longRoom - u.longRoom
+	u.longFree, u.longRoom = longFree, longRoom
 	if u.running < u.limit() && open {
 		p.enlist(u)
 		return
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -83,9 +83,16 @@
 	return urgency{}, false
 }
 
-// eligible reports whether a slot is all that a class lacks.
+// eligible reports whether a slot is all that a class lacks. Long work that
+// finds no free slot at all lacks one, whatever its bound is.
 func (p *pool) eligible(c *class) bool {
-	return !c.policy.Long || p.placer.LongFree() > 0
+	return !c.policy.Long || !p.longBound()
+}
+
+// longBound reports whether it is the bound on long work, and not the number
+// of slots, that keeps long work waiting.
+func (p *pool) longBound() bool {
+	return p.placer.LongFree() == 0 && p.placer.LongRoom() > 0
 }
 
 // place tells the placer what it may use of an upstream.
@@ -287,7 +294,7 @@
 // wanted counts the requests that lack a slot.
 func (p *pool) wanted() int {
 	n := p.waiting
-	if p.placer.LongFree() == 0 {
+	if p.longBound() {
 		n -= p.longWaiting()
 	}
 	return min(max(n, 0), maxWant)
