--- a/internal/scheduler/governor.go
+++ b/internal/scheduler/governor.go
@@ -102,7 +102,7 @@
 		if !l.pending {
 			continue
 		}
-		if s.due(l) && (g.credit > g.bytesPerSecond*reserveSeconds || s.now.Sub(l.sentAt) >= keepAlive) {
+		if s.due(l) && (l.router == s.cfg.Self || l.greet || g.credit > g.bytesPerSecond*reserveSeconds) {
 			s.send(l)
 			continue
 		}
--- a/internal/scheduler/link.go
+++ b/internal/scheduler/link.go
@@ -32,8 +32,10 @@
 	lost    bool
 	pending bool
 	urgent  bool
-	since   time.Time
-	boxes   []*outbox
+	// greet is true while the other must hear from this router whatever it costs.
+	greet bool
+	since time.Time
+	boxes []*outbox
 }
 
 // outbox collects what is to be told to one router about one pool. The items
@@ -157,7 +159,7 @@
 			m.Pools = append(m.Pools, c)
 		}
 	}
-	l.pending, l.urgent = false, false
+	l.pending, l.urgent, l.greet = false, false, false
 	l.sentAt = s.now
 	return m
 }
--- a/internal/scheduler/upkeep.go
+++ b/internal/scheduler/upkeep.go
@@ -89,10 +89,12 @@
 	for _, p := range s.poolList {
 		if p.sourceOf(k.router) != nil {
 			k.boxOf(p).demand = p.waiting > 0
+			k.greet = true
 			s.mark(k, false)
 		}
 		if p.serves(k.router) {
 			k.boxOf(p).rivals = p.wantHeap.len() > 0
+			k.greet = true
 			s.mark(k, false)
 		}
 	}
