Let large leads move slots in any case, spare urgent wishes

Cause: a router deep in debt kept slots that others lacked; wishes that came and went were sent at once whatever the budget.

Change: five moves a second are always allowed for a large lead; wishes are urgent only while there is credit.

--- a/internal/scheduler/governor.go
+++ b/internal/scheduler/governor.go
@@ -27,6 +27,8 @@
 	fullLead        = 1
 	moveDebtSeconds = 0.5
 	maxDebtSeconds  = 2
+	// forcedPause is the time between moves that a large lead gets in any case.
+	forcedPause = 200 * time.Millisecond
 )
 
 // governor keeps the control messages of a router within a byte budget. Slot
@@ -38,6 +40,7 @@
 	// credit is what may be sent now, in bytes; negative is a debt.
 	credit   float64
 	last     time.Time
+	forced   time.Time
 	pressure float64
 	// scale is the ratio of real to estimated sizes.
 	scale float64
@@ -63,9 +66,17 @@
 }
 
 // affords reports whether a slot may be moved for the sake of fairness. The
-// larger the lead, the more debt it may run up.
+// larger the lead, the more debt it may run up, and some moves are always
+// allowed for a large one.
 func (g *governor) affords(lead float64) bool {
-	return g.credit > -g.bytesPerSecond*min(moveDebtSeconds, lead/fullLead)
+	if g.credit > -g.bytesPerSecond*min(moveDebtSeconds, lead/fullLead) {
+		return true
+	}
+	if lead < fullLead || g.last.Sub(g.forced) < forcedPause {
+		return false
+	}
+	g.forced = g.last
+	return true
 }
 
 // adapt changes the pressure by whether reports are late.
--- a/internal/scheduler/link.go
+++ b/internal/scheduler/link.go
@@ -112,7 +112,7 @@
 func (p *pool) tellDemand(src *source, urgent bool) {
 	k := p.sched.linkOf(src.owner)
 	k.boxOf(p).demand = true
-	p.sched.mark(k, urgent)
+	p.sched.mark(k, urgent && p.sched.governor.credit > 0)
 }
 
 // tellRivals has the demand of others told to the routers with slots.
@@ -120,7 +120,7 @@
 	for _, r := range p.users {
 		k := p.sched.linkOf(r)
 		k.boxOf(p).rivals = true
-		p.sched.mark(k, urgent)
+		p.sched.mark(k, urgent && p.sched.governor.credit > 0)
 	}
 }
 
