--- a/internal/scheduler/link.go
+++ b/internal/scheduler/link.go
@@ -32,8 +32,10 @@
 	lost    bool
 	pending bool
 	urgent  bool
-	since   time.Time
-	boxes   []*outbox
+	// greet is true while the other must hear from this router whatever it costs.
+	greet bool
+	since time.Time
+	boxes []*outbox
 }
 
 // outbox collects what is to be told to one router about one pool. The items
@@ -110,7 +112,7 @@
 func (p *pool) tellDemand(src *source, urgent bool) {
 	k := p.sched.linkOf(src.owner)
 	k.boxOf(p).demand = true
-	p.sched.mark(k, urgent)
+	p.sched.mark(k, urgent && p.sched.governor.credit > 0)
 }
 
 // tellRivals has the demand of others told to the routers with slots.
@@ -118,7 +120,7 @@
 	for _, r := range p.users {
 		k := p.sched.linkOf(r)
 		k.boxOf(p).rivals = true
-		p.sched.mark(k, urgent)
+		p.sched.mark(k, urgent && p.sched.governor.credit > 0)
 	}
 }
 
@@ -157,7 +159,7 @@
 			m.Pools = append(m.Pools, c)
 		}
 	}
-	l.pending, l.urgent = false, false
+	l.pending, l.urgent, l.greet = false, false, false
 	l.sentAt = s.now
 	return m
 }
