Evacuation: the policy says where streams are to be moved

Cause: each router relays its own streams, so one router's request to move them reaches only its own. Change: moveTo on an upstream, set by the plan while a step is moving, checked to be a model engine; the request of the evacuator is gone.

--- a/internal/conductor/jobs.go
+++ b/internal/conductor/jobs.go
@@ -150,8 +150,6 @@
 				_, err := ed.Except(ctx, 0, a.ID, a.Exception)
 				return evacuator.ExceptionPut{ID: a.ID, Err: err}
 			})
-		case evacuator.MoveStreams:
-			c.log("evacuation", logrus.Fields{"plan": name, "from": a.From, "waitsFor": "streams to end"})
 		case evacuator.Warn:
 			c.log("evacuationAtRisk", logrus.Fields{"plan": name, "remaining": a.Forecast.Remaining,
 				"finish": a.Forecast.Finish.UTC().Format(time.RFC3339), "latest": a.Forecast.Latest.UTC().Format(time.RFC3339)})
--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -107,6 +107,7 @@
 	if _, ok := d.Pools[u.Pool]; !ok {
 		f.add(path+".pool", "unknown pool "+quote(u.Pool))
 	}
+	f.checkMoveTo(path+".moveTo", d, u)
 	f.checkAddress(path+".address", u.Address)
 	if u.Window == nil || *u.Window < 1 {
 		f.add(path+".window", "want a window of 1 or more")
@@ -166,6 +167,7 @@
 	}
 	if e.Upstream != nil {
 		f.checkUpstreamChange(path+".upstream", *e.Upstream)
+		f.checkMoveTo(path+".upstream.moveTo", d, *e.Upstream)
 	}
 }
 
@@ -209,6 +211,17 @@
 	}
 }
 
+func (f *Findings) checkMoveTo(path string, d *Document, u UpstreamSettings) {
+	to, ok := d.Upstreams[u.MoveTo]
+	switch {
+	case u.MoveTo == "":
+	case !ok:
+		f.add(path, "unknown upstream "+quote(u.MoveTo))
+	case to.Engine == nil || !*to.Engine:
+		f.add(path, "want a model engine")
+	}
+}
+
 func (f *Findings) checkZone(path, zone string) {
 	if _, err := time.LoadLocation(zone); err != nil {
 		f.add(path, "unknown time zone "+quote(zone))
--- a/internal/configurer/document.go
+++ b/internal/configurer/document.go
@@ -87,14 +87,16 @@
 
 // UpstreamSettings describe an upstream.
 type UpstreamSettings struct {
-	Pool        messenger.PoolID `json:"pool,omitempty"`
-	Address     string           `json:"address,omitempty"`
-	Domain      string           `json:"domain,omitempty"`
-	Window      *int             `json:"window,omitempty"`
-	Engine      *bool            `json:"engine,omitempty"`
-	Leaving     *bool            `json:"leaving,omitempty"`
-	NoLong      *bool            `json:"noLong,omitempty"`
-	ChecksFence *bool            `json:"checksFence,omitempty"`
+	Pool    messenger.PoolID `json:"pool,omitempty"`
+	Address string           `json:"address,omitempty"`
+	Domain  string           `json:"domain,omitempty"`
+	Window  *int             `json:"window,omitempty"`
+	Engine  *bool            `json:"engine,omitempty"`
+	Leaving *bool            `json:"leaving,omitempty"`
+	NoLong  *bool            `json:"noLong,omitempty"`
+	// MoveTo is the engine that streams in progress are to be moved to.
+	MoveTo      messenger.UpstreamID `json:"moveTo,omitempty"`
+	ChecksFence *bool                `json:"checksFence,omitempty"`
 	// State replaces the pool's, as a whole.
 	State *orderer.State `json:"state,omitempty"`
 }
--- a/internal/configurer/document_test.go
+++ b/internal/configurer/document_test.go
@@ -154,6 +154,8 @@
 		{"unknown zone", `Europe/Riga`, `Europe/Rigga`, []string{"timeZone: unknown time zone"}},
 		{"scope of nothing", `"scope": {"account": "riga-2"}`, `"scope": {"account": "riga-9", "class": "question"}`, []string{
 			"exceptions.x1.scope.account: unknown client account", "exceptions.x1.scope.class: narrows nothing"}},
+		{"streams to a plain service", `{"leaving": true}`, `{"leaving": true, "moveTo": "w9"}`, []string{
+			"exceptions.x2.upstream.moveTo: unknown upstream"}},
 		{"share above 1", `"floor": 0.2`, `"floor": 2`, []string{"classes.question.floor: want a share from 0 to 1"}},
 		{"exceptions that clash", `"x3": {"scope": {"router": "r2"}, "reason": "trial", "author": "ilze", "pool": {"longShare": 0.1}}`,
 			`"x3": {"scope": {"account": "riga-2"}, "reason": "trial", "author": "ilze", "account": {"weight": 9, "burst": 2}}`, []string{
--- a/internal/configurer/resolve.go
+++ b/internal/configurer/resolve.go
@@ -205,6 +205,9 @@
 	if s.Domain != "" {
 		p.Domain = s.Domain
 	}
+	if s.MoveTo != "" {
+		p.MoveTo = s.MoveTo
+	}
 	override(&p.Window, s.Window)
 	override(&p.Engine, s.Engine)
 	override(&p.Leaving, s.Leaving)
--- a/internal/evacuator/advance.go
+++ b/internal/evacuator/advance.go
@@ -23,8 +23,6 @@
 	// settleTime is how long after a drain a router may still have sent work:
 	// an upstream seen empty earlier does not count as empty.
 	settleTime = 10 * time.Second
-	// moveInterval is the time between two requests to move streams.
-	moveInterval = 30 * time.Second
 )
 
 // View is what was seen of the upstreams.
--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -23,7 +23,6 @@
 //		case evacuator.ReadPlan:     // then PlanRead
 //		case evacuator.SavePlan:     // store.Commit(ctx, []storer.Op{a.Op}), then PlanSaved
 //		case evacuator.PutException: // Editor.Except(ctx, 0, a.ID, a.Exception), then ExceptionPut
-//		case evacuator.MoveStreams:  // export, import and resume on the replacement
 //		case evacuator.Warn:         // the date is at risk
 //		}
 //	}
@@ -71,7 +70,6 @@
 	busy     bool
 	since    time.Time
 	nextRead time.Time
-	moved    map[messenger.UpstreamID]time.Time
 	failed   map[string]time.Time
 	warned   time.Time
 }
@@ -80,7 +78,6 @@
 func New(name string) *Evacuator {
 	return &Evacuator{
 		name:   name,
-		moved:  make(map[messenger.UpstreamID]time.Time),
 		failed: make(map[string]time.Time),
 	}
 }
@@ -157,7 +154,7 @@
 	if id, x, ok := e.missing(now); ok {
 		return e.wait(now, PutException{ID: id, Exception: x})
 	}
-	return append(e.moves(now), e.warn(now)...)
+	return e.warn(now)
 }
 
 func (e *Evacuator) wait(now time.Time, a Action) []Action {
@@ -202,19 +199,6 @@
 	e.busy, e.loaded, e.nextRead = false, false, now
 }
 
-// moves asks for the streams that are left to be moved.
-func (e *Evacuator) moves(now time.Time) []Action {
-	var actions []Action
-	for _, s := range e.plan.Steps {
-		if s.Phase != Moving || now.Sub(e.moved[s.From]) < moveInterval {
-			continue
-		}
-		e.moved[s.From] = now
-		actions = append(actions, MoveStreams{From: s.From, To: s.To})
-	}
-	return actions
-}
-
 func (e *Evacuator) warn(now time.Time) []Action {
 	f := forecast(&e.plan, now)
 	if !f.AtRisk || now.Sub(e.warned) < warnInterval {
--- a/internal/evacuator/evacuator_test.go
+++ b/internal/evacuator/evacuator_test.go
@@ -53,6 +53,9 @@
 		}
 	}
 	p := finish(t, s, time.Minute)
+	if s.moves == 0 {
+		t.Error("no stream was moved, though some run for longer than the plan waits")
+	}
 	if least < s.floor {
 		t.Errorf("capacity fell to %d, want at least %d: new before old", least, s.floor)
 	}
--- a/internal/evacuator/message.go
+++ b/internal/evacuator/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"lentilwood.example/lentilwood/internal/configurer"
-	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/storer"
 )
 
@@ -65,15 +64,10 @@
 	Exception configurer.Exception
 }
 
-// MoveStreams asks for the streams that run on From to go on on To. Streams
-// that cannot be moved finish where they are.
-type MoveStreams struct{ From, To messenger.UpstreamID }
-
 // Warn says that the date is at risk.
 type Warn struct{ Forecast Forecast }
 
 func (ReadPlan) isAction()     {}
 func (SavePlan) isAction()     {}
 func (PutException) isAction() {}
-func (MoveStreams) isAction()  {}
 func (Warn) isAction()         {}
--- a/internal/evacuator/plan.go
+++ b/internal/evacuator/plan.go
@@ -48,6 +48,8 @@
 	// Window is the replacement's window now, Full what it grows to.
 	Window int `json:"window,omitempty"`
 	Full   int `json:"full"`
+	// Engine is true for model engines, whose streams can be moved.
+	Engine bool `json:"engine,omitempty"`
 	// NoLong is true once From gets no new long work.
 	NoLong bool `json:"noLong,omitempty"`
 	// Loaded and Finished are when the replacement was loaded and From empty.
@@ -120,7 +122,7 @@
 		}
 		to := spares[pool][0]
 		spares[pool] = spares[pool][1:]
-		p.Steps = append(p.Steps, Step{From: id, To: to, Phase: Loading, Since: now, Full: policy.Upstreams[to].Window})
+		p.Steps = append(p.Steps, Step{From: id, To: to, Phase: Loading, Since: now, Full: policy.Upstreams[to].Window, Engine: policy.Upstreams[to].Engine})
 	}
 	if len(faults) > 0 {
 		return Plan{}, merry.Prepend(ErrNotPossible, strings.Join(faults, "; "))
@@ -165,7 +167,11 @@
 		leaving := s.Phase == Draining || s.Phase == Moving || s.Phase == Done
 		noLong := s.NoLong
 		if leaving || noLong {
-			out[p.id(s.From)] = p.exception(s.From, configurer.UpstreamSettings{Leaving: &leaving, NoLong: &noLong})
+			settings := configurer.UpstreamSettings{Leaving: &leaving, NoLong: &noLong}
+			if s.Phase == Moving && s.Engine {
+				settings.MoveTo = s.To
+			}
+			out[p.id(s.From)] = p.exception(s.From, settings)
 		}
 	}
 	return out
--- a/internal/evacuator/site_test.go
+++ b/internal/evacuator/site_test.go
@@ -62,16 +62,16 @@
 		loadEvery: 5 * time.Minute, loaded: start, movable: true,
 		ready: make(map[messenger.UpstreamID]bool), running: make(map[messenger.UpstreamID][]request),
 	}
-	window, leaving := fullWindow, true
+	window, leaving, engine := fullWindow, true, true
 	d := &configurer.Document{
 		Pools:     map[messenger.PoolID]configurer.PoolSettings{"p": {}},
 		Upstreams: make(map[messenger.UpstreamID]configurer.UpstreamSettings),
 	}
 	for i := range n {
 		d.Upstreams[messenger.UpstreamID(fmt.Sprintf("old%02d", i))] = configurer.UpstreamSettings{
-			Pool: "p", Domain: "old", Address: fmt.Sprintf("10.0.0.%d:80", i+1), Window: &window}
+			Pool: "p", Domain: "old", Address: fmt.Sprintf("10.0.0.%d:80", i+1), Window: &window, Engine: &engine}
 		d.Upstreams[messenger.UpstreamID(fmt.Sprintf("new%02d", i))] = configurer.UpstreamSettings{
-			Pool: "p", Domain: "new", Address: fmt.Sprintf("10.0.1.%d:80", i+1), Window: &window, Leaving: &leaving}
+			Pool: "p", Domain: "new", Address: fmt.Sprintf("10.0.1.%d:80", i+1), Window: &window, Engine: &engine, Leaving: &leaving}
 	}
 	if _, err := s.editor.Set(t.Context(), d, configurer.Note{Author: "ilze", Reason: "start"}); err != nil {
 		t.Fatal(err)
@@ -156,6 +156,11 @@
 	for _, id := range sortedIDs(policy.Upstreams) {
 		u := policy.Upstreams[id]
 		s.end(id, now)
+		if u.MoveTo != "" && s.movable {
+			s.moves += len(s.running[id])
+			s.running[u.MoveTo] = append(s.running[u.MoveTo], s.running[id]...)
+			s.running[id] = nil
+		}
 		if u.Leaving {
 			continue
 		}
@@ -205,12 +210,6 @@
 	case PutException:
 		_, err := s.editor.Except(ctx, 0, a.ID, a.Exception)
 		s.e.Handle(now, ExceptionPut{ID: a.ID, Err: err})
-	case MoveStreams:
-		s.moves++
-		if s.movable {
-			s.running[a.To] = append(s.running[a.To], s.running[a.From]...)
-			s.running[a.From] = nil
-		}
 	case Warn:
 		s.warnings++
 	}
--- a/internal/messenger/policy.go
+++ b/internal/messenger/policy.go
@@ -88,6 +88,9 @@
 	Leaving bool
 	// NoLong is true once it must get no new long work.
 	NoLong bool
+	// MoveTo is the engine that streams in progress are to be moved to; empty
+	// means that they finish where they are.
+	MoveTo UpstreamID
 	// ChecksFence is true if it refuses orders with an old fencing number.
 	ChecksFence bool
 }
