--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
 # Linter version; fetched through the module proxy.
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+# Packages with benchmarks of slopes.
+SLOPES := ./internal/scheduler ./internal/coordinator ./internal/configurer ./internal/recorder ./internal/meter ./internal/demonstrator
 
-.PHONY: build test lint vet race bench demo fmt
+
+.PHONY: build test lint vet race bench demo fmt slopes promises
 
 build:
 	CGO_ENABLED=1 go build -o bin/lentilwood .
@@ -27,3 +30,9 @@
 
 demo:
 	go run . demo
+
+# slopes measures the slopes that docs/CAPACITY.md is worked out from.
+slopes:
+	mkdir -p bin
+	go test -p 1 -run '^$$' -bench '^BenchmarkSlope' -benchtime 1x $(SLOPES) > bin/slopes.txt || (cat bin/slopes.txt; exit 1)
+	go run . slopes bin/slopes.txt docs
--- /dev/null
+++ b/internal/configurer/slope_bench_test.go
@@ -0,0 +1,66 @@
+package configurer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/sloper"
+)
+
+// BenchmarkSlopeDocument measures a configuration in which every client
+// account has a weight and a token, and one in a hundred an exception.
+func BenchmarkSlopeDocument(b *testing.B) {
+	for _, n := range []int{16, 140, 1400, 14_000} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				benchmarkDocument(b, n)
+			}
+		})
+	}
+}
+
+func benchmarkDocument(b *testing.B, accounts int) {
+	const resolves = 10
+	text := largeDocument(accounts).JSON()
+	b.ReportMetric(float64(len(text)), "document-B")
+	before := sloper.Heap()
+	begin := sloper.CPU()
+	d, err := Parse(text)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64((sloper.CPU() - begin).Microseconds()), "parse-cpu-µs")
+	b.ReportMetric(sloper.Heap()-before, "document-heap-B")
+	before = sloper.Heap()
+	begin = sloper.CPU()
+	var p *messenger.Policy
+	for range resolves {
+		p = d.Resolve(start, "r1", "d1")
+	}
+	b.ReportMetric(float64((sloper.CPU()-begin).Microseconds())/resolves, "resolve-cpu-µs")
+	b.ReportMetric(sloper.Heap()-before, "policy-heap-B")
+	if len(p.Accounts) != accounts {
+		b.Fatalf("got %d accounts, want %d", len(p.Accounts), accounts)
+	}
+}
+
+func largeDocument(accounts int) *Document {
+	weight := 2.0
+	until := start.Add(time.Hour)
+	d := &Document{
+		Accounts:   make(map[messenger.AccountID]AccountSettings, accounts),
+		Exceptions: make(map[string]Exception),
+	}
+	for i := range accounts {
+		id := messenger.AccountID(fmt.Sprintf("account-%d", i))
+		d.Accounts[id] = AccountSettings{Weight: &weight, Tokens: []string{Digest(string(id))}}
+		if i%100 == 0 {
+			d.Exceptions[string(id)] = Exception{
+				Scope: Scope{Account: id}, Reason: "trial", Author: "ilze", Until: &until, Account: &AccountSettings{Weight: &weight},
+			}
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/internal/coordinator/slope_bench_test.go
@@ -0,0 +1,45 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/sloper"
+)
+
+// BenchmarkSlopeCoordinator measures a fleet at rest, with one change of the
+// configuration every 35 seconds, which is 2,500 a day.
+func BenchmarkSlopeCoordinator(b *testing.B) {
+	for _, routers := range []int{8, 16, 32, 64} {
+		b.Run(fmt.Sprintf("routers=%d", routers), func(b *testing.B) {
+			for b.Loop() {
+				benchmarkCoordinator(b, routers)
+			}
+		})
+	}
+}
+
+func benchmarkCoordinator(b *testing.B, routers int) {
+	const changes, pause = 4, 35 * time.Second
+	before := sloper.Heap()
+	f := newFleet(b, routers, 1)
+	f.runUntil(2*time.Minute, f.allReady)
+	f.run(30 * time.Second)
+	b.ReportMetric((sloper.Heap()-before)/float64(routers), "B/router")
+	f.measure = true
+	clear(f.calls)
+	begin, slowest := f.clock.Now(), time.Duration(0)
+	for i := range changes {
+		took := f.runUntil(time.Minute, f.inForce(f.change(float64(i+2))))
+		slowest = max(slowest, took)
+		f.run(pause)
+	}
+	seconds := f.clock.Now().Sub(begin).Seconds()
+	b.ReportMetric(slowest.Seconds(), "change-max-s")
+	b.ReportMetric(float64(f.bytes)/seconds/float64(routers), "ctl-B/s")
+	b.ReportMetric(float64(f.messages)/seconds/float64(routers), "ctl-msg/s")
+	for _, purpose := range []string{"config-reads", "list-reads", "member-reads", "member-writes"} {
+		b.ReportMetric(float64(f.calls[purpose])/seconds, purpose+"/s")
+	}
+}
--- /dev/null
+++ b/internal/scheduler/slope_bench_test.go
@@ -0,0 +1,174 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/sloper"
+)
+
+// lone is a scheduler that owns every slot, with its clock.
+type lone struct {
+	sched *Scheduler
+	now   time.Time
+	next  messenger.RequestID
+	runs  []messenger.Dispatch
+}
+
+func newLone(s shape) *lone {
+	l := &lone{sched: New(Config{Self: "router-0", Seed: 1}), now: epoch}
+	l.tell(messenger.PolicyChange{Policy: policyOf(s)})
+	return l
+}
+
+func (l *lone) tell(e messenger.Event) {
+	for _, a := range l.sched.Handle(l.now, e) {
+		if d, ok := a.(messenger.Dispatch); ok {
+			l.runs = append(l.runs, d)
+		}
+	}
+}
+
+func (l *lone) arrive(account int) {
+	l.next++
+	l.tell(messenger.Arrive{Request: l.next, Account: accountName(account), Class: "chat", Pool: "assistant", Idempotent: true})
+}
+
+// fill keeps every slot busy and perAccount requests of each account waiting.
+func (l *lone) fill(s shape, perAccount int) {
+	for range s.upstreams*s.window/s.accounts + 1 + perAccount {
+		for a := range s.accounts {
+			l.arrive(a)
+		}
+	}
+}
+
+// cycle ends the oldest run, lets one more request arrive and reports tokens.
+func (l *lone) cycle(s shape, i int) {
+	d := l.runs[0]
+	l.runs = l.runs[1:]
+	l.tell(messenger.Progress{Request: d.Request, Tokens: 8, First: true})
+	l.tell(messenger.Finish{Request: d.Request, Upstream: d.Upstream, Tokens: 60})
+	l.arrive(i % s.accounts)
+	l.now = l.now.Add(time.Millisecond)
+}
+
+const slopeCycles = 5000
+
+func benchmarkHandle(b *testing.B, s shape) {
+	for b.Loop() {
+		before := sloper.Heap()
+		l := newLone(s)
+		empty := sloper.Heap()
+		l.fill(s, 2)
+		filled := sloper.Heap()
+		waiting := float64(int(l.next) - len(l.runs))
+		begin := sloper.CPU()
+		for i := range slopeCycles {
+			l.cycle(s, i)
+		}
+		b.ReportMetric(float64((sloper.CPU()-begin).Nanoseconds())/slopeCycles, "cpu-ns/request")
+		b.ReportMetric(empty-before, "empty-B")
+		b.ReportMetric(filled-before, "B")
+		b.ReportMetric((filled-empty)/(waiting+float64(len(l.runs))), "B/request")
+	}
+}
+
+// BenchmarkSlopeHandle measures one request (arrival, progress, end) in one
+// scheduler, with its policy and its queues.
+func BenchmarkSlopeHandle(b *testing.B) {
+	for _, n := range []int{16, 64, 256, 1024} {
+		b.Run(fmt.Sprintf("backlogged=%d", n), func(b *testing.B) {
+			benchmarkHandle(b, shape{routers: 1, upstreams: 20, window: 16, accounts: n})
+		})
+	}
+	for _, n := range []int{10, 40, 160, 640} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			benchmarkHandle(b, shape{routers: 1, upstreams: n, window: 4, accounts: 16})
+		})
+	}
+}
+
+// BenchmarkSlopeProgress measures the report of new tokens of one stream.
+func BenchmarkSlopeProgress(b *testing.B) {
+	s := shape{routers: 1, upstreams: 20, window: 16, accounts: 16}
+	for _, n := range []int{16, 64, 256, 1024} {
+		b.Run(fmt.Sprintf("backlogged=%d", n), func(b *testing.B) {
+			s.accounts = n
+			l := newLone(s)
+			l.fill(s, 2)
+			for b.Loop() {
+				begin := sloper.CPU()
+				for i := range 20 * slopeCycles {
+					l.tell(messenger.Progress{Request: l.runs[i%len(l.runs)].Request, Tokens: 1})
+				}
+				b.ReportMetric(float64((sloper.CPU()-begin).Nanoseconds())/(20*slopeCycles), "cpu-ns/event")
+			}
+		})
+	}
+}
+
+// BenchmarkSlopePeers measures the state and the ticks of an idle scheduler
+// among routers that say nothing.
+func BenchmarkSlopePeers(b *testing.B) {
+	for _, n := range []int{8, 40, 160, 400} {
+		b.Run(fmt.Sprintf("peers=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := sloper.Heap()
+				l := newLone(shape{routers: n, upstreams: 20, window: 16, accounts: 16})
+				var names []messenger.RouterID
+				for i := range n {
+					names = append(names, messenger.RouterID(fmt.Sprintf("router-%d", i)))
+				}
+				l.tell(messenger.PeersChange{Routers: names})
+				begin := sloper.CPU()
+				for range slopeCycles {
+					l.tell(messenger.Tick{})
+					l.now = l.now.Add(messenger.TickInterval)
+				}
+				seconds := (slopeCycles * messenger.TickInterval).Seconds()
+				b.ReportMetric(float64((sloper.CPU()-begin).Microseconds())/seconds, "cpu-µs/s")
+				b.ReportMetric(sloper.Heap()-before, "B")
+			}
+		})
+	}
+}
+
+// BenchmarkSlopeFleet grows the fleet in the capacity page's ratios: per
+// router 1.8 upstreams and 3.5 backlogged accounts, all of them contended.
+func BenchmarkSlopeFleet(b *testing.B) {
+	for _, n := range []int{8, 16, 32, 64} {
+		b.Run(fmt.Sprintf("routers=%d", n), func(b *testing.B) {
+			s := shape{routers: n, upstreams: n * 730 / 400, window: 16, accounts: n * 7 / 2}
+			for b.Loop() {
+				benchmarkFleet(b, s)
+			}
+		})
+	}
+}
+
+func benchmarkFleet(b *testing.B, s shape) {
+	const warm, length = 5 * time.Second, 10 * time.Second
+	f := newFleet(s.routers, policyOf(s), Config{Seed: 1})
+	f.skewed(s, 0.01)
+	f.run(warm)
+	f.measuring = true
+	g, since, sent := f.gauge(), f.bytes(), f.messages()
+	g.watch(s, warm+length)
+	mean, top := f.controlRate(since, length)
+	b.ReportMetric(g.gap, "gap-tokens")
+	b.ReportMetric(100*float64(f.busy)/float64(f.full), "util-%")
+	b.ReportMetric(mean, "ctl-B/s")
+	b.ReportMetric(top, "ctl-max-B/s")
+	b.ReportMetric(float64(f.messages()-sent)/length.Seconds()/float64(s.routers), "ctl-msg/s")
+}
+
+func (f *fleet) messages() int {
+	sum := 0
+	for _, n := range f.nodes {
+		sum += n.sent
+	}
+	return sum
+}
