--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -89,6 +89,7 @@
 	if h.waiting == 0 && u.Waiting > 0 {
 		h.tag = max(h.tag, p.vtime)
 	}
+	h.tag = max(h.tag, p.oldest())
 	h.tag += float64(u.Served-c.served) / weightOf(p.sched.policy, u.Account)
 	h.waiting += u.Waiting - c.waiting
 	h.running += u.Running - c.running
@@ -111,7 +112,7 @@
 // spread has the routers that need it told the tag of an account.
 func (p *pool) spread(h *home, from *contribution) {
 	step := p.quantum() / weightOf(p.sched.policy, h.account)
-	if from.waiting > 0 && math.Abs(h.tag-from.told) >= step {
+	if from.waiting+from.running > 0 && math.Abs(h.tag-from.told) >= step {
 		p.tellTag(from)
 	}
 	if math.Abs(h.tag-h.spread) < step {
@@ -119,7 +120,7 @@
 	}
 	h.spread = h.tag
 	for _, c := range h.order {
-		if c.waiting > 0 && math.Abs(h.tag-c.told) >= step {
+		if c.waiting+c.running > 0 && math.Abs(h.tag-c.told) >= step {
 			p.tellTag(c)
 		}
 	}
@@ -132,11 +133,30 @@
 		return
 	}
 	f.heard = sequence
-	f.tag = float64(t.Tag) + (f.served-float64(t.Included))/f.weight
+	f.elsewhere, f.elsewhereAt = t.Waiting, p.sched.now
+	f.learnSpread(t)
+	f.tag = float64(t.Tag) + f.spread*(f.served-float64(t.Included))/f.weight
 	f.reorder()
 	p.sched.limits.SetFleet(t.Account, p.fleetUse(f, t))
 }
 
+// learnSpread estimates how many times its own service an account gets from the
+// whole fleet. Until the next word of the home, own charges stand for as much
+// service elsewhere; otherwise all routers would serve the account that was
+// last known to be behind, at the same time.
+func (f *flow) learnSpread(t messenger.AccountTag) {
+	own := float64(t.Included - f.lastIncluded)
+	all := float64(t.Tag-f.lastTag) * f.weight
+	if f.lastTag > 0 && own > 0 && all > 0 {
+		ratio := min(max(all/own, 1), float64(max(1, t.Routers)))
+		f.spread += spreadWeight * (ratio - f.spread)
+	}
+	f.lastTag, f.lastIncluded = t.Tag, t.Included
+}
+
+// spreadWeight is the weight of a sample in a flow's spread.
+const spreadWeight = 0.2
+
 // updateUse has the use of an account told once it is worth it.
 func (p *pool) updateUse(f *flow) {
 	if p.sched.cfg.Mode == Alone || f.queued {
