Slopes of costs against sizes, measured by make slopes

Benchmarks of scheduler, coordinator, configurer, recorder, meter and the whole path at four sizes each; a hidden command fits lines by least squares and writes docs/slopes.md and docs/slopes.png.

--- a/internal/configurer/slope_bench_test.go
+++ b/internal/configurer/slope_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -41,6 +42,7 @@
 	}
 	b.ReportMetric(float64((sloper.CPU()-begin).Microseconds())/resolves, "resolve-cpu-µs")
 	b.ReportMetric(sloper.Heap()-before, "policy-heap-B")
+	runtime.KeepAlive(d)
 	if len(p.Accounts) != accounts {
 		b.Fatalf("got %d accounts, want %d", len(p.Accounts), accounts)
 	}
--- a/internal/coordinator/slope_bench_test.go
+++ b/internal/coordinator/slope_bench_test.go
@@ -11,7 +11,7 @@
 // BenchmarkSlopeCoordinator measures a fleet at rest, with one change of the
 // configuration every 35 seconds, which is 2,500 a day.
 func BenchmarkSlopeCoordinator(b *testing.B) {
-	for _, routers := range []int{8, 16, 32, 64} {
+	for _, routers := range []int{8, 32, 64, 128} {
 		b.Run(fmt.Sprintf("routers=%d", routers), func(b *testing.B) {
 			for b.Loop() {
 				benchmarkCoordinator(b, routers)
--- a/internal/scheduler/slope_bench_test.go
+++ b/internal/scheduler/slope_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -64,15 +65,15 @@
 		empty := sloper.Heap()
 		l.fill(s, 2)
 		filled := sloper.Heap()
-		waiting := float64(int(l.next) - len(l.runs))
 		begin := sloper.CPU()
 		for i := range slopeCycles {
 			l.cycle(s, i)
 		}
 		b.ReportMetric(float64((sloper.CPU()-begin).Nanoseconds())/slopeCycles, "cpu-ns/request")
+		runtime.KeepAlive(l)
 		b.ReportMetric(empty-before, "empty-B")
 		b.ReportMetric(filled-before, "B")
-		b.ReportMetric((filled-empty)/(waiting+float64(len(l.runs))), "B/request")
+		b.ReportMetric((filled-empty)/float64(s.upstreams*s.window/s.accounts+3)/float64(s.accounts), "B/request")
 	}
 }
 
@@ -131,6 +132,7 @@
 				seconds := (slopeCycles * messenger.TickInterval).Seconds()
 				b.ReportMetric(float64((sloper.CPU()-begin).Microseconds())/seconds, "cpu-µs/s")
 				b.ReportMetric(sloper.Heap()-before, "B")
+				runtime.KeepAlive(l)
 			}
 		})
 	}
@@ -139,7 +141,7 @@
 // BenchmarkSlopeFleet grows the fleet in the capacity page's ratios: per
 // router 1.8 upstreams and 3.5 backlogged accounts, all of them contended.
 func BenchmarkSlopeFleet(b *testing.B) {
-	for _, n := range []int{8, 16, 32, 64} {
+	for _, n := range []int{8, 32, 128, 400} {
 		b.Run(fmt.Sprintf("routers=%d", n), func(b *testing.B) {
 			s := shape{routers: n, upstreams: n * 730 / 400, window: 16, accounts: n * 7 / 2}
 			for b.Loop() {
--- a/internal/sloper/table.go
+++ b/internal/sloper/table.go
@@ -9,7 +9,7 @@
 // letterSize is the size of each axis that the capacity page looks at.
 var letterSize = map[string]float64{
 	"accounts": 14_000, "backlogged": 1400, "upstreams": 730, "peers": 400,
-	"routers": 400, "streams": 2500, "requests": 1600, "engines": 730,
+	"routers": 400, "streams": 2500, "requests": 1600,
 }
 
 // WriteTable writes the slopes as a table in Markdown.
