--- a/internal/configurer/slope_bench_test.go
+++ b/internal/configurer/slope_bench_test.go
@@ -66,3 +66,38 @@
 	}
 	return d
 }
+
+// BenchmarkSlopeChange measures what one change of one client account costs a
+// router, and the state that the router keeps.
+func BenchmarkSlopeChange(b *testing.B) {
+	for _, n := range []int{16, 140, 1400, 14_000} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				benchmarkChange(b, n)
+			}
+		})
+	}
+}
+
+func benchmarkChange(b *testing.B, accounts int) {
+	const changes = 5
+	before := sloper.Heap()
+	entries := entriesOf(largeDocument(accounts))
+	var empty *State
+	s, err := empty.Apply(Update{Version: 1, Whole: entries, Sum: sumOf(entries)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	entries = nil
+	b.ReportMetric(sloper.Heap()-before, "state-heap-B")
+	begin := sloper.CPU()
+	for v := uint64(2); v < 2+changes; v++ {
+		r := Revision{Version: v, Changes: Entries{"accounts/account-0": []byte(fmt.Sprintf(`{"weight":%d}`, v))}}
+		r.Sum = s.sum - entrySum("accounts/account-0", s.entries["accounts/account-0"]) + entrySum("accounts/account-0", r.Changes["accounts/account-0"])
+		if s, err = s.Apply(Update{Version: v, Revisions: []Revision{r}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64((sloper.CPU()-begin).Microseconds())/changes, "change-cpu-µs")
+	runtime.KeepAlive(s)
+}
