--- a/internal/scheduler/slope_bench_test.go
+++ b/internal/scheduler/slope_bench_test.go
@@ -10,21 +10,21 @@
 	"lentilwood.example/lentilwood/internal/sloper"
 )
 
-// lone is a scheduler that owns every slot, with its clock.
-type lone struct {
+// loaded is a scheduler that owns every slot and is kept busy.
+type loaded struct {
 	sched *Scheduler
 	now   time.Time
 	next  messenger.RequestID
 	runs  []messenger.Dispatch
 }
 
-func newLone(s shape) *lone {
-	l := &lone{sched: New(Config{Self: "router-0", Seed: 1}), now: epoch}
+func newLoaded(s shape) *loaded {
+	l := &loaded{sched: New(Config{Self: "router-0", Seed: 1}), now: epoch}
 	l.tell(messenger.PolicyChange{Policy: policyOf(s)})
 	return l
 }
 
-func (l *lone) tell(e messenger.Event) {
+func (l *loaded) tell(e messenger.Event) {
 	for _, a := range l.sched.Handle(l.now, e) {
 		if d, ok := a.(messenger.Dispatch); ok {
 			l.runs = append(l.runs, d)
@@ -32,13 +32,13 @@
 	}
 }
 
-func (l *lone) arrive(account int) {
+func (l *loaded) arrive(account int) {
 	l.next++
 	l.tell(messenger.Arrive{Request: l.next, Account: accountName(account), Class: "chat", Pool: "assistant", Idempotent: true})
 }
 
 // fill keeps every slot busy and perAccount requests of each account waiting.
-func (l *lone) fill(s shape, perAccount int) {
+func (l *loaded) fill(s shape, perAccount int) {
 	for range s.upstreams*s.window/s.accounts + 1 + perAccount {
 		for a := range s.accounts {
 			l.arrive(a)
@@ -47,7 +47,7 @@
 }
 
 // cycle ends the oldest run, lets one more request arrive and reports tokens.
-func (l *lone) cycle(s shape, i int) {
+func (l *loaded) cycle(s shape, i int) {
 	d := l.runs[0]
 	l.runs = l.runs[1:]
 	l.tell(messenger.Progress{Request: d.Request, Tokens: 8, First: true})
@@ -61,7 +61,7 @@
 func benchmarkHandle(b *testing.B, s shape) {
 	for b.Loop() {
 		before := sloper.Heap()
-		l := newLone(s)
+		l := newLoaded(s)
 		empty := sloper.Heap()
 		l.fill(s, 2)
 		filled := sloper.Heap()
@@ -98,7 +98,7 @@
 	for _, n := range []int{16, 64, 256, 1024} {
 		b.Run(fmt.Sprintf("backlogged=%d", n), func(b *testing.B) {
 			s.accounts = n
-			l := newLone(s)
+			l := newLoaded(s)
 			l.fill(s, 2)
 			for b.Loop() {
 				begin := sloper.CPU()
@@ -118,7 +118,7 @@
 		b.Run(fmt.Sprintf("peers=%d", n), func(b *testing.B) {
 			for b.Loop() {
 				before := sloper.Heap()
-				l := newLone(shape{routers: n, upstreams: 20, window: 16, accounts: 16})
+				l := newLoaded(shape{routers: n, upstreams: 20, window: 16, accounts: 16})
 				var names []messenger.RouterID
 				for i := range n {
 					names = append(names, messenger.RouterID(fmt.Sprintf("router-%d", i)))
