--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -28,9 +28,11 @@
 //   - PutInForce: hand the policy to the scheduler (messenger.PolicyChange)
 //     and the document to identification and routing;
 //   - Announce: have the registrar send heartbeats at once;
-//   - ReadyChange: change what the readiness check answers.
+//   - ReadyChange: change what the readiness check answers;
+//   - Rejected: log that an update could not be applied.
 //
-// The heartbeats that the router sends carry Version and Age.
+// The heartbeats that the router sends carry Version, Age and Settled. The
+// package coordinator does all this feeding between routers.
 //
 //	c := configurer.New(configurer.Config{Self: "r1", Domain: "d1", Seed: seed})
 //	for _, a := range c.Handle(clock.Now(), configurer.Tick{}) {
@@ -62,6 +64,10 @@
 	shortestReadInterval = time.Second
 	// startReadInterval is the time between reads before the first success.
 	startReadInterval = 500 * time.Millisecond
+	// longestRejectWait bounds the wait for the next read of the table after an
+	// update that could not be applied; the wait doubles each time.
+	longestRejectWait  = time.Minute
+	maxRejectDoublings = 10
 	// readTimeout is after how long an unanswered ReadTable is given up.
 	readTimeout = 20 * time.Second
 	// askTimeout is after how long an unanswered AskPeer is given up.
@@ -105,6 +111,9 @@
 	readAt   time.Time
 	nextRead time.Time
 
+	// rejected counts the updates in a row that could not be applied.
+	rejected int
+
 	asked   messenger.RouterID
 	askedAt time.Time
 
@@ -119,8 +128,11 @@
 
 // peer is what another router said last.
 type peer struct {
-	version uint64
-	heard   time.Time
+	version     uint64
+	incarnation uint64
+	// votes is true if it was settled when it answered this router.
+	votes bool
+	known int
 }
 
 // New returns a Configurer that knows no version.
@@ -139,6 +151,34 @@
 // State returns the configuration in force.
 func (c *Configurer) State() *State { return c.state }
 
+// Settled reports whether the version was confirmed since the start.
+func (c *Configurer) Settled() bool { return c.settled }
+
+// Versions returns the versions that other routers said they have.
+func (c *Configurer) Versions() map[messenger.RouterID]uint64 {
+	versions := make(map[messenger.RouterID]uint64, len(c.peers))
+	for id, p := range c.peers {
+		versions[id] = p.version
+	}
+	return versions
+}
+
+// Holders returns how many routers, this one included, are known to have at
+// least a version. Once they are more than half of the fleet, no outage of the
+// store and no restart makes the fleet go back behind it.
+func (c *Configurer) Holders(version uint64) int {
+	n := 0
+	if c.Version() >= version {
+		n++
+	}
+	for _, p := range c.peers {
+		if p.version >= version {
+			n++
+		}
+	}
+	return n
+}
+
 // Ready reports whether the router may serve callers, and if not, why.
 func (c *Configurer) Ready() (bool, NotReady) { return c.ready, c.reason }
 
@@ -205,9 +245,11 @@
 func (c *Configurer) adopt(now time.Time, u Update) []Action {
 	next, err := c.state.Apply(u)
 	if err != nil {
-		c.nextRead = now
-		return nil
+		c.rejected++
+		c.nextRead = now.Add(min(longestRejectWait, startReadInterval<<min(c.rejected, maxRejectDoublings)))
+		return []Action{Rejected{Version: u.Version, Err: err}}
 	}
+	c.rejected = 0
 	changed := next.Version() > c.Version()
 	c.state = next
 	if !changed {
@@ -220,9 +262,16 @@
 // peerVersion notes a heartbeat.
 func (c *Configurer) peerVersion(now time.Time, e PeerVersion) {
 	p := c.peers[e.Router]
-	// Messages may arrive late: a peer that restarted says a lower version
-	// again, which its later heartbeats repeat.
-	c.peers[e.Router] = peer{version: max(p.version, e.Version), heard: now}
+	if e.Incarnation < p.incarnation {
+		return
+	}
+	if e.Incarnation > p.incarnation {
+		p = peer{incarnation: e.Incarnation}
+	}
+	p.version = max(p.version, e.Version)
+	p.votes = p.votes || e.Settled && e.Answers
+	p.known = e.Known
+	c.peers[e.Router] = p
 	if !e.Unconfirmed && e.Version == c.Version() && e.Version > 0 {
 		c.confirm(now.Add(-e.Age))
 	}
@@ -241,12 +290,12 @@
 		return nil
 	}
 	var best messenger.RouterID
-	for _, id := range sortedKeys(c.peers) {
-		p := c.peers[id]
+	for id, p := range c.peers {
 		if p.version <= c.Version() || id == c.asked && len(c.peers) > 1 {
 			continue
 		}
-		if best == "" || p.version > c.peers[best].version {
+		top := c.peers[best].version
+		if p.version > top || p.version == top && id < best {
 			best = id
 		}
 	}
--- a/internal/configurer/document.go
+++ b/internal/configurer/document.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/orderer"
 )
 
 // Document is the configuration of the whole fleet: defaults and a short list
@@ -80,17 +81,24 @@
 type PoolSettings struct {
 	LongShare   *float64 `json:"longShare,omitempty"`
 	HedgeBudget *float64 `json:"hedgeBudget,omitempty"`
+	// State is what the pool's engines should have loaded and do.
+	State *orderer.State `json:"state,omitempty"`
 }
 
 // UpstreamSettings describe an upstream.
 type UpstreamSettings struct {
-	Pool        messenger.PoolID `json:"pool,omitempty"`
-	Address     string           `json:"address,omitempty"`
-	Domain      string           `json:"domain,omitempty"`
-	Window      *int             `json:"window,omitempty"`
-	Engine      *bool            `json:"engine,omitempty"`
-	Leaving     *bool            `json:"leaving,omitempty"`
-	ChecksFence *bool            `json:"checksFence,omitempty"`
+	Pool    messenger.PoolID `json:"pool,omitempty"`
+	Address string           `json:"address,omitempty"`
+	Domain  string           `json:"domain,omitempty"`
+	Window  *int             `json:"window,omitempty"`
+	Engine  *bool            `json:"engine,omitempty"`
+	Leaving *bool            `json:"leaving,omitempty"`
+	NoLong  *bool            `json:"noLong,omitempty"`
+	// MoveTo is the engine that streams in progress are to be moved to.
+	MoveTo      messenger.UpstreamID `json:"moveTo,omitempty"`
+	ChecksFence *bool                `json:"checksFence,omitempty"`
+	// State replaces the pool's, as a whole.
+	State *orderer.State `json:"state,omitempty"`
 }
 
 // Route sends requests under a path to a pool.
--- a/internal/configurer/message.go
+++ b/internal/configurer/message.go
@@ -26,8 +26,18 @@
 	// Age is how long ago, as far as the peer knows, a router last saw in the
 	// table that Version is the newest.
 	Age time.Duration
-	// Unconfirmed is true if the peer knows of no such look at the table.
+	// Unconfirmed is true if the peer knows of no such look at the table, or
+	// if the age of the message itself is not known.
 	Unconfirmed bool
+	// Incarnation tells the starts of the peer apart.
+	Incarnation uint64
+	// Settled is true if the peer's version was confirmed since its start.
+	Settled bool
+	// Answers is true if the heartbeat answers one that this router has sent
+	// since its start, and so was not under way for longer.
+	Answers bool
+	// Known is how many routers the peer knows of.
+	Known int
 }
 
 // PeerAsk says that another router wants what came after Since.
@@ -95,6 +105,13 @@
 // has a new version.
 type Announce struct{}
 
+// Rejected says that an update could not be applied: it left out a revision, or
+// this release cannot read it. The version in force stays.
+type Rejected struct {
+	Version uint64
+	Err     error
+}
+
 // ReadyChange says whether the balancer may send callers to this router.
 type ReadyChange struct {
 	Ready bool
@@ -124,3 +141,4 @@
 func (PutInForce) isAction()  {}
 func (Announce) isAction()    {}
 func (ReadyChange) isAction() {}
+func (Rejected) isAction()    {}
--- a/internal/generator/generator.go
+++ b/internal/generator/generator.go
@@ -75,6 +75,9 @@
 	Clock timekeeper.Clock
 	// Progress is called about once a second; nil means never.
 	Progress func(Progress)
+	// AllSent is called once, with the number of requests, after the last one
+	// was started; nil means never.
+	AllSent func(sent int)
 	// Observe is called for each request once it has ended, from several
 	// goroutines; nil means never.
 	Observe func(Observation)
@@ -93,7 +96,9 @@
 	Statement messenger.RunState
 	// Complete is true for a whole answer that belongs to the request.
 	Complete bool
-	Tokens   int
+	// Broken is true for an answer that was wrong, cut off or lost.
+	Broken bool
+	Tokens int
 	// Due is when the request was due.
 	Due time.Time
 }
@@ -205,7 +210,8 @@
 	defer stop()
 	slots := make(chan struct{}, r.cfg.MaxOpen)
 	sched := newSchedule(&r.cfg.Mix, r.cfg.Seed, r.cfg.Run, len(r.cfg.Routers), r.cfg.For)
-	for sent := 0; sent < r.cfg.MaxRequests; {
+	sent := 0
+	for sent < r.cfg.MaxRequests {
 		a, ok := sched.take()
 		if !ok || !r.waitUntil(ctx, a.at) {
 			break
@@ -223,6 +229,9 @@
 			r.finish(a, r.do(ctx, a))
 		})
 	}
+	if r.cfg.AllSent != nil {
+		r.cfg.AllSent(sent)
+	}
 	r.open.Wait()
 	r.results.finish(r.cfg.Clock.Now().Sub(r.start))
 }
@@ -235,7 +244,7 @@
 	}
 	r.cfg.Observe(Observation{
 		RequestID: a.id, WireID: o.wireID, Account: a.stream.Account, Class: a.stream.Class, Kind: a.stream.Kind, Key: a.key,
-		Statement: stated(o.statement), Complete: o.kind == complete, Tokens: o.tokens, Due: r.start.Add(a.at),
+		Statement: stated(o.statement), Complete: o.kind == complete, Broken: o.broken(), Tokens: o.tokens, Due: r.start.Add(a.at),
 	})
 }
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -28,6 +28,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -51,9 +52,9 @@
 const (
 	readBufferBytes = 16 << 10
 	pollers         = 2
-	// maxOpenFiles sizes nbio's table of connections, which is indexed by
+	// mostOpenFiles bounds nbio's table of connections, which is indexed by
 	// file descriptor.
-	maxOpenFiles = 1 << 17
+	mostOpenFiles = 1 << 20
 	// never is a deadline for nbhttp's own timers; the sweeper has ours.
 	never = 100 * 365 * 24 * time.Hour
 )
@@ -85,6 +86,9 @@
 	IdleTimeout time.Duration
 	// Handler answers the requests.
 	Handler Handler
+	// Refused, if set, is called with the name of the problem for each request
+	// that is refused before any handler sees it. It must not block.
+	Refused func(problem string)
 	// Log gets one line for each event; nil means logrus's standard logger.
 	Log *logrus.Logger
 	// Clock measures the timeouts; nil means the system's clock.
@@ -98,6 +102,9 @@
 	cfg.MaxConns = orDefault(cfg.MaxConns, DefaultMaxConns)
 	cfg.ReadTimeout = orDefault(cfg.ReadTimeout, DefaultReadTimeout)
 	cfg.IdleTimeout = orDefault(cfg.IdleTimeout, DefaultIdleTimeout)
+	if cfg.Refused == nil {
+		cfg.Refused = func(string) {}
+	}
 	if cfg.Log == nil {
 		cfg.Log = logrus.StandardLogger()
 	}
@@ -106,8 +113,14 @@
 	}
 }
 
-// sizeTables keeps nbio from allocating 16 MiB for each listener.
-var sizeTables = sync.OnceFunc(func() { nbio.MaxOpenFiles = maxOpenFiles })
+// sizeTables gives nbio's tables an entry for each file that the process may
+// open; by itself nbio takes 16 MiB for each listener.
+var sizeTables = sync.OnceFunc(func() {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
+		nbio.MaxOpenFiles = int(min(limit.Cur, mostOpenFiles))
+	}
+})
 
 func orDefault[T int | time.Duration](v, def T) T {
 	if v <= 0 {
@@ -169,7 +182,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.acceptor = newAcceptor(ln, l.full)
+	l.acceptor = newAcceptor(ln, l.full, l.cfg.Refused)
 	return l.acceptor, nil
 }
 
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -124,6 +124,7 @@
 	"tab before colon":        {"GET / HTTP/1.1\r\nHost: h\r\nContent-Length\t: 1\r\n\r\nx", 400},
 	"no host":                 {"GET / HTTP/1.1\r\n\r\n", 400},
 	"two hosts":               {"GET / HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n", 400},
+	"two hosts in 1.0":        {"GET / HTTP/1.0\r\nHost: a\r\nHost: b\r\n\r\n", 400},
 	"bad host":                {"GET / HTTP/1.1\r\nHost: a/b\r\n\r\n", 400},
 	"length list":             {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3, 3\r\n\r\nabc", 400},
 	"length twice":            {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400},
@@ -170,9 +171,10 @@
 }
 
 func TestRefusedBeforeAnyHandler(t *testing.T) {
-	var calls atomic.Int64
+	var calls, refused atomic.Int64
 	l := start(t, Config{
 		MaxHeaderBytes: 512, MaxBodyBytes: 1024,
+		Refused: func(string) { refused.Add(1) },
 		Handler: func(*Caller, *http.Request) { calls.Add(1) },
 	})
 	for name, tt := range refusals {
@@ -200,4 +202,7 @@
 	if got := calls.Load(); got != 0 {
 		t.Errorf("got %d calls of the handler, want 0", got)
 	}
+	if got, want := int(refused.Load()), len(refusals); got != want {
+		t.Errorf("got %d refusals counted, want %d", got, want)
+	}
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -9,7 +9,7 @@
 //
 //	p := placer.New(seed)
 //	p.Set("worker-1", messenger.UpstreamPolicy{Pool: "assistant", Window: 16})
-//	p.Lease("worker-1", 4)
+//	p.Lease("worker-1", 4, 1)
 //	if u, ok := p.Pick(now, placer.Query{Prefix: prefix}); ok {
 //		p.Start(now, u, false)
 //	}
@@ -17,6 +17,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lentilwood.example/lentilwood/internal/messenger"
@@ -31,26 +32,43 @@
 	Prefix uint64
 	// Long is true for work that may hold a slot for long.
 	Long bool
-	// Avoid names an upstream that must not be chosen; empty means none.
+	// Avoid names an upstream that is not chosen unless no other may get new
+	// work; empty means none.
 	Avoid messenger.UpstreamID
 }
 
 // Placer places the requests of one pool. It is not safe for concurrent use.
 type Placer struct {
 	rand      *rand.Rand
-	longShare float64
 	upstreams map[messenger.UpstreamID]*upstream
 	// free lists the upstreams with a free slot, in no order.
 	free []*upstream
+	// longFree counts the slots that long work may still take, longRoom those
+	// it could take but for its bound; usable counts the upstreams that may get
+	// new work.
+	longFree, longRoom, usable int
+	// list holds the upstreams for Sweep, which goes on at cursor.
+	list   []*upstream
+	cursor int
+	speed  speed
+	cache  affinity
+	// running counts the requests on all upstreams.
+	running int
 }
 
 // upstream is what one router knows of one upstream.
 type upstream struct {
-	id      messenger.UpstreamID
-	policy  messenger.UpstreamPolicy
-	lease   int
-	running int
-	long    int
+	id     messenger.UpstreamID
+	policy messenger.UpstreamPolicy
+	// slots and longSlots are what this router may use; running and long are
+	// what it uses.
+	slots, longSlots int
+	running, long    int
+	// longFree and longRoom are the upstream's parts of Placer's sums.
+	longFree, longRoom int
+	usable             bool
+	pace               pace
+	report             report
 	// freeAt is the index in Placer.free, or -1.
 	freeAt int
 }
@@ -63,16 +81,14 @@
 	}
 }
 
-// SetLongShare bounds the share of each lease that long work may hold; zero
-// means no bound.
-func (p *Placer) SetLongShare(share float64) { p.longShare = share }
-
 // Set adds an upstream or changes its policy.
 func (p *Placer) Set(id messenger.UpstreamID, policy messenger.UpstreamPolicy) {
 	u, ok := p.upstreams[id]
 	if !ok {
 		u = &upstream{id: id, freeAt: -1}
+		u.pace.health = 1
 		p.upstreams[id] = u
+		p.list = append(p.list, u)
 	}
 	u.policy = policy
 	p.refresh(u)
@@ -84,38 +100,60 @@
 	if !ok {
 		return
 	}
-	p.unlist(u)
+	u.slots, u.longSlots = 0, 0
+	u.policy.Leaving = true
+	p.refresh(u)
 	delete(p.upstreams, id)
+	p.list = slices.DeleteFunc(p.list, func(other *upstream) bool { return other == u })
 }
 
-// Lease sets how many requests this router may run on an upstream.
-func (p *Placer) Lease(id messenger.UpstreamID, slots int) {
+// Lease sets how many requests this router may run on an upstream, and how
+// many of them may be long.
+func (p *Placer) Lease(id messenger.UpstreamID, slots, long int) {
 	if u, ok := p.upstreams[id]; ok {
-		u.lease = slots
+		u.slots, u.longSlots = slots, long
 		p.refresh(u)
 	}
 }
 
+// Running returns how many requests run on an upstream, and how many of them
+// are long.
+func (p *Placer) Running(id messenger.UpstreamID) (running, long int) {
+	if u, ok := p.upstreams[id]; ok {
+		return u.running, u.long
+	}
+	return 0, 0
+}
+
+// LongFree returns how many slots long work may still take.
+func (p *Placer) LongFree() int { return p.longFree }
+
+// LongRoom returns how many slots are free on upstreams that take long work,
+// whether or not the bound on long work lets it use them.
+func (p *Placer) LongRoom() int { return p.longRoom }
+
 // Len returns how many upstreams are known.
 func (p *Placer) Len() int { return len(p.upstreams) }
 
 // Usable reports whether any upstream may get new work.
-func (p *Placer) Usable() bool {
-	for _, u := range p.upstreams {
-		if !u.policy.Leaving {
-			return true
-		}
-	}
-	return false
-}
+func (p *Placer) Usable() bool { return p.usable > 0 }
 
-// Pick returns the best of a few upstreams that can take the request now.
-func (p *Placer) Pick(_ time.Time, q Query) (messenger.UpstreamID, bool) {
+// Pick returns the upstream with the least expected latency out of a few that
+// can take the request now. An upstream that holds the prompt prefix goes
+// first, unless it is loaded much more than the others.
+func (p *Placer) Pick(now time.Time, q Query) (messenger.UpstreamID, bool) {
+	if u := p.holder(now, q); u != nil {
+		return u.id, true
+	}
 	var best *upstream
+	var least float64
 	n := len(p.free)
 	if n == 0 {
 		return "", false
 	}
+	if p.usable == 1 {
+		q.Avoid = ""
+	}
 	start := p.rand.IntN(n)
 	found := 0
 	for i := 0; i < n && found < candidates; i++ {
@@ -124,8 +162,8 @@
 			continue
 		}
 		found++
-		if best == nil || u.load() < best.load() {
-			best = u
+		if cost := p.expected(now, u); best == nil || cost < least {
+			best, least = u, cost
 		}
 	}
 	if best == nil {
@@ -139,24 +177,22 @@
 	if u.id == q.Avoid {
 		return false
 	}
-	return !q.Long || u.long < p.longSlots(u)
-}
-
-// longSlots returns how many slots of u long work may hold, at least one.
-func (p *Placer) longSlots(u *upstream) int {
-	if p.longShare <= 0 {
-		return u.lease
-	}
-	return max(1, int(p.longShare*float64(u.lease)))
+	return !q.Long || !u.policy.NoLong && u.long < u.longSlots
 }
 
 // Start notes that a request was sent to an upstream.
-func (p *Placer) Start(_ time.Time, id messenger.UpstreamID, long bool) {
+func (p *Placer) Start(now time.Time, id messenger.UpstreamID, long bool) {
 	u, ok := p.upstreams[id]
 	if !ok {
 		return
 	}
+	if u.running == 0 {
+		u.pace.seen = now
+	}
 	u.running++
+	p.running++
+	u.report.note(now, u.running)
+	u.pace.probed = now
 	if long {
 		u.long++
 	}
@@ -167,37 +203,57 @@
 func (p *Placer) Outgrow(id messenger.UpstreamID) {
 	if u, ok := p.upstreams[id]; ok {
 		u.long++
+		p.refresh(u)
 	}
 }
 
 // End notes that a request has left an upstream.
-func (p *Placer) End(_ time.Time, id messenger.UpstreamID, long bool) {
+func (p *Placer) End(now time.Time, id messenger.UpstreamID, long bool) {
 	u, ok := p.upstreams[id]
 	if !ok {
 		return
 	}
 	u.running--
+	p.running--
+	u.report.note(now, u.running)
 	if long {
 		u.long--
 	}
 	p.refresh(u)
 }
 
-// load is the fraction of the lease in use.
-func (u *upstream) load() float64 {
-	return float64(u.running) / float64(max(1, u.lease))
-}
-
-// refresh keeps the list of upstreams with a free slot in step with u.
+// refresh keeps the list of upstreams with a free slot and the sums in step
+// with u.
 func (p *Placer) refresh(u *upstream) {
-	if u.running < u.lease && !u.policy.Leaving {
-		p.list(u)
+	open := !u.policy.Leaving
+	if open != u.usable {
+		u.usable = open
+		p.usable += sign(open)
+	}
+	longFree, longRoom := 0, 0
+	if open && !u.policy.NoLong {
+		longRoom = max(0, u.limit()-u.running)
+		longFree = max(0, min(u.longSlots-u.long, longRoom))
+	}
+	p.longFree += longFree - u.longFree
+	p.longRoom += longRoom - u.longRoom
+	u.longFree, u.longRoom = longFree, longRoom
+	if u.running < u.limit() && open {
+		p.enlist(u)
 		return
 	}
 	p.unlist(u)
 }
 
-func (p *Placer) list(u *upstream) {
+// sign returns 1 for true and -1 for false.
+func sign(b bool) int {
+	if b {
+		return 1
+	}
+	return -1
+}
+
+func (p *Placer) enlist(u *upstream) {
 	if u.freeAt >= 0 {
 		return
 	}
--- a/internal/router/backend.go
+++ b/internal/router/backend.go
@@ -6,6 +6,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"lentilwood.example/lentilwood/internal/configurer"
+	"lentilwood.example/lentilwood/internal/coordinator"
 	"lentilwood.example/lentilwood/internal/operator"
 	"lentilwood.example/lentilwood/internal/storer"
 )
@@ -25,7 +26,7 @@
 		ConfigEditor: &operator.ConfigEditor{
 			Store:    r.store.For(purposeOperators),
 			Clock:    r.clock,
-			Accepted: func(u configurer.Update) { r.control.submit(configurer.Accepted{Update: u}) },
+			Accepted: func(u configurer.Update) { r.control.submit(coordinator.Accepted{Update: u}) },
 			InForce:  r.document,
 		},
 	}
@@ -50,4 +51,4 @@
 }
 
 // WriteMetrics writes all metrics.
-func (b *backend) WriteMetrics(w io.Writer) { b.r.meter.WritePrometheus(w) }
+func (b *backend) WriteMetrics(w io.Writer) { b.r.writeMetrics(w) }
