Judge the random schedules after all that was sent has been read

Verdicts now come after the routers have closed and every upstream has read to the end of its connections, which is the stricter check.

A deadline is now kept in the flight instead of cleared in the caller's Request. What may be repeated, or carries a key, gets Retry-After also when its outcome is unknown.

--- a/internal/dispatcher/checker_test.go
+++ b/internal/dispatcher/checker_test.go
@@ -80,6 +80,10 @@
 	engines fixedUpstreams
 	service fixedUpstreams
 	routers []*Dispatcher
+
+	mu sync.Mutex
+	// verdicts check each request once nothing runs any more.
+	verdicts []func()
 }
 
 func runSchedule(t *testing.T, seed uint64, counts *tally) {
@@ -88,11 +92,11 @@
 		engines: make(fixedUpstreams), service: make(fixedUpstreams),
 	}
 	network := &memoryNetwork{}
+	var upstreams []*faultyUpstream
 	all := fixedUpstreams{"dead": {Address: "dead"}}
 	for i := range 2 {
 		engine, service := newFaultyUpstream(s.journal, true, seed*4+uint64(i)), newFaultyUpstream(s.journal, false, seed*4+2+uint64(i))
-		defer engine.close()
-		defer service.close()
+		upstreams = append(upstreams, engine, service)
 		e, v := fmt.Sprint("e", i), fmt.Sprint("s", i)
 		network.listen(e, engine.accept)
 		network.listen(v, service.accept)
@@ -126,6 +130,12 @@
 	}
 	close(stop)
 	ticking.Wait()
+	for _, u := range upstreams {
+		u.close()
+	}
+	for _, verdict := range s.verdicts {
+		verdict()
+	}
 	s.checkKeys()
 }
 
@@ -207,7 +217,9 @@
 	res := d.Serve(context.Background(), req, q, c)
 	close(served)
 	leaving.Wait()
-	s.check(req, q, c, res)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.verdicts = append(s.verdicts, func() { s.check(req, q, c, res) })
 }
 
 // check compares what the caller was told with what ran.
--- a/internal/dispatcher/checkerupstream_test.go
+++ b/internal/dispatcher/checkerupstream_test.go
@@ -68,28 +68,31 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	streams map[string]bool
-	conns   map[net.Conn]bool
+	closed  bool
 }
 
 func newFaultyUpstream(j *journal, engine bool, seed uint64) *faultyUpstream {
 	return &faultyUpstream{
 		engine: engine, journal: j, rng: rand.New(rand.NewPCG(seed, 2)),
-		streams: make(map[string]bool), conns: make(map[net.Conn]bool),
+		streams: make(map[string]bool),
 	}
 }
 
 func (u *faultyUpstream) accept(conn net.Conn) {
 	u.mu.Lock()
-	u.conns[conn] = true
-	u.mu.Unlock()
+	defer u.mu.Unlock()
+	if u.closed {
+		_ = conn.Close()
+		return
+	}
 	u.wg.Go(func() { u.serve(conn) })
 }
 
+// close waits until the upstream has read everything that was sent to it. The
+// other side has closed its connections by then.
 func (u *faultyUpstream) close() {
 	u.mu.Lock()
-	for conn := range u.conns {
-		_ = conn.Close()
-	}
+	u.closed = true
 	u.mu.Unlock()
 	u.wg.Wait()
 }
@@ -105,12 +108,7 @@
 }
 
 func (u *faultyUpstream) serve(conn net.Conn) {
-	defer func() {
-		_ = conn.Close()
-		u.mu.Lock()
-		delete(u.conns, conn)
-		u.mu.Unlock()
-	}()
+	defer func() { _ = conn.Close() }()
 	br := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(br)
--- a/internal/dispatcher/clock.go
+++ b/internal/dispatcher/clock.go
@@ -42,8 +42,8 @@
 	if f.retry != nil {
 		add(f.retryAt)
 	}
-	if !f.req.Arrive.Deadline.IsZero() && !f.gone {
-		add(f.req.Arrive.Deadline)
+	if !f.deadline.IsZero() && !f.gone {
+		add(f.deadline)
 	}
 	return due
 }
@@ -55,7 +55,7 @@
 		return
 	}
 	if f.late() && !f.gone {
-		f.deadline()
+		f.expireDeadline()
 		return
 	}
 	f.giveBack()
@@ -74,10 +74,10 @@
 	}
 }
 
-// deadline ends a request whose caller no longer waits. One that is queued is
+// expireDeadline ends a request whose caller no longer waits. One that is queued is
 // left to the scheduler, which refuses it.
-func (f *flight) deadline() {
-	f.req.Arrive.Deadline = time.Time{}
+func (f *flight) expireDeadline() {
+	f.deadline = time.Time{}
 	if len(f.attempts) == 0 && f.retry == nil && f.pending == nil {
 		f.queue.Tell(messenger.Abandon{Request: f.req.ID})
 		f.refuse(string(messenger.RefuseDeadline), 0)
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -41,6 +41,9 @@
 	retry   *attempt
 	retries int
 
+	// deadline is when the caller stops waiting; zero means never, or that it
+	// was told so.
+	deadline time.Time
 	timer    <-chan time.Time
 	timerDue time.Time
 	// slowSince is when the caller last took something of what waits for it.
@@ -55,7 +58,7 @@
 
 func newFlight(d *Dispatcher, req *Request, q Queue, c Caller) *flight {
 	return &flight{
-		d: d, req: req, queue: q, c: c,
+		d: d, req: req, queue: q, c: c, deadline: req.Arrive.Deadline,
 		outcome: tracker.New(req.Arrive.Idempotent),
 		relay:   relayer.NewStream(c, d.cfg.Budget, d.cfg.Relay),
 		ready:   make(chan struct{}, 1),
@@ -226,7 +229,7 @@
 
 // late reports whether the caller's deadline has passed.
 func (f *flight) late() bool {
-	return !f.req.Arrive.Deadline.IsZero() && !f.now().Before(f.req.Arrive.Deadline)
+	return !f.deadline.IsZero() && !f.now().Before(f.deadline)
 }
 
 // leave notes that the caller is gone. Work that nobody waits for is ended,
@@ -312,7 +315,7 @@
 func (f *flight) fail(name string) {
 	run := f.outcome.Run()
 	p := newProblem(name, run)
-	if run == messenger.NotRun {
+	if run == messenger.NotRun || f.req.Arrive.Idempotent || f.keyed() {
 		p.retryAfter = time.Second
 	}
 	f.answerProblem(name, p)
--- a/internal/dispatcher/record.go
+++ b/internal/dispatcher/record.go
@@ -78,6 +78,8 @@
 	}
 	f.finish(a.Upstream, 0, false, false)
 	switch {
+	case f.gone:
+		f.conclude(tracker.Refuse)
 	case r.err != nil:
 		f.log().WithError(r.err).Warn("idempotency key not claimed")
 		f.fail(ProblemStoreDown)
