--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -252,7 +252,7 @@
 		return
 	}
 	if err := f.relay.Pump(); err != nil {
-		f.log().WithError(err).Debug("caller gone")
+		f.log("callerGone").WithError(err).Debug("caller gone")
 		f.leave()
 	}
 }
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -122,7 +122,7 @@
 func (f *flight) head(at *attempt, p progress) bool {
 	if p.header.Get(messenger.RequestIDHeader) != f.req.WireID {
 		f.d.counters.WrongAnswers.Add(1)
-		f.log().WithField("upstream", at.upstream).Warn("answer to another request")
+		f.log("wrongAnswer").WithField("upstream", at.upstream).Warn("answer to another request")
 		f.attemptFailed(at, ProblemWrongAnswer, false)
 		return false
 	}
--- a/internal/dispatcher/clock.go
+++ b/internal/dispatcher/clock.go
@@ -107,7 +107,7 @@
 	}
 	f.slowSent = sent
 	if f.relay.Held() > 0 && f.now().Sub(f.slowSince) >= f.d.cfg.CallerTimeout {
-		f.log().Warn("caller takes nothing")
+		f.log("callerStalled").Warn("caller takes nothing")
 		f.leave()
 		return
 	}
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -130,12 +130,13 @@
 // note tells the outcome of an event that the flight knows to be possible.
 func (f *flight) note(e tracker.Event) {
 	if err := f.outcome.Handle(e); err != nil {
-		f.log().WithError(err).Error("outcome event refused")
+		f.log("outcomeOrder").WithError(err).Error("outcome event refused")
 	}
 }
 
-func (f *flight) log() *logrus.Entry {
-	return f.d.cfg.Log.WithFields(logrus.Fields{"request": f.req.WireID, "account": f.req.Arrive.Account})
+// log returns the log entry of an event of this request.
+func (f *flight) log(event string) *logrus.Entry {
+	return f.d.cfg.Log.WithFields(logrus.Fields{"event": event, "request": f.req.WireID, "account": f.req.Arrive.Account})
 }
 
 func (f *flight) finish(upstream messenger.UpstreamID, tokens float64, failed, retry bool) {
--- a/internal/dispatcher/record.go
+++ b/internal/dispatcher/record.go
@@ -66,7 +66,7 @@
 	f.claiming = false
 	f.claim = r.claim
 	if r.err != nil {
-		f.d.releaseLater(f.log(), r.claim)
+		f.d.releaseLater(f.log("keyKept"), r.claim)
 	}
 	a := f.pending
 	f.pending = nil
@@ -81,7 +81,7 @@
 	case f.gone:
 		f.conclude(tracker.Refuse)
 	case r.err != nil:
-		f.log().WithError(r.err).Warn("idempotency key not claimed")
+		f.log("keyNotClaimed").WithError(r.err).Warn("idempotency key not claimed")
 		f.fail(ProblemStoreDown)
 	case r.claim.Status == recorder.Claimed:
 		f.refuse(string(messenger.RefuseDeadline), 0)
@@ -151,7 +151,7 @@
 	f.claim = recorder.Claim{}
 	outcome.Unknown = f.outcome.Run() != messenger.Run
 	release := f.outcome.Run() == messenger.NotRun
-	log := f.log()
+	log := f.log("outcomeNotRecorded")
 	f.d.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
@@ -169,7 +169,7 @@
 
 // releaseLater gives back a claim whose answer is still awaited.
 func (f *flight) releaseLater() {
-	claims, log := f.claims, f.log()
+	claims, log := f.claims, f.log("keyKept")
 	f.claiming = false
 	f.d.background.Go(func() {
 		r := <-claims
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -83,7 +83,7 @@
 // silent decides what follows when an upstream made no progress in time.
 func (f *flight) silent(at *attempt) {
 	f.d.counters.Silences.Add(1)
-	f.log().WithField("upstream", at.upstream).Warn("upstream silent")
+	f.log("upstreamSilent").WithField("upstream", at.upstream).Warn("upstream silent")
 	at.mute = true
 	if f.resume(at) {
 		return
--- a/internal/dispatcher/serve_bench_test.go
+++ b/internal/dispatcher/serve_bench_test.go
@@ -7,10 +7,14 @@
 	"net"
 	"net/http"
 	"sort"
+	"strconv"
 	"testing"
 	"time"
 
+	"lentilwood.example/lentilwood/internal/keeper"
 	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/recorder"
+	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
 // reportPercentiles reports the median and the 99th percentile of took.
@@ -92,3 +96,32 @@
 		}
 	}
 }
+
+// BenchmarkServeReservation measures work that is not idempotent, without a
+// key and with one that is claimed in a store that answers at once.
+func BenchmarkServeReservation(b *testing.B) {
+	addr := lookupServer(b)
+	for _, name := range []string{"plain", "keyed"} {
+		b.Run(name, func(b *testing.B) {
+			rec := recorder.New(recorder.Config{Store: keeper.New(timekeeper.System{}), ClaimsPerSecond: 1e9})
+			d := New(Config{Upstreams: fixedUpstreams{"s": {Address: addr}}, Log: quietLog(), Recorder: rec})
+			defer d.Close()
+			var took []time.Duration
+			n := 0
+			for b.Loop() {
+				req := reservation()
+				if name == "keyed" {
+					n++
+					req.Key = strconv.Itoa(n)
+				}
+				q, c := newFakeQueue("s"), newFakeCaller()
+				start := time.Now()
+				if res := d.Serve(context.Background(), req, q, c); res.Status != http.StatusOK {
+					b.Fatalf("status %d: %s", res.Status, c.text())
+				}
+				took = append(took, time.Since(start))
+			}
+			reportPercentiles(b, took)
+		})
+	}
+}
--- a/internal/dispatcher/slowreader_test.go
+++ b/internal/dispatcher/slowreader_test.go
@@ -32,7 +32,7 @@
 // slotTime serves a stream of 1 MB, which its engine produces at once, to a
 // caller that reads 500 kB a second, and returns for how long the engine's
 // slot was held and how much memory the router held at most.
-func slotTime(t *testing.T, limits relayer.Limits, cap int64) (slot time.Duration, peak int64) {
+func slotTime(t *testing.T, limits relayer.Limits, budgetBytes int64) (slot time.Duration, peak int64) {
 	t.Helper()
 	const step, bytesEach = 20 * time.Millisecond, 10_000
 	whole := strings.Join(tokenEvents(strings.Repeat("x", 100), 8000), "")
@@ -48,7 +48,7 @@
 		}()
 	})
 	clock := timekeeper.NewManual(time.Unix(1_800_000_000, 0))
-	budget := relayer.NewBudget(cap)
+	budget := relayer.NewBudget(budgetBytes)
 	d := newTestDispatcher(t, Config{
 		Upstreams: fixedUpstreams{"e": {Address: "e", Engine: true}}, Dial: network.dial, Clock: clock, Relay: limits, Budget: budget,
 	})
