Forget routers that use none of an owner's slots

Change: unused leases are dropped without a word, and a return of nothing makes nobody a user.

Without the change TestRoutersTalkToAFewOthers sees owners that serve 40 of 40 routers.

--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -142,9 +142,11 @@
 			})
 		}
 	}
-	b.Run("routers400/fleet", func(b *testing.B) {
-		fairness(b, large, Config{Seed: 1}, 10*time.Second)
-	})
+	for _, m := range modes {
+		b.Run(large.name+"/"+m.name, func(b *testing.B) {
+			fairness(b, large, Config{Seed: 1, Mode: m.mode}, 20*time.Second)
+		})
+	}
 	for _, budget := range []int{256, 512, 1024, 2048, 4096} {
 		b.Run(fmt.Sprintf("riga/fleet/budget%d", budget), func(b *testing.B) {
 			fairness(b, riga, Config{Seed: 1, ControlBytes: budget}, time.Minute)
--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -277,3 +277,19 @@
 		}
 	}
 }
+
+func TestRoutersTalkToAFewOthers(t *testing.T) {
+	s := shape{"wide", 40, 80, 8, 40}
+	f := newFleet(s.routers, policyOf(s), Config{Seed: 1})
+	f.skewed(s, 0)
+	f.run(5 * time.Second)
+	for _, n := range f.nodes {
+		p := n.sched.pools["assistant"]
+		if got := len(p.users); got > s.routers*3/4 {
+			t.Errorf("%s serves %d of %d routers, want only the users of its cells", n.id, got, s.routers)
+		}
+		if got := len(p.sources); got < cellsPerRouter || got > s.routers/2 {
+			t.Errorf("%s uses the cells of %d owners, want %d to %d", n.id, got, cellsPerRouter, s.routers/2)
+		}
+	}
+}
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -73,6 +73,9 @@
 	if !ok {
 		return
 	}
+	if _, known := o.holders[k.router]; !known && m.Slots == 0 {
+		return
+	}
 	h := p.holderOf(o, k.router)
 	if sequence < h.heard {
 		return
--- a/internal/scheduler/relation.go
+++ b/internal/scheduler/relation.go
@@ -71,6 +71,12 @@
 			if !ok {
 				continue
 			}
+			if running, _ := p.placer.Running(id); running == 0 && l.seen == 0 {
+				l.allowed = amounts{}
+				p.place(l)
+				delete(p.leases, id)
+				continue
+			}
 			if l.owner != cells[i].owner {
 				l.owner, l.seen = cells[i].owner, 0
 			}
