--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -28,12 +28,18 @@
 	return over
 }
 
-// drain stops the arrivals and returns how many jobs are left after a while.
+// drain returns how many jobs are left after a while, at once if there are none.
 func (f *fleet) drain(d time.Duration) int {
-	f.run(f.now + d)
 	left := 0
-	for _, n := range f.nodes {
-		left += len(n.jobs)
+	for end := f.now + d; f.now < end; {
+		f.run(f.now + time.Second)
+		left = 0
+		for _, n := range f.nodes {
+			left += len(n.jobs)
+		}
+		if left == 0 {
+			break
+		}
 	}
 	return left
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -58,63 +57,6 @@
 	homes map[messenger.AccountID]*home
 }
 
-// flow is one client account in one pool.
-type flow struct {
-	pool    *pool
-	account messenger.AccountID
-	weight  float64
-	// tag is the virtual start tag, in tokens divided by weight.
-	tag float64
-	// served is the sum of all charges since the router started.
-	served           float64
-	waiting, running int
-	queues           []*queue
-	turns            cadence
-	idleSince        time.Time
-	// blocked is true while a limit keeps the account's requests back.
-	blocked bool
-	// rate counts recent requests, decayed up to rateAt.
-	rate   float64
-	rateAt time.Time
-
-	// home is the router that sums up the account's service; told, toldActive
-	// and toldAt are what it was told last; heard is its newest message.
-	home       messenger.RouterID
-	told       float64
-	toldActive bool
-	toldAt     time.Time
-	heard      uint64
-	queued     bool
-	// elsewhere counts the account's requests waiting at other routers, as its
-	// home said at elsewhereAt.
-	elsewhere int
-	// spread is how many times its own service the account gets from the whole
-	// fleet; lastTag and lastIncluded are what the home said last.
-	spread                float64
-	lastTag, lastIncluded int64
-	elsewhereAt           time.Time
-}
-
-// waitsElsewhere reports whether requests of the account wait at other routers,
-// so that it has not been idle.
-func (f *flow) waitsElsewhere(now time.Time) bool {
-	return f.elsewhere > 0 && now.Sub(f.elsewhereAt) < leaseTTL
-}
-
-// class is one class of requests in one pool.
-type class struct {
-	id     messenger.ClassID
-	policy messenger.ClassPolicy
-	// queues holds the accounts with waiting requests, the lowest tag first.
-	queues heap[*queue]
-	// waiting counts its requests in queues.
-	waiting int
-	// credit is the service that the class's floor still owes it, in tokens.
-	credit float64
-	// mean is a moving average of the cost of finished requests.
-	mean float64
-}
-
 func newPool(s *Scheduler, id messenger.PoolID) *pool {
 	seed := s.cfg.Seed ^ rank(string(id), s.cfg.Self)
 	return &pool{
@@ -147,14 +89,6 @@
 	}
 }
 
-// weightOf returns the weight of an account, 1 unless the policy states one.
-func weightOf(policy *messenger.Policy, id messenger.AccountID) float64 {
-	if w := policy.AccountOf(id).Weight; w > 0 {
-		return w
-	}
-	return 1
-}
-
 // classOf returns the class with a name, new if it has to be.
 func (p *pool) classOf(id messenger.ClassID) *class {
 	for _, c := range p.classes {
@@ -170,28 +104,6 @@
 	return c
 }
 
-// flowOf returns the flow of an account, new if it has to be.
-func (p *pool) flowOf(id messenger.AccountID) *flow {
-	f, ok := p.flows[id]
-	if !ok {
-		f = &flow{pool: p, account: id, weight: weightOf(p.sched.policy, id), tag: p.vtime, spread: 1}
-		p.flows[id] = f
-		p.flowList = append(p.flowList, f)
-	}
-	return f
-}
-
-// rehome looks up anew which routers sum up the service of accounts.
-func (p *pool) rehome() {
-	for _, f := range p.flowList {
-		home := p.sched.homeOf(f.account)
-		if f.home != home {
-			f.home, f.heard = home, 0
-			f.told = math.Inf(-1)
-		}
-	}
-}
-
 // largeCost returns the cost of a large request.
 func (p *pool) largeCost() float64 { return max(p.large, p.meanCost()) }
 
@@ -203,18 +115,6 @@
 	return defaultTokens
 }
 
-// queueOf returns the flow's queue for a class, new if it has to be.
-func (f *flow) queueOf(c *class) *queue {
-	for _, q := range f.queues {
-		if q.class == c {
-			return q
-		}
-	}
-	q := &queue{flow: f, class: c, classAt: -1}
-	f.queues = append(f.queues, q)
-	return q
-}
-
 // enqueue lets r wait for its turn.
 func (p *pool) enqueue(r *request) {
 	f := r.queue.flow
@@ -276,35 +176,6 @@
 	}
 }
 
-// count changes the number of requests that only lack a slot.
-func (p *pool) count(q *queue, n int) {
-	p.waiting += n
-	q.class.waiting += n
-}
-
-// block keeps back the waiting requests of an account.
-func (p *pool) block(f *flow) {
-	f.blocked = true
-	for _, q := range f.queues {
-		p.count(q, -q.n)
-		q.class.queues.remove(q)
-	}
-}
-
-// unblock ends a block if the account's limit leaves room.
-func (p *pool) unblock(f *flow) {
-	if !f.blocked || p.sched.limits.AtConcurrency(p.sched.now, f.account) {
-		return
-	}
-	f.blocked = false
-	for _, q := range f.queues {
-		if q.n > 0 {
-			p.count(q, q.n)
-			q.class.queues.push(q)
-		}
-	}
-}
-
 // dequeue takes out a request that was not dispatched.
 func (p *pool) dequeue(r *request) {
 	p.unwait(r)
@@ -313,13 +184,6 @@
 	p.updateUse(r.queue.flow)
 }
 
-// reorder restores the order of the class heaps after the tag has changed.
-func (f *flow) reorder() {
-	for _, q := range f.queues {
-		q.class.queues.fix(q)
-	}
-}
-
 // dispatch sends waiting requests while there are slots for them.
 func (p *pool) dispatch() {
 	for {
