--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"lentilwood.example/lentilwood/internal/operator"
+	"lentilwood.example/lentilwood/internal/scheduler"
 )
 
 // fakeRouter answers with the given bodies by "METHOD path" and keeps the
@@ -53,19 +54,22 @@
 	routers := []operator.RouterVersion{{Router: "riga-1", Version: 8, Alive: true}, {Router: "riga-2", Version: 7}}
 	plan := operator.Evacuation{Name: "move", Steps: []operator.EvacuationStep{{Upstream: "w1"}}}
 	f := &fakeRouter{answers: map[string]any{
-		"GET /v1/config":                   operator.Config{Change: change, Document: json.RawMessage(`{"version":8}`)},
-		"PUT /v1/config":                   change,
-		"POST /v1/config/exceptions":       change,
-		"DELETE /v1/config/exceptions/x":   change,
-		"GET /v1/config/history":           operator.History{Changes: []operator.Change{change}},
-		"POST /v1/config/revert":           change,
-		"GET /v1/config/versions":          operator.Versions{Newest: 8, Routers: routers},
-		"GET /v1/status":                   operator.Status{Router: "riga-1", Routers: routers, Upstreams: []operator.UpstreamStatus{{Upstream: "w1", Slow: true}}},
-		"GET /v1/status/accounts/hospital": operator.AccountStatus{AccountSummary: operator.AccountSummary{Account: "hospital"}, Classes: []operator.ClassStatus{{Class: "short"}}},
-		"POST /v1/drains":                  change,
-		"POST /v1/evacuations":             plan,
-		"GET /v1/evacuations":              operator.Evacuations{Plans: []operator.Evacuation{plan}},
-		"POST /v1/evacuations/pause":       plan,
+		"GET /v1/config":                 operator.Config{Change: change, Document: json.RawMessage(`{"version":8}`)},
+		"PUT /v1/config":                 change,
+		"POST /v1/config/exceptions":     change,
+		"DELETE /v1/config/exceptions/x": change,
+		"GET /v1/config/history":         operator.History{Changes: []operator.Change{change}},
+		"POST /v1/config/revert":         change,
+		"GET /v1/config/versions":        operator.Versions{Newest: 8, Routers: routers},
+		"GET /v1/status":                 operator.Status{Router: "riga-1", Routers: routers, Upstreams: []operator.UpstreamStatus{{Upstream: "w1", Slots: 3}}},
+		"GET /v1/status/accounts/hospital": operator.AccountStatus{Explanation: scheduler.Explanation{
+			Account: "hospital",
+			Pools:   []scheduler.PoolExplanation{{Pool: "assistant", Waiting: []scheduler.ClassCount{{Class: "short", Waiting: 2}}}},
+		}},
+		"POST /v1/drains":            change,
+		"POST /v1/evacuations":       plan,
+		"GET /v1/evacuations":        operator.Evacuations{Plans: []operator.Evacuation{plan}},
+		"POST /v1/evacuations/pause": plan,
 	}}
 	file := writeFile(t, "fleet.jsonc", `{"kind": "configuration", "version": 7, /* note */ "timeZone": "Europe/Riga"}`)
 	tests := []struct {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -34,11 +34,29 @@
 }
 
 func accountTable(w io.Writer, a operator.AccountStatus) {
-	fmt.Fprintf(w, "account %s, weight %g, %d waiting, %d running, %.0f tokens, %d refused\n\n",
-		a.Account, a.Weight, a.Waiting, a.Running, a.Tokens, a.Refused)
-	row(w, "CLASS", "REQUESTS", "REFUSED", "WAITING", "RUNNING")
-	for _, c := range a.Classes {
-		row(w, c.Class, c.Requests, c.Refused, c.Waiting, c.Running)
+	l := a.Limits
+	fmt.Fprintf(w, "account %s at router %s: weight %g, home %s, %d waiting, %d running\n",
+		a.Account, a.Router, a.Weight, a.Home, l.Waiting, l.Running)
+	fmt.Fprintf(w, "limits of the fleet: queue %d, concurrency %d, %g requests a second, %g tokens a minute; this router's part %.2f\n\n",
+		l.QueueLength, l.Concurrency, l.RequestsPerSecond, l.TokensPerMinute, l.Share)
+	row(w, "POOL", "SHARE", "SERVED", "TAG", "VIRTUAL TIME", "AHEAD", "EXPECTED WAIT", "ELSEWHERE", "BLOCKED")
+	for _, p := range a.Pools {
+		row(w, p.Pool, fmt.Sprintf("%.2f", p.Share), fmt.Sprintf("%.0f", p.Served), fmt.Sprintf("%.0f", p.Tag),
+			fmt.Sprintf("%.0f", p.VirtualTime), p.Ahead, fmt.Sprintf("%.1fs", p.Expected), p.Elsewhere, yesNo(p.Blocked))
+	}
+	fmt.Fprintln(w)
+	row(w, "POOL", "CLASS", "WAITING")
+	for _, p := range a.Pools {
+		for _, c := range p.Waiting {
+			row(w, p.Pool, c.Class, c.Waiting)
+		}
+	}
+	fmt.Fprintln(w)
+	row(w, "POOL", "UPSTREAM", "RUNNING")
+	for _, p := range a.Pools {
+		for _, u := range p.Holds {
+			row(w, p.Pool, u.Upstream, u.Running)
+		}
 	}
 }
 
@@ -47,13 +65,17 @@
 		s.Router, s.FailureDomain, s.Version, yesNo(s.Ready), yesNo(s.StoreReachable), clockTime(s.Started))
 	versionTable(w, s.Routers)
 	fmt.Fprintln(w)
-	row(w, "ACCOUNT", "WEIGHT", "WAITING", "RUNNING", "TOKENS", "REFUSED")
-	for _, a := range s.Accounts {
-		row(w, a.Account, a.Weight, a.Waiting, a.Running, fmt.Sprintf("%.0f", a.Tokens), a.Refused)
+	row(w, "POOL", "WAITING", "RUNNING", "SLOTS", "ACCOUNTS")
+	for _, p := range s.Scheduler.Pools {
+		waiting := 0
+		for _, c := range p.Waiting {
+			waiting += c.Waiting
+		}
+		row(w, p.Pool, waiting, p.Running, p.Slots, p.Accounts)
 	}
 	fmt.Fprintln(w)
-	row(w, "UPSTREAM", "POOL", "DOMAIN", "WINDOW", "RUNNING", "LEAVING", "SLOW")
+	row(w, "UPSTREAM", "POOL", "DOMAIN", "WINDOW", "SLOTS", "RUNNING", "LEAVING")
 	for _, u := range s.Upstreams {
-		row(w, u.Upstream, u.Pool, u.FailureDomain, u.Window, u.Running, yesNo(u.Leaving), yesNo(u.Slow))
+		row(w, u.Upstream, u.Pool, u.FailureDomain, u.Window, u.Slots, u.Running, yesNo(u.Leaving))
 	}
 }
--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -1,6 +1,9 @@
 package operator
 
 import (
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/scheduler"
+
 	"context"
 	"encoding/json"
 	"io"
@@ -104,7 +107,7 @@
 	if name != "riga/1" {
 		return AccountStatus{}, NewNotFound("no client account has the name " + name)
 	}
-	return AccountStatus{AccountSummary: AccountSummary{Account: name}}, nil
+	return AccountStatus{Explanation: scheduler.Explanation{Account: messenger.AccountID(name)}}, nil
 }
 
 func (b *fakeBackend) Evacuations(context.Context) (Evacuations, error) { return Evacuations{}, nil }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -1,6 +1,10 @@
 package operator
 
-import "time"
+import (
+	"time"
+
+	"lentilwood.example/lentilwood/internal/scheduler"
+)
 
 // Status is the fleet as the answering router sees it.
 type Status struct {
@@ -12,19 +16,9 @@
 	// StoreReachable is false while the platform's service does not answer.
 	StoreReachable bool             `json:"storeReachable"`
 	Routers        []RouterVersion  `json:"routers"`
-	Accounts       []AccountSummary `json:"accounts"`
 	Upstreams      []UpstreamStatus `json:"upstreams"`
-}
-
-// AccountSummary is one client account at the answering router.
-type AccountSummary struct {
-	Account string  `json:"account"`
-	Weight  float64 `json:"weight"`
-	Waiting int     `json:"waiting"`
-	Running int     `json:"running"`
-	// Tokens is the service given so far.
-	Tokens  float64 `json:"tokens"`
-	Refused uint64  `json:"refused"`
+	// Scheduler is the state of the queues and slots.
+	Scheduler scheduler.Snapshot `json:"scheduler"`
 }
 
 // UpstreamStatus is one upstream as the answering router sees it.
@@ -34,24 +28,16 @@
 	FailureDomain string `json:"failureDomain"`
 	// Window is how many requests the fleet gives it at a time.
 	Window int `json:"window"`
-	// Running counts the requests of the answering router.
+	// Slots is how many of them the answering router may give it, and Running
+	// how many it does.
+	Slots   int  `json:"slots"`
 	Running int  `json:"running"`
 	Leaving bool `json:"leaving"`
-	// Slow is true while its window is reduced.
-	Slow bool `json:"slow"`
 }
 
-// AccountStatus is one client account in detail.
+// AccountStatus is one client account as the answering router sees it, and so
+// why its requests wait.
 type AccountStatus struct {
-	AccountSummary
-	Classes []ClassStatus `json:"classes"`
-}
-
-// ClassStatus is one class of requests of a client account.
-type ClassStatus struct {
-	Class    string `json:"class"`
-	Waiting  int    `json:"waiting"`
-	Running  int    `json:"running"`
-	Requests uint64 `json:"requests"`
-	Refused  uint64 `json:"refused"`
+	Router string `json:"router"`
+	scheduler.Explanation
 }
--- a/internal/router/fleetstatus.go
+++ b/internal/router/fleetstatus.go
@@ -9,6 +9,7 @@
 	"lentilwood.example/lentilwood/internal/coordinator"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/operator"
+	"lentilwood.example/lentilwood/internal/scheduler"
 )
 
 // Status returns the fleet as this router sees it.
@@ -27,9 +28,15 @@
 		return s, nil
 	}
 	s.Version = cfg.policy.Version
+	var slots map[messenger.UpstreamID]scheduler.UpstreamSnapshot
+	b.r.control.call(func() {
+		s.Scheduler = b.r.scheduler.Snapshot()
+		slots = b.r.scheduler.Upstreams()
+	})
 	for id, u := range cfg.policy.Upstreams {
 		s.Upstreams = append(s.Upstreams, operator.UpstreamStatus{
 			Upstream: string(id), Pool: string(u.Pool), FailureDomain: u.Domain, Window: u.Window, Leaving: u.Leaving,
+			Slots: slots[id].Slots, Running: slots[id].Running,
 		})
 	}
 	slices.SortFunc(s.Upstreams, func(x, y operator.UpstreamStatus) int {
@@ -47,8 +54,8 @@
 	if _, known := cfg.document.Accounts[messenger.AccountID(name)]; !known {
 		return operator.AccountStatus{}, operator.NewNotFound("client account " + name)
 	}
-	policy := cfg.policy.AccountOf(messenger.AccountID(name))
-	s := operator.AccountStatus{AccountSummary: operator.AccountSummary{Account: name, Weight: max(policy.Weight, 0)}}
+	s := operator.AccountStatus{Router: string(b.r.self)}
+	b.r.control.call(func() { s.Explanation = b.r.scheduler.Explain(messenger.AccountID(name)) })
 	return s, nil
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -66,7 +66,8 @@
 
 	dialPeer func(ctx context.Context, address string) (net.Conn, error)
 
-	// The control goroutine owns these three.
+	// The control goroutine owns these.
+	scheduler   *scheduler.Scheduler
 	coordinator *coordinator.Coordinator
 	peers       registrar.PeersChange
 	heard       map[messenger.RouterID]peerVersion
@@ -120,9 +121,10 @@
 	r.serving, r.cutRequests = context.WithCancel(context.Background())
 	r.background, r.stopAll = context.WithCancel(context.Background())
 	r.ready.Store(&readiness{reason: string(configurer.NoConfiguration)})
-	r.control = newControl(cfg.Clock, scheduler.New(scheduler.Config{
+	r.scheduler = scheduler.New(scheduler.Config{
 		Self: r.self, Seed: cfg.Incarnation, ControlBytes: cfg.Settings.Control.BytesPerSecond,
-	}))
+	})
+	r.control = newControl(cfg.Clock, r.scheduler)
 	r.control.fleet = r
 	r.registerGauges()
 	r.conductor = conductor.New(conductor.Config{
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -178,6 +178,23 @@
 	return m
 }
 
+// UpstreamSnapshot is what this router may use of one upstream, and does.
+type UpstreamSnapshot struct {
+	Slots, Running int
+}
+
+// Upstreams returns what this router may use of each upstream.
+func (s *Scheduler) Upstreams() map[messenger.UpstreamID]UpstreamSnapshot {
+	all := make(map[messenger.UpstreamID]UpstreamSnapshot)
+	for _, p := range s.poolList {
+		for id, l := range p.leases {
+			running, _ := p.placer.Running(id)
+			all[id] = UpstreamSnapshot{Slots: l.allowed.slots, Running: running}
+		}
+	}
+	return all
+}
+
 // SetControlScale corrects the estimated sizes of control messages: the ratio
 // of the bytes that were really sent to those in the Snapshot.
 func (s *Scheduler) SetControlScale(ratio float64) {
