Fleet test: a restarted router never serves behind what most had

Cause: the random faults checked each router against itself only. Change: the fleet notes the version that most routers held when a router starts, and fails if it is ready with less; up to three faults at a time.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -292,7 +292,9 @@
 		f.lateShare, f.lateTime = 0.05, 20*time.Second
 		var v uint64
 		for step := range 40 {
-			f.randomFault()
+			for range 1 + f.rng.IntN(3) {
+				f.randomFault()
+			}
 			f.run(time.Duration(f.rng.IntN(8)) * time.Second)
 			f.keeper.SetFaults(keeper.Faults{})
 			v = f.change(float64(step + 2))
--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -48,6 +48,8 @@
 	lateShare float64
 	lateTime  time.Duration
 
+	// held is the highest version that most routers had at the same time.
+	held     uint64
 	rejected int
 	measure  bool
 	messages int
@@ -72,6 +74,8 @@
 	ready   bool
 	reason  configurer.NotReady
 	highest uint64
+	// floor is the version that most routers had when this one started.
+	floor uint64
 }
 
 type event struct {
@@ -161,6 +165,7 @@
 	n := f.nodes[name]
 	n.started, n.up, n.ready, n.policy, n.highest = f.clock.Now(), true, false, nil, 0
 	n.live, n.known, n.frozen = nil, 0, time.Time{}
+	n.floor = f.held
 	n.c = New(Config{
 		Self:  registrar.Member{Router: messenger.RouterID(name), Address: name, Incarnation: uint64(n.started.UnixMilli())},
 		Seeds: f.names[:min(8, len(f.names))], Seed: f.rng.Uint64(),
@@ -226,13 +231,33 @@
 	f.checkVersion(n)
 }
 
-// checkVersion holds the promise that a router never goes back.
+// checkVersion holds the promise that a router never goes back, nor serves
+// after a restart with less than most routers had before.
 func (f *fleet) checkVersion(n *node) {
 	v := n.c.Configurer().Version()
 	if v < n.highest || n.policy != nil && n.policy.Version != v {
 		f.t.Fatalf("%s went from version %d to %d, policy %d", n.name, n.highest, v, n.policy.Version)
 	}
-	n.highest = v
+	if v > n.highest {
+		n.highest = v
+		f.noteHeld(v)
+	}
+	if ready, _ := n.c.Configurer().Ready(); ready && v < n.floor {
+		f.t.Fatalf("%s is ready with version %d, though most had %d before it started", n.name, v, n.floor)
+	}
+}
+
+// noteHeld notes that most routers have a version.
+func (f *fleet) noteHeld(v uint64) {
+	n := 0
+	for _, o := range f.nodes {
+		if o.up && o.highest >= v {
+			n++
+		}
+	}
+	if 2*n > len(f.names) {
+		f.held = max(f.held, v)
+	}
 }
 
 func (f *fleet) carryOut(n *node, a Action) {
