--- a/internal/scripter/commands.go
+++ b/internal/scripter/commands.go
@@ -22,7 +22,7 @@
 type command func(w *world, ts *testscript.TestScript, args []string)
 
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
-	out := map[string]func(*testscript.TestScript, bool, []string){}
+	out := map[string]func(*testscript.TestScript, bool, []string){"operate": cmdOperate}
 	for name, cmd := range map[string]command{
 		"platform": cmdPlatform, "worker": cmdWorker, "service": cmdService, "fleet": cmdFleet,
 		"config": cmdConfig, "router": cmdRouter, "send": cmdSend, "await": cmdAwait,
