--- a/internal/configurer/slope_bench_test.go
+++ b/internal/configurer/slope_bench_test.go
@@ -88,7 +88,6 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	entries = nil
 	b.ReportMetric(sloper.Heap()-before, "state-heap-B")
 	begin := sloper.CPU()
 	for v := uint64(2); v < 2+changes; v++ {
