--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -28,7 +28,8 @@
 //   - PutInForce: hand the policy to the scheduler (messenger.PolicyChange)
 //     and the document to identification and routing;
 //   - Announce: have the registrar send heartbeats at once;
-//   - ReadyChange: change what the readiness check answers.
+//   - ReadyChange: change what the readiness check answers;
+//   - Rejected: log that an update could not be applied.
 //
 // The heartbeats that the router sends carry Version, Age and Settled. The
 // package coordinator does all this feeding between routers.
@@ -63,6 +64,10 @@
 	shortestReadInterval = time.Second
 	// startReadInterval is the time between reads before the first success.
 	startReadInterval = 500 * time.Millisecond
+	// longestRejectWait bounds the wait for the next read of the table after an
+	// update that could not be applied; the wait doubles each time.
+	longestRejectWait  = time.Minute
+	maxRejectDoublings = 10
 	// readTimeout is after how long an unanswered ReadTable is given up.
 	readTimeout = 20 * time.Second
 	// askTimeout is after how long an unanswered AskPeer is given up.
@@ -106,6 +111,9 @@
 	readAt   time.Time
 	nextRead time.Time
 
+	// rejected counts the updates in a row that could not be applied.
+	rejected int
+
 	asked   messenger.RouterID
 	askedAt time.Time
 
@@ -122,8 +130,9 @@
 type peer struct {
 	version     uint64
 	incarnation uint64
-	settled     bool
-	known       int
+	// votes is true if it was settled when it answered this router.
+	votes bool
+	known int
 }
 
 // New returns a Configurer that knows no version.
@@ -154,6 +163,22 @@
 	return versions
 }
 
+// Holders returns how many routers, this one included, are known to have at
+// least a version. Once they are more than half of the fleet, no outage of the
+// store and no restart makes the fleet go back behind it.
+func (c *Configurer) Holders(version uint64) int {
+	n := 0
+	if c.Version() >= version {
+		n++
+	}
+	for _, p := range c.peers {
+		if p.version >= version {
+			n++
+		}
+	}
+	return n
+}
+
 // Ready reports whether the router may serve callers, and if not, why.
 func (c *Configurer) Ready() (bool, NotReady) { return c.ready, c.reason }
 
@@ -220,9 +245,11 @@
 func (c *Configurer) adopt(now time.Time, u Update) []Action {
 	next, err := c.state.Apply(u)
 	if err != nil {
-		c.nextRead = now
-		return nil
+		c.rejected++
+		c.nextRead = now.Add(min(longestRejectWait, startReadInterval<<min(c.rejected, maxRejectDoublings)))
+		return []Action{Rejected{Version: u.Version, Err: err}}
 	}
+	c.rejected = 0
 	changed := next.Version() > c.Version()
 	c.state = next
 	if !changed {
@@ -242,7 +269,7 @@
 		p = peer{incarnation: e.Incarnation}
 	}
 	p.version = max(p.version, e.Version)
-	p.settled = p.settled || e.Settled
+	p.votes = p.votes || e.Settled && e.Answers
 	p.known = e.Known
 	c.peers[e.Router] = p
 	if !e.Unconfirmed && e.Version == c.Version() && e.Version > 0 {
--- a/internal/configurer/document_test.go
+++ b/internal/configurer/document_test.go
@@ -82,6 +82,15 @@
 	}
 }
 
+func TestEngines(t *testing.T) {
+	text := strings.Replace(sample, `"longShare": 0.5`, `"longShare": 0.5, "state": {"models": {"fitting": "7"}}`, 1)
+	text = strings.Replace(text, `"upstream": {"leaving": true}`, `"upstream": {"leaving": true, "state": {"role": "prefill"}}`, 1)
+	got := parse(t, text).Engines(start)
+	if len(got) != 2 || got["w1"].Want.Models["fitting"] != "7" || got["w2"].Want.Role != "prefill" {
+		t.Errorf("got %+v, want the pool's state for w1 and the exception's for w2", got)
+	}
+}
+
 func TestPeriodCovers(t *testing.T) {
 	night := Period{Days: []string{"mon"}, From: "22:00", To: "06:00"}
 	day := Period{From: "08:00", To: "18:00"}
@@ -145,6 +154,8 @@
 		{"unknown zone", `Europe/Riga`, `Europe/Rigga`, []string{"timeZone: unknown time zone"}},
 		{"scope of nothing", `"scope": {"account": "riga-2"}`, `"scope": {"account": "riga-9", "class": "question"}`, []string{
 			"exceptions.x1.scope.account: unknown client account", "exceptions.x1.scope.class: narrows nothing"}},
+		{"streams to a plain service", `{"leaving": true}`, `{"leaving": true, "moveTo": "w9"}`, []string{
+			"exceptions.x2.upstream.moveTo: unknown upstream"}},
 		{"share above 1", `"floor": 0.2`, `"floor": 2`, []string{"classes.question.floor: want a share from 0 to 1"}},
 		{"exceptions that clash", `"x3": {"scope": {"router": "r2"}, "reason": "trial", "author": "ilze", "pool": {"longShare": 0.1}}`,
 			`"x3": {"scope": {"account": "riga-2"}, "reason": "trial", "author": "ilze", "account": {"weight": 9, "burst": 2}}`, []string{
--- a/internal/configurer/message.go
+++ b/internal/configurer/message.go
@@ -33,6 +33,9 @@
 	Incarnation uint64
 	// Settled is true if the peer's version was confirmed since its start.
 	Settled bool
+	// Answers is true if the heartbeat answers one that this router has sent
+	// since its start, and so was not under way for longer.
+	Answers bool
 	// Known is how many routers the peer knows of.
 	Known int
 }
@@ -102,6 +105,13 @@
 // has a new version.
 type Announce struct{}
 
+// Rejected says that an update could not be applied: it left out a revision, or
+// this release cannot read it. The version in force stays.
+type Rejected struct {
+	Version uint64
+	Err     error
+}
+
 // ReadyChange says whether the balancer may send callers to this router.
 type ReadyChange struct {
 	Ready bool
@@ -131,3 +141,4 @@
 func (PutInForce) isAction()  {}
 func (Announce) isAction()    {}
 func (ReadyChange) isAction() {}
+func (Rejected) isAction()    {}
--- a/internal/configurer/resolve.go
+++ b/internal/configurer/resolve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/orderer"
 )
 
 // Resolve returns the policy in force at a time on one router, which stands in
@@ -19,7 +20,7 @@
 	}
 	return &messenger.Policy{
 		Version:   d.Version,
-		Account:   r.account(""),
+		Account:   r.account("", &AccountSettings{}),
 		Accounts:  r.accounts(),
 		Classes:   r.classes(),
 		Pools:     r.pools(),
@@ -47,11 +48,12 @@
 }
 
 // account resolves one client account; the empty id gives the default.
-func (r *resolver) account(id messenger.AccountID) messenger.AccountPolicy {
+func (r *resolver) account(id messenger.AccountID, s *AccountSettings) messenger.AccountPolicy {
 	var p messenger.AccountPolicy
 	r.doc.Account.apply(&p)
-	r.doc.Accounts[id].apply(&p)
-	for _, e := range r.exceptions {
+	s.apply(&p)
+	for i := range r.exceptions {
+		e := &r.exceptions[i]
 		if e.Account != nil && (e.Scope.Account == "" || e.Scope.Account == id) {
 			e.Account.apply(&p)
 		}
@@ -61,8 +63,11 @@
 
 func (r *resolver) accounts() map[messenger.AccountID]messenger.AccountPolicy {
 	policies := make(map[messenger.AccountID]messenger.AccountPolicy, len(r.doc.Accounts))
-	for id := range r.doc.Accounts {
-		policies[id] = r.account(id)
+	common := r.account("", &AccountSettings{})
+	for id, s := range r.doc.Accounts {
+		if p := r.account(id, &s); p != common {
+			policies[id] = p
+		}
 	}
 	return policies
 }
@@ -112,6 +117,47 @@
 	return policies
 }
 
+// Engines returns the wanted state of the model engines that have one, for the
+// orderer.
+func (d *Document) Engines(now time.Time) map[messenger.UpstreamID]orderer.Engine {
+	r := resolver{doc: d, now: now}
+	engines := make(map[messenger.UpstreamID]orderer.Engine)
+	for id, p := range d.Resolve(now, "", "").Upstreams {
+		if want := r.state(id, p); want != nil && p.Engine {
+			engines[id] = orderer.Engine{Want: *want, ChecksFence: p.ChecksFence}
+		}
+	}
+	return engines
+}
+
+// state resolves the wanted state of one engine: the pool's, its own, then
+// exceptions to either.
+func (r *resolver) state(id messenger.UpstreamID, p messenger.UpstreamPolicy) *orderer.State {
+	u := r.doc.Upstreams[id]
+	want := r.doc.Pools[p.Pool].State
+	replace(&want, u.State)
+	for _, name := range r.doc.ordered() {
+		e := r.doc.Exceptions[name]
+		if !r.applies(e) {
+			continue
+		}
+		if e.Pool != nil && (e.Scope.Pool == "" || e.Scope.Pool == p.Pool) && u.State == nil {
+			replace(&want, e.Pool.State)
+		}
+		if e.Upstream != nil && e.Scope.holds(id, u) {
+			replace(&want, e.Upstream.State)
+		}
+	}
+	return want
+}
+
+// replace sets *to unless from is nil.
+func replace[T any](to **T, from *T) {
+	if from != nil {
+		*to = from
+	}
+}
+
 // holds reports whether an upstream, as it stands in the document, is in scope.
 func (s Scope) holds(id messenger.UpstreamID, u UpstreamSettings) bool {
 	return (s.Upstream == "" || s.Upstream == id) &&
@@ -119,7 +165,7 @@
 		(s.Domain == "" || s.Domain == u.Domain)
 }
 
-func (s AccountSettings) apply(p *messenger.AccountPolicy) {
+func (s *AccountSettings) apply(p *messenger.AccountPolicy) {
 	override(&p.Weight, s.Weight)
 	override(&p.RequestsPerSecond, s.RequestsPerSecond)
 	override(&p.Burst, s.Burst)
@@ -159,9 +205,13 @@
 	if s.Domain != "" {
 		p.Domain = s.Domain
 	}
+	if s.MoveTo != "" {
+		p.MoveTo = s.MoveTo
+	}
 	override(&p.Window, s.Window)
 	override(&p.Engine, s.Engine)
 	override(&p.Leaving, s.Leaving)
+	override(&p.NoLong, s.NoLong)
 	override(&p.ChecksFence, s.ChecksFence)
 }
 
--- a/internal/scripter/commands.go
+++ b/internal/scripter/commands.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -21,7 +22,7 @@
 type command func(w *world, ts *testscript.TestScript, args []string)
 
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
-	out := map[string]func(*testscript.TestScript, bool, []string){}
+	out := map[string]func(*testscript.TestScript, bool, []string){"operate": cmdOperate}
 	for name, cmd := range map[string]command{
 		"platform": cmdPlatform, "worker": cmdWorker, "service": cmdService, "fleet": cmdFleet,
 		"config": cmdConfig, "router": cmdRouter, "send": cmdSend, "await": cmdAwait,
@@ -80,54 +81,69 @@
 }
 
 func cmdRouter(w *world, ts *testscript.TestScript, args []string) {
-	args, o := parse(ts, args, "domain", "lag", "drain", "ready")
+	args, o := parse(ts, args, "domain", "lag", "drain", "ready", "seeds")
 	need(ts, args, 1, "router NAME [OPTION=VALUE]...")
 	ts.Check(w.startRouter(args[0], o))
 }
 
 // cmdSend sends a request: send ROUTER METHOD PATH [OPTION=VALUE]... [&].
 func cmdSend(w *world, ts *testscript.TestScript, args []string) {
-	args, o := parse(ts, args, "as", "account", "class", "key", "id", "tokens", "prompt", "body", "prefix", "deadline", "hint")
+	args, o := parse(ts, args, "as", "account", "class", "key", "id", "tokens", "prompt", "body", "prefix", "deadline", "hint", "until")
 	need(ts, args, 3, "send ROUTER METHOD PATH [OPTION=VALUE]... [&]")
 	r, err := w.router(args[0])
 	ts.Check(err)
+	body := o.text("body", "")
+	if n := o.number("tokens", 0); n > 0 {
+		body = fmt.Sprintf(`{"model":"m","prompt":%q,"maxTokens":%d,"stream":true}`, o.text("prompt", "hello"), n)
+	}
+	req := request{method: args[1], url: "http://" + r.CallersAddr() + args[2], header: headerOf(o), body: body}
+	name := o.text("as", "last")
+	w.answers[name] = startRequest(req)
+	if o.background {
+		return
+	}
+	<-w.answers[name].done
+	until := o.text("until", "")
+	if until == "" {
+		return
+	}
+	ts.Check(w.until(name+" has status "+until, func() bool {
+		if w.answers[name].check("status", until) == "" {
+			return true
+		}
+		w.answers[name] = startRequest(req)
+		<-w.answers[name].done
+		return false
+	}))
+}
+
+// headerOf returns the headers that the options of a request ask for.
+func headerOf(o options) http.Header {
 	h := http.Header{}
-	set := func(name, value string) {
-		if value != "" {
+	for option, name := range map[string]string{
+		"class": messenger.ClassHeader, "key": messenger.IdempotencyKeyHeader, "id": messenger.RequestIDHeader,
+		"prefix": messenger.PrefixHeader, "deadline": messenger.DeadlineHeader, "hint": messenger.CostHintHeader,
+	} {
+		if value := o.text(option, ""); value != "" {
 			h.Set(name, value)
 		}
 	}
 	if account := o.text("account", ""); account != "" {
 		h.Set("Authorization", "Bearer "+tokenOf(account))
 	}
-	set(messenger.ClassHeader, o.text("class", ""))
-	set(messenger.IdempotencyKeyHeader, o.text("key", ""))
-	set(messenger.RequestIDHeader, o.text("id", ""))
-	set(messenger.PrefixHeader, o.text("prefix", ""))
-	set(messenger.DeadlineHeader, o.text("deadline", ""))
-	set(messenger.CostHintHeader, o.text("hint", ""))
-	body := o.text("body", "")
-	if n := o.number("tokens", 0); n > 0 {
-		body = fmt.Sprintf(`{"model":"m","prompt":%q,"maxTokens":%d,"stream":true}`, o.text("prompt", "hello"), n)
-	}
-	name := o.text("as", "last")
-	a := startRequest(request{method: args[1], url: "http://" + r.CallersAddr() + args[2], header: h, body: body})
-	w.answers[name] = a
-	if !o.background {
-		<-a.done
-	}
+	return h
 }
 
 // cmdAwait waits for an answer, for some of its events, for a router to be
 // ready or not, or for a version to be in force.
 func cmdAwait(w *world, ts *testscript.TestScript, args []string) {
-	args, o := parse(ts, args, "events", "ready", "version")
-	need(ts, args, 1, "await NAME [events=N | ready=yes | ready=no | version=N]")
+	args, o := parse(ts, args, "events", "ready", "version", "leaving")
+	need(ts, args, 1, "await NAME [events=N | ready=yes | ready=no | version=N | leaving=UPSTREAM]")
 	name := args[0]
 	if r, ok := w.routers[name]; ok {
 		ts.Check(w.until("router "+name, func() bool {
 			ready, _ := r.Ready()
-			return yesOrNo(ready) == o.text("ready", yesOrNo(ready)) && w.version(name) >= o.number("version", 0)
+			return yesOrNo(ready) == o.text("ready", yesOrNo(ready)) && w.agrees(name, o)
 		}))
 		return
 	}
@@ -147,15 +163,18 @@
 	ts.Check(w.until(fmt.Sprintf("%d events of %s", n, name), func() bool { return a.eventCount() >= n }))
 }
 
-// version returns the version that a router runs.
-func (w *world) version(name string) int {
+// agrees says whether a router's status is what a command waits for.
+func (w *world) agrees(name string, o options) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	s, err := w.client(name).Status(ctx)
-	if err != nil {
-		return 0
+	status, err := w.client(name).Status(ctx)
+	if err != nil || int(status.Version) < o.number("version", 0) {
+		return false
 	}
-	return int(s.Version)
+	leaving := o.text("leaving", "")
+	return leaving == "" || slices.ContainsFunc(status.Upstreams, func(u operator.UpstreamStatus) bool {
+		return u.Upstream == leaving && u.Leaving
+	})
 }
 
 func (w *world) client(name string) *operator.Client {
@@ -335,9 +354,9 @@
 		Mix: mix, For: o.duration("for", time.Second), Seed: uint64(o.number("seed", 1)), Run: name,
 		Timeout: patience, Expect: generator.StandIns{}, Clock: w.clock,
 	}
-	through := strings.FieldsFunc(o.text("through", ""), func(r rune) bool { return r == ',' })
+	through := o.list("through")
 	for n, r := range w.routers {
-		if len(through) == 0 || contains(through, n) {
+		if len(through) == 0 || slices.Contains(through, n) {
 			cfg.Routers = append(cfg.Routers, r.CallersAddr())
 		}
 	}
