--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -67,6 +67,9 @@
 	result := r.dispatcher.Serve(r.serving, out, q, &namedCaller{Caller: c, wireID: out.WireID, callerID: callerID})
 	r.control.closeQueue(out.ID)
 	r.observe(series, arrived, result)
+	if !r.log.IsLevelEnabled(logrus.InfoLevel) {
+		return
+	}
 	r.log.WithFields(logrus.Fields{
 		"event": "request", "request": out.WireID, "callerRequest": callerID,
 		"account": out.Arrive.Account, "class": out.Arrive.Class, "pool": out.Arrive.Pool,
