--- a/internal/scripter/answer.go
+++ b/internal/scripter/answer.go
@@ -15,8 +15,10 @@
 
 // answer is what came back for one request so far.
 type answer struct {
-	cancel context.CancelFunc
-	done   chan struct{}
+	// account is the client account that asked.
+	account string
+	cancel  context.CancelFunc
+	done    chan struct{}
 
 	mu     sync.Mutex
 	status int
--- a/internal/scripter/commands.go
+++ b/internal/scripter/commands.go
@@ -99,6 +99,7 @@
 	req := request{method: args[1], url: "http://" + r.CallersAddr() + args[2], header: headerOf(o), body: body}
 	name := o.text("as", "last")
 	w.answers[name] = startRequest(req)
+	w.answers[name].account = o.text("account", "")
 	if o.background {
 		return
 	}
@@ -137,8 +138,8 @@
 // cmdAwait waits for an answer, for some of its events, for a router to be
 // ready or not, or for a version to be in force.
 func cmdAwait(w *world, ts *testscript.TestScript, args []string) {
-	args, o := parse(ts, args, "events", "ready", "version", "leaving")
-	need(ts, args, 1, "await NAME [events=N | ready=yes | ready=no | version=N | leaving=UPSTREAM]")
+	args, o := parse(ts, args, "events", "ready", "version", "leaving", "store")
+	need(ts, args, 1, "await NAME [events=N | ready=yes | ready=no | version=N | leaving=UPSTREAM | store=up | store=down]")
 	name := args[0]
 	if r, ok := w.routers[name]; ok {
 		ts.Check(w.until("router "+name, func() bool {
@@ -160,7 +161,22 @@
 		<-a.done
 		return
 	}
-	ts.Check(w.until(fmt.Sprintf("%d events of %s", n, name), func() bool { return a.eventCount() >= n }))
+	err := w.until(fmt.Sprintf("%d events of %s", n, name), func() bool { return a.eventCount() >= n })
+	if err != nil {
+		w.explain(ts, a.account)
+	}
+	ts.Check(err)
+}
+
+// explain logs what every router says of why a client account waits.
+func (w *world) explain(ts *testscript.TestScript, account string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for name := range w.routers {
+		status, err := w.client(name).Account(ctx, account)
+		text, _ := json.Marshal(status)
+		ts.Logf("%s on %s: %s (error %v)", name, account, text, err)
+	}
 }
 
 // agrees says whether a router's status is what a command waits for.
@@ -171,6 +187,10 @@
 	if err != nil || int(status.Version) < o.number("version", 0) {
 		return false
 	}
+	store := map[bool]string{true: "up", false: "down"}[status.StoreReachable]
+	if store != o.text("store", store) {
+		return false
+	}
 	leaving := o.text("leaving", "")
 	return leaving == "" || slices.ContainsFunc(status.Upstreams, func(u operator.UpstreamStatus) bool {
 		return u.Upstream == leaving && u.Leaving
