Configuration: resolve client accounts without looking at all exceptions

Cause: with 14,000 client accounts and 140 exceptions the policy took 21 ms to resolve, on the control goroutine. Change: accounts that no exception names look only at those for all accounts. Result: 4.7 ms (before 20.9 ms).

--- a/internal/configurer/bench_test.go
+++ b/internal/configurer/bench_test.go
@@ -14,12 +14,21 @@
 // an update with one more exception.
 func largeState(b *testing.B, accounts int) (*State, Update) {
 	b.Helper()
-	d := &Document{Accounts: make(map[messenger.AccountID]AccountSettings)}
+	d := &Document{
+		Accounts:   make(map[messenger.AccountID]AccountSettings),
+		Exceptions: make(map[string]Exception),
+	}
 	for i := range accounts {
 		w := float64(1 + i%5)
 		d.Accounts[messenger.AccountID(fmt.Sprintf("account-%05d", i))] = AccountSettings{
 			Weight: &w, Tokens: []string{Digest(fmt.Sprint(i))},
 		}
+		if i%100 == 0 {
+			id := fmt.Sprintf("account-%05d", i)
+			d.Exceptions[id] = Exception{
+				Scope: Scope{Account: messenger.AccountID(id)}, Reason: "test", Author: "ilze", Account: &AccountSettings{Weight: &w},
+			}
+		}
 	}
 	clock := timekeeper.NewManual(start)
 	e := &Editor{Store: keeper.New(clock), Clock: clock}
@@ -41,7 +50,7 @@
 }
 
 // BenchmarkApply measures what a change costs a router with 14,000 client
-// accounts: taking it in, and resolving the policy.
+// accounts and 140 exceptions: taking it in, and resolving the policy.
 func BenchmarkApply(b *testing.B) {
 	s, u := largeState(b, 14000)
 	data, err := json.Marshal(u)
--- a/internal/configurer/resolve.go
+++ b/internal/configurer/resolve.go
@@ -15,7 +15,7 @@
 	r := resolver{doc: d, now: now, self: self, domain: domain}
 	for _, id := range d.ordered() {
 		if e := d.Exceptions[id]; r.applies(e) {
-			r.exceptions = append(r.exceptions, e)
+			r.add(e)
 		}
 	}
 	return &messenger.Policy{
@@ -34,6 +34,25 @@
 	self       messenger.RouterID
 	domain     string
 	exceptions []Exception
+	// common are those of exceptions that change all client accounts, and
+	// named are the accounts that others change.
+	common []Exception
+	named  map[messenger.AccountID]bool
+}
+
+func (r *resolver) add(e Exception) {
+	r.exceptions = append(r.exceptions, e)
+	if e.Account == nil {
+		return
+	}
+	if e.Scope.Account == "" {
+		r.common = append(r.common, e)
+		return
+	}
+	if r.named == nil {
+		r.named = make(map[messenger.AccountID]bool)
+	}
+	r.named[e.Scope.Account] = true
 }
 
 // applies reports whether an exception holds now on this router.
@@ -52,8 +71,12 @@
 	var p messenger.AccountPolicy
 	r.doc.Account.apply(&p)
 	s.apply(&p)
-	for i := range r.exceptions {
-		e := &r.exceptions[i]
+	exceptions := r.common
+	if r.named[id] {
+		exceptions = r.exceptions
+	}
+	for i := range exceptions {
+		e := &exceptions[i]
 		if e.Account != nil && (e.Scope.Account == "" || e.Scope.Account == id) {
 			e.Account.apply(&p)
 		}
