Forgive large leads after a cut

Cause: after a cut the accounts that had been ahead got nothing until all others had caught up, so service was in bound only after 7 s.

Change: for two seconds after a router that shares upstreams is heard again, a lead of more than two large requests is forgiven, as a lag is.

--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -90,6 +90,9 @@
 		h.tag = max(h.tag, p.vtime)
 	}
 	h.tag = max(h.tag, p.oldest())
+	if p.sched.now.Sub(p.rejoinedAt) < rejoinTime {
+		h.tag = min(h.tag, p.newest())
+	}
 	h.tag += float64(u.Served-c.served) / weightOf(p.sched.policy, u.Account)
 	h.waiting += u.Waiting - c.waiting
 	h.running += u.Running - c.running
--- a/internal/scheduler/load_test.go
+++ b/internal/scheduler/load_test.go
@@ -208,6 +208,7 @@
 	b.ReportMetric(100*float64(f.busy)/float64(f.full), "useful-%")
 	b.ReportMetric(lowest, "jain-lowest")
 	b.ReportMetric(sum/19, "jain-mean")
+	b.ReportMetric(quantile(a.refused, 0.9), "refusal-p90-ms")
 	b.ReportMetric(quantile(a.refused, 0.99), "refusal-p99-ms")
 	b.ReportMetric((f.now - end).Seconds(), "recovery-s")
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -28,6 +28,8 @@
 	turns               cadence
 	// hedgeCredit is how many second copies the budget allows now.
 	hedgeCredit float64
+	// rejoinedAt is when a router that shares upstreams was last heard again.
+	rejoinedAt time.Time
 	// cost is a moving average of the cost of finished requests.
 	cost float64
 	// large is a decaying maximum of the cost of requests.
@@ -255,9 +257,17 @@
 // that the others are not starved to settle it.
 const repayment = 2
 
+// rejoinTime is how long after a cut accounts that are too far ahead are
+// forgiven.
+const rejoinTime = 2 * time.Second
+
 // oldest returns the lowest tag that an account may have.
 func (p *pool) oldest() float64 { return p.vtime - repayment*p.largeCost() }
 
+// newest returns the highest tag that an account may have after a cut: one that
+// is farther ahead does not wait for all the others to catch up.
+func (p *pool) newest() float64 { return p.vtime + repayment*p.largeCost() }
+
 // advance moves the virtual time up to the tag of a dispatched request, but
 // not past a request that waits at another router.
 func (p *pool) advance(tag float64) {
--- a/internal/scheduler/relation.go
+++ b/internal/scheduler/relation.go
@@ -243,6 +243,9 @@
 			k.boxOf(p).rivals = true
 			s.mark(k, false)
 		}
+		if p.serves(k.router) || p.sourceOf(k.router) != nil {
+			p.rejoinedAt = s.now
+		}
 		for _, f := range p.flowList {
 			if f.home == k.router {
 				p.tellUse(f)
