--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -28,12 +28,18 @@
 	return over
 }
 
-// drain stops the arrivals and returns how many jobs are left after a while.
+// drain returns how many jobs are left after a while, at once if there are none.
 func (f *fleet) drain(d time.Duration) int {
-	f.run(f.now + d)
 	left := 0
-	for _, n := range f.nodes {
-		left += len(n.jobs)
+	for end := f.now + d; f.now < end; {
+		f.run(f.now + time.Second)
+		left = 0
+		for _, n := range f.nodes {
+			left += len(n.jobs)
+		}
+		if left == 0 {
+			break
+		}
 	}
 	return left
 }
@@ -277,3 +283,19 @@
 		}
 	}
 }
+
+func TestRoutersTalkToAFewOthers(t *testing.T) {
+	s := shape{"wide", 40, 80, 8, 40}
+	f := newFleet(s.routers, policyOf(s), Config{Seed: 1})
+	f.skewed(s, 0)
+	f.run(5 * time.Second)
+	for _, n := range f.nodes {
+		p := n.sched.pools["assistant"]
+		if got := len(p.users); got > s.routers*3/4 {
+			t.Errorf("%s serves %d of %d routers, want only the users of its cells", n.id, got, s.routers)
+		}
+		if got := len(p.sources); got < cellsPerRouter || got > s.routers/2 {
+			t.Errorf("%s uses the cells of %d owners, want %d to %d", n.id, got, cellsPerRouter, s.routers/2)
+		}
+	}
+}
