Let a retry wait for another upstream only so long

Cause: a request that had to avoid the upstream which failed it kept the rest of its class waiting while no other had a slot, for ever in a pool of one.

Change: it waits half a second at most, and not at all where there is no other. BenchmarkDecide gives its figure for any number of iterations.

Result: TestRetryDoesNotBlockOthers; before, a pool of one dispatched nothing more and in a pool of two the request never ran again.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -135,8 +135,8 @@
 // Len returns how many upstreams are known.
 func (p *Placer) Len() int { return len(p.upstreams) }
 
-// Usable reports whether any upstream may get new work.
-func (p *Placer) Usable() bool { return p.usable > 0 }
+// Usable returns how many upstreams may get new work.
+func (p *Placer) Usable() int { return p.usable }
 
 // Pick returns the upstream with the least expected latency out of a few that
 // can take the request now. An upstream that holds the prompt prefix goes
--- a/internal/scheduler/decide_test.go
+++ b/internal/scheduler/decide_test.go
@@ -62,7 +62,7 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	events = 0
-	for i := 0; events < b.N; i++ {
+	for i := 0; events < max(b.N, 20000); i++ {
 		now = now.Add(200 * time.Microsecond)
 		if len(running) > 0 {
 			x := running[i%len(running)]
@@ -76,5 +76,6 @@
 			handle(messenger.Tick{})
 		}
 	}
+	b.ReportMetric(float64(b.Elapsed())/float64(events), "ns/event")
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "state-B")
 }
--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -206,6 +206,20 @@
 	}
 }
 
+func TestRetryDoesNotBlockOthers(t *testing.T) {
+	for _, upstreams := range []int{1, 2} {
+		l := newLone(t, testPolicy(upstreams, 1))
+		l.arrive(upstreams+1, "a", "short")
+		failed := l.running[1]
+		delete(l.running, 1)
+		l.tell(messenger.Finish{Request: 1, Upstream: failed, Failed: true, Retry: true})
+		l.pass(time.Second)
+		if _, ok := l.running[1]; !ok || len(l.running) != upstreams {
+			t.Errorf("%d upstreams: got %v running, want the failed request again", upstreams, l.running)
+		}
+	}
+}
+
 func TestIdleAccountsAreForgotten(t *testing.T) {
 	l := newLone(t, testPolicy(1, 8))
 	for i := range 100 {
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -223,7 +223,11 @@
 		return nil, "", false
 	}
 	r := c.queues.min().head
-	u, ok := p.placer.Pick(p.sched.now, placer.Query{Prefix: r.arrive.Prefix, Long: r.long, Avoid: r.avoid})
+	q := placer.Query{Prefix: r.arrive.Prefix, Long: r.long}
+	if p.sched.now.Before(r.avoidUntil) && p.placer.Usable() > 1 {
+		q.Avoid = r.avoid
+	}
+	u, ok := p.placer.Pick(p.sched.now, q)
 	return r, u, ok
 }
 
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -10,6 +10,10 @@
 // count as long.
 const outgrowth = 4
 
+// avoidTime is how long a request waits for another upstream than the one that
+// failed it.
+const avoidTime = 500 * time.Millisecond
+
 // request is one request from its arrival to its end.
 type request struct {
 	arrive  messenger.Arrive
@@ -23,8 +27,9 @@
 	long                      bool
 	waiting                   bool
 	// upstreams are those that run a copy now; avoid is one that failed.
-	upstreams []messenger.UpstreamID
-	avoid     messenger.UpstreamID
+	upstreams  []messenger.UpstreamID
+	avoid      messenger.UpstreamID
+	avoidUntil time.Time
 
 	// started is when the request was dispatched and heard when it last
 	// produced something.
@@ -108,7 +113,7 @@
 		s.act(messenger.Refuse{Request: e.Request, Reason: messenger.RefuseUnknownPool, RetryAfter: minRetryAfter})
 		return
 	}
-	if !p.placer.Usable() {
+	if p.placer.Usable() == 0 {
 		s.act(messenger.Refuse{Request: e.Request, Reason: messenger.RefuseNoUpstream, RetryAfter: minRetryAfter})
 		return
 	}
@@ -200,7 +205,7 @@
 	switch {
 	case len(r.upstreams) > 0:
 	case e.Retry:
-		r.avoid = e.Upstream
+		r.avoid, r.avoidUntil = e.Upstream, s.now.Add(avoidTime)
 		p.requeue(r)
 	default:
 		p.settle(r, e.Failed)
