Move streams to the engine that the policy names

Cause: a plan that empties a site set moveTo on an upstream, and nobody looked at it: streams ran on at the old engine past the date. Change: the dispatcher exports the state, imports it at the new engine, resumes there after the last event delivered and cancels at the old one; a move that fails leaves the stream where it is. A configuration that cannot be applied is logged. Left: the moved stream's slot stays booked at the old upstream.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -48,6 +48,12 @@
 	// that it produced.
 	counted, reported float64
 
+	// move carries the stream to another engine; moved is true once it came
+	// from there, moveAfter when the next try may begin.
+	move      *move
+	moved     bool
+	moveAfter time.Time
+
 	last, deadline time.Time
 }
 
@@ -103,6 +109,7 @@
 			return
 		}
 	}
+	f.considerMove(at)
 	if f.holds(at) && (p.done || at.stream.complete()) {
 		f.exchangeDone(at, p)
 	}
--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -14,6 +14,8 @@
 	Hedges atomic.Uint64
 	// Resumes counts streams asked for again after their last event.
 	Resumes atomic.Uint64
+	// Moves counts streams that went on at another engine by their state.
+	Moves atomic.Uint64
 	// Cancels counts streams canceled at their engine.
 	Cancels atomic.Uint64
 	// Silences counts upstream connections that were given up for silence.
--- /dev/null
+++ b/internal/dispatcher/move_test.go
@@ -0,0 +1,113 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/emulator"
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// movingUpstreams are upstreams whose policy changes while requests run.
+type movingUpstreams struct {
+	mu       sync.Mutex
+	policies map[messenger.UpstreamID]messenger.UpstreamPolicy
+}
+
+func (u *movingUpstreams) Upstream(id messenger.UpstreamID) (messenger.UpstreamPolicy, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p, ok := u.policies[id]
+	return p, ok
+}
+
+// move has the streams of one upstream go on at another.
+func (u *movingUpstreams) move(from, to messenger.UpstreamID) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p := u.policies[from]
+	p.Leaving, p.MoveTo = true, to
+	u.policies[from] = p
+}
+
+func startWorker(t *testing.T, faults emulator.Faults) *emulator.Worker {
+	t.Helper()
+	w := emulator.NewWorker(emulator.WorkerConfig{
+		Name: "w", Slots: 4, StepTime: 2 * time.Millisecond, GraceTime: time.Minute, Log: quietLog(),
+	}, timekeeper.System{})
+	if err := w.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	w.SetFaults(faults)
+	t.Cleanup(w.Stop)
+	return w
+}
+
+// TestStreamMovesToAnotherEngine leaves an engine in the middle of a stream.
+// Without the move the stream ends whole at the old engine, so the test also
+// says where it ended.
+func TestStreamMovesToAnotherEngine(t *testing.T) {
+	const tokens = 600
+	tests := []struct {
+		name      string
+		target    emulator.Faults
+		wantMoves uint64
+	}{
+		{name: "other engine takes it", wantMoves: 1},
+		{name: "other engine refuses it", target: emulator.Faults{Refuse: true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			old, next := startWorker(t, emulator.Faults{}), startWorker(t, tt.target)
+			upstreams := &movingUpstreams{policies: map[messenger.UpstreamID]messenger.UpstreamPolicy{
+				"old": {Address: old.Addr(), Engine: true}, "next": {Address: next.Addr(), Engine: true},
+			}}
+			d := newTestDispatcher(t, Config{Upstreams: upstreams})
+			req := completion()
+			req.Body = fmt.Appendf(nil, `{"model":"m","prompt":"p","maxTokens":%d,"stream":true}`, tokens)
+			c := newFakeCaller()
+			go func() {
+				<-c.wrote
+				upstreams.move("old", "next")
+			}()
+			result := d.Serve(context.Background(), req, newFakeQueue("old"), c)
+			if result.Problem != "" || result.Run != messenger.Run {
+				t.Fatalf("problem %q, run %q, want none and run", result.Problem, result.Run)
+			}
+			if got := d.Counters().Moves.Load(); got != tt.wantMoves {
+				t.Errorf("%d moves, want %d", got, tt.wantMoves)
+			}
+			checkWhole(t, c.text(), req.WireID, tokens)
+			imported := 0
+			for _, e := range next.Journal() {
+				if e.Imported {
+					imported++
+				}
+			}
+			if got, want := imported, int(tt.wantMoves); got != want {
+				t.Errorf("%d streams imported, want %d", got, want)
+			}
+		})
+	}
+}
+
+// checkWhole checks that every token came once and in order.
+func checkWhole(t *testing.T, text, wireID string, tokens int) {
+	t.Helper()
+	rest := text
+	for n := 1; n <= tokens; n++ {
+		want := fmt.Sprintf("id: %d\ndata: {\"text\":%q}\n\n", n, emulator.Text(wireID, n))
+		if !strings.HasPrefix(rest, want) {
+			t.Fatalf("event %d is %.60q, want %q", n, rest, want)
+		}
+		rest = rest[len(want):]
+	}
+	if !strings.HasSuffix(rest, "data: [DONE]\n\n") {
+		t.Errorf("end is %q, want the mark of the end", rest)
+	}
+}
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -48,6 +48,8 @@
 		r.putInForce(a)
 	case coordinator.Peers:
 		r.changePeers(a.PeersChange)
+	case coordinator.Rejected:
+		r.log.WithField("event", "configuration").WithError(a.Err).Error("configuration rejected; the version before it stays in force")
 	case coordinator.Ready:
 		r.changeReady(a.ReadyChange)
 	}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -55,6 +55,7 @@
 		"lentilwood_retries_denied_total":              &c.RetriesDenied,
 		"lentilwood_hedges_total":                      &c.Hedges,
 		"lentilwood_resumes_total":                     &c.Resumes,
+		"lentilwood_moves_total":                       &c.Moves,
 		"lentilwood_cancels_total":                     &c.Cancels,
 		"lentilwood_silent_upstream_connections_total": &c.Silences,
 		"lentilwood_callers_gone_total":                &c.CallersGone,
