--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,7 @@
 	mkdir -p bin
 	go test -p 1 -run '^$$' -bench '^BenchmarkSlope' -benchtime 1x $(SLOPES) > bin/slopes.txt || (cat bin/slopes.txt; exit 1)
 	go run . slopes bin/slopes.txt docs
+
+# promises runs the tests that docs/PROMISES.md names and counts its rows.
+promises:
+	sh scripts/promises.sh
