The bound on queues holds for each pool

The fleet's count of waiting requests was that of whichever pool was heard of last. Change: the bound counts what waits in the request's pool, here and elsewhere. TestBacklogInOnePoolDoesNotShutAnother.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -8,7 +8,7 @@
 //
 //	l := limiter.New()
 //	l.SetPolicy(policy)
-//	if reason, after, ok := l.Admit(now, account); !ok {
+//	if reason, after, ok := l.Admit(now, account, queue); !ok {
 //		// refuse, come back after that time
 //	}
 package limiter
@@ -32,12 +32,19 @@
 	accounts map[messenger.AccountID]*account
 }
 
+// Queue is what waits of one client account in one pool. The bound on queues
+// holds for each pool, so that a backlog in one does not shut another.
+type Queue struct {
+	// Own counts the requests waiting here, Elsewhere those at other routers.
+	Own, Elsewhere int
+}
+
 // Fleet is what the fleet says of one client account.
 type Fleet struct {
 	// Share is this router's part of the account's limits, 0 to 1.
 	Share float64
-	// Waiting and Running count the account's requests at other routers.
-	Waiting, Running int
+	// Running counts the account's running requests at other routers.
+	Running int
 	// Until is when this ceases to be true.
 	Until time.Time
 }
@@ -114,9 +121,9 @@
 
 // Admit counts one more waiting request, or returns why it must be refused and
 // when it may come back.
-func (l *Limiter) Admit(now time.Time, id messenger.AccountID) (messenger.RefuseReason, time.Duration, bool) {
+func (l *Limiter) Admit(now time.Time, id messenger.AccountID, q Queue) (messenger.RefuseReason, time.Duration, bool) {
 	a := l.accountOf(id)
-	if l.reached(now, a, a.policy.QueueLength, a.waiting, a.fleet.Waiting) {
+	if l.reached(now, a, a.policy.QueueLength, q.Own, q.Elsewhere) {
 		if l.AtConcurrency(now, id) {
 			return messenger.RefuseConcurrency, 0, false
 		}
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -20,7 +20,7 @@
 // admit counts how many of n requests are admitted at one time.
 func admit(l *Limiter, now time.Time, n int) (admitted int, last messenger.RefuseReason) {
 	for range n {
-		reason, _, ok := l.Admit(now, "a")
+		reason, _, ok := l.Admit(now, "a", Queue{Own: l.State(now, "a").Waiting})
 		if ok {
 			admitted++
 		} else {
@@ -62,6 +62,17 @@
 	}
 }
 
+func TestBacklogInOnePoolDoesNotShutAnother(t *testing.T) {
+	l := newLimiter(messenger.AccountPolicy{QueueLength: 5}, 1)
+	admit(l, start, 10)
+	if _, _, ok := l.Admit(start, "a", Queue{Own: 5}); ok {
+		t.Error("got a sixth request admitted to a full queue, want a refusal")
+	}
+	if reason, _, ok := l.Admit(start, "a", Queue{}); !ok {
+		t.Errorf("got %q in a pool where nothing waits, want the request admitted", reason)
+	}
+}
+
 func TestSmallLimitCountsOtherRouters(t *testing.T) {
 	l := newLimiter(messenger.AccountPolicy{Concurrency: 2}, 8)
 	l.SetFleet("a", Fleet{Share: 0.5, Running: 2, Until: start.Add(time.Second)})
@@ -73,12 +84,12 @@
 func TestTokensPerMinuteRefillAndAreRepaid(t *testing.T) {
 	l := newLimiter(messenger.AccountPolicy{TokensPerMinute: 600}, 1)
 	l.Charge(start, "a", 700)
-	reason, wait, ok := l.Admit(start, "a")
+	reason, wait, ok := l.Admit(start, "a", Queue{})
 	if ok || reason != messenger.RefuseTokens || wait < 9*time.Second || wait > 11*time.Second {
 		t.Errorf("got %q after %v, want a refusal for about 10 s", reason, wait)
 	}
 	l.Charge(start, "a", -200)
-	if _, _, ok := l.Admit(start, "a"); !ok {
+	if _, _, ok := l.Admit(start, "a", Queue{}); !ok {
 		t.Error("got a refusal after the charge was settled, want none")
 	}
 }
--- a/internal/messenger/policy.go
+++ b/internal/messenger/policy.go
@@ -41,7 +41,7 @@
 	Concurrency int
 	// TokensPerMinute bounds generated tokens.
 	TokensPerMinute float64
-	// QueueLength bounds the requests waiting.
+	// QueueLength bounds the requests waiting in each pool.
 	QueueLength int
 }
 
--- a/internal/scheduler/flow.go
+++ b/internal/scheduler/flow.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"lentilwood.example/lentilwood/internal/limiter"
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
@@ -44,6 +45,11 @@
 	elsewhereAt           time.Time
 }
 
+// backlog counts the requests that wait in the pool, here and elsewhere.
+func (f *flow) backlog() limiter.Queue {
+	return limiter.Queue{Own: f.waiting, Elsewhere: f.elsewhere}
+}
+
 // waitsElsewhere reports whether requests of the account wait at other routers,
 // so that it has not been idle.
 func (f *flow) waitsElsewhere(now time.Time) bool {
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -180,7 +180,7 @@
 		own := min(1, float64(f.offered(p.sched.now))/float64(t.Rate))
 		share = demandPart*own + (1-demandPart)*even
 	}
-	return limiter.Fleet{Share: share, Waiting: t.Waiting, Running: t.Running, Until: p.sched.now.Add(leaseTTL)}
+	return limiter.Fleet{Share: share, Running: t.Running, Until: p.sched.now.Add(leaseTTL)}
 }
 
 // demandPart is the part of an account's limits that is divided by demand; the
--- a/internal/scheduler/request.go
+++ b/internal/scheduler/request.go
@@ -127,7 +127,7 @@
 		s.refuse(r, messenger.RefuseDeadline, wait)
 		return
 	}
-	if reason, after, ok := s.limits.Admit(s.now, e.Account); !ok {
+	if reason, after, ok := s.limits.Admit(s.now, e.Account, f.backlog()); !ok {
 		s.refuse(r, reason, max(after, wait))
 		return
 	}
