--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -41,6 +41,9 @@
 	retry   *attempt
 	retries int
 
+	// deadline is when the caller stops waiting; zero means never, or that it
+	// was told so.
+	deadline time.Time
 	timer    <-chan time.Time
 	timerDue time.Time
 	// slowSince is when the caller last took something of what waits for it.
@@ -55,7 +58,7 @@
 
 func newFlight(d *Dispatcher, req *Request, q Queue, c Caller) *flight {
 	return &flight{
-		d: d, req: req, queue: q, c: c,
+		d: d, req: req, queue: q, c: c, deadline: req.Arrive.Deadline,
 		outcome: tracker.New(req.Arrive.Idempotent),
 		relay:   relayer.NewStream(c, d.cfg.Budget, d.cfg.Relay),
 		ready:   make(chan struct{}, 1),
@@ -127,12 +130,13 @@
 // note tells the outcome of an event that the flight knows to be possible.
 func (f *flight) note(e tracker.Event) {
 	if err := f.outcome.Handle(e); err != nil {
-		f.log().WithError(err).Error("outcome event refused")
+		f.log("outcomeOrder").WithError(err).Error("outcome event refused")
 	}
 }
 
-func (f *flight) log() *logrus.Entry {
-	return f.d.cfg.Log.WithFields(logrus.Fields{"request": f.req.WireID, "account": f.req.Arrive.Account})
+// log returns the log entry of an event of this request.
+func (f *flight) log(event string) *logrus.Entry {
+	return f.d.cfg.Log.WithFields(logrus.Fields{"event": event, "request": f.req.WireID, "account": f.req.Arrive.Account})
 }
 
 func (f *flight) finish(upstream messenger.UpstreamID, tokens float64, failed, retry bool) {
@@ -157,9 +161,7 @@
 	late := f.late()
 	if f.over || f.gone || late || f.pending != nil || !f.outcome.MaySend() {
 		f.finish(a.Upstream, 0, false, false)
-		if late && !f.over && len(f.attempts) == 0 && f.pending == nil {
-			f.refuse(string(messenger.RefuseDeadline), 0)
-		}
+		f.denied(late)
 		return
 	}
 	if f.keyed() && f.claim.Status != recorder.Claimed {
@@ -171,8 +173,21 @@
 	f.open(a, policy, known)
 }
 
+// denied ends a request whose Dispatch was not used, if nothing else goes on.
+func (f *flight) denied(late bool) {
+	if f.over || len(f.attempts) > 0 || f.pending != nil || f.retry != nil {
+		return
+	}
+	if late {
+		f.refuse(string(messenger.RefuseDeadline), 0)
+		return
+	}
+	f.fail(ProblemOutcomeUnknown)
+}
+
 // open starts an attempt at an upstream. One that is not known fails at once.
 func (f *flight) open(a messenger.Dispatch, policy messenger.UpstreamPolicy, known bool) {
+	f.dropRetry()
 	f.note(tracker.Open)
 	if a.Hedge {
 		f.d.counters.Hedges.Add(1)
@@ -215,7 +230,7 @@
 
 // late reports whether the caller's deadline has passed.
 func (f *flight) late() bool {
-	return !f.req.Arrive.Deadline.IsZero() && !f.now().Before(f.req.Arrive.Deadline)
+	return !f.deadline.IsZero() && !f.now().Before(f.deadline)
 }
 
 // leave notes that the caller is gone. Work that nobody waits for is ended,
@@ -272,13 +287,19 @@
 
 // dropAll ends every open attempt and frees its slot.
 func (f *flight) dropAll() {
+	f.dropRetry()
+	for len(f.attempts) > 0 {
+		f.drop(f.attempts[0])
+	}
+}
+
+// dropRetry gives back a failed attempt that waited to be placed again, once
+// another runs or none is wanted.
+func (f *flight) dropRetry() {
 	if f.retry != nil {
 		f.finish(f.retry.upstream, f.retry.tokens(), true, false)
 		f.retry = nil
 	}
-	for len(f.attempts) > 0 {
-		f.drop(f.attempts[0])
-	}
 }
 
 // refuse answers a request that the scheduler did not dispatch.
@@ -295,7 +316,7 @@
 func (f *flight) fail(name string) {
 	run := f.outcome.Run()
 	p := newProblem(name, run)
-	if run == messenger.NotRun {
+	if run == messenger.NotRun || f.req.Arrive.Idempotent || f.keyed() {
 		p.retryAfter = time.Second
 	}
 	f.answerProblem(name, p)
@@ -311,5 +332,6 @@
 	}
 	f.over = true
 	f.slowSince = f.now()
+	f.dropRetry()
 	f.settleClaim()
 }
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -30,7 +30,7 @@
 	if !at.policy.Engine || !at.sent || !f.outcome.MayResume() {
 		return false
 	}
-	if at.stream == nil && (!f.req.Streaming || at.header != nil || f.retryable(at)) {
+	if at.stream == nil && (!f.req.Streaming || at.header != nil || f.mayRetry()) {
 		return false
 	}
 	if f.gone || at.resumes >= f.d.cfg.MaxResumes {
@@ -83,7 +83,7 @@
 // silent decides what follows when an upstream made no progress in time.
 func (f *flight) silent(at *attempt) {
 	f.d.counters.Silences.Add(1)
-	f.log().WithField("upstream", at.upstream).Warn("upstream silent")
+	f.log("upstreamSilent").WithField("upstream", at.upstream).Warn("upstream silent")
 	at.mute = true
 	if f.resume(at) {
 		return
