--- a/internal/configurer/slope_bench_test.go
+++ b/internal/configurer/slope_bench_test.go
@@ -82,9 +82,7 @@
 func benchmarkChange(b *testing.B, accounts int) {
 	const changes = 5
 	before := sloper.Heap()
-	entries := entriesOf(largeDocument(accounts))
-	var empty *State
-	s, err := empty.Apply(Update{Version: 1, Whole: entries, Sum: sumOf(entries)})
+	s, err := firstState(accounts)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -100,3 +98,9 @@
 	b.ReportMetric(float64((sloper.CPU()-begin).Microseconds())/changes, "change-cpu-µs")
 	runtime.KeepAlive(s)
 }
+
+func firstState(accounts int) (*State, error) {
+	entries := entriesOf(largeDocument(accounts))
+	var empty *State
+	return empty.Apply(Update{Version: 1, Whole: entries, Sum: sumOf(entries)})
+}
