Idle time does not count as time between turns

Cause: requests were refused with "deadline" though their pool could have finished them at once. The time between turns is to pause while nothing waits, but the pause came before the turn was noted, so the whole idle time after a turn counted as one interval: an account with an order every 3 s was expected to need 3 s for each order of a burst. The average of the pool never paused. Change: the turn is noted first; the pool's average pauses too; one interval alone is no ground for an expectation. Result: TestIdleTimeRefusesNobody: 17 of 20 refused before, 0 after.

--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -176,6 +176,9 @@
 		p.backlogged--
 		f.turns.pause()
 	}
+	if p.backlogged == 0 {
+		p.turns.pause()
+	}
 }
 
 // dequeue takes out a request that was not dispatched.
@@ -236,9 +239,9 @@
 	f := r.queue.flow
 	f.tag = max(f.tag, p.oldest())
 	p.advance(f.tag)
-	p.unwait(r)
 	p.turns.note(p.sched.now)
 	f.turns.note(p.sched.now)
+	p.unwait(r)
 	f.running++
 	p.sched.limits.Start(r.arrive.Account)
 	if f.waiting > 0 && p.sched.limits.AtConcurrency(p.sched.now, f.account) {
--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -18,8 +18,12 @@
 type cadence struct {
 	last     time.Time
 	interval time.Duration
+	samples  int
 }
 
+// minSamples is how many times between events it takes to expect the next.
+const minSamples = 2
+
 // smoothing is the weight of the past in moving averages.
 const smoothing = 0.9
 
@@ -27,18 +31,22 @@
 func (c *cadence) note(now time.Time) {
 	if !c.last.IsZero() {
 		gap := now.Sub(c.last)
-		if c.interval == 0 {
+		if c.samples == 0 {
 			c.interval = gap
 		}
+		c.samples++
 		c.interval = time.Duration(smoothing*float64(c.interval) + (1-smoothing)*float64(gap))
 	}
 	c.last = now
 }
 
 // expected returns the time to expect between events, which is no less than
-// the time since the last one.
+// the time since the last one. It is zero while too little was seen.
 func (c *cadence) expected(now time.Time) time.Duration {
-	if c.last.IsZero() || c.interval == 0 {
+	if c.samples < minSamples {
+		return 0
+	}
+	if c.last.IsZero() {
 		return c.interval
 	}
 	return max(c.interval, now.Sub(c.last))
@@ -55,7 +63,7 @@
 	}
 	interval := q.flow.turns.expected(p.sched.now)
 	if interval == 0 {
-		interval = p.turns.interval * time.Duration(max(1, p.backlogged))
+		interval = p.turns.expected(p.sched.now) * time.Duration(max(1, p.backlogged))
 	}
 	return time.Duration(ahead) * interval
 }
--- /dev/null
+++ b/internal/scheduler/wait_test.go
@@ -0,0 +1,30 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// TestIdleTimeRefusesNobody has an account send little for a while and then a
+// burst that its pool finishes well within the queue timeout.
+func TestIdleTimeRefusesNobody(t *testing.T) {
+	policy := testPolicy(1, 2)
+	policy.Classes["order"] = messenger.ClassPolicy{ExpectedTokens: 1, QueueTimeout: 5 * time.Second}
+	l := newLone(t, policy)
+	for range 6 {
+		l.arrive(1, "a", "order")
+		l.pass(50 * time.Millisecond)
+		l.finish(1)
+		l.pass(3 * time.Second)
+	}
+	l.arrive(20, "a", "order")
+	for range 20 {
+		l.pass(50 * time.Millisecond)
+		l.finish(1)
+	}
+	if got := len(l.refused); got != 0 {
+		t.Errorf("%d of 20 requests refused, want none: they need half a second in all", got)
+	}
+}
