Time between turns is measured from when the wait began

Change: the interval begins when something begins to wait; a request that goes at once says nothing about it.

--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -145,6 +145,10 @@
 	f.waiting++
 	if f.waiting == 1 {
 		p.backlogged++
+		f.turns.begin(p.sched.now)
+	}
+	if p.backlogged == 1 {
+		p.turns.begin(p.sched.now)
 	}
 	if !r.expires.IsZero() {
 		p.sched.expiries.push(r)
--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -27,10 +27,18 @@
 // smoothing is the weight of the past in moving averages.
 const smoothing = 0.9
 
-// note takes in an event at now.
+// begin notes that events are waited for from now on.
+func (c *cadence) begin(now time.Time) {
+	if c.last.IsZero() {
+		c.last = now
+	}
+}
+
+// note takes in an event at now. One that did not have to be waited for says
+// nothing about the time between events.
 func (c *cadence) note(now time.Time) {
-	if !c.last.IsZero() {
-		gap := now.Sub(c.last)
+	gap := now.Sub(c.last)
+	if !c.last.IsZero() && gap > 0 {
 		if c.samples == 0 {
 			c.interval = gap
 		}
