Ready once the members are known; the byte budget covers all control traffic

Cause: a router that knows no other takes whole windows for its own, so it must not serve before it has read the members or heard one; the scheduler's budget left out heartbeats and framing (together about 2,410 bytes a second a node against 2,048); a repeat of a key claimed by a router that had restarted waited for the lease of 2 minutes; refusals at the boundary were not in the metrics. Change: readiness, SetControlScale fed from the bytes on the wire, the recorder's Alive from the members' incarnations, the listener's Refused.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -74,6 +74,12 @@
 // Current reports whether a statement comes from a router's newest start.
 func (c *Coordinator) Current(from registrar.Member) bool { return c.registrar.Current(from) }
 
+// Replaced reports whether a router is known to have started again since an
+// incarnation.
+func (c *Coordinator) Replaced(id messenger.RouterID, incarnation uint64) bool {
+	return c.registrar.Replaced(id, incarnation)
+}
+
 // Address returns the address of another router.
 func (c *Coordinator) Address(id messenger.RouterID) (string, bool) {
 	return c.registrar.Address(id)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -151,6 +151,13 @@
 	return ok && m.Incarnation == from.Incarnation
 }
 
+// Replaced reports whether a router is known to have started again since an
+// incarnation.
+func (r *Registrar) Replaced(id messenger.RouterID, incarnation uint64) bool {
+	m, ok := r.members[id]
+	return ok && m.Incarnation > incarnation
+}
+
 // Address returns the address of another router.
 func (r *Registrar) Address(id messenger.RouterID) (string, bool) {
 	m, ok := r.members[id]
--- /dev/null
+++ b/internal/router/budget_test.go
@@ -0,0 +1,24 @@
+package router
+
+import "testing"
+
+func TestScaleOf(t *testing.T) {
+	tests := []struct {
+		name                string
+		wire, counted, last float64
+		want                float64
+	}{
+		{name: "counted right", wire: 1000, counted: 1000, last: 1.5, want: 1.5},
+		{name: "counted too little", wire: 3000, counted: 2000, last: 1, want: 1.5},
+		{name: "converges", wire: 3000, counted: 3000, last: 1.5, want: 1.5},
+		{name: "never below what was counted", wire: 100, counted: 1000, last: 1, want: minScale},
+		{name: "bounded", wire: 9000, counted: 1000, last: 1, want: maxScale},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := scaleOf(tt.wire, tt.counted, tt.last); got != tt.want {
+				t.Errorf("scaleOf(%v, %v, %v) = %v, want %v", tt.wire, tt.counted, tt.last, got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -30,6 +30,24 @@
 	for _, a := range r.coordinator.Handle(r.clock.Now(), e) {
 		r.carryOut(a)
 	}
+	switch e := e.(type) {
+	case coordinator.Tick:
+		r.correctBudget()
+	case coordinator.RowsRead:
+		if e.Err == nil {
+			r.learnMembers()
+		}
+	}
+}
+
+// learnMembers notes that the other routers are known, from the table or from
+// one of them. Until then the scheduler would take whole windows for its own.
+func (r *Router) learnMembers() {
+	if r.membersKnown {
+		return
+	}
+	r.membersKnown = true
+	r.publishReady()
 }
 
 func (r *Router) carryOut(a coordinator.Action) {
@@ -103,9 +121,20 @@
 	}
 }
 
+// changeReady notes whether the configuration allows to serve callers.
 func (r *Router) changeReady(change configurer.ReadyChange) {
-	r.ready.Store(&readiness{ready: change.Ready, reason: string(change.Reason)})
-	r.log.WithFields(logrus.Fields{"event": "ready", "ready": change.Ready, "reason": change.Reason}).Info("readiness changed")
+	r.configured = change
+	r.publishReady()
+}
+
+// publishReady tells the readiness check.
+func (r *Router) publishReady() {
+	state := readiness{ready: r.configured.Ready, reason: string(r.configured.Reason)}
+	if state.ready && !r.membersKnown {
+		state = readiness{reason: "no-members"}
+	}
+	r.ready.Store(&state)
+	r.log.WithFields(logrus.Fields{"event": "ready", "ready": state.ready, "reason": state.reason}).Info("readiness changed")
 }
 
 // storeContext bounds a use of the platform's store.
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -43,6 +43,7 @@
 func (r *Router) unpack(m received) {
 	if fleet := m.envelope.Fleet; fleet != nil {
 		r.coordinate(coordinator.Receive{Message: *fleet})
+		r.learnMembers()
 		r.heard[m.from] = peerVersion{
 			domain: fleet.Heartbeat.From.Domain, version: fleet.Version, heard: r.clock.Now(),
 		}
--- a/internal/router/records.go
+++ b/internal/router/records.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"strconv"
 	"time"
 
+	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/storer"
 )
 
@@ -15,6 +17,25 @@
 	sweepBatch    = 2000
 )
 
+// incarnationBase is the base in which incarnations are written.
+const incarnationBase = 36
+
+// mayRun reports whether a router's incarnation may still work on a request
+// whose key it has claimed. It is false once the router is known to have
+// started again.
+func (r *Router) mayRun(router messenger.RouterID, incarnation string) bool {
+	n, err := strconv.ParseUint(incarnation, incarnationBase, 64)
+	if err != nil {
+		return true
+	}
+	if router == r.self {
+		return n == r.incarnation
+	}
+	replaced := false
+	r.control.call(func() { replaced = r.coordinator.Replaced(router, n) })
+	return !replaced
+}
+
 // sweepRecords removes expired records of idempotency keys until the router
 // stops. Removals are conditional, so routers don't disturb one another.
 func (r *Router) sweepRecords() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -66,11 +67,17 @@
 
 	dialPeer func(ctx context.Context, address string) (net.Conn, error)
 
-	// The control goroutine owns these.
+	// The control goroutine owns the rest.
 	scheduler   *scheduler.Scheduler
 	coordinator *coordinator.Coordinator
 	peers       registrar.PeersChange
 	heard       map[messenger.RouterID]peerVersion
+	// configured is what the configurer says of readiness.
+	configured   configurer.ReadyChange
+	membersKnown bool
+	// scaled and scale are the last correction of the byte budget.
+	scaled scaleSample
+	scale  float64
 
 	callers   *listener.Listener
 	operators *listener.Listener
@@ -137,7 +144,7 @@
 	})
 	r.recorder = recorder.New(recorder.Config{
 		Store: r.store.For(purposeIdempotency), Clock: cfg.Clock,
-		Router: r.self, Incarnation: strconv.FormatUint(cfg.Incarnation, 36),
+		Router: r.self, Incarnation: strconv.FormatUint(cfg.Incarnation, incarnationBase), Alive: r.mayRun,
 	})
 	r.dispatcher = dispatcher.New(dispatcher.Config{
 		Upstreams: r, Recorder: r.recorder, Clock: cfg.Clock, Log: cfg.Log, Seed: cfg.Incarnation,
@@ -218,6 +225,9 @@
 		MaxPendingBytes: limits.MaxPendingBytes, MaxConns: limits.MaxConnections,
 		ReadTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout,
 		Handler: h, Log: r.log, Clock: r.clock,
+		Refused: func(problem string) {
+			r.meter.Counter(fmt.Sprintf("lentilwood_refused_at_entry_total{listener=%q,reason=%q}", name, problem)).Inc()
+		},
 	}
 }
 
