One package for problem documents

Cause: dispatcher, listener and router each built and wrote problem documents by themselves. Change: explainer holds the document, its type prefix and its headers; the others call it. Behaviour stays as it was.

--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -227,7 +227,7 @@
 	if !f.answered {
 		f.answered = true
 		f.result.Status = p.Status
-		if err := p.write(f.c, f.req.WireID); err != nil {
+		if err := writeProblem(f.c, p, f.req.WireID); err != nil {
 			f.gone = true
 			return
 		}
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -305,9 +305,9 @@
 // refuse answers a request that the scheduler did not dispatch.
 func (f *flight) refuse(reason string, after time.Duration) {
 	p := newProblem(reason, f.outcome.Run())
-	p.retryAfter = after
+	p.RetryAfter = after
 	if p.Run == messenger.NotRun && p.Status != http.StatusNotFound {
-		p.retryAfter = max(after, time.Second)
+		p.RetryAfter = max(after, time.Second)
 	}
 	f.answerProblem(reason, p)
 }
@@ -317,7 +317,7 @@
 	run := f.outcome.Run()
 	p := newProblem(name, run)
 	if run == messenger.NotRun || f.req.Arrive.Idempotent || f.keyed() {
-		p.retryAfter = time.Second
+		p.RetryAfter = time.Second
 	}
 	f.answerProblem(name, p)
 }
--- a/internal/dispatcher/problem.go
+++ b/internal/dispatcher/problem.go
@@ -1,17 +1,12 @@
 package dispatcher
 
 import (
-	"encoding/json"
 	"net/http"
-	"strconv"
-	"time"
 
+	"lentilwood.example/lentilwood/internal/explainer"
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
-// problemPrefix starts the type URI of every problem document.
-const problemPrefix = "urn:lentilwood:problem:"
-
 // Names of the problems that are not a messenger.RefuseReason. With the prefix
 // they make stable type URIs.
 const (
@@ -29,16 +24,8 @@
 	ProblemMemoryExhausted = "memory-exhausted"
 )
 
-// problem is a problem document of RFC 9457 with the member "run".
-type problem struct {
-	Type   string             `json:"type"`
-	Title  string             `json:"title"`
-	Status int                `json:"status"`
-	Detail string             `json:"detail,omitempty"`
-	Run    messenger.RunState `json:"run"`
-
-	retryAfter time.Duration
-}
+// problem is the answer to a request that is not answered by an upstream.
+type problem = explainer.Document
 
 // titles holds the title and the status of each problem.
 var titles = map[string]struct {
@@ -72,30 +59,11 @@
 	if !ok {
 		t.status, t.title = http.StatusServiceUnavailable, name
 	}
-	return problem{Type: problemPrefix + name, Title: t.title, Status: t.status, Run: run}
+	return explainer.New(name, t.title, t.status, run)
 }
 
-// seconds returns d in whole seconds, rounded up, at least 1.
-func seconds(d time.Duration) int {
-	n := int((d + time.Second - 1) / time.Second)
-	return max(n, 1)
-}
-
-// write answers c with the document.
-func (p problem) write(c http.ResponseWriter, wireID string) error {
-	body, err := json.Marshal(p)
-	if err != nil {
-		return err
-	}
-	h := c.Header()
-	h.Set("Content-Type", "application/problem+json")
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	h.Set(messenger.RunHeader, string(p.Run))
-	h.Set(messenger.RequestIDHeader, wireID)
-	if p.retryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(seconds(p.retryAfter)))
-	}
-	c.WriteHeader(p.Status)
-	_, err = c.Write(body)
-	return err
+// writeProblem answers a caller with a problem document.
+func writeProblem(c http.ResponseWriter, p problem, wireID string) error {
+	c.Header().Set(messenger.RequestIDHeader, wireID)
+	return p.Write(c)
 }
--- a/internal/dispatcher/record.go
+++ b/internal/dispatcher/record.go
@@ -96,7 +96,7 @@
 	switch c.Status {
 	case recorder.InProgress:
 		p := newProblem(ProblemInProgress, messenger.Unknown)
-		p.retryAfter = c.RetryAfter
+		p.RetryAfter = c.RetryAfter
 		f.answerProblem(ProblemInProgress, p)
 	case recorder.Mismatch:
 		f.answerProblem(ProblemKeyReused, newProblem(ProblemKeyReused, messenger.NotRun))
--- a/internal/dispatcher/silence_test.go
+++ b/internal/dispatcher/silence_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"lentilwood.example/lentilwood/internal/explainer"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
@@ -220,7 +221,7 @@
 			res := advanceUntil(clock, time.Second, done)
 			mu.Lock()
 			defer mu.Unlock()
-			if p := problemOf(t, c); p.Run != messenger.Unknown || p.Type != problemPrefix+ProblemUpstreamSilent {
+			if p := problemOf(t, c); p.Run != messenger.Unknown || p.Type != explainer.Prefix+ProblemUpstreamSilent {
 				t.Errorf("problem = %+v, want an unknown outcome of a silent upstream", p)
 			}
 			if res.Attempts != 1 || ran != 1 {
--- a/internal/dispatcher/stop_test.go
+++ b/internal/dispatcher/stop_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"lentilwood.example/lentilwood/internal/explainer"
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
@@ -20,7 +21,7 @@
 	q.hold = true
 	d.Serve(ctx, reservation(), q, c)
 	p := problemOf(t, c)
-	if p.Type != problemPrefix+ProblemShuttingDown || p.Run != messenger.NotRun || c.header.Get("Retry-After") != "1" {
+	if p.Type != explainer.Prefix+ProblemShuttingDown || p.Run != messenger.NotRun || c.header.Get("Retry-After") != "1" {
 		t.Errorf("problem = %+v, Retry-After %q, want shutting-down, not-run, 1", p, c.header.Get("Retry-After"))
 	}
 }
@@ -40,7 +41,7 @@
 	}
 	stop()
 	res := <-done
-	if !strings.Contains(c.text(), "event: error\ndata: {\"type\":\""+problemPrefix+ProblemShuttingDown) {
+	if !strings.Contains(c.text(), "event: error\ndata: {\"type\":\""+explainer.Prefix+ProblemShuttingDown) {
 		t.Errorf("answer = %q, want an event that says that the router stopped", c.text())
 	}
 	if res.Problem != ProblemShuttingDown || len(q.finishes()) != 1 {
--- a/internal/listener/problem.go
+++ b/internal/listener/problem.go
@@ -1,10 +1,11 @@
 package listener
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 
+	"lentilwood.example/lentilwood/internal/explainer"
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
@@ -15,9 +16,6 @@
 	detail string
 }
 
-// ProblemPrefix starts the type of every problem document.
-const ProblemPrefix = "urn:lentilwood:problem:"
-
 var (
 	problemHeaders  = problem{http.StatusRequestHeaderFieldsTooLarge, "headers-too-large", "The request line and headers are larger than this port allows."}
 	problemBody     = problem{http.StatusRequestEntityTooLarge, "body-too-large", "The body is larger than this port allows."}
@@ -34,26 +32,28 @@
 	return &problem{http.StatusBadRequest, "malformed-request", detail}
 }
 
-// retryAfterSeconds is when a caller that met too many connections may return.
-const retryAfterSeconds = 1
+// retryAfter is when a caller that met too many connections may return.
+const retryAfter = time.Second
+
+// document returns the problem as callers get it.
+func (p problem) document() explainer.Document {
+	d := explainer.New(p.kind, http.StatusText(p.status), p.status, messenger.NotRun)
+	d.Detail = p.detail
+	if p.status == http.StatusServiceUnavailable || p.status == http.StatusTooManyRequests {
+		d.RetryAfter = retryAfter
+	}
+	return d
+}
 
 // encode returns the whole answer as bytes for the connection.
 func (p problem) encode() []byte {
-	body, err := json.Marshal(struct {
-		Type   string             `json:"type"`
-		Title  string             `json:"title"`
-		Status int                `json:"status"`
-		Detail string             `json:"detail"`
-		Run    messenger.RunState `json:"run"`
-	}{ProblemPrefix + p.kind, http.StatusText(p.status), p.status, p.detail, messenger.NotRun})
-	if err != nil {
-		return nil
-	}
+	d := p.document()
+	body := d.Body()
 	retry := ""
-	if p.status == http.StatusServiceUnavailable || p.status == http.StatusTooManyRequests {
-		retry = fmt.Sprintf("Retry-After: %d\r\n", retryAfterSeconds)
+	if d.RetryAfter > 0 {
+		retry = fmt.Sprintf("%s: %d\r\n", explainer.RetryAfterHeader, d.RetryAfterSeconds())
 	}
 	return fmt.Appendf(nil,
-		"HTTP/1.1 %d %s\r\nContent-Type: application/problem+json\r\nContent-Length: %d\r\n%s: %s\r\n%sConnection: close\r\n\r\n%s",
-		p.status, http.StatusText(p.status), len(body), messenger.RunHeader, messenger.NotRun, retry, body)
+		"HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n%s: %s\r\n%sConnection: close\r\n\r\n%s",
+		p.status, http.StatusText(p.status), explainer.ContentType, len(body), messenger.RunHeader, messenger.NotRun, retry, body)
 }
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -1,19 +1,18 @@
 package router
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
-	"strconv"
+	"time"
 
+	"lentilwood.example/lentilwood/internal/explainer"
 	"lentilwood.example/lentilwood/internal/identifier"
-	"lentilwood.example/lentilwood/internal/listener"
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
-// notReadySeconds is when a caller may come back that met a router which is
+// notReadyRetryAfter is when a caller may come back that met a router which is
 // not ready.
-const notReadySeconds = 1
+const notReadyRetryAfter = time.Second
 
 // refusal is an answer to a request that was not even queued. It is written as
 // a problem document of RFC 9457.
@@ -34,35 +33,17 @@
 	refuseBody     = &refusal{http.StatusBadRequest, "body", "The body could not be read"}
 )
 
-// problemDocument is the body of a refusal.
-type problemDocument struct {
-	Type   string             `json:"type"`
-	Title  string             `json:"title"`
-	Status int                `json:"status"`
-	Run    messenger.RunState `json:"run"`
-}
-
 // write answers a caller.
 func (p *refusal) write(w http.ResponseWriter, wireID, callerID string) {
-	body, err := json.Marshal(problemDocument{
-		Type: listener.ProblemPrefix + p.name, Title: p.title, Status: p.status, Run: messenger.NotRun,
-	})
-	if err != nil {
-		panic(err) // strings and numbers can always be written
+	d := explainer.New(p.name, p.title, p.status, messenger.NotRun)
+	if p.status == http.StatusServiceUnavailable {
+		d.RetryAfter = notReadyRetryAfter
 	}
-	h := w.Header()
-	h.Set("Content-Type", "application/problem+json")
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	h.Set(messenger.RunHeader, string(messenger.NotRun))
-	setRequestIDs(h, wireID, callerID)
 	if p.status == http.StatusUnauthorized {
-		h.Set(identifier.ChallengeHeader, identifier.Challenge)
-	}
-	if p.status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.Itoa(notReadySeconds))
+		w.Header().Set(identifier.ChallengeHeader, identifier.Challenge)
 	}
-	w.WriteHeader(p.status)
-	_, _ = w.Write(body) // the listener notes callers that are gone
+	setRequestIDs(w.Header(), wireID, callerID)
+	_ = d.Write(w) // the listener notes callers that are gone
 }
 
 // metric returns the name of the counter of such refusals.
