The correction of the byte budget begins at 1

Change: it begins at 1, and scaleOf takes a start of 0 for 1. Result: the new case of TestScaleOf fails before.

--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -46,5 +46,5 @@
 
 // scaleOf returns the next correction: counted already includes the last one.
 func scaleOf(wire, counted, last float64) float64 {
-	return min(max(last*wire/counted, minScale), maxScale)
+	return min(max(max(last, minScale)*wire/counted, minScale), maxScale)
 }
--- a/internal/router/budget_test.go
+++ b/internal/router/budget_test.go
@@ -10,6 +10,7 @@
 	}{
 		{name: "counted right", wire: 1000, counted: 1000, last: 1.5, want: 1.5},
 		{name: "counted too little", wire: 3000, counted: 2000, last: 1, want: 1.5},
+		{name: "first correction", wire: 3000, counted: 2000, last: 0, want: 1.5},
 		{name: "converges", wire: 3000, counted: 3000, last: 1.5, want: 1.5},
 		{name: "never below what was counted", wire: 100, counted: 1000, last: 1, want: minScale},
 		{name: "bounded", wire: 9000, counted: 1000, last: 1, want: maxScale},
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,18 +67,6 @@
 
 	dialPeer func(ctx context.Context, address string) (net.Conn, error)
 
-	// The control goroutine owns the rest.
-	scheduler   *scheduler.Scheduler
-	coordinator *coordinator.Coordinator
-	peers       registrar.PeersChange
-	heard       map[messenger.RouterID]peerVersion
-	// configured is what the configurer says of readiness.
-	configured   configurer.ReadyChange
-	membersKnown bool
-	// scaled and scale are the last correction of the byte budget.
-	scaled scaleSample
-	scale  float64
-
 	callers   *listener.Listener
 	operators *listener.Listener
 
@@ -98,6 +86,18 @@
 	background  context.Context
 	stopAll     context.CancelFunc
 	goroutines  sync.WaitGroup
+
+	// The control goroutine owns the rest.
+	scheduler   *scheduler.Scheduler
+	coordinator *coordinator.Coordinator
+	peers       registrar.PeersChange
+	heard       map[messenger.RouterID]peerVersion
+	// configured is what the configurer says of readiness.
+	configured   configurer.ReadyChange
+	membersKnown bool
+	// scaled and scale are the last correction of the byte budget.
+	scaled scaleSample
+	scale  float64
 }
 
 // readiness is what the readiness check answers.
@@ -124,6 +124,7 @@
 		meter:    meter.New(cfg.Clock, cfg.Settings.Metrics.Accounts),
 		dialPeer: cfg.DialPeer,
 		heard:    make(map[messenger.RouterID]peerVersion),
+		scale:    minScale,
 	}
 	r.serving, r.cutRequests = context.WithCancel(context.Background())
 	r.background, r.stopAll = context.WithCancel(context.Background())
