The first turns count alike in the expected wait

Cause: the first interval between turns outweighed the following ones for some twenty turns, so a slow start had requests refused with "deadline". Change: the first ten intervals are averaged evenly.

--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -39,11 +39,10 @@
 func (c *cadence) note(now time.Time) {
 	gap := now.Sub(c.last)
 	if !c.last.IsZero() && gap > 0 {
-		if c.samples == 0 {
-			c.interval = gap
-		}
 		c.samples++
-		c.interval = time.Duration(smoothing*float64(c.interval) + (1-smoothing)*float64(gap))
+		// The first intervals count alike, so that a slow start is soon outweighed.
+		weight := max(1-smoothing, 1/float64(c.samples))
+		c.interval += time.Duration(weight * float64(gap-c.interval))
 	}
 	c.last = now
 }
--- a/internal/scheduler/wait_test.go
+++ b/internal/scheduler/wait_test.go
@@ -28,3 +28,19 @@
 		t.Errorf("%d of 20 requests refused, want none: they need half a second in all", got)
 	}
 }
+
+func TestSlowStartIsSoonOutweighed(t *testing.T) {
+	var c cadence
+	now := epoch
+	c.begin(now)
+	now = now.Add(time.Second)
+	c.note(now)
+	for range 9 {
+		now = now.Add(50 * time.Millisecond)
+		c.note(now)
+	}
+	// The mean of one second and nine times 50 ms is 145 ms.
+	if got, limit := c.expected(now), 150*time.Millisecond; got > limit {
+		t.Errorf("expected %v between turns, want at most %v", got, limit)
+	}
+}
