--- /dev/null
+++ b/internal/router/ready_test.go
@@ -0,0 +1,42 @@
+package router
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/configurer"
+	"lentilwood.example/lentilwood/internal/keeper"
+	"lentilwood.example/lentilwood/internal/loader"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// TestNotReadyBeforeMembersAreKnown: a router that knows no other would use
+// whole windows, so it must not serve until it has read the members or heard
+// one, whatever it knows of configuration.
+func TestNotReadyBeforeMembersAreKnown(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	clock := timekeeper.NewManual(time.Unix(0, 0))
+	r := New(Config{Settings: loader.DefaultRouter(), Store: keeper.New(clock), Clock: clock, Log: log, Incarnation: 1})
+	defer r.stopAll()
+	steps := []struct {
+		name   string
+		do     func()
+		want   bool
+		reason string
+	}{
+		{"started", func() {}, false, string(configurer.NoConfiguration)},
+		{"configured", func() { r.changeReady(configurer.ReadyChange{Ready: true}) }, false, "no-members"},
+		{"members known", r.learnMembers, true, ""},
+		{"cut off", func() { r.changeReady(configurer.ReadyChange{Reason: configurer.CutOff}) }, false, string(configurer.CutOff)},
+	}
+	for _, s := range steps {
+		s.do()
+		if got, reason := r.Ready(); got != s.want || reason != s.reason {
+			t.Errorf("%s: ready %v, reason %q; want %v, %q", s.name, got, reason, s.want, s.reason)
+		}
+	}
+}
