Drop what the identifier and the scheduler's messages made dead

Cause: read through. The document kept a second index of token digests, rebuilt with every change of accounts, that nobody asked since the identifier finds accounts; PeerMessage carried a list that no scheduler fills; the router rebuilt all tokens on the control goroutine whenever a drain or a schedule changed the policy and not the document; two loops turned digests into entries; two places built the header that requestIDHeader builds. Change: Document.Tokens and identifier.AppendEntry serve both; tokens are replaced only with another document; the dead parts go. TestLookup makes the same assertions through the identifier.

--- a/internal/configurer/document.go
+++ b/internal/configurer/document.go
@@ -32,8 +32,6 @@
 	Routes []Route `json:"routes,omitempty"`
 	// Exceptions holds the deviations from all of the above, by their ids.
 	Exceptions map[string]Exception `json:"exceptions,omitempty"`
-
-	digests map[string]messenger.AccountID
 }
 
 // AccountSettings are what a client account may use. A field left out means
--- a/internal/configurer/document_test.go
+++ b/internal/configurer/document_test.go
@@ -1,10 +1,13 @@
 package configurer
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"lentilwood.example/lentilwood/internal/identifier"
+
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
@@ -118,10 +121,15 @@
 
 func TestLookup(t *testing.T) {
 	d := parse(t, sample)
-	if got, ok := d.AccountByDigest(Digest("secret")); !ok || got != "riga-1" {
+	var accounts identifier.Identifier
+	if err := accounts.Replace(d.Tokens()); err != nil {
+		t.Fatal(err)
+	}
+	bearer := func(token string) http.Header { return http.Header{"Authorization": {"Bearer " + token}} }
+	if got, ok := accounts.Identify(bearer("secret")); !ok || got != "riga-1" {
 		t.Errorf("token: got %q, %v, want riga-1", got, ok)
 	}
-	if _, ok := d.AccountByDigest(Digest("other")); ok {
+	if _, ok := accounts.Identify(bearer("other")); ok {
 		t.Error("an unknown token has an account")
 	}
 	tests := []struct{ method, path, want string }{
--- a/internal/configurer/entries.go
+++ b/internal/configurer/entries.go
@@ -80,7 +80,6 @@
 	if err := d.setAll(e); err != nil {
 		return nil, err
 	}
-	d.index()
 	return d, nil
 }
 
@@ -98,9 +97,6 @@
 	if err := out.setAll(changes); err != nil {
 		return nil, err
 	}
-	if sections["accounts"] {
-		out.index()
-	}
 	return &out, nil
 }
 
--- a/internal/configurer/lookup.go
+++ b/internal/configurer/lookup.go
@@ -1,24 +1,28 @@
 package configurer
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"slices"
 	"strings"
 
+	"lentilwood.example/lentilwood/internal/identifier"
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
 // Digest returns the form in which a bearer token stands in a Document.
 func Digest(token string) string {
-	sum := sha256.Sum256([]byte(token))
-	return hex.EncodeToString(sum[:])
+	return identifier.DigestOf(token).Hex()
 }
 
-// AccountByDigest returns the client account whose bearer token has a digest.
-func (d *Document) AccountByDigest(digest string) (messenger.AccountID, bool) {
-	id, ok := d.digests[digest]
-	return id, ok
+// Tokens returns the bearer tokens of the client accounts. The document's check
+// has read the digests.
+func (d *Document) Tokens() []identifier.Entry {
+	var entries []identifier.Entry
+	for id, account := range d.Accounts {
+		for _, digest := range account.Tokens {
+			entries = identifier.AppendEntry(entries, string(id), digest)
+		}
+	}
+	return entries
 }
 
 // RouteOf returns the route for a request: the longest path that fits, among
@@ -48,12 +52,3 @@
 func (r Route) Allows(c messenger.ClassID) bool {
 	return c == r.Class || slices.Contains(r.Classes, c)
 }
-
-func (d *Document) index() {
-	d.digests = make(map[string]messenger.AccountID)
-	for id, a := range d.Accounts {
-		for _, t := range a.Tokens {
-			d.digests[strings.ToLower(t)] = id
-		}
-	}
-}
--- a/internal/configurer/parse.go
+++ b/internal/configurer/parse.go
@@ -34,7 +34,6 @@
 	if err := Check(doc); err != nil {
 		return nil, err
 	}
-	doc.index()
 	return doc, nil
 }
 
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -47,8 +47,7 @@
 		at.stream.split = sseSplitter{}
 	}
 	at.status, at.header = 0, nil
-	header := make(http.Header)
-	header.Set(messenger.RequestIDHeader, f.req.WireID)
+	header := requestIDHeader(f.req.WireID)
 	header.Set(messenger.LastEventIDHeader, strconv.FormatUint(last, 10))
 	f.start(at, &outgoing{
 		address: at.policy.Address, method: http.MethodGet,
@@ -174,9 +173,9 @@
 	ready := make(chan struct{}, 1)
 	x := &exchange{ready: ready, limit: exchangeBytes}
 	defer x.cancel()
-	header := make(http.Header)
-	header.Set(messenger.RequestIDHeader, wireID)
-	d.transport.Start(x, &outgoing{address: address, method: http.MethodDelete, uri: streamURI(wireID), header: header, fresh: true})
+	d.transport.Start(x, &outgoing{
+		address: address, method: http.MethodDelete, uri: streamURI(wireID), header: requestIDHeader(wireID), fresh: true,
+	})
 	timeout := d.cfg.Clock.After(cancelTimeout)
 	for {
 		select {
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -70,6 +70,16 @@
 	Digest Digest
 }
 
+// AppendEntry adds the token of a name to entries. A text that is not a digest
+// adds none.
+func AppendEntry(entries []Entry, name, digest string) []Entry {
+	d, err := ParseDigest(digest)
+	if err != nil {
+		return entries
+	}
+	return append(entries, Entry{Name: name, Digest: d})
+}
+
 // Identifier finds the name that a token belongs to. Its zero value knows
 // none. It is safe for concurrent use.
 type Identifier struct {
--- a/internal/messenger/size.go
+++ b/internal/messenger/size.go
@@ -14,9 +14,6 @@
 // Size estimates the encoded size of a message in bytes.
 func (m *PeerMessage) Size() int {
 	n := frameSize
-	for _, s := range m.Service {
-		n += useSize + len(s.Account) + len(s.Pool)
-	}
 	if m.Control != nil {
 		n += m.Control.size()
 	}
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -8,7 +8,6 @@
 
 	"lentilwood.example/lentilwood/internal/configurer"
 	"lentilwood.example/lentilwood/internal/coordinator"
-	"lentilwood.example/lentilwood/internal/identifier"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/registrar"
 	"lentilwood.example/lentilwood/internal/storer"
@@ -76,8 +75,8 @@
 // putInForce replaces what requests are served by. Traffic sees it with its
 // next request, the scheduler with its next event.
 func (r *Router) putInForce(a coordinator.PutInForce) {
-	if err := r.accounts.Replace(accountTokens(a.Document)); err != nil {
-		r.log.WithField("event", "configuration").WithError(err).Error("tokens not replaced")
+	if a.Document != r.document() {
+		r.replaceTokens(a.Document)
 	}
 	r.current.Store(&inForce{document: a.Document, policy: a.Policy})
 	r.control.handle(messenger.PolicyChange{Policy: a.Policy})
@@ -86,20 +85,11 @@
 	r.log.WithFields(logrus.Fields{"event": "configuration", "version": a.Document.Version}).Info("configuration in force")
 }
 
-// accountTokens returns the tokens of the client accounts. The configuration's
-// check has read the digests.
-func accountTokens(doc *configurer.Document) []identifier.Entry {
-	var entries []identifier.Entry
-	for id, account := range doc.Accounts {
-		for _, text := range account.Tokens {
-			digest, err := identifier.ParseDigest(text)
-			if err != nil {
-				continue
-			}
-			entries = append(entries, identifier.Entry{Name: string(id), Digest: digest})
-		}
+// replaceTokens identifies client accounts by the tokens of a document.
+func (r *Router) replaceTokens(doc *configurer.Document) {
+	if err := r.accounts.Replace(doc.Tokens()); err != nil {
+		r.log.WithField("event", "configuration").WithError(err).Error("tokens not replaced")
 	}
-	return entries
 }
 
 // changePeers tells the scheduler who takes part.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -209,11 +209,7 @@
 func operatorTokens(operators []loader.Operator) []identifier.Entry {
 	entries := make([]identifier.Entry, 0, len(operators))
 	for _, o := range operators {
-		digest, err := identifier.ParseDigest(o.TokenDigest)
-		if err != nil {
-			continue
-		}
-		entries = append(entries, identifier.Entry{Name: o.Name, Digest: digest})
+		entries = identifier.AppendEntry(entries, o.Name, o.TokenDigest)
 	}
 	return entries
 }
