--- /dev/null
+++ b/internal/admitter/admitter.go
@@ -0,0 +1,345 @@
+// Package admitter decides for one router which requests are sent to an
+// upstream now, which wait a moment, and which are refused at once.
+//
+// It answers the load pattern of a fleet whose demand swings above what its
+// engines can do: for seconds a third or more of the requests cannot be served
+// in time, whatever is done. A request that cannot meet its objective would
+// only delay those that can, so it is refused on arrival, or after a short
+// wait for room, and told when to come back. While there is not enough for
+// all, client accounts that ask for more than their max-min share of the
+// fleet's throughput give way to the others; while there is enough, nobody
+// waits. Engines admit in order of arrival, so little is left waiting inside
+// them.
+//
+// The decisions do no I/O: a router feeds an Admitter events and carries out
+// its actions. What other routers do with the same upstreams comes in with
+// PeerLoad and goes out with Share.
+//
+// # Usage
+//
+//	a := admitter.New(admitter.Config{Self: "r1", Domain: "riga-a", Seed: 1})
+//	a.Handle(now, messenger.PolicyChange{Policy: policy})
+//	for _, action := range a.Handle(now, messenger.Arrive{...}) { ... }
+package admitter
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+const (
+	// holdShare is the part of its objective that a request may wait for room
+	// before it is refused.
+	holdShare = 0.125
+	// inTime is the part of a request's objective that the expected time to its
+	// first output may take: forecasts err, and the answer has to travel.
+	inTime = 0.9
+	// crowded is the part of the objective above which accounts beyond their
+	// share give way.
+	crowded = 0.4
+	// defaultObjective serves requests whose route has none.
+	defaultObjective = time.Second
+	// lateShare is the part of the time to the deadline that a request for a
+	// plain service may be expected to take.
+	lateShare = 0.5
+)
+
+// Config is the settings of an Admitter.
+type Config struct {
+	Self messenger.RouterID
+	// Domain is the failure domain that the router stands in.
+	Domain string
+	// Seed seeds the spread of the times at which refused callers come back.
+	Seed uint64
+}
+
+// Admitter decides for one router. It is not safe for concurrent use.
+type Admitter struct {
+	cfg       Config
+	rand      *rand.Rand
+	now       time.Time
+	policy    *messenger.Policy
+	pools     map[messenger.PoolID]*pool
+	upstreams map[messenger.UpstreamID]*upstream
+	requests  map[messenger.RequestID]*request
+	shares    shares
+	peers     map[messenger.RouterID]*peer
+	actions   []messenger.Action
+}
+
+// request is one request that waits or runs.
+type request struct {
+	arrive  messenger.Arrive
+	pool    *pool
+	arrived time.Time
+	// holdUntil is when a waiting request is refused.
+	holdUntil time.Time
+	cost      float64
+	// beyond is true if the account had used up its share at the arrival.
+	beyond bool
+
+	// at is where the request runs; nil while it waits.
+	at      *upstream
+	avoid   messenger.UpstreamID
+	sent    time.Time
+	started time.Time
+	// reads is what the engine has to read of the prompt, in tokens, and
+	// expected the time to the first output that was forecast.
+	reads    int
+	expected time.Duration
+	// clear is true if nothing was ahead of the request when it was sent.
+	clear bool
+}
+
+// New returns an Admitter without a policy.
+func New(cfg Config) *Admitter {
+	return &Admitter{
+		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		pools:     make(map[messenger.PoolID]*pool),
+		upstreams: make(map[messenger.UpstreamID]*upstream),
+		requests:  make(map[messenger.RequestID]*request),
+		peers:     make(map[messenger.RouterID]*peer),
+	}
+}
+
+// Handle decides about one event. The returned actions are valid until the
+// next call.
+func (a *Admitter) Handle(now time.Time, e messenger.Event) []messenger.Action {
+	a.now = now
+	a.actions = a.actions[:0]
+	switch e := e.(type) {
+	case messenger.Arrive:
+		a.arrive(e)
+	case messenger.Progress:
+		a.progress(e)
+	case messenger.Finish:
+		a.finish(e)
+	case messenger.Abandon:
+		a.abandon(e)
+	case messenger.LoadReport:
+		a.report(e)
+	case messenger.PeerLoad:
+		a.hear(e)
+	case messenger.PolicyChange:
+		a.change(e.Policy)
+	case messenger.Tick:
+		a.tick()
+	}
+	return a.actions
+}
+
+func (a *Admitter) act(action messenger.Action) { a.actions = append(a.actions, action) }
+
+// arrive sends a request, lets it wait, or refuses it.
+func (a *Admitter) arrive(e messenger.Arrive) {
+	p, ok := a.pools[e.Pool]
+	if !ok {
+		a.act(messenger.Refuse{Request: e.Request, Reason: messenger.RefuseNoUpstream, RetryAfter: noUpstreamDelay})
+		return
+	}
+	if e.Objective <= 0 {
+		e.Objective = defaultObjective
+	}
+	r := &request{arrive: e, pool: p, arrived: a.now, cost: e.Work.Cost()}
+	r.holdUntil = a.now.Add(time.Duration(holdShare * float64(e.Objective)))
+	if p.engine {
+		r.beyond = a.shares.ask(a.now, e.Account, r.cost)
+	}
+	a.requests[e.Request] = r
+	if a.place(r) {
+		return
+	}
+	p.waiting = append(p.waiting, r)
+}
+
+// place sends a request to the best upstream if it can be served in time.
+func (a *Admitter) place(r *request) bool {
+	u, f := r.pool.pick(a, r)
+	if u == nil || !a.inTime(r, f) {
+		return false
+	}
+	a.send(r, u, f)
+	return true
+}
+
+// inTime reports whether a request that would take f until its first output is
+// worth sending.
+func (a *Admitter) inTime(r *request, f forecast) bool {
+	spent := a.now.Sub(r.arrived)
+	if !r.pool.engine {
+		return r.arrive.Deadline.IsZero() || f.first < time.Duration(lateShare*float64(r.arrive.Deadline.Sub(a.now)))
+	}
+	limit := time.Duration(inTime * float64(r.arrive.Objective))
+	if r.beyond {
+		limit = time.Duration(crowded * float64(r.arrive.Objective))
+	}
+	return spent+f.first <= limit
+}
+
+func (a *Admitter) send(r *request, u *upstream, f forecast) {
+	r.at, r.sent, r.started = u, a.now, time.Time{}
+	r.reads, r.expected, r.clear = f.reads, f.first, f.clear
+	u.start(a.now, r)
+	if r.pool.engine && r.arrive.Work.Output > 0 {
+		a.shares.serve(a.now, r.arrive.Account, r.cost)
+		u.cache.use(a.now, r.arrive.Work.Prompt)
+	}
+	a.act(messenger.Dispatch{Request: r.arrive.Request, Upstream: u.id})
+}
+
+// progress notes the first output of a request.
+func (a *Admitter) progress(e messenger.Progress) {
+	r, ok := a.requests[e.Request]
+	if !ok || r.at == nil || !r.started.IsZero() {
+		return
+	}
+	r.started = a.now
+	r.at.began(a.now, r)
+}
+
+// finish takes in the end of an attempt and uses the room that it leaves.
+func (a *Admitter) finish(e messenger.Finish) {
+	r, ok := a.requests[e.Request]
+	if !ok || r.at == nil || r.at.id != e.Upstream {
+		return
+	}
+	u := r.at
+	u.end(a.now, r, e)
+	r.at = nil
+	if !e.Retry {
+		delete(a.requests, e.Request)
+		a.serveWaiting(r.pool)
+		return
+	}
+	r.avoid = e.Upstream
+	r.holdUntil = a.now.Add(time.Duration(holdShare * float64(r.arrive.Objective)))
+	if !a.placeAgain(r) {
+		r.pool.waiting = append(r.pool.waiting, r)
+	}
+}
+
+// placeAgain sends a request that failed at an upstream to another. What was
+// begun for a caller is not given up for a forecast.
+func (a *Admitter) placeAgain(r *request) bool {
+	u, f := r.pool.pick(a, r)
+	if u == nil {
+		return false
+	}
+	a.send(r, u, f)
+	return true
+}
+
+// abandon forgets a request that waits.
+func (a *Admitter) abandon(e messenger.Abandon) {
+	r, ok := a.requests[e.Request]
+	if !ok || r.at != nil {
+		return
+	}
+	r.pool.drop(r)
+	delete(a.requests, e.Request)
+}
+
+// serveWaiting sends what now can be served in time.
+func (a *Admitter) serveWaiting(p *pool) {
+	if len(p.waiting) == 0 {
+		return
+	}
+	p.order(a)
+	kept := p.waiting[:0]
+	for _, r := range p.waiting {
+		if r.avoid != "" && a.placeAgain(r) || r.avoid == "" && a.place(r) {
+			continue
+		}
+		kept = append(kept, r)
+	}
+	clear(p.waiting[len(kept):])
+	p.waiting = kept
+}
+
+// tick serves and refuses what waits, and forgets what is out of date.
+func (a *Admitter) tick() {
+	a.shares.settle(a.now, a.throughput(), a.peers)
+	for _, p := range a.pools {
+		a.serveWaiting(p)
+		a.refuseOverdue(p)
+	}
+}
+
+func (a *Admitter) refuseOverdue(p *pool) {
+	kept := p.waiting[:0]
+	for _, r := range p.waiting {
+		if a.now.Before(r.holdUntil) {
+			kept = append(kept, r)
+			continue
+		}
+		delete(a.requests, r.arrive.Request)
+		a.refuse(r)
+	}
+	clear(p.waiting[len(kept):])
+	p.waiting = kept
+}
+
+// throughput returns what the engines do in a second, as Work.Cost counts it.
+func (a *Admitter) throughput() float64 {
+	if a.policy == nil {
+		return 0
+	}
+	return a.policy.Throughput
+}
+
+// change puts a policy in force.
+func (a *Admitter) change(policy *messenger.Policy) {
+	a.policy = policy
+	for id, poolPolicy := range policy.Pools {
+		p, ok := a.pools[id]
+		if !ok {
+			p = newPool(id)
+			a.pools[id] = p
+		}
+		p.set(poolPolicy)
+	}
+	for id := range a.pools {
+		if _, ok := policy.Pools[id]; !ok {
+			a.removePool(id)
+		}
+	}
+	a.changeUpstreams(policy)
+}
+
+// removePool refuses what waits for a pool that no route uses.
+func (a *Admitter) removePool(id messenger.PoolID) {
+	for _, r := range a.pools[id].waiting {
+		delete(a.requests, r.arrive.Request)
+		a.refuse(r)
+	}
+	delete(a.pools, id)
+}
+
+func (a *Admitter) changeUpstreams(policy *messenger.Policy) {
+	for _, p := range a.pools {
+		p.members = p.members[:0]
+	}
+	for id, up := range policy.Upstreams {
+		p, ok := a.pools[up.Pool]
+		if !ok {
+			continue
+		}
+		u, known := a.upstreams[id]
+		if !known {
+			u = newUpstream(id, p)
+			a.upstreams[id] = u
+		}
+		u.set(up, p, a.cfg.Domain)
+		p.members = append(p.members, u)
+	}
+	for id, u := range a.upstreams {
+		if _, ok := policy.Upstreams[id]; !ok && u.running == 0 {
+			delete(a.upstreams, id)
+		}
+	}
+	for _, p := range a.pools {
+		p.sortMembers()
+	}
+}
--- /dev/null
+++ b/internal/admitter/peers.go
@@ -0,0 +1,74 @@
+package admitter
+
+import (
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// leastRate is the demand, in cost a second, below which an account is not
+// worth telling of.
+const leastRate = 1
+
+// peer is what another router last said.
+type peer struct {
+	heard time.Time
+	loads map[messenger.UpstreamID]load
+	asked map[messenger.AccountID]float64
+}
+
+// hear takes in what another router runs and is asked for.
+func (a *Admitter) hear(e messenger.PeerLoad) {
+	p := &peer{
+		heard: a.now,
+		loads: make(map[messenger.UpstreamID]load, len(e.Upstreams)),
+		asked: make(map[messenger.AccountID]float64, len(e.Accounts)),
+	}
+	for _, u := range e.Upstreams {
+		p.loads[u.Upstream] = load{running: int(u.Running), unstarted: int(u.Unstarted), reading: int(u.Reading)}
+	}
+	for _, d := range e.Accounts {
+		p.asked[d.Account] = float64(d.Rate)
+	}
+	a.peers[e.From] = p
+	a.sumPeers()
+}
+
+// sumPeers adds up what the other routers run.
+func (a *Admitter) sumPeers() {
+	for _, u := range a.upstreams {
+		u.others = load{}
+	}
+	for id, p := range a.peers {
+		if a.now.Sub(p.heard) > peerTTL {
+			delete(a.peers, id)
+			continue
+		}
+		for up, l := range p.loads {
+			if u, ok := a.upstreams[up]; ok {
+				u.others.running += l.running
+				u.others.unstarted += l.unstarted
+				u.others.reading += l.reading
+			}
+		}
+	}
+}
+
+// Share returns what other routers should know of this one.
+func (a *Admitter) Share(now time.Time) messenger.PeerLoad {
+	out := messenger.PeerLoad{From: a.cfg.Self}
+	for id, u := range a.upstreams {
+		if u.running > 0 {
+			out.Upstreams = append(out.Upstreams, messenger.UpstreamLoad{
+				Upstream: id, Running: uint32(u.running), Unstarted: uint32(u.unstarted), Reading: uint32(max(0, u.reading)),
+			})
+		}
+	}
+	for id, acc := range a.shares.accounts {
+		acc.fade(now)
+		if acc.asked >= leastRate {
+			out.Accounts = append(out.Accounts, messenger.AccountDemand{Account: id, Rate: uint32(acc.asked)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/admitter/pool.go
@@ -0,0 +1,150 @@
+package admitter
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+const (
+	// farPenalty is what another failure domain counts for in choosing an
+	// upstream, as time: bytes between domains cost money.
+	farPenalty = 30 * time.Millisecond
+	// readPenalty is the part of the time to read a prompt that counts again in
+	// choosing an upstream, because it delays everyone else there.
+	readPenalty = 0.5
+	// failurePenalty is what an upstream that fails every request counts for.
+	failurePenalty = time.Second
+	// homeCached is how much of a shared prompt is expected at the upstream
+	// that all routers prefer for it, though this one has not sent it there.
+	homeCached = 0.6
+	// noUpstreamDelay is when a caller may come back that met a pool without
+	// any upstream.
+	noUpstreamDelay = time.Second
+)
+
+// pool is the upstreams that can serve the same work.
+type pool struct {
+	id      messenger.PoolID
+	engine  bool
+	policy  messenger.PoolPolicy
+	members []*upstream
+	waiting []*request
+	model   model
+}
+
+func newPool(id messenger.PoolID) *pool {
+	return &pool{id: id, model: newModel()}
+}
+
+func (p *pool) set(policy messenger.PoolPolicy) {
+	p.policy = policy
+	p.engine = policy.Engine != nil
+}
+
+// sortMembers puts the upstreams in an order that is the same after each
+// change.
+func (p *pool) sortMembers() {
+	slices.SortFunc(p.members, func(a, b *upstream) int { return cmp.Compare(a.id, b.id) })
+}
+
+// order puts what waits in the order in which it is served: higher classes
+// first, accounts within their share before others, then by arrival.
+func (p *pool) order(a *Admitter) {
+	for _, r := range p.waiting {
+		if p.engine && r.beyond {
+			r.beyond = !a.shares.within(r.arrive.Account)
+		}
+	}
+	slices.SortStableFunc(p.waiting, func(x, y *request) int {
+		if x.beyond != y.beyond {
+			if y.beyond {
+				return -1
+			}
+			return 1
+		}
+		return x.arrived.Compare(y.arrived)
+	})
+}
+
+func (p *pool) drop(r *request) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(other *request) bool { return other == r })
+}
+
+// forecast is what is expected of a request at one upstream.
+type forecast struct {
+	// first is the time to the first output.
+	first time.Duration
+	// reads is what has to be read of the prompt, in tokens.
+	reads int
+	// clear is true if nothing is ahead of the request.
+	clear bool
+}
+
+// pick returns the upstream where a request costs least, all told, or nil if
+// there is none.
+func (p *pool) pick(a *Admitter, r *request) (*upstream, forecast) {
+	home := p.home(r)
+	var best *upstream
+	var bestForecast forecast
+	var least time.Duration
+	for pass := 0; pass < 2 && best == nil; pass++ {
+		for _, u := range p.members {
+			if !u.usable(a.now, pass > 0) || u.id == r.avoid && pass == 0 {
+				continue
+			}
+			f := u.forecast(a, r, u == home)
+			if cost := p.cost(u, f); best == nil || cost < least {
+				best, bestForecast, least = u, f, cost
+			}
+		}
+	}
+	return best, bestForecast
+}
+
+// cost is what a request at u takes from its caller and from everyone else.
+func (p *pool) cost(u *upstream, f forecast) time.Duration {
+	cost := f.first + time.Duration(u.failures*float64(failurePenalty))
+	cost += time.Duration(readPenalty * float64(f.reads) * p.model.perRead * float64(time.Second))
+	if u.far {
+		cost += farPenalty
+	}
+	return cost
+}
+
+// home returns the upstream that every router of the domain prefers for the
+// shared part of a prompt, by rendezvous hashing; nil if nothing is shared.
+func (p *pool) home(r *request) *upstream {
+	prompt := r.arrive.Work.Prompt
+	if len(prompt) < 2 {
+		return nil
+	}
+	shared := prompt[len(prompt)-2].Chain
+	var home *upstream
+	var highest uint64
+	for _, u := range p.members {
+		if u.far || !u.open {
+			continue
+		}
+		if score := mix(shared ^ u.hash); home == nil || score > highest {
+			home, highest = u, score
+		}
+	}
+	return home
+}
+
+// mix spreads the bits of a number.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+func hashID(id messenger.UpstreamID) uint64 { return xxhash.Sum64String(strings.Clone(string(id))) }
--- /dev/null
+++ b/internal/admitter/upstream.go
@@ -0,0 +1,212 @@
+package admitter
+
+import (
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+const (
+	// reportTTL is how long what an answer said of its upstream's load counts.
+	reportTTL = 400 * time.Millisecond
+	// slowdownTTL is how long what it said of its speed counts.
+	slowdownTTL = 300 * time.Millisecond
+	// peerTTL is how long what another router said counts.
+	peerTTL = time.Second
+	// failureWeight is the weight of one outcome in the share of failures.
+	failureWeight = 0.15
+	// failureHalfLife is the time in which the share of failures halves without
+	// new outcomes.
+	failureHalfLife = 3 * time.Second
+	// firstBackoff and longestBackoff bound the time without new work after
+	// failures in a row.
+	firstBackoff   = 100 * time.Millisecond
+	longestBackoff = 2 * time.Second
+	// failuresInARow is how many failures in a row start the backoff.
+	failuresInARow = 2
+	// defaultSlots serves upstreams that do not say how many requests they work
+	// on at a time.
+	defaultSlots = 8
+)
+
+// upstream is what one router knows of one upstream.
+type upstream struct {
+	id     messenger.UpstreamID
+	hash   uint64
+	pool   *pool
+	policy messenger.UpstreamPolicy
+	open   bool
+	far    bool
+
+	// running counts the own requests, unstarted those of them that have no
+	// output yet, and reading what the engine has to read for these, in tokens.
+	running, unstarted, reading int
+	// pending holds the own requests without an output, by the time of sending.
+	pending []*request
+	cache   cache
+
+	report   messenger.LoadReport
+	reported time.Time
+	// ownAtReport is how many own requests ran when the report came.
+	ownAtReport int
+
+	// others is what the other routers run here.
+	others load
+
+	// error is the ratio of observed to forecast times to the first output.
+	error     float64
+	failures  float64
+	failedAt  time.Time
+	inARow    int
+	closedTil time.Time
+}
+
+// load is what some routers run on one upstream.
+type load struct {
+	running, unstarted, reading int
+}
+
+func newUpstream(id messenger.UpstreamID, p *pool) *upstream {
+	return &upstream{id: id, hash: hashID(id), pool: p, error: 1}
+}
+
+func (u *upstream) set(policy messenger.UpstreamPolicy, p *pool, domain string) {
+	u.policy, u.pool = policy, p
+	u.open = !policy.Leaving
+	u.far = policy.Domain != domain
+	if p.policy.Engine != nil {
+		u.cache.resize(p.policy.Engine.Memory)
+	}
+}
+
+// usable reports whether new work may be sent. With desperate, an upstream that
+// failed of late may be tried as well.
+func (u *upstream) usable(now time.Time, desperate bool) bool {
+	return u.open && (desperate || !now.Before(u.closedTil))
+}
+
+func (u *upstream) slots() int {
+	if u.policy.Window > 0 {
+		return u.policy.Window
+	}
+	return defaultSlots
+}
+
+// inside estimates how many requests of all routers are in the upstream.
+func (u *upstream) inside(now time.Time) int {
+	n := u.running + u.others.running
+	if now.Sub(u.reported) < reportTTL {
+		n = max(n, u.report.Running+u.report.Waiting+u.running-u.ownAtReport)
+	}
+	return n
+}
+
+// slowdown is how many times longer than usual work takes now.
+func (u *upstream) slowdown(now time.Time) float64 {
+	if u.report.Slowdown > 0 && now.Sub(u.reported) < slowdownTTL {
+		return u.report.Slowdown
+	}
+	return 1
+}
+
+// forecast expects the first output of a request from what is ahead of it:
+// prompts to be read and, once all slots are taken, requests that must end.
+func (u *upstream) forecast(a *Admitter, r *request, home bool) forecast {
+	m := &u.pool.model
+	f := forecast{reads: u.cache.missing(a.now, r.arrive.Work.Prompt, home)}
+	inside := u.inside(a.now)
+	ahead := u.reading + u.others.reading
+	wait := 0.0
+	if over := inside + 1 - u.slots(); over > 0 {
+		wait = float64(over) * m.held / float64(u.slots())
+	}
+	f.clear = ahead == 0 && wait == 0
+	work := m.base + float64(ahead+f.reads)*m.perRead
+	seconds := (work*u.error + wait) * u.slowdown(a.now)
+	f.first = max(time.Duration(seconds*float64(time.Second)), u.overdue(a.now))
+	return f
+}
+
+// overdue returns how long the oldest request without an output has waited
+// beyond what was expected of it: one sent now comes after it.
+func (u *upstream) overdue(now time.Time) time.Duration {
+	if len(u.pending) == 0 {
+		return 0
+	}
+	oldest := u.pending[0]
+	waited := now.Sub(oldest.sent)
+	if waited <= oldest.expected {
+		return 0
+	}
+	return waited
+}
+
+func (u *upstream) start(now time.Time, r *request) {
+	u.running++
+	u.unstarted++
+	u.reading += r.reads
+	u.pending = append(u.pending, r)
+}
+
+// settle takes a request out of those without an output.
+func (u *upstream) settle(r *request) {
+	for i, other := range u.pending {
+		if other == r {
+			u.pending = append(u.pending[:i], u.pending[i+1:]...)
+			u.unstarted--
+			u.reading -= r.reads
+			return
+		}
+	}
+}
+
+// began learns from the first output of a request.
+func (u *upstream) began(now time.Time, r *request) {
+	u.settle(r)
+	took := now.Sub(r.sent).Seconds()
+	slowdown := u.slowdown(now)
+	if r.clear {
+		u.pool.model.learnFirst(float64(r.reads), took/slowdown)
+	}
+	if r.expected > 0 {
+		ratio := took / r.expected.Seconds()
+		u.error = bound(u.error*(1+errorWeight*(ratio-1)), lowestError, highestError)
+	}
+}
+
+// end learns from the end of an attempt.
+func (u *upstream) end(now time.Time, r *request, e messenger.Finish) {
+	u.running--
+	u.settle(r)
+	u.note(now, e.Failed)
+	if e.Failed || r.started.IsZero() {
+		return
+	}
+	u.pool.model.learnHeld(now.Sub(r.sent).Seconds())
+}
+
+// note counts a failure or a success.
+func (u *upstream) note(now time.Time, failed bool) {
+	u.failures *= halved(now.Sub(u.failedAt), failureHalfLife)
+	u.failedAt = now
+	u.failures *= 1 - failureWeight
+	if !failed {
+		u.inARow = 0
+		return
+	}
+	u.failures += failureWeight
+	u.inARow++
+	if u.inARow >= failuresInARow {
+		backoff := min(firstBackoff<<min(u.inARow-failuresInARow, 6), longestBackoff)
+		u.closedTil = now.Add(backoff)
+	}
+}
+
+// report takes in what an answer said of its upstream.
+func (a *Admitter) report(e messenger.LoadReport) {
+	u, ok := a.upstreams[e.Upstream]
+	if !ok {
+		return
+	}
+	u.report, u.reported, u.ownAtReport = e, a.now, u.running
+}
--- a/internal/cli/daemons.go
+++ b/internal/cli/daemons.go
@@ -77,7 +77,7 @@
 		fmt.Fprintln(s.err, findings.String())
 		return merry.Errorf("not started: %d findings in the settings", findings.Len())
 	}
-	log := newLog(s.err, cfg)
+	log := newLog(s.out, cfg)
 	ctx, stop := untilSignal(log)
 	defer stop()
 	return run(ctx, settings, log)
--- a/internal/cli/processes.go
+++ b/internal/cli/processes.go
@@ -15,22 +15,41 @@
 	"lentilwood.example/lentilwood/internal/router"
 	"lentilwood.example/lentilwood/internal/storer"
 	"lentilwood.example/lentilwood/internal/timekeeper"
+	"lentilwood.example/lentilwood/platform"
 )
 
 // serveRouter runs a router until ctx ends, and then shuts it down.
 func serveRouter(ctx context.Context, settings loader.Router, log *logrus.Logger) error {
-	r := router.New(router.Config{
+	r := newRouter(settings, log)
+	if err := r.Start(); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return r.Shutdown(context.Background())
+}
+
+// runnable is a router on some platform.
+type runnable interface {
+	Start() error
+	Shutdown(ctx context.Context) error
+}
+
+// newRouter builds the router that fits the platform of the settings.
+func newRouter(settings loader.Router, log *logrus.Logger) runnable {
+	if settings.Platform.Interface == loader.InterfaceRows {
+		client := platform.NewClient(settings.Platform.Address)
+		return router.NewHosted(router.HostedConfig{
+			Settings: settings, Source: client, Directory: client, Decoder: platform.Decoder{},
+			Dialect: platform.Dialect{}, Entrance: platform.Entrance{}, Log: log,
+		})
+	}
+	return router.New(router.Config{
 		Settings: settings,
 		Store: storer.NewClient(storer.ClientConfig{
 			URL: "http://" + settings.Platform.Address, Timeout: settings.Platform.Timeout,
 		}),
 		Log: log,
 	})
-	if err := r.Start(); err != nil {
-		return err
-	}
-	<-ctx.Done()
-	return r.Shutdown(context.Background())
 }
 
 // servePlatform runs the platform's stand-in until ctx ends.
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -17,14 +17,29 @@
 // streamAnswer is an answer that comes as a stream of events.
 type streamAnswer struct {
 	engine bool
+	// framed is true if the message's end is the stream's, and events are
+	// counted by their ids on the way.
+	framed bool
 	split  sseSplitter
 	// lastID is the number of the last event that went to the caller.
 	lastID uint64
+	// numbered is true once lastID is known.
+	numbered bool
+	// told is true once the scheduler knows of the first event.
+	told   bool
 	begun  bool
 	ended  bool
 	broken bool
 }
 
+// newStream returns the stream that an attempt answers with.
+func (f *flight) newStream(at *attempt) *streamAnswer {
+	if f.d.traits.FramedStreams {
+		return &streamAnswer{framed: true, lastID: f.lastEvent, numbered: f.hasEvent}
+	}
+	return &streamAnswer{engine: at.policy.Engine}
+}
+
 // whole reports whether a stream that no engine wrote may end here. The framing
 // of the message says that nothing is missing.
 func (s *streamAnswer) whole() bool {
@@ -72,6 +87,9 @@
 
 // events relays the events that p completes.
 func (f *flight) events(at *attempt, p []byte) bool {
+	if at.stream.framed {
+		return f.framedEvents(at, p)
+	}
 	var out []byte
 	tokens := 0
 	ok := at.stream.split.push(p, func(e sseEvent) {
@@ -157,8 +175,8 @@
 	if len(p) == 0 || f.gone {
 		return
 	}
-	if !at.stream.begun {
-		at.stream.begun = true
+	at.stream.begun = true
+	if !f.answered {
 		f.writeHead(at, -1)
 	}
 	if !f.outcome.Delivered() {
@@ -174,7 +192,7 @@
 	f.d.live.remove(at.policy.Address, at.x)
 	at.x.linger()
 	f.attempts = nil
-	if at.stream == nil && at.policy.Engine {
+	if at.stream == nil && at.policy.Engine && !f.d.traits.FramedStreams {
 		at.reported, _ = usageOf(at.whole)
 	}
 	if at.stream == nil && f.result.FirstOutput.IsZero() {
@@ -185,7 +203,7 @@
 	f.result.Upstream, f.result.Tokens = at.upstream, at.tokens()
 	f.finish(at.upstream, at.tokens(), false, false)
 	if !f.gone {
-		if at.stream == nil || !at.stream.begun {
+		if !f.answered {
 			f.writeHead(at, len(at.whole))
 		}
 		f.relay.Push(at.whole)
@@ -202,8 +220,7 @@
 	for name, values := range forwardable(at.header) {
 		h[name] = values
 	}
-	h.Set(messenger.RunHeader, string(f.outcome.Run()))
-	h.Set(messenger.RequestIDHeader, f.req.WireID)
+	f.d.dialect.AnswerHeader(h, f.req, f.outcome.Run())
 	if length >= 0 && at.status != http.StatusNoContent && at.status != http.StatusNotModified && f.req.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(length))
 	}
@@ -227,13 +244,17 @@
 	if !f.answered {
 		f.answered = true
 		f.result.Status = p.Status
-		if err := writeProblem(f.c, p, f.req.WireID); err != nil {
+		if err := f.d.dialect.WriteProblem(f.c, f.req, p); err != nil {
 			f.gone = true
 			return
 		}
 		f.c.Flush()
 		return
 	}
+	if f.d.traits.AbortsBroken {
+		f.result.Aborted = true
+		return
+	}
 	body, err := json.Marshal(p)
 	if err != nil {
 		return
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -34,6 +34,8 @@
 	// resuming is true while the rest of the stream is asked for.
 	resuming bool
 	resumes  int
+	// declined is true if the upstream says that it did not run the request.
+	declined bool
 	// mute is true while the last exchange ended by silence.
 	mute bool
 	// probe asks over another connection whether the upstream lives.
@@ -92,8 +94,7 @@
 func (f *flight) pumpAttempt(at *attempt) {
 	p := at.x.take(f.room(at))
 	if p.sent && !at.sent {
-		at.sent = true
-		f.note(tracker.FirstByte)
+		f.noteSent(at)
 	}
 	if p.suspect {
 		at.deadline = earlier(at.deadline, at.last.Add(f.progressTimeout()/suspectShare))
@@ -127,7 +128,12 @@
 
 // head checks the head of an answer. It returns false if the attempt ended.
 func (f *flight) head(at *attempt, p progress) bool {
-	if p.header.Get(messenger.RequestIDHeader) != f.req.WireID {
+	f.learnLoad(at, p.header)
+	if f.d.dialect.Declined(p.status, p.header) {
+		f.declined(at)
+		return false
+	}
+	if f.d.dialect.AnswersTo(p.header) != f.req.WireID {
 		f.d.counters.WrongAnswers.Add(1)
 		f.log("wrongAnswer").WithField("upstream", at.upstream).Warn("answer to another request")
 		f.attemptFailed(at, ProblemWrongAnswer, false)
@@ -139,7 +145,7 @@
 	if at.resuming {
 		return f.resumed(at)
 	}
-	if busy(p.status) && f.mayRetry() {
+	if (busy(p.status) || f.d.traits.ResendsStreams && p.status >= http.StatusInternalServerError) && f.mayRetry() {
 		f.attemptFailed(at, ProblemUpstreamFailed, false)
 		return false
 	}
@@ -147,7 +153,7 @@
 		f.win(at)
 	}
 	if p.status == http.StatusOK && isEventStream(p.header) {
-		at.stream = &streamAnswer{engine: at.policy.Engine}
+		at.stream = f.newStream(at)
 	}
 	return f.holds(at)
 }
@@ -189,7 +195,7 @@
 
 // exchangeDone notes the end of an exchange.
 func (f *flight) exchangeDone(at *attempt, p progress) {
-	framed := p.err == nil && p.done && !p.unframed && at.header != nil
+	framed := p.err == nil && p.done && (!p.unframed || f.d.traits.UnframedWhole) && at.header != nil
 	if at.stream.complete() || framed && (at.stream == nil || at.stream.whole()) {
 		f.completed(at)
 		return
@@ -212,7 +218,7 @@
 		return
 	}
 	f.close(at, true)
-	if len(f.attempts) == 0 && f.mayRetry() && f.d.spendRetry() {
+	if len(f.attempts) == 0 && f.mayRetry() && (!at.sent && f.d.traits.ResendsStreams || f.d.spendRetry(f.req.Arrive.Pool)) {
 		f.scheduleRetry(at)
 		return
 	}
@@ -227,6 +233,9 @@
 	if f.gone || f.late() || len(f.attempts) > 1 || f.retries+1 >= f.d.cfg.MaxAttempts {
 		return false
 	}
+	if f.req.MaxSends > 0 && f.sends >= f.req.MaxSends {
+		return false
+	}
 	return f.outcome.MaySend()
 }
 
@@ -276,8 +285,12 @@
 		f.note(tracker.Unsent)
 		return
 	}
-	f.note(tracker.Fail)
-	if cancel && at.policy.Engine {
+	if at.declined {
+		f.note(tracker.Reject)
+	} else {
+		f.note(tracker.Fail)
+	}
+	if cancel && at.policy.Engine && !f.d.traits.CloseCancels {
 		f.d.cancelStream(at.policy.Address, f.req.WireID)
 	}
 }
@@ -288,8 +301,7 @@
 	sent := at.x.cancel()
 	f.d.live.remove(at.policy.Address, at.x)
 	if sent && !at.sent {
-		at.sent = true
-		f.note(tracker.FirstByte)
+		f.noteSent(at)
 	}
 }
 
--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -36,8 +36,10 @@
 	limit  io.LimitedReader
 	reader *bufio.Reader
 	reused bool
-	// idleSince is when the connection came into the pool.
+	// idleSince is when the connection came into the pool, and keptFor how long
+	// the upstream said that it keeps it; zero if it did not say.
 	idleSince time.Time
+	keptFor   time.Duration
 }
 
 func newUpstreamConn(conn net.Conn) *upstreamConn {
@@ -109,12 +111,15 @@
 		return nil, err
 	}
 	req.Header = out.header
+	if host := out.header.Get("Host"); host != "" {
+		req.Host = host
+	}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = []string{""}
 	}
 	if conn := t.idle(out); conn != nil {
-		r, err := t.exchange(x, conn, req)
-		if err == nil || conn.limit.N < maxHeadBytes || !x.release() {
+		r, err := t.exchange(x, conn, req, out)
+		if err == nil || out.once || conn.limit.N < maxHeadBytes || !x.release() {
 			return r, err
 		}
 		if req.Body, err = req.GetBody(); err != nil {
@@ -125,7 +130,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return t.exchange(x, conn, req)
+	return t.exchange(x, conn, req, out)
 }
 
 // idle returns a connection for out that waits in the pool, or nil.
@@ -160,7 +165,7 @@
 
 // exchange sends req over conn and reads the head of the answer. A connection
 // that fails is closed.
-func (t *connTransport) exchange(x *exchange, conn *upstreamConn, req *http.Request) (*bodyReader, error) {
+func (t *connTransport) exchange(x *exchange, conn *upstreamConn, req *http.Request, out *outgoing) (*bodyReader, error) {
 	r := &bodyReader{
 		conn: conn, address: req.URL.Host,
 		wake: make(chan struct{}, 1), stopped: make(chan struct{}),
@@ -170,7 +175,7 @@
 		return nil, errCanceled
 	}
 	conn.limit.N = maxHeadBytes
-	resp, err := roundTrip(conn, req) //nolint:bodyclose // the connection itself is closed or kept
+	resp, err := roundTrip(conn, req, out.answers) //nolint:bodyclose // the connection itself is closed or kept
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -178,6 +183,7 @@
 	conn.limit.N = math.MaxInt64
 	resp.Request = nil // the body refers to resp for as long as it lasts
 	r.body, r.last = resp.Body, resp.Close
+	conn.keptFor = keepAliveTimeout(resp.Header)
 	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 	x.setHead(resp.StatusCode, resp.Header, unframed)
 	return r, nil
@@ -216,7 +222,7 @@
 }
 
 // roundTrip writes a request and reads the head of its answer.
-func roundTrip(conn *upstreamConn, req *http.Request) (*http.Response, error) {
+func roundTrip(conn *upstreamConn, req *http.Request, answers func(http.Header) bool) (*http.Response, error) {
 	var head bytes.Buffer
 	if err := req.Write(&head); err != nil {
 		return nil, err
@@ -232,10 +238,26 @@
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errSwitched
 		}
-		if resp.StatusCode >= http.StatusOK {
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if answers == nil || answers(resp.Header) {
 			return resp, nil
 		}
+		if err := skipAnswer(resp); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// skipAnswer reads an answer that belongs to no request to its end.
+func skipAnswer(resp *http.Response) error {
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if unframed || resp.Close {
+		return errStrayAnswer
 	}
+	_, err := io.Copy(io.Discard, resp.Body)
+	return err
 }
 
 // copyTo passes a body on, no faster than the exchange is drained.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -78,6 +78,8 @@
 	// Arrive is what the scheduler is told first.
 	Arrive messenger.Arrive
 	Method string
+	// Host is the host that the caller asked for.
+	Host string
 	// URI is the path and query to ask the upstream for.
 	URI    string
 	Header http.Header
@@ -88,6 +90,15 @@
 	Streaming bool
 	// Key is the caller's idempotency key; "" means none.
 	Key string
+	// Resumable is true if another upstream may go on with the stream.
+	Resumable bool
+	// LastEvent is the last event that the caller had of the stream before this
+	// request, if HasLastEvent.
+	LastEvent    uint64
+	HasLastEvent bool
+	// MaxSends bounds the upstreams that are given the request; zero means that
+	// only Config.MaxAttempts does.
+	MaxSends int
 }
 
 // Result says how a request ended.
@@ -104,6 +115,8 @@
 	Resumes  int
 	// CallerGone is true if the caller left before its answer was whole.
 	CallerGone bool
+	// Aborted is true if the answer must end by cutting the connection.
+	Aborted bool
 	// Dispatched, FirstOutput and Finished are zero where they did not happen.
 	Dispatched, FirstOutput, Finished time.Time
 }
@@ -141,13 +154,21 @@
 	// how many may come at once on top.
 	RetryRatio float64
 	RetryBurst int
+	// Retries replaces the budget of RetryRatio and RetryBurst.
+	Retries Retries
+	// Dialect is lentilwood's own if nil.
+	Dialect Dialect
+	// Loads, if set, gets what answers say of the load of their upstreams.
+	Loads func(messenger.LoadReport)
 }
 
 // Dispatcher sends requests to upstreams. It is safe for concurrent use.
 type Dispatcher struct {
 	cfg       Config
 	transport transport
-	budget    *retryBudget
+	budget    Retries
+	dialect   Dialect
+	traits    Traits
 	live      liveExchanges
 	counters  Counters
 
@@ -164,7 +185,9 @@
 	return &Dispatcher{
 		cfg:       cfg,
 		transport: newConnTransport(cfg.Clock, cfg),
-		budget:    newRetryBudget(cfg.RetryRatio, cfg.RetryBurst),
+		budget:    cfg.Retries,
+		dialect:   cfg.Dialect,
+		traits:    cfg.Dialect.Traits(),
 		rng:       rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
 }
@@ -189,6 +212,12 @@
 	if cfg.RetryRatio <= 0 {
 		cfg.RetryRatio = DefaultRetryRatio
 	}
+	if cfg.Retries == nil {
+		cfg.Retries = newRetryBudget(cfg.RetryRatio, cfg.RetryBurst)
+	}
+	if cfg.Dialect == nil {
+		cfg.Dialect = ownDialect{}
+	}
 }
 
 func setDuration(d *time.Duration, value time.Duration) {
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -9,10 +9,11 @@
 
 // Errors of an exchange.
 var (
-	errCanceled   = merry.Sentinel("exchange canceled")
-	errNoUpstream = merry.Sentinel("upstream not known")
-	errSwitched   = merry.Sentinel("upstream switched protocols")
-	errNoRecorder = merry.Sentinel("no store for idempotency keys")
+	errCanceled    = merry.Sentinel("exchange canceled")
+	errNoUpstream  = merry.Sentinel("upstream not known")
+	errStrayAnswer = merry.Sentinel("upstream answered another request and closed")
+	errSwitched    = merry.Sentinel("upstream switched protocols")
+	errNoRecorder  = merry.Sentinel("no store for idempotency keys")
 )
 
 // outgoing is a request as it is written to an upstream.
@@ -23,6 +24,12 @@
 	body        []byte
 	// fresh asks for a new connection instead of an idle one.
 	fresh bool
+	// once is true if the request must not be sent a second time, even if the
+	// connection turns out to be dead.
+	once bool
+	// answers, if set, reports whether an answer belongs to the request; others
+	// that come before it are skipped.
+	answers func(http.Header) bool
 }
 
 // transport carries exchanges to upstreams. Start does not block; what comes
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -40,6 +40,11 @@
 	retryAt time.Time
 	retry   *attempt
 	retries int
+	// sends counts the upstreams that may have been given the request.
+	sends int
+	// lastEvent is the last event of the stream that the caller has.
+	lastEvent uint64
+	hasEvent  bool
 
 	// deadline is when the caller stops waiting; zero means never, or that it
 	// was told so.
@@ -59,10 +64,10 @@
 func newFlight(d *Dispatcher, req *Request, q Queue, c Caller) *flight {
 	return &flight{
 		d: d, req: req, queue: q, c: c, deadline: req.Arrive.Deadline,
-		outcome: tracker.New(req.Arrive.Idempotent),
-		relay:   relayer.NewStream(c, d.cfg.Budget, d.cfg.Relay),
-		ready:   make(chan struct{}, 1),
-		claims:  make(chan claimResult, 1),
+		outcome: newTracker(req), lastEvent: req.LastEvent, hasEvent: req.HasLastEvent,
+		relay:  relayer.NewStream(c, d.cfg.Budget, d.cfg.Relay),
+		ready:  make(chan struct{}, 1),
+		claims: make(chan claimResult, 1),
 	}
 }
 
@@ -196,7 +201,7 @@
 	}
 	if f.result.Dispatched.IsZero() {
 		f.result.Dispatched = f.now()
-		f.d.budget.earn()
+		f.d.budget.Earn(f.req.Arrive.Pool)
 	}
 	at := &attempt{upstream: a.Upstream, policy: policy, hedge: a.Hedge}
 	f.attempts = append(f.attempts, at)
@@ -208,8 +213,9 @@
 	}
 	f.start(at, &outgoing{
 		address: policy.Address, method: f.req.Method, uri: f.req.URI,
-		header: upstreamHeader(f.req), body: f.req.Body,
-		fresh: !f.req.Arrive.Idempotent || f.retries > 0,
+		header: f.requestHeader(at), body: f.req.Body,
+		fresh: f.retries > 0 || !f.req.Arrive.Idempotent && !f.d.traits.ReusesConnections,
+		once:  !f.req.Arrive.Idempotent, answers: f.answersTo(),
 	})
 }
 
@@ -261,7 +267,7 @@
 // keepsRunning reports whether the work goes on without its caller.
 func (f *flight) keepsRunning() bool {
 	for _, at := range f.attempts {
-		if !f.req.Arrive.Idempotent && !at.policy.Engine {
+		if !f.req.Arrive.Idempotent && !at.policy.Engine && !f.d.traits.CloseCancels {
 			return true
 		}
 	}
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -1,14 +1,24 @@
 package dispatcher
 
 import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
-// maxIdleConns bounds the idle connections to one upstream.
-const maxIdleConns = 32
+const (
+	// maxIdleConns bounds the idle connections to one upstream.
+	maxIdleConns = 32
+	// keepAliveMargin is how long before an upstream closes an idle connection
+	// it is no longer used.
+	keepAliveMargin = 500 * time.Millisecond
+)
 
 // connPool keeps connections whose last answer was read to its end.
 type connPool struct {
@@ -29,16 +39,69 @@
 		return nil
 	}
 	conn := conns[len(conns)-1]
-	if p.clock.Now().Sub(conn.idleSince) >= p.timeout {
+	if p.clock.Now().Sub(conn.idleSince) >= p.limit(conn) {
 		p.dropLocked(address)
 		return nil
 	}
 	conns[len(conns)-1] = nil
 	p.idle[address] = conns[:len(conns)-1]
+	if !quiet(conn) {
+		_ = conn.Close()
+		return nil
+	}
 	conn.reused = true
 	return conn
 }
 
+// limit returns how long a connection may be idle and still be used: less than
+// the upstream keeps it, so that the two do not cross.
+func (p *connPool) limit(conn *upstreamConn) time.Duration {
+	if conn.keptFor <= 0 {
+		return p.timeout
+	}
+	return min(p.timeout, conn.keptFor-keepAliveMargin)
+}
+
+// quiet reports whether nothing has come in on an idle connection: neither its
+// end nor bytes that belong to no request.
+func quiet(conn *upstreamConn) bool {
+	if conn.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := conn.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	empty := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		empty = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && empty
+}
+
+// keepAliveTimeout returns how long an upstream keeps a connection without a
+// request, or zero if it does not say.
+func keepAliveTimeout(h http.Header) time.Duration {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		text, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if !ok {
+			continue
+		}
+		seconds, err := strconv.Atoi(text)
+		if err == nil && seconds > 0 {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
+
 // put keeps a connection for reuse, or closes it.
 func (p *connPool) put(address string, conn *upstreamConn) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/dispatcher/resend.go
@@ -0,0 +1,151 @@
+package dispatcher
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/tracker"
+)
+
+// What follows serves dialects whose upstreams say that they did not run a
+// request, and whose streams go on at another upstream after their last event.
+
+// newTracker returns the tracker of a request.
+func newTracker(req *Request) *tracker.Tracker {
+	if req.Resumable {
+		return tracker.NewResumable()
+	}
+	return tracker.New(req.Arrive.Idempotent)
+}
+
+// noteSent notes that bytes of the request may have reached an upstream.
+func (f *flight) noteSent(at *attempt) {
+	at.sent = true
+	f.sends++
+	f.note(tracker.FirstByte)
+}
+
+// requestHeader returns the header of an attempt.
+func (f *flight) requestHeader(at *attempt) http.Header {
+	out := Outgoing{Upstream: at.upstream, Resumed: f.hasEvent, LastEvent: f.lastEvent}
+	if !f.deadline.IsZero() {
+		out.Left = f.deadline.Sub(f.now())
+	}
+	return f.d.dialect.RequestHeader(f.req, out)
+}
+
+// answersTo returns what tells the request's answers from others, or nil if
+// the dialect has no use for it.
+func (f *flight) answersTo() func(http.Header) bool {
+	if !f.d.traits.ReusesConnections {
+		return nil
+	}
+	return func(h http.Header) bool {
+		id := f.d.dialect.AnswersTo(h)
+		return id == "" || id == f.req.WireID
+	}
+}
+
+// learnLoad passes on what an answer says of its upstream's load.
+func (f *flight) learnLoad(at *attempt, h http.Header) {
+	if f.d.cfg.Loads == nil {
+		return
+	}
+	if report, ok := f.d.dialect.Load(h); ok {
+		report.Upstream = at.upstream
+		report.Measured = f.now()
+		f.d.cfg.Loads(report)
+	}
+}
+
+// declined goes on after an upstream said that it did not run the request: at
+// another upstream, or with a refusal that says so.
+func (f *flight) declined(at *attempt) {
+	at.declined = true
+	f.log("declined").WithField("upstream", at.upstream).Debug("upstream did not run the request")
+	f.close(at, false)
+	if len(f.attempts) > 0 {
+		f.finish(at.upstream, 0, true, false)
+		return
+	}
+	if f.mayRetry() && f.d.spendRetry(f.req.Arrive.Pool) {
+		f.scheduleRetry(at)
+		return
+	}
+	f.finish(at.upstream, 0, true, false)
+	f.refuse(string(messenger.RefuseNoUpstream), 0)
+}
+
+// mayFailOver reports whether another upstream may be given the request while
+// one that has it is silent.
+func (f *flight) mayFailOver() bool {
+	return (f.req.Arrive.Idempotent || f.req.Resumable) && len(f.attempts) == 1 &&
+		!f.gone && !f.late() && f.retries+1 < f.d.cfg.MaxAttempts &&
+		(f.req.MaxSends == 0 || f.sends < f.req.MaxSends)
+}
+
+// framedEvents relays the whole events of a stream that ends with its message.
+func (f *flight) framedEvents(at *attempt, p []byte) bool {
+	s := at.stream
+	out, count, ok := s.takeFramed(p)
+	first := len(out) > 0 && f.result.FirstOutput.IsZero()
+	f.deliver(at, out)
+	f.lastEvent, f.hasEvent = s.lastID, s.numbered
+	at.counted += float64(count)
+	if first {
+		f.result.FirstOutput = f.now()
+	}
+	if first || !s.told && len(out) > 0 {
+		s.told = true
+		f.queue.Tell(messenger.Progress{Request: f.req.ID, Tokens: float64(count), First: true})
+	}
+	if !ok {
+		f.attemptFailed(at, ProblemStreamBroken, true)
+		return f.holds(at)
+	}
+	return true
+}
+
+// takeFramed returns the bytes of the whole events that p completes, without
+// those that the caller has, and their number. It returns false if an event is
+// missing before one of them.
+func (s *streamAnswer) takeFramed(p []byte) (out []byte, count int, ok bool) {
+	s.split.rest = append(s.split.rest, p...)
+	rest := s.split.rest
+	for {
+		n := eventEnd(rest)
+		if n == 0 {
+			break
+		}
+		id, has := eventID(rest[:n])
+		keep := !has || !s.numbered || id > s.lastID
+		if has && s.numbered && id > s.lastID+1 {
+			return out, count, false
+		}
+		if keep {
+			out = append(out, rest[:n]...)
+		}
+		if keep && has {
+			s.lastID, s.numbered = id, true
+			count++
+		}
+		rest = rest[n:]
+	}
+	s.split.rest = append(s.split.rest[:0], rest...)
+	return out, count, len(rest) <= maxEventBytes
+}
+
+// eventID returns the number of an event.
+func eventID(event []byte) (uint64, bool) {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+		return id, err == nil
+	}
+	return 0, false
+}
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -27,7 +27,7 @@
 // was delivered, over a new connection. It returns false if that is not
 // possible, and then the attempt stands as it was.
 func (f *flight) resume(at *attempt) bool {
-	if !at.policy.Engine || !at.sent || !f.outcome.MayResume() {
+	if f.d.traits.ResendsStreams || !at.policy.Engine || !at.sent || !f.outcome.MayResume() {
 		return false
 	}
 	if at.stream == nil && (!f.req.Streaming || at.header != nil || f.mayRetry()) {
@@ -87,6 +87,14 @@
 	if f.resume(at) {
 		return
 	}
+	if f.d.traits.SilenceIsNoEnd && !f.mayFailOver() {
+		at.progressed(f.now(), f.progressTimeout())
+		return
+	}
+	if f.d.traits.SilenceIsNoEnd {
+		f.attemptFailed(at, ProblemUpstreamSilent, false)
+		return
+	}
 	if at.stream == nil && at.sent && at.periods < maxSilentPeriods {
 		f.startProbe(at)
 		return
@@ -143,8 +151,8 @@
 }
 
 // spendRetry takes one retry from the budget.
-func (d *Dispatcher) spendRetry() bool {
-	if !d.budget.spend() {
+func (d *Dispatcher) spendRetry(pool messenger.PoolID) bool {
+	if !d.budget.Spend(pool) {
 		d.counters.RetriesDenied.Add(1)
 		return false
 	}
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
 )
 
 // retryBase is the longest wait before the first retry; it doubles with each.
@@ -21,15 +23,15 @@
 	return &retryBudget{ratio: ratio, burst: float64(burst), tokens: float64(burst)}
 }
 
-// earn notes a first attempt.
-func (b *retryBudget) earn() {
+// Earn notes a first attempt.
+func (b *retryBudget) Earn(messenger.PoolID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.tokens = min(b.tokens+b.ratio, b.burst)
 }
 
-// spend takes one retry from the budget and reports whether there was one.
-func (b *retryBudget) spend() bool {
+// Spend takes one retry from the budget and reports whether there was one.
+func (b *retryBudget) Spend(messenger.PoolID) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.tokens < 1 {
--- /dev/null
+++ b/internal/follower/feed.go
@@ -0,0 +1,132 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// ErrHistoryGone means that the store no longer has the changes since a
+// version; the table must be read whole.
+var ErrHistoryGone = merry.Sentinel("history of the table is gone")
+
+const (
+	// DefaultWait is how long the store may keep a call for changes waiting: a
+	// connection that fell silent unnoticed delays a change by that much.
+	DefaultWait = 1500 * time.Millisecond
+	// answerSlack is how much longer than asked for an answer may take.
+	answerSlack = 400 * time.Millisecond
+	// readTimeout bounds reading a whole table.
+	readTimeout = 3 * time.Second
+	// firstPause and longestPause bound the pause after a failed call.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 800 * time.Millisecond
+)
+
+// Source is the platform's store as a Feed reads it.
+type Source interface {
+	// Read returns the whole table.
+	Read(ctx context.Context, t Table) (Batch, error)
+	// Changes waits until rows are newer than a version, or for wait.
+	Changes(ctx context.Context, t Table, since uint64, wait time.Duration) (Batch, error)
+}
+
+// Feed follows one table of the store.
+type Feed struct {
+	Source Source
+	Table  Table
+	Clock  timekeeper.Clock
+	Log    *logrus.Logger
+	// Wait is how long the store may keep a call waiting.
+	Wait time.Duration
+	// Batches gets what was read, and Reached whether the store answers.
+	Batches func(Batch)
+	Reached func(ok bool)
+
+	since   uint64
+	started bool
+	failing bool
+}
+
+// Run follows the table until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	if f.Wait <= 0 {
+		f.Wait = DefaultWait
+	}
+	pause := firstPause
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		f.note(err)
+		if err == nil {
+			pause = firstPause
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.Clock.After(pause):
+		}
+		pause = min(2*pause, longestPause)
+	}
+}
+
+// step makes one call.
+func (f *Feed) step(ctx context.Context) error {
+	if !f.started {
+		return f.read(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+answerSlack)
+	defer cancel()
+	b, err := f.Source.Changes(ctx, f.Table, f.since, f.Wait)
+	if errors.Is(err, ErrHistoryGone) {
+		f.Log.WithFields(logrus.Fields{"event": "historyGone", "table": f.Table, "since": f.since}).Info("reading the whole table again")
+		f.started = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.take(b)
+	return nil
+}
+
+func (f *Feed) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	b, err := f.Source.Read(ctx, f.Table)
+	if err != nil {
+		return err
+	}
+	f.started = true
+	f.take(b)
+	return nil
+}
+
+func (f *Feed) take(b Batch) {
+	f.since = max(f.since, b.Version)
+	if len(b.Rows) > 0 || b.Whole {
+		f.Batches(b)
+	}
+}
+
+// note tells of a lost and of a regained store, once each.
+func (f *Feed) note(err error) {
+	f.Reached(err == nil)
+	if (err != nil) == f.failing {
+		return
+	}
+	f.failing = err != nil
+	entry := f.Log.WithFields(logrus.Fields{"event": "store", "table": f.Table, "version": f.since})
+	if err != nil {
+		entry.WithError(err).Warn("store lost; serving by what is known")
+		return
+	}
+	entry.Info("store regained")
+}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,290 @@
+// Package follower keeps what a router believes of a fleet whose platform
+// keeps the configuration and the list of upstreams: the newest configuration
+// and the registrations of the upstreams, each with the version at which the
+// platform's store took it.
+//
+// Rows come from the store and from other routers, in any order and more than
+// once; for each row the highest version wins, so that no router goes back.
+// While a router cannot reach the store it goes on with what it knows and what
+// its peers tell it. Registrations that the store dropped while it was away
+// are believed for a short while after its return, in which upstreams that
+// live are registered again.
+//
+// A Follower does no I/O. A Feed reads the store for it.
+//
+// # Usage
+//
+//	f := follower.New(decoder)
+//	if f.Merge(now, follower.Batch{Table: follower.Registrations, Rows: rows, Whole: true}) {
+//		snapshot := f.Snapshot()
+//	}
+package follower
+
+import (
+	"time"
+
+	"lentilwood.example/lentilwood/internal/matcher"
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// Table names what the platform's store keeps for the fleet.
+type Table string
+
+// The tables that are followed.
+const (
+	// ConfigurationTable holds the newest configuration.
+	ConfigurationTable Table = "configuration"
+	// RegistrationTable holds a row for each upstream.
+	RegistrationTable Table = "registration"
+)
+
+// returnTime is how long after the store's return a registration that it
+// dropped meanwhile is still believed.
+const returnTime = 2500 * time.Millisecond
+
+// Row is one row of a table as the store had it.
+type Row struct {
+	_     struct{} `codec:",toarray"`
+	Table Table
+	Key   string
+	Value []byte
+	// Version is the store's; it grows with each write to any table.
+	Version uint64
+	Deleted bool
+}
+
+// Batch is rows that were read together.
+type Batch struct {
+	Table Table
+	Rows  []Row
+	// Whole is true if Rows is all of the table as of Version, so that what is
+	// missing is gone.
+	Whole   bool
+	Version uint64
+}
+
+// Configuration is one version of the fleet's configuration.
+type Configuration struct {
+	Table *matcher.Table
+	// Pools holds the pools that upstreams may register for.
+	Pools map[messenger.PoolID]messenger.PoolPolicy
+	// Throughput is what all engines together do in a second; see Policy.
+	Throughput float64
+}
+
+// Decoder reads the values of rows.
+type Decoder interface {
+	Configuration(value []byte) (*Configuration, error)
+	// Registration reads the row of an upstream.
+	Registration(key string, value []byte) (messenger.UpstreamPolicy, error)
+}
+
+// Snapshot is what requests are served by.
+type Snapshot struct {
+	Table  *matcher.Table
+	Policy *messenger.Policy
+}
+
+// Follower keeps the newest rows. It is not safe for concurrent use.
+type Follower struct {
+	decoder Decoder
+	rows    map[Table]map[string]*entry
+	newest  map[Table]uint64
+	// configuration is the newest that could be read.
+	configuration *Configuration
+	// away is true while the store cannot be reached; back is its last return.
+	away bool
+	back time.Time
+	// rejected are the rows that could not be read, since the last look.
+	rejected []Rejected
+}
+
+// entry is the newest row of a key.
+type entry struct {
+	row      Row
+	upstream messenger.UpstreamPolicy
+	readable bool
+	// goneAt is when a dropped row stops being believed; zero means at once.
+	goneAt time.Time
+	last   messenger.UpstreamPolicy
+}
+
+// Rejected is a row that could not be read.
+type Rejected struct {
+	Table   Table
+	Key     string
+	Version uint64
+	Err     error
+}
+
+// New returns a Follower that knows nothing.
+func New(decoder Decoder) *Follower {
+	f := &Follower{decoder: decoder, rows: make(map[Table]map[string]*entry), newest: make(map[Table]uint64)}
+	f.rows[ConfigurationTable] = make(map[string]*entry)
+	f.rows[RegistrationTable] = make(map[string]*entry)
+	return f
+}
+
+// Reached notes whether the store answers.
+func (f *Follower) Reached(now time.Time, ok bool) {
+	if f.away && ok {
+		f.back = now
+	}
+	f.away = !ok
+}
+
+// Version returns the highest version known of a table.
+func (f *Follower) Version(t Table) uint64 { return f.newest[t] }
+
+// Merge takes in rows and reports whether that changed what requests are
+// served by.
+func (f *Follower) Merge(now time.Time, b Batch) bool {
+	known := f.rows[b.Table]
+	if known == nil {
+		return false
+	}
+	changed := false
+	seen := make(map[string]bool, len(b.Rows))
+	for _, row := range b.Rows {
+		row.Table = b.Table
+		seen[row.Key] = true
+		changed = f.mergeRow(now, known, row) || changed
+	}
+	if b.Whole {
+		changed = f.dropMissing(now, b, seen) || changed
+	}
+	f.newest[b.Table] = max(f.newest[b.Table], b.Version)
+	return changed
+}
+
+// dropMissing takes what a whole table does not have for gone.
+func (f *Follower) dropMissing(now time.Time, b Batch, seen map[string]bool) bool {
+	changed := false
+	for key, e := range f.rows[b.Table] {
+		if seen[key] || e.row.Deleted || e.row.Version > b.Version {
+			continue
+		}
+		row := Row{Table: b.Table, Key: key, Version: b.Version, Deleted: true}
+		changed = f.mergeRow(now, f.rows[b.Table], row) || changed
+	}
+	return changed
+}
+
+func (f *Follower) mergeRow(now time.Time, known map[string]*entry, row Row) bool {
+	e, ok := known[row.Key]
+	if ok && e.row.Version >= row.Version {
+		return false
+	}
+	f.newest[row.Table] = max(f.newest[row.Table], row.Version)
+	fresh := &entry{row: row}
+	if ok {
+		fresh.last = e.last
+	}
+	known[row.Key] = fresh
+	if row.Table == ConfigurationTable {
+		return f.configure(row)
+	}
+	f.register(now, fresh)
+	return true
+}
+
+// configure puts a configuration in force, unless it is older than the one
+// that is.
+func (f *Follower) configure(row Row) bool {
+	if row.Deleted {
+		return false
+	}
+	c, err := f.decoder.Configuration(row.Value)
+	if err != nil {
+		f.reject(row, err)
+		return false
+	}
+	if f.configuration != nil && c.Table.Version() < f.configuration.Table.Version() {
+		return false
+	}
+	f.configuration = c
+	return true
+}
+
+func (f *Follower) register(now time.Time, e *entry) {
+	if e.row.Deleted {
+		if f.away || now.Sub(f.back) < returnTime && !f.back.IsZero() {
+			e.goneAt = now.Add(returnTime)
+		}
+		return
+	}
+	u, err := f.decoder.Registration(e.row.Key, e.row.Value)
+	if err != nil {
+		f.reject(e.row, err)
+		return
+	}
+	e.upstream, e.readable, e.last = u, true, u
+}
+
+func (f *Follower) reject(row Row, err error) {
+	f.rejected = append(f.rejected, Rejected{Table: row.Table, Key: row.Key, Version: row.Version, Err: err})
+}
+
+// TakeRejected returns the rows that could not be read since the last call.
+func (f *Follower) TakeRejected() []Rejected {
+	out := f.rejected
+	f.rejected = nil
+	return out
+}
+
+// Expire reports whether a registration stopped being believed since the last
+// look.
+func (f *Follower) Expire(now time.Time) bool {
+	changed := false
+	for _, e := range f.rows[RegistrationTable] {
+		if !e.goneAt.IsZero() && !now.Before(e.goneAt) {
+			e.goneAt = time.Time{}
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Known reports whether there is a configuration.
+func (f *Follower) Known() bool { return f.configuration != nil }
+
+// Snapshot returns what requests are served by, or nil without a
+// configuration.
+func (f *Follower) Snapshot() *Snapshot {
+	if f.configuration == nil {
+		return nil
+	}
+	policy := &messenger.Policy{
+		Version:    f.configuration.Table.Version(),
+		Pools:      f.configuration.Pools,
+		Upstreams:  make(map[messenger.UpstreamID]messenger.UpstreamPolicy),
+		Throughput: f.configuration.Throughput,
+	}
+	for key, e := range f.rows[RegistrationTable] {
+		u := e.upstream
+		if e.row.Deleted && !e.goneAt.IsZero() {
+			u = e.last
+		} else if !e.readable {
+			continue
+		}
+		pool, ok := policy.Pools[u.Pool]
+		if !ok {
+			continue
+		}
+		u.Engine = pool.Engine != nil
+		policy.Upstreams[messenger.UpstreamID(key)] = u
+	}
+	return &Snapshot{Table: f.configuration.Table, Policy: policy}
+}
+
+// Since returns the rows of a table that are newer than a version, for a
+// router that lags.
+func (f *Follower) Since(t Table, version uint64) []Row {
+	var rows []Row
+	for _, e := range f.rows[t] {
+		if e.row.Version > version {
+			rows = append(rows, e.row)
+		}
+	}
+	return rows
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -198,6 +198,10 @@
 
 func (l *Listener) full() bool { return l.Conns() >= l.cfg.MaxConns }
 
+// AnnounceClose goes on accepting, but tells each connection with its next
+// answer that it will be closed.
+func (l *Listener) AnnounceClose() { l.draining.Store(true) }
+
 // StopAccepting closes the port. Open connections live on; each is told with
 // its next answer that it will be closed.
 func (l *Listener) StopAccepting() {
--- a/internal/loader/check.go
+++ b/internal/loader/check.go
@@ -92,6 +92,10 @@
 	atLeast(c, "drainLimit", s.DrainLimit, time.Second)
 	c.address("platform.address", s.Platform.Address)
 	atLeast(c, "platform.timeout", s.Platform.Timeout, time.Millisecond)
+	c.share("retries.ratio", s.Retries.Ratio)
+	atLeast(c, "retries.extra", s.Retries.Extra, 0)
+	atLeast(c, "retries.window", s.Retries.Window, 100*time.Millisecond)
+	atLeast(c, "memory", s.Memory, 0)
 	checkPeerKey(c, s)
 	for i, peer := range s.SeedPeers {
 		c.address(parser.Index("seedPeers", i), peer)
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -31,8 +31,13 @@
 	SeedPeers []string   `json:"seedPeers"`
 	Operators []Operator `json:"operators"`
 	Control   Control    `json:"control"`
-	Metrics   Metrics    `json:"metrics"`
-	Log       Log        `json:"log"`
+	// Retries bounds second sends over the whole fleet; used on a platform of
+	// the interface "rows".
+	Retries Retries `json:"retries"`
+	// Memory is what the process may use, in MB; zero means no bound.
+	Memory  int     `json:"memory"`
+	Metrics Metrics `json:"metrics"`
+	Log     Log     `json:"log"`
 }
 
 // Listeners are the addresses that a router serves.
@@ -78,10 +83,37 @@
 // PlatformClient says where the platform's service answers.
 type PlatformClient struct {
 	Address string `json:"address"`
+	// Interface is what the platform speaks.
+	Interface Interface `json:"interface"`
 	// Timeout bounds one call.
 	Timeout time.Duration `json:"timeout"`
 }
 
+// Interface names what a platform speaks.
+type Interface string
+
+// The interfaces of platforms.
+const (
+	// InterfaceStore is the table service that the stand-in shows: the fleet
+	// keeps its own configuration there.
+	InterfaceStore Interface = "store"
+	// InterfaceRows is the users' platform, which keeps the configuration and
+	// the list of upstreams as rows.
+	InterfaceRows Interface = "rows"
+)
+
+// Values returns every interface.
+func (Interface) Values() []string { return []string{string(InterfaceStore), string(InterfaceRows)} }
+
+// Retries bounds how many requests are sent more than once.
+type Retries struct {
+	// Ratio is the share of the requests of a pool in a window, and Extra how
+	// many more the whole fleet may send again.
+	Ratio  float64       `json:"ratio"`
+	Extra  float64       `json:"extra"`
+	Window time.Duration `json:"window"`
+}
+
 // Operator is a person who may use the operators' API.
 type Operator struct {
 	// Name is the author that history shows.
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -20,8 +20,43 @@
 	Idempotent bool
 	// Prefix is a hash of the prompt prefix; zero means none.
 	Prefix uint64
+	// Work is what the request asks of a model engine; the zero value means
+	// that nothing is known of it.
+	Work Work
+	// Objective is the time from the arrival to the first output that the
+	// operator aims at; zero means none.
+	Objective time.Duration
 }
 
+// Work is what one request asks of a model engine.
+type Work struct {
+	// Prompt holds the parts of the prompt in order.
+	Prompt []PromptPart
+	// Output is how many tokens may be generated.
+	Output int
+}
+
+// PromptPart is a part of a prompt that requests may share.
+type PromptPart struct {
+	// Chain identifies the part together with all parts before it.
+	Chain uint64
+	// Tokens is the length of the part.
+	Tokens int
+}
+
+// PromptTokens returns the length of the whole prompt.
+func (w Work) PromptTokens() int {
+	n := 0
+	for _, p := range w.Prompt {
+		n += p.Tokens
+	}
+	return n
+}
+
+// Cost returns what the work counts for in shares of throughput: each token
+// read once and each token generated twice.
+func (w Work) Cost() float64 { return float64(w.PromptTokens() + 2*w.Output) }
+
 // Progress says that an upstream produced tokens since the last event.
 type Progress struct {
 	Request RequestID
@@ -57,6 +92,12 @@
 	Upstream UpstreamID
 	// Running and Waiting count the requests inside the upstream.
 	Running, Waiting int
+	// Slots is how many requests the upstream works on at a time; zero means
+	// that it does not say.
+	Slots int
+	// Slowdown is how many times longer than usual work takes there now; zero
+	// means that it does not say.
+	Slowdown float64
 	// Measured is when the upstream counted.
 	Measured time.Time
 }
@@ -91,3 +132,33 @@
 func (CacheReport) isEvent()  {}
 func (Receive) isEvent()      {}
 func (Tick) isEvent()         {}
+
+// PeerLoad is what another router runs on the upstreams and is asked for.
+// Codecs write it as an array, so the order of the fields is part of the
+// format between routers.
+type PeerLoad struct {
+	_         struct{} `codec:",toarray"`
+	From      RouterID
+	Upstreams []UpstreamLoad
+	Accounts  []AccountDemand
+}
+
+// UpstreamLoad is what one router runs on one upstream.
+type UpstreamLoad struct {
+	_        struct{} `codec:",toarray"`
+	Upstream UpstreamID
+	// Running counts the requests, Unstarted those of them without output.
+	Running, Unstarted uint32
+	// Reading is what is to be read for the unstarted ones, in tokens.
+	Reading uint32
+}
+
+// AccountDemand is what one client account asks of one router.
+type AccountDemand struct {
+	_       struct{} `codec:",toarray"`
+	Account AccountID
+	// Rate is in units of Work.Cost a second.
+	Rate uint32
+}
+
+func (PeerLoad) isEvent() {}
--- a/internal/messenger/policy.go
+++ b/internal/messenger/policy.go
@@ -18,6 +18,9 @@
 	Pools map[PoolID]PoolPolicy
 	// Upstreams holds each upstream that is known.
 	Upstreams map[UpstreamID]UpstreamPolicy
+	// Throughput is what all engines together do in a second, counted as
+	// Work.Cost does; zero means not known.
+	Throughput float64
 }
 
 // AccountOf returns the policy of one client account.
@@ -71,6 +74,16 @@
 	LongShare float64
 	// HedgeBudget is the largest share, 0 to 1, of requests that are hedged.
 	HedgeBudget float64
+	// Engine describes the pool's model engines; nil for plain services.
+	Engine *EnginePolicy
+}
+
+// EnginePolicy is what is known beforehand of the model engines of a pool.
+type EnginePolicy struct {
+	// Memory is the tokens that running requests and kept prompts share.
+	Memory int
+	// EventTokens is how many tokens one event of a stream holds.
+	EventTokens int
 }
 
 // UpstreamPolicy describes one upstream.
@@ -84,6 +97,8 @@
 	Window int
 	// Engine is true for a model engine and false for a plain service.
 	Engine bool
+	// Started tells restarts of its process apart; zero if it does not say.
+	Started time.Time
 	// Leaving is true once it must get no new work.
 	Leaving bool
 	// NoLong is true once it must get no new long work.
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -39,8 +39,10 @@
 	clock   timekeeper.Clock
 	decider decider
 	fleet   fleet
-	inbox   chan any
-	done    chan struct{}
+	// ticked, if set, is called at every tick.
+	ticked func()
+	inbox  chan any
+	done   chan struct{}
 	// unclaimed holds dispatches that no request took up.
 	unclaimed []messenger.Finish
 	// outgoing holds what the decisions so far have to say to other routers.
@@ -80,6 +82,9 @@
 		case <-tick:
 			c.handle(messenger.Tick{})
 			c.tickFleet()
+			if c.ticked != nil {
+				c.ticked()
+			}
 			c.flush()
 			tick = c.clock.After(messenger.TickInterval)
 		case m := <-c.inbox:
@@ -106,6 +111,9 @@
 // tickFleet gives the coordinator its ticks, which are rarer than the
 // scheduler's.
 func (c *control) tickFleet() {
+	if c.fleet == nil {
+		return
+	}
 	now := c.clock.Now()
 	if now.Sub(c.fleetTicked) >= coordinator.TickInterval/2 {
 		c.fleetTicked = now
--- /dev/null
+++ b/internal/router/hosted.go
@@ -0,0 +1,382 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/admitter"
+	"lentilwood.example/lentilwood/internal/budgeter"
+	"lentilwood.example/lentilwood/internal/dispatcher"
+	"lentilwood.example/lentilwood/internal/exchanger"
+	"lentilwood.example/lentilwood/internal/follower"
+	"lentilwood.example/lentilwood/internal/listener"
+	"lentilwood.example/lentilwood/internal/loader"
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/meter"
+	"lentilwood.example/lentilwood/internal/relayer"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+const (
+	// connectTimeout bounds opening a connection to an upstream: one in the
+	// same region answers within milliseconds, or after one lost packet.
+	connectTimeout = 450 * time.Millisecond
+	// upstreamIdle is how long a kept connection to an upstream is used that
+	// did not say how long it keeps it.
+	upstreamIdle = 3 * time.Second
+	// resends bounds the attempts of one request, declined ones included.
+	resends = 4
+	// cutMargin is how long before the platform ends the process requests in
+	// progress are cut off, so that their callers are told.
+	cutMargin = 400 * time.Millisecond
+	// budgetBytes bounds what is held for slow callers, as a part of the memory.
+	budgetShare = 8
+	// memoryShare is the part of the VM's memory that the runtime aims to stay
+	// under, in percent.
+	memoryShare = 70
+)
+
+// Directory is where the routers of a fleet find each other.
+type Directory interface {
+	// Announce writes this router's entry, replacing an older one.
+	Announce(ctx context.Context, m Member) error
+	// Withdraw removes an entry.
+	Withdraw(ctx context.Context, name string) error
+	// Members returns all entries. An error beside entries says that some
+	// could not be read.
+	Members(ctx context.Context) ([]Member, error)
+}
+
+// Entrance reads what callers' headers say.
+type Entrance interface {
+	Read(h http.Header) Incoming
+}
+
+// Incoming is what a caller's header says of its request.
+type Incoming struct {
+	// RequestID is the caller's id of this try; another try has another one.
+	RequestID string
+	// Key names the client account.
+	Key string
+	// Deadline is how long the caller waits; zero if it does not say.
+	Deadline time.Duration
+	// LastEvent is the last event of the stream that the caller has, if
+	// HasLastEvent.
+	LastEvent    uint64
+	HasLastEvent bool
+	Work         messenger.Work
+}
+
+// HostedConfig is what a Hosted router is made of. Clock and Log may be left
+// out.
+type HostedConfig struct {
+	Settings  loader.Router
+	Source    follower.Source
+	Directory Directory
+	Decoder   follower.Decoder
+	Dialect   dispatcher.Dialect
+	Entrance  Entrance
+	Clock     timekeeper.Clock
+	Log       *logrus.Logger
+}
+
+// Hosted is a router on a platform that keeps the configuration and the list
+// of upstreams itself. It takes no part in editing the configuration, in orders
+// to upstreams or in emptying a site, and keeps no records of its own.
+type Hosted struct {
+	cfg         HostedConfig
+	settings    loader.Router
+	self        messenger.RouterID
+	incarnation uint64
+	clock       timekeeper.Clock
+	log         *logrus.Logger
+
+	control    *control
+	admitter   *admitter.Admitter
+	dispatcher *dispatcher.Dispatcher
+	budget     *budgeter.Budgeter
+	meter      *meter.Meter
+	exchanger  *exchanger.Exchanger[hostedEnvelope]
+	callers    *listener.Listener
+	operators  *listener.Listener
+
+	snapshot    atomic.Pointer[follower.Snapshot]
+	draining    atomic.Bool
+	lastRequest atomic.Uint64
+	inProgress  atomic.Int64
+
+	serving     context.Context
+	cutRequests context.CancelFunc
+	background  context.Context
+	stopAll     context.CancelFunc
+	goroutines  sync.WaitGroup
+
+	// The control goroutine owns the rest.
+	follower *follower.Follower
+	peers    map[string]*hostedPeer
+	shared   time.Time
+	reached  map[follower.Table]bool
+}
+
+// NewHosted returns a Hosted router that is not yet started.
+func NewHosted(cfg HostedConfig) *Hosted {
+	if cfg.Clock == nil {
+		cfg.Clock = timekeeper.System{}
+	}
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	h := &Hosted{
+		cfg: cfg, settings: cfg.Settings, self: messenger.RouterID(cfg.Settings.Name),
+		clock: cfg.Clock, log: cfg.Log,
+		incarnation: uint64(cfg.Clock.Now().UnixMicro()),
+		meter:       meter.New(cfg.Clock, cfg.Settings.Metrics.Accounts),
+		follower:    follower.New(cfg.Decoder),
+		peers:       make(map[string]*hostedPeer),
+		reached:     make(map[follower.Table]bool),
+	}
+	h.serving, h.cutRequests = context.WithCancel(context.Background())
+	h.background, h.stopAll = context.WithCancel(context.Background())
+	retries := cfg.Settings.Retries
+	h.budget = budgeter.New(cfg.Clock, budgeter.Bounds{Ratio: retries.Ratio, Extra: retries.Extra, Window: retries.Window})
+	h.admitter = admitter.New(admitter.Config{Self: h.self, Domain: cfg.Settings.FailureDomain, Seed: h.incarnation})
+	h.control = newControl(cfg.Clock, h.admitter)
+	h.control.ticked = h.tick
+	h.dispatcher = dispatcher.New(dispatcher.Config{
+		Upstreams: h, Clock: cfg.Clock, Log: cfg.Log, Seed: h.incarnation,
+		Budget:         relayer.NewBudget(int64(cfg.Settings.Memory) << 20 / budgetShare),
+		ConnectTimeout: connectTimeout, IdleTimeout: upstreamIdle,
+		MaxAttempts: resends, Retries: h.budget, Dialect: cfg.Dialect,
+		Loads: func(report messenger.LoadReport) { h.control.submit(report) },
+	})
+	return h
+}
+
+// Start opens the listeners and begins to follow the platform's store.
+func (h *Hosted) Start() error {
+	limitMemory(h.settings.Memory * memoryShare / 100)
+	if err := h.listen(); err != nil {
+		h.stopAll()
+		return err
+	}
+	h.goroutines.Go(func() { h.control.run(h.background) })
+	for _, table := range []follower.Table{follower.ConfigurationTable, follower.RegistrationTable} {
+		feed := &follower.Feed{
+			Source: h.cfg.Source, Table: table, Clock: h.clock, Log: h.log,
+			Batches: func(b follower.Batch) { h.control.call(func() { h.merge(b) }) },
+			Reached: func(ok bool) { h.control.call(func() { h.noteStore(table, ok) }) },
+		}
+		h.goroutines.Go(func() { feed.Run(h.background) })
+	}
+	h.goroutines.Go(h.join)
+	h.log.WithFields(logrus.Fields{
+		"event": "started", "router": h.self, "incarnation": h.incarnation, "callers": h.callers.Addr(),
+	}).Info("router started")
+	return nil
+}
+
+func (h *Hosted) listen() error {
+	key, err := h.settings.ReadPeerKey()
+	if err != nil {
+		return err
+	}
+	h.exchanger = exchanger.New(exchanger.Config[hostedEnvelope]{
+		Name: string(h.self), Address: h.settings.Listeners.Peers.Address, Key: key,
+		Handler: func(_ string, e hostedEnvelope) {
+			h.control.submit(inspection{run: func() { h.receive(e) }, done: make(chan struct{})})
+		},
+		Clock: h.clock, Log: h.log, QueueLength: peerQueue, CallTimeout: peerTimeout,
+	})
+	if err := h.exchanger.Start(); err != nil {
+		return err
+	}
+	h.callers, err = listener.Start(h.listenerConfig("callers", h.settings.Listeners.Callers, h.serveCaller))
+	if err != nil {
+		return err
+	}
+	h.operators, err = listener.Start(h.listenerConfig("operators", h.settings.Listeners.Operators, h.serveOperator))
+	return err
+}
+
+func (h *Hosted) listenerConfig(name string, l loader.Listener, handler listener.Handler) listener.Config {
+	limits := h.settings.Limits
+	return listener.Config{
+		Name: name, Address: l.Address,
+		MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes,
+		MaxPendingBytes: limits.MaxPendingBytes, MaxConns: limits.MaxConnections,
+		ReadTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout,
+		Handler: handler, Log: h.log, Clock: h.clock,
+	}
+}
+
+// serveOperator answers the readiness check and shows the metrics.
+func (h *Hosted) serveOperator(c *listener.Caller, req *http.Request) {
+	switch req.URL.Path {
+	case "/readyz":
+		if ready, reason := h.Ready(); !ready {
+			http.Error(c, reason, http.StatusServiceUnavailable)
+			return
+		}
+		c.WriteHeader(http.StatusOK)
+	case "/metrics":
+		h.writeMetrics(c)
+	default:
+		http.NotFound(c, req)
+	}
+}
+
+// Ready reports whether the router serves callers, and if not, why.
+func (h *Hosted) Ready() (bool, string) {
+	switch {
+	case h.draining.Load():
+		return false, "shutting-down"
+	case h.snapshot.Load() == nil:
+		return false, "no-configuration"
+	}
+	return true, ""
+}
+
+// Upstream returns the settings of an upstream.
+func (h *Hosted) Upstream(id messenger.UpstreamID) (messenger.UpstreamPolicy, bool) {
+	s := h.snapshot.Load()
+	if s == nil {
+		return messenger.UpstreamPolicy{}, false
+	}
+	u, ok := s.Policy.Upstreams[id]
+	return u, ok && !u.Leaving
+}
+
+// merge takes in rows of the store or of another router. It runs on the
+// control goroutine.
+func (h *Hosted) merge(b follower.Batch) {
+	if h.follower.Merge(h.clock.Now(), b) {
+		h.publish()
+	}
+}
+
+// publish puts what the follower knows in force.
+func (h *Hosted) publish() {
+	for _, r := range h.follower.TakeRejected() {
+		h.log.WithFields(logrus.Fields{"event": "rowRejected", "table": r.Table, "key": r.Key, "rowVersion": r.Version}).
+			WithError(r.Err).Warn("row left out")
+	}
+	s := h.follower.Snapshot()
+	if s == nil {
+		return
+	}
+	before := h.snapshot.Swap(s)
+	h.control.handle(messenger.PolicyChange{Policy: s.Policy})
+	h.logChange(before, s)
+}
+
+// logChange says what a new snapshot changes.
+func (h *Hosted) logChange(before, after *follower.Snapshot) {
+	if before == nil || before.Table.Version() != after.Table.Version() {
+		h.log.WithFields(logrus.Fields{
+			"event": "configuration", "version": after.Table.Version(),
+			"rowVersion": h.follower.Version(follower.ConfigurationTable),
+		}).Info("configuration in force")
+	}
+	for id, u := range after.Policy.Upstreams {
+		if before != nil {
+			if old, ok := before.Policy.Upstreams[id]; ok && old == u {
+				continue
+			}
+		}
+		h.log.WithFields(logrus.Fields{
+			"event": "upstream", "upstream": id, "pool": u.Pool, "address": u.Address, "leaving": u.Leaving,
+		}).Info("upstream known")
+	}
+	if before == nil {
+		return
+	}
+	for id := range before.Policy.Upstreams {
+		if _, ok := after.Policy.Upstreams[id]; !ok {
+			h.log.WithFields(logrus.Fields{"event": "upstream", "upstream": id, "gone": true}).Info("upstream gone")
+		}
+	}
+}
+
+// noteStore notes whether the store answers; it counts as away while any of
+// the tables can't be followed.
+func (h *Hosted) noteStore(t follower.Table, ok bool) {
+	h.reached[t] = ok
+	all := true
+	for _, reached := range h.reached {
+		all = all && reached
+	}
+	h.follower.Reached(h.clock.Now(), all)
+}
+
+// tick runs on the control goroutine at every tick.
+func (h *Hosted) tick() {
+	if h.follower.Expire(h.clock.Now()) {
+		h.publish()
+	}
+	h.tellPeers()
+}
+
+// Shutdown makes the router not ready, goes on serving until the balancer has
+// noticed, finishes every request in progress and stops. Requests that are
+// left shortly before the platform ends the process are cut off.
+func (h *Hosted) Shutdown(ctx context.Context) error {
+	began := h.clock.Now()
+	h.draining.Store(true)
+	h.callers.AnnounceClose()
+	h.log.WithField("event", "draining").WithField("inProgress", h.inProgress.Load()).Info("not ready; waiting for the balancer")
+	select {
+	case <-ctx.Done():
+	case <-h.clock.After(h.settings.BalancerLag):
+	}
+	left := h.settings.DrainLimit - cutMargin - h.clock.Now().Sub(began)
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	err := h.finishRequests(ctx)
+	h.withdraw()
+	h.cutRequests()
+	h.dispatcher.Close()
+	h.stopAll()
+	h.exchanger.Stop()
+	h.log.WithField("event", "stopped").Info("router stopped")
+	return err
+}
+
+// finishRequests waits for the requests in progress. Those that are left when
+// ctx ends are told so before the process ends.
+func (h *Hosted) finishRequests(ctx context.Context) error {
+	done := make(chan error, 1)
+	go func() { done <- h.callers.Shutdown(context.Background()) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	h.cutRequests()
+	select {
+	case err := <-done:
+		return err
+	case <-h.clock.After(cutMargin / 2):
+		return context.DeadlineExceeded
+	}
+}
+
+// withdraw removes this router's entry. The others notice its silence as well.
+func (h *Hosted) withdraw() {
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	if err := h.cfg.Directory.Withdraw(ctx, string(h.self)); err != nil {
+		h.log.WithField("event", "withdraw").WithError(err).Info("own entry left behind")
+	}
+}
+
+// sharedPath returns the path of a request without its query.
+func sharedPath(uri string) string {
+	path, _, _ := strings.Cut(uri, "?")
+	return path
+}
--- /dev/null
+++ b/internal/router/hostedtraffic.go
@@ -0,0 +1,173 @@
+package router
+
+import (
+	"io"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/dispatcher"
+	"lentilwood.example/lentilwood/internal/explainer"
+	"lentilwood.example/lentilwood/internal/listener"
+	"lentilwood.example/lentilwood/internal/matcher"
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+const (
+	// streamSilence is how long an upstream may be silent in a stream before
+	// another one is given the rest, where that is allowed.
+	streamSilence = 800 * time.Millisecond
+	// silencePerObjective is how many times the objective an upstream may take
+	// for a request that may be repeated.
+	silencePerObjective = 2
+	// streamClass and callClass name the series of requests.
+	streamClass messenger.ClassID = "stream"
+	callClass   messenger.ClassID = "call"
+)
+
+var problemMethodNotRead = &refusal{http.StatusBadRequest, "body", "The body could not be read"}
+
+// serveCaller answers one request of a caller.
+func (h *Hosted) serveCaller(c *listener.Caller, req *http.Request) {
+	h.inProgress.Add(1)
+	defer h.inProgress.Add(-1)
+	in := h.cfg.Entrance.Read(req.Header)
+	out, refused := h.accept(&in, req)
+	if refused != nil {
+		h.refuseAtEntry(c, refused, in.RequestID)
+		return
+	}
+	h.carry(c, out)
+}
+
+// refuseAtEntry answers a request that was not even queued.
+func (h *Hosted) refuseAtEntry(c *listener.Caller, p *refusal, id string) {
+	d := explainer.New(p.name, p.title, p.status, messenger.NotRun)
+	if p.status == http.StatusServiceUnavailable {
+		d.RetryAfter = notReadyRetryAfter
+	}
+	h.meter.Counter(p.metric()).Inc()
+	h.log.WithFields(logrus.Fields{"event": "refused", "request": id, "reason": p.name, "status": p.status, "version": h.version()}).Info("request refused at entry")
+	if err := h.cfg.Dialect.WriteProblem(c, &dispatcher.Request{WireID: id}, d); err != nil {
+		h.log.WithFields(logrus.Fields{"event": "callerGone", "request": id}).WithError(err).Debug("refusal not delivered")
+	}
+}
+
+// version returns the version of the configuration in force, or zero.
+func (h *Hosted) version() uint64 {
+	if s := h.snapshot.Load(); s != nil {
+		return s.Table.Version()
+	}
+	return 0
+}
+
+// accept finds the route, the account and the pool of a request in one
+// snapshot. It returns what to refuse it with if it can't be served.
+func (h *Hosted) accept(in *Incoming, req *http.Request) (*dispatcher.Request, *refusal) {
+	s := h.snapshot.Load()
+	if s == nil {
+		return nil, refuseNotReady
+	}
+	route, ok := s.Table.Route(req.Host, sharedPath(req.URL.RequestURI()))
+	if !ok {
+		return nil, refuseRoute
+	}
+	account, ok := s.Table.Account(in.Key)
+	if !ok && !route.Public && s.Table.Keyed() {
+		return nil, refuseToken
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return nil, problemMethodNotRead
+	}
+	out := &dispatcher.Request{
+		ID: messenger.RequestID(h.lastRequest.Add(1)), WireID: in.RequestID,
+		Host: req.Host, Method: req.Method, URI: req.URL.RequestURI(), Header: req.Header, Body: body,
+		Streaming: route.Streaming, Resumable: route.Resumable,
+		LastEvent: in.LastEvent, HasLastEvent: in.HasLastEvent, MaxSends: route.MaxSends,
+		Class: messenger.ClassPolicy{ProgressTimeout: silenceOf(route)},
+	}
+	out.Arrive = h.arrival(out.ID, in, route)
+	if account != nil {
+		out.Arrive.Account = account.Name
+	}
+	return out, nil
+}
+
+// silenceOf returns how long an upstream may be silent with a request.
+func silenceOf(route *matcher.Route) time.Duration {
+	if route.Streaming || route.Objective <= 0 {
+		return streamSilence
+	}
+	return min(streamSilence, silencePerObjective*route.Objective)
+}
+
+// arrival tells the scheduler of a request.
+func (h *Hosted) arrival(id messenger.RequestID, in *Incoming, route *matcher.Route) messenger.Arrive {
+	a := messenger.Arrive{
+		Request: id, Pool: route.Pool(xxhash.Sum64String(in.RequestID)), Class: callClass,
+		Idempotent: route.Idempotent, Work: in.Work, Objective: route.Objective,
+	}
+	if route.Streaming {
+		a.Class = streamClass
+	}
+	wait := in.Deadline
+	if route.Timeout > 0 && (wait <= 0 || route.Timeout < wait) {
+		wait = route.Timeout
+	}
+	if wait > 0 {
+		a.Deadline = h.clock.Now().Add(wait)
+	}
+	return a
+}
+
+// carry serves an accepted request to its end.
+func (h *Hosted) carry(c *listener.Caller, out *dispatcher.Request) {
+	arrived := h.clock.Now()
+	queue := h.control.open(out.ID)
+	result := h.dispatcher.Serve(h.serving, out, queue, c)
+	h.control.closeQueue(out.ID)
+	h.observe(out, arrived, result)
+	if result.Aborted {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// observe counts and logs an ended request.
+func (h *Hosted) observe(out *dispatcher.Request, arrived time.Time, result dispatcher.Result) {
+	series := h.meter.Series(out.Arrive.Account, out.Arrive.Class)
+	series.Accept()
+	if result.Dispatched.IsZero() {
+		series.Refuse(messenger.RefuseReason(result.Problem))
+	} else {
+		series.Wait(result.Dispatched.Sub(arrived))
+	}
+	if !result.FirstOutput.IsZero() {
+		series.FirstToken(result.FirstOutput.Sub(arrived))
+	}
+	series.Total(result.Finished.Sub(arrived))
+	level := logrus.DebugLevel
+	if result.Problem != "" || result.Attempts > 1 || result.CallerGone {
+		level = logrus.InfoLevel
+	}
+	if !h.log.IsLevelEnabled(level) {
+		return
+	}
+	h.log.WithFields(logrus.Fields{
+		"event": "request", "request": out.WireID, "account": out.Arrive.Account, "pool": out.Arrive.Pool,
+		"upstream": result.Upstream, "status": result.Status, "run": result.Run, "problem": result.Problem,
+		"attempts": result.Attempts, "callerGone": result.CallerGone, "version": h.version(),
+		"ms": result.Finished.Sub(arrived).Milliseconds(),
+	}).Log(level, "request ended")
+}
+
+// limitMemory lets the runtime collect garbage before it passes a bound, in
+// MB; zero leaves the runtime alone.
+func limitMemory(mb int) {
+	if mb > 0 {
+		debug.SetMemoryLimit(int64(mb) << 20)
+	}
+}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync/atomic"
 
+	"lentilwood.example/lentilwood/internal/dispatcher"
 	"lentilwood.example/lentilwood/internal/meter"
 )
 
@@ -17,6 +18,12 @@
 	r.meter.WritePrometheus(w)
 }
 
+// writeMetrics writes all metrics of the router.
+func (h *Hosted) writeMetrics(w io.Writer) {
+	copyDispatcherCounters(h.meter, h.dispatcher.Counters())
+	h.meter.WritePrometheus(w)
+}
+
 // copyPeerCounters copies what the exchanger counted.
 func (r *Router) copyPeerCounters() {
 	s := r.exchanger.Stats()
@@ -48,7 +55,11 @@
 
 // copyRequestCounters copies what the dispatcher counted.
 func (r *Router) copyRequestCounters() {
-	c := r.dispatcher.Counters()
+	copyDispatcherCounters(r.meter, r.dispatcher.Counters())
+}
+
+// copyDispatcherCounters copies what a dispatcher counted into a meter.
+func copyDispatcherCounters(m *meter.Meter, c *dispatcher.Counters) {
 	counters := map[string]*atomic.Uint64{
 		"lentilwood_wrong_answers_total":               &c.WrongAnswers,
 		"lentilwood_retries_total":                     &c.Retries,
@@ -62,7 +73,7 @@
 		"lentilwood_unknown_outcomes_total":            &c.Unknown,
 	}
 	for name, value := range counters {
-		r.meter.Counter(name).Set(value.Load())
+		m.Counter(name).Set(value.Load())
 	}
 }
 
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -69,6 +69,8 @@
 	Unsent
 	// Fail ends an attempt that may have run and brought no whole answer.
 	Fail
+	// Reject ends an attempt of which the upstream says that it did not run.
+	Reject
 	// Answer says that the head of an upstream's answer with the right request
 	// id was seen.
 	Answer
@@ -86,7 +88,7 @@
 	Refuse
 )
 
-var eventNames = [...]string{"claim", "open", "firstByte", "unsent", "fail", "answer", "decline", "deliver", "break", "complete", "refuse"}
+var eventNames = [...]string{"claim", "open", "firstByte", "unsent", "fail", "reject", "answer", "decline", "deliver", "break", "complete", "refuse"}
 
 // String returns the name of the event.
 func (e Event) String() string {
@@ -108,8 +110,13 @@
 	// fresh counts the open attempts of which no byte has left, running the
 	// others.
 	fresh, running int
-	// exposed is true once a byte of any attempt may have left.
-	exposed bool
+	// resumable is true if the rest of a broken answer may be asked for with a
+	// new attempt, whatever the caller already has.
+	resumable bool
+	// exposures counts the attempts of which a byte may have left, without
+	// those that were rejected; exposed is true if there is one.
+	exposures int
+	exposed   bool
 	// declined is true if the answer does not prove that the request ran.
 	declined bool
 	// delivered is true once the caller was given a part of an answer.
@@ -119,6 +126,10 @@
 // New returns the tracker of a new request.
 func New(idempotent bool) *Tracker { return &Tracker{idempotent: idempotent} }
 
+// NewResumable returns the tracker of a new idempotent request whose answer is
+// a stream that another upstream may go on with.
+func NewResumable() *Tracker { return &Tracker{idempotent: true, resumable: true} }
+
 // State returns where the request stands.
 func (t *Tracker) State() State { return t.state }
 
@@ -142,7 +153,7 @@
 // MaySend reports whether an attempt may be opened now: the first, a retry, or
 // a hedge beside one that is open.
 func (t *Tracker) MaySend() bool {
-	if t.Ended() || t.delivered || t.state == Answered {
+	if t.Ended() || t.delivered && !t.resumable || t.state == Answered {
 		return false
 	}
 	if t.idempotent {
@@ -169,7 +180,12 @@
 	case FirstByte:
 		t.fresh--
 		t.running++
+		t.exposures++
 		t.exposed = true
+	case Reject:
+		t.running--
+		t.exposures--
+		t.exposed = t.exposures > 0
 	case Unsent:
 		t.fresh--
 	case Fail:
@@ -210,7 +226,7 @@
 	switch e {
 	case Unsent:
 		return t.fresh > 0
-	case Fail:
+	case Fail, Reject:
 		return t.running > t.answering()
 	}
 	if t.Ended() {
