One home for shared prompt parts in the whole fleet, fetched where another engine is chosen

Change: rendezvous hashing over all engines of a pool, other domains priced at 5 ms; an engine without the shared part fetches it from the one that was last sent it, or from its home. Only what the store dropped while it was away is believed for 2.2 s.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -39,6 +39,9 @@
 	// crowded is the part of the objective above which accounts beyond their
 	// share give way.
 	crowded = 0.4
+	// patience is the part of its objective that a request may wait for others
+	// even if its own prompt takes the rest: what is large is not to starve.
+	patience = 0.35
 	// defaultObjective serves requests whose route has none.
 	defaultObjective = time.Second
 	// lateShare is the part of the time to the deadline that a request for a
@@ -167,15 +170,16 @@
 // inTime reports whether a request that would take f until its first output is
 // worth sending.
 func (a *Admitter) inTime(r *request, f forecast) bool {
-	spent := a.now.Sub(r.arrived)
+	waits := a.now.Sub(r.arrived) + f.first - f.own
 	if !r.pool.engine {
 		return r.arrive.Deadline.IsZero() || f.first < time.Duration(lateShare*float64(r.arrive.Deadline.Sub(a.now)))
 	}
-	limit := time.Duration(inTime * float64(r.arrive.Objective))
+	objective := float64(r.arrive.Objective)
+	limit := max(time.Duration(inTime*objective)-f.own, time.Duration(patience*objective))
 	if r.beyond {
-		limit = time.Duration(crowded * float64(r.arrive.Objective))
+		limit = time.Duration(crowded*objective) - f.own
 	}
-	return spent+f.first <= limit
+	return waits <= limit
 }
 
 func (a *Admitter) send(r *request, u *upstream, f forecast) {
@@ -184,9 +188,13 @@
 	u.start(a.now, r)
 	if r.pool.engine && r.arrive.Work.Output > 0 {
 		a.shares.serve(a.now, r.arrive.Account, r.cost)
-		u.cache.use(a.now, r.arrive.Work.Prompt)
+		r.pool.keep(a.now, u, r, f)
 	}
-	a.act(messenger.Dispatch{Request: r.arrive.Request, Upstream: u.id})
+	d := messenger.Dispatch{Request: r.arrive.Request, Upstream: u.id}
+	if f.source != nil {
+		d.FetchFrom = f.source.id
+	}
+	a.act(d)
 }
 
 // progress notes the first output of a request.
@@ -262,6 +270,7 @@
 func (a *Admitter) tick() {
 	a.shares.settle(a.now, a.throughput(), a.peers)
 	for _, p := range a.pools {
+		p.forget(a.now)
 		a.serveWaiting(p)
 		a.refuseOverdue(p)
 	}
--- a/internal/admitter/cache.go
+++ b/internal/admitter/cache.go
@@ -10,9 +10,10 @@
 const (
 	// cacheShare is the part of an engine's memory that is expected to hold
 	// prompts which no request uses.
-	cacheShare = 0.4
-	// cacheTTL is how long a part is expected to be kept without use.
-	cacheTTL = 30 * time.Second
+	cacheShare = 0.5
+	// longestHorizon bounds how long a part is expected to be kept without use.
+	longestHorizon  = 30 * time.Second
+	shortestHorizon = time.Second
 )
 
 // cache is what an engine is expected to keep of the prompts that were sent to
@@ -33,28 +34,32 @@
 // resize sets the engine's memory in tokens.
 func (c *cache) resize(memory int) { c.limit = int(cacheShare * float64(memory)) }
 
-// missing returns how many tokens of a prompt have to be read. At its home a
-// prompt's shared parts are expected in part even if they were not sent from
-// here.
-func (c *cache) missing(now time.Time, prompt []messenger.PromptPart, home bool) int {
-	total, kept := 0, 0
+// missing returns how many tokens of a prompt have to be read, and how many of
+// these are of parts that other requests share. A part is expected to be kept
+// for the horizon. At its home a prompt's shared parts are expected for the
+// most part even if they were not sent from here.
+func (c *cache) missing(now time.Time, horizon time.Duration, prompt []messenger.PromptPart, home bool) (reads, again int) {
 	broken := false
 	for i, p := range prompt {
-		total += p.Tokens
-		if broken {
-			continue
+		shared := i+1 < len(prompt)
+		lacks := p.Tokens
+		if !broken {
+			e, ok := c.parts[p.Chain]
+			switch {
+			case ok && now.Sub(e.Value.(*part).used) < horizon:
+				lacks = 0
+			case home && shared:
+				lacks = int((1 - homeCached) * float64(p.Tokens))
+			default:
+				broken = true
+			}
 		}
-		e, ok := c.parts[p.Chain]
-		switch {
-		case ok && now.Sub(e.Value.(*part).used) < cacheTTL:
-			kept += p.Tokens
-		case home && i+1 < len(prompt):
-			kept += int(homeCached * float64(p.Tokens))
-		default:
-			broken = true
+		reads += lacks
+		if shared {
+			again += lacks
 		}
 	}
-	return total - kept
+	return reads, again
 }
 
 // use notes that a prompt is read or found.
@@ -65,7 +70,10 @@
 	if c.parts == nil {
 		c.parts = make(map[uint64]*list.Element)
 	}
-	for _, p := range prompt {
+	for i, p := range prompt {
+		if i+1 == len(prompt) && i > 0 {
+			break // nobody else asks for the last part
+		}
 		if e, ok := c.parts[p.Chain]; ok {
 			e.Value.(*part).used = now
 			c.recent.MoveToFront(e)
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -14,15 +14,18 @@
 const (
 	// farPenalty is what another failure domain counts for in choosing an
 	// upstream, as time: bytes between domains cost money.
-	farPenalty = 30 * time.Millisecond
-	// readPenalty is the part of the time to read a prompt that counts again in
-	// choosing an upstream, because it delays everyone else there.
-	readPenalty = 0.5
+	farPenalty = 5 * time.Millisecond
+	// readPenalty is how often the time to read shared parts of a prompt counts
+	// again in choosing an upstream: reading them twice is waste, and delays
+	// everyone else there.
+	readPenalty = 3
+	// fetchPenalty is what moving memory between engines counts for.
+	fetchPenalty = 8 * time.Millisecond
 	// failurePenalty is what an upstream that fails every request counts for.
 	failurePenalty = time.Second
 	// homeCached is how much of a shared prompt is expected at the upstream
 	// that all routers prefer for it, though this one has not sent it there.
-	homeCached = 0.6
+	homeCached = 0.8
 	// noUpstreamDelay is when a caller may come back that met a pool without
 	// any upstream.
 	noUpstreamDelay = time.Second
@@ -36,6 +39,8 @@
 	members []*upstream
 	waiting []*request
 	model   model
+	// holders knows where shared parts were last sent.
+	holders holders
 }
 
 func newPool(id messenger.PoolID) *pool {
@@ -78,10 +83,14 @@
 
 // forecast is what is expected of a request at one upstream.
 type forecast struct {
-	// first is the time to the first output.
-	first time.Duration
-	// reads is what has to be read of the prompt, in tokens.
-	reads int
+	// first is the time to the first output, own the part of it that the
+	// request takes with nothing ahead.
+	first, own time.Duration
+	// reads is what has to be read of the prompt, in tokens, and again the part
+	// of it that other requests share.
+	reads, again int
+	// source is where parts of the prompt are to be fetched from, or nil.
+	source *upstream
 	// clear is true if nothing is ahead of the request.
 	clear bool
 }
@@ -89,7 +98,11 @@
 // pick returns the upstream where a request costs least, all told, or nil if
 // there is none.
 func (p *pool) pick(a *Admitter, r *request) (*upstream, forecast) {
-	home := p.home(r)
+	home := p.home(a, r)
+	source := p.holders.find(a.now, r.arrive.Work.Prompt)
+	if source == nil || !source.sound(a.now) {
+		source = home
+	}
 	var best *upstream
 	var bestForecast forecast
 	var least time.Duration
@@ -98,7 +111,7 @@
 			if !u.usable(a.now, pass > 0) || u.id == r.avoid && pass == 0 {
 				continue
 			}
-			f := u.forecast(a, r, u == home)
+			f := u.forecast(a, r, u == home, source)
 			if cost := p.cost(u, f); best == nil || cost < least {
 				best, bestForecast, least = u, f, cost
 			}
@@ -110,16 +123,19 @@
 // cost is what a request at u takes from its caller and from everyone else.
 func (p *pool) cost(u *upstream, f forecast) time.Duration {
 	cost := f.first + time.Duration(u.failures*float64(failurePenalty))
-	cost += time.Duration(readPenalty * float64(f.reads) * p.model.perRead * float64(time.Second))
+	cost += time.Duration(readPenalty * float64(f.again) * p.model.perRead * float64(time.Second))
+	if f.source != nil {
+		cost += fetchPenalty
+	}
 	if u.far {
 		cost += farPenalty
 	}
 	return cost
 }
 
-// home returns the upstream that every router of the domain prefers for the
-// shared part of a prompt, by rendezvous hashing; nil if nothing is shared.
-func (p *pool) home(r *request) *upstream {
+// home returns the upstream that every router prefers for the shared part of a
+// prompt, by rendezvous hashing; nil if nothing is shared.
+func (p *pool) home(a *Admitter, r *request) *upstream {
 	prompt := r.arrive.Work.Prompt
 	if len(prompt) < 2 {
 		return nil
@@ -128,7 +144,7 @@
 	var home *upstream
 	var highest uint64
 	for _, u := range p.members {
-		if u.far || !u.open {
+		if !u.sound(a.now) {
 			continue
 		}
 		if score := mix(shared ^ u.hash); home == nil || score > highest {
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -24,6 +24,10 @@
 	longestBackoff = 2 * time.Second
 	// failuresInARow is how many failures in a row start the backoff.
 	failuresInARow = 2
+	// leastFetch is how many tokens of shared parts are worth fetching from
+	// another engine, and fetchTime what that takes.
+	leastFetch = 128
+	fetchTime  = 12 * time.Millisecond
 	// defaultSlots serves upstreams that do not say how many requests they work
 	// on at a time.
 	defaultSlots = 8
@@ -71,6 +75,9 @@
 }
 
 func (u *upstream) set(policy messenger.UpstreamPolicy, p *pool, domain string) {
+	if !policy.Started.Equal(u.policy.Started) {
+		u.restart()
+	}
 	u.policy, u.pool = policy, p
 	u.open = !policy.Leaving
 	u.far = policy.Domain != domain
@@ -79,12 +86,24 @@
 	}
 }
 
+// restart forgets what was known of an upstream whose process started anew.
+func (u *upstream) restart() {
+	u.cache = cache{}
+	u.report, u.reported = messenger.LoadReport{}, time.Time{}
+	u.error, u.failures, u.inARow, u.closedTil = 1, 0, 0, time.Time{}
+}
+
 // usable reports whether new work may be sent. With desperate, an upstream that
 // failed of late may be tried as well.
 func (u *upstream) usable(now time.Time, desperate bool) bool {
 	return u.open && (desperate || !now.Before(u.closedTil))
 }
 
+// sound reports whether nothing speaks against an upstream.
+func (u *upstream) sound(now time.Time) bool {
+	return u.open && u.inARow == 0 && u.overdue(now) == 0
+}
+
 func (u *upstream) slots() int {
 	if u.policy.Window > 0 {
 		return u.policy.Window
@@ -111,9 +130,17 @@
 
 // forecast expects the first output of a request from what is ahead of it:
 // prompts to be read and, once all slots are taken, requests that must end.
-func (u *upstream) forecast(a *Admitter, r *request, home bool) forecast {
+func (u *upstream) forecast(a *Admitter, r *request, home bool, source *upstream) forecast {
 	m := &u.pool.model
-	f := forecast{reads: u.cache.missing(a.now, r.arrive.Work.Prompt, home)}
+	var f forecast
+	f.reads, f.again = u.cache.missing(a.now, u.pool.holders.horizon, r.arrive.Work.Prompt, home)
+	fetch := 0.0
+	if source != nil && source != u && f.again >= leastFetch {
+		f.source = source
+		f.reads -= f.again
+		f.again = 0
+		fetch = fetchTime.Seconds()
+	}
 	inside := u.inside(a.now)
 	ahead := u.reading + u.others.reading
 	wait := 0.0
@@ -121,9 +148,10 @@
 		wait = float64(over) * m.held / float64(u.slots())
 	}
 	f.clear = ahead == 0 && wait == 0
-	work := m.base + float64(ahead+f.reads)*m.perRead
-	seconds := (work*u.error + wait) * u.slowdown(a.now)
-	f.first = max(time.Duration(seconds*float64(time.Second)), u.overdue(a.now))
+	own := (fetch + m.base + float64(f.reads)*m.perRead) * u.error * u.slowdown(a.now)
+	before := (float64(ahead)*m.perRead*u.error + wait) * u.slowdown(a.now)
+	f.own = time.Duration(own * float64(time.Second))
+	f.first = max(f.own+time.Duration(before*float64(time.Second)), u.overdue(a.now))
 	return f
 }
 
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -25,6 +25,8 @@
 	upstream messenger.UpstreamID
 	policy   messenger.UpstreamPolicy
 	hedge    bool
+	// fetchFrom is the upstream that may keep parts of the prompt.
+	fetchFrom messenger.UpstreamID
 
 	x *exchange
 	// sent is true once the outcome knows that bytes may have left.
--- a/internal/dispatcher/dialect.go
+++ b/internal/dispatcher/dialect.go
@@ -17,6 +17,9 @@
 	// Resumed is true if the stream goes on after the event LastEvent.
 	Resumed   bool
 	LastEvent uint64
+	// FetchFrom is the address of an engine that is expected to keep parts of
+	// the prompt; "" means none.
+	FetchFrom string
 }
 
 // Dialect is how a platform's upstreams and callers word what HTTP leaves
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -203,7 +203,7 @@
 		f.result.Dispatched = f.now()
 		f.d.budget.Earn(f.req.Arrive.Pool)
 	}
-	at := &attempt{upstream: a.Upstream, policy: policy, hedge: a.Hedge}
+	at := &attempt{upstream: a.Upstream, policy: policy, hedge: a.Hedge, fetchFrom: a.FetchFrom}
 	f.attempts = append(f.attempts, at)
 	if !known {
 		at.progressed(f.now(), f.progressTimeout())
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -30,6 +30,11 @@
 // requestHeader returns the header of an attempt.
 func (f *flight) requestHeader(at *attempt) http.Header {
 	out := Outgoing{Upstream: at.upstream, Resumed: f.hasEvent, LastEvent: f.lastEvent}
+	if at.fetchFrom != "" {
+		if source, ok := f.d.cfg.Upstreams.Upstream(at.fetchFrom); ok {
+			out.FetchFrom = source.Address
+		}
+	}
 	if !f.deadline.IsZero() {
 		out.Left = f.deadline.Sub(f.now())
 	}
--- a/internal/follower/feed.go
+++ b/internal/follower/feed.go
@@ -22,10 +22,10 @@
 	// answerSlack is how much longer than asked for an answer may take.
 	answerSlack = 400 * time.Millisecond
 	// readTimeout bounds reading a whole table.
-	readTimeout = 3 * time.Second
+	readTimeout = 2 * time.Second
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 100 * time.Millisecond
-	longestPause = 800 * time.Millisecond
+	longestPause = 400 * time.Millisecond
 )
 
 // Source is the platform's store as a Feed reads it.
@@ -44,9 +44,8 @@
 	Log    *logrus.Logger
 	// Wait is how long the store may keep a call waiting.
 	Wait time.Duration
-	// Batches gets what was read, and Reached whether the store answers.
+	// Batches gets what was read.
 	Batches func(Batch)
-	Reached func(ok bool)
 
 	since   uint64
 	started bool
@@ -82,9 +81,13 @@
 	if !f.started {
 		return f.read(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+answerSlack)
+	wait := f.Wait
+	if f.failing {
+		wait = 0 // learn of the store's return, not of changes
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
-	b, err := f.Source.Changes(ctx, f.Table, f.since, f.Wait)
+	b, err := f.Source.Changes(ctx, f.Table, f.since, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.Log.WithFields(logrus.Fields{"event": "historyGone", "table": f.Table, "since": f.since}).Info("reading the whole table again")
 		f.started = false
@@ -111,6 +114,7 @@
 
 func (f *Feed) take(b Batch) {
 	f.since = max(f.since, b.Version)
+	b.CatchUp = f.failing
 	if len(b.Rows) > 0 || b.Whole {
 		f.Batches(b)
 	}
@@ -118,7 +122,6 @@
 
 // note tells of a lost and of a regained store, once each.
 func (f *Feed) note(err error) {
-	f.Reached(err == nil)
 	if (err != nil) == f.failing {
 		return
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -39,8 +39,9 @@
 )
 
 // returnTime is how long after the store's return a registration that it
-// dropped meanwhile is still believed.
-const returnTime = 2500 * time.Millisecond
+// dropped meanwhile is still believed: upstreams that live are registered
+// again about two seconds after it.
+const returnTime = 2200 * time.Millisecond
 
 // Row is one row of a table as the store had it.
 type Row struct {
@@ -61,6 +62,9 @@
 	// missing is gone.
 	Whole   bool
 	Version uint64
+	// CatchUp is true for the first read after a time without the store: what
+	// it dropped meanwhile may live.
+	CatchUp bool
 }
 
 // Configuration is one version of the fleet's configuration.
@@ -92,9 +96,6 @@
 	newest  map[Table]uint64
 	// configuration is the newest that could be read.
 	configuration *Configuration
-	// away is true while the store cannot be reached; back is its last return.
-	away bool
-	back time.Time
 	// rejected are the rows that could not be read, since the last look.
 	rejected []Rejected
 }
@@ -125,14 +126,6 @@
 	return f
 }
 
-// Reached notes whether the store answers.
-func (f *Follower) Reached(now time.Time, ok bool) {
-	if f.away && ok {
-		f.back = now
-	}
-	f.away = !ok
-}
-
 // Version returns the highest version known of a table.
 func (f *Follower) Version(t Table) uint64 { return f.newest[t] }
 
@@ -148,7 +141,7 @@
 	for _, row := range b.Rows {
 		row.Table = b.Table
 		seen[row.Key] = true
-		changed = f.mergeRow(now, known, row) || changed
+		changed = f.mergeRow(now, known, row, b.CatchUp) || changed
 	}
 	if b.Whole {
 		changed = f.dropMissing(now, b, seen) || changed
@@ -165,12 +158,12 @@
 			continue
 		}
 		row := Row{Table: b.Table, Key: key, Version: b.Version, Deleted: true}
-		changed = f.mergeRow(now, f.rows[b.Table], row) || changed
+		changed = f.mergeRow(now, f.rows[b.Table], row, b.CatchUp) || changed
 	}
 	return changed
 }
 
-func (f *Follower) mergeRow(now time.Time, known map[string]*entry, row Row) bool {
+func (f *Follower) mergeRow(now time.Time, known map[string]*entry, row Row, catchUp bool) bool {
 	e, ok := known[row.Key]
 	if ok && e.row.Version >= row.Version {
 		return false
@@ -184,7 +177,13 @@
 	if row.Table == ConfigurationTable {
 		return f.configure(row)
 	}
-	f.register(now, fresh)
+	if row.Deleted {
+		if catchUp {
+			fresh.goneAt = now.Add(returnTime)
+		}
+		return true
+	}
+	f.register(fresh)
 	return true
 }
 
@@ -206,13 +205,7 @@
 	return true
 }
 
-func (f *Follower) register(now time.Time, e *entry) {
-	if e.row.Deleted {
-		if f.away || now.Sub(f.back) < returnTime && !f.back.IsZero() {
-			e.goneAt = now.Add(returnTime)
-		}
-		return
-	}
+func (f *Follower) register(e *entry) {
 	u, err := f.decoder.Registration(e.row.Key, e.row.Value)
 	if err != nil {
 		f.reject(e.row, err)
@@ -278,11 +271,11 @@
 }
 
 // Since returns the rows of a table that are newer than a version, for a
-// router that lags.
+// router that lags. Registrations that may come back are not among them.
 func (f *Follower) Since(t Table, version uint64) []Row {
 	var rows []Row
 	for _, e := range f.rows[t] {
-		if e.row.Version > version {
+		if e.row.Version > version && e.goneAt.IsZero() {
 			rows = append(rows, e.row)
 		}
 	}
--- a/internal/messenger/action.go
+++ b/internal/messenger/action.go
@@ -12,6 +12,9 @@
 	// Hedge is true for a second copy beside one that is still running; the
 	// first to produce output wins and the other is cancelled.
 	Hedge bool
+	// FetchFrom names an engine that is expected to keep parts of the prompt
+	// which Upstream lacks; empty means none.
+	FetchFrom UpstreamID
 }
 
 // Refuse ends a request that was never dispatched.
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -121,7 +121,6 @@
 	follower *follower.Follower
 	peers    map[string]*hostedPeer
 	shared   time.Time
-	reached  map[follower.Table]bool
 }
 
 // NewHosted returns a Hosted router that is not yet started.
@@ -139,7 +138,6 @@
 		meter:       meter.New(cfg.Clock, cfg.Settings.Metrics.Accounts),
 		follower:    follower.New(cfg.Decoder),
 		peers:       make(map[string]*hostedPeer),
-		reached:     make(map[follower.Table]bool),
 	}
 	h.serving, h.cutRequests = context.WithCancel(context.Background())
 	h.background, h.stopAll = context.WithCancel(context.Background())
@@ -170,7 +168,6 @@
 		feed := &follower.Feed{
 			Source: h.cfg.Source, Table: table, Clock: h.clock, Log: h.log,
 			Batches: func(b follower.Batch) { h.control.call(func() { h.merge(b) }) },
-			Reached: func(ok bool) { h.control.call(func() { h.noteStore(table, ok) }) },
 		}
 		h.goroutines.Go(func() { feed.Run(h.background) })
 	}
@@ -303,17 +300,6 @@
 	}
 }
 
-// noteStore notes whether the store answers; it counts as away while any of
-// the tables can't be followed.
-func (h *Hosted) noteStore(t follower.Table, ok bool) {
-	h.reached[t] = ok
-	all := true
-	for _, reached := range h.reached {
-		all = all && reached
-	}
-	h.follower.Reached(h.clock.Now(), all)
-}
-
 // tick runs on the control goroutine at every tick.
 func (h *Hosted) tick() {
 	if h.follower.Expire(h.clock.Now()) {
