Prompts go to their home unless it is crowded

Change: what a source is believed to keep is uncertain unless it was sent from here, and moving counts half of what reading would.

--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -19,8 +19,11 @@
 	// again in choosing an upstream: reading them twice is waste, and delays
 	// everyone else there.
 	readPenalty = 3
-	// fetchPenalty is what moving memory between engines counts for.
+	// fetchPenalty is what moving memory between engines counts for, and
+	// fetchShare the part of the time to read what is moved that counts too: a
+	// part that stays at its home is found by every router.
 	fetchPenalty = 8 * time.Millisecond
+	fetchShare   = 0.5
 	// failurePenalty is what an upstream that fails every request counts for.
 	failurePenalty = time.Second
 	// homeCached is how much of a shared prompt is expected at the upstream
@@ -89,19 +92,28 @@
 	// reads is what has to be read of the prompt, in tokens, and again the part
 	// of it that other requests share.
 	reads, again int
+	// fetched is what comes from source instead, in tokens.
+	fetched int
 	// source is where parts of the prompt are to be fetched from, or nil.
 	source *upstream
 	// clear is true if nothing is ahead of the request.
 	clear bool
 }
 
+// source is an upstream that parts of a prompt may be fetched from.
+type source struct {
+	at *upstream
+	// kept is the share of them that it is expected to keep.
+	kept float64
+}
+
 // pick returns the upstream where a request costs least, all told, or nil if
 // there is none.
 func (p *pool) pick(a *Admitter, r *request) (*upstream, forecast) {
 	home := p.home(a, r)
-	source := p.holders.find(a.now, r.arrive.Work.Prompt)
-	if source == nil || !source.sound(a.now) {
-		source = home
+	src := source{at: p.holders.find(a.now, r.arrive.Work.Prompt), kept: 1}
+	if src.at == nil || !src.at.sound(a.now) {
+		src = source{at: home, kept: homeCached}
 	}
 	var best *upstream
 	var bestForecast forecast
@@ -111,7 +123,7 @@
 			if !u.usable(a.now, pass > 0) || u.id == r.avoid && pass == 0 {
 				continue
 			}
-			f := u.forecast(a, r, u == home, source)
+			f := u.forecast(a, r, u == home, src)
 			if cost := p.cost(u, f); best == nil || cost < least {
 				best, bestForecast, least = u, f, cost
 			}
@@ -125,7 +137,7 @@
 	cost := f.first + time.Duration(u.failures*float64(failurePenalty))
 	cost += time.Duration(readPenalty * float64(f.again) * p.model.perRead * float64(time.Second))
 	if f.source != nil {
-		cost += fetchPenalty
+		cost += fetchPenalty + time.Duration(fetchShare*float64(f.fetched)*p.model.perRead*float64(time.Second))
 	}
 	if u.far {
 		cost += farPenalty
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -130,15 +130,16 @@
 
 // forecast expects the first output of a request from what is ahead of it:
 // prompts to be read and, once all slots are taken, requests that must end.
-func (u *upstream) forecast(a *Admitter, r *request, home bool, source *upstream) forecast {
+func (u *upstream) forecast(a *Admitter, r *request, home bool, src source) forecast {
 	m := &u.pool.model
 	var f forecast
 	f.reads, f.again = u.cache.missing(a.now, u.pool.holders.horizon, r.arrive.Work.Prompt, home)
 	fetch := 0.0
-	if source != nil && source != u && f.again >= leastFetch {
-		f.source = source
-		f.reads -= f.again
-		f.again = 0
+	if src.at != nil && src.at != u && f.again >= leastFetch {
+		f.source = src.at
+		f.fetched = int(src.kept * float64(f.again))
+		f.reads -= f.fetched
+		f.again -= f.fetched
 		fetch = fetchTime.Seconds()
 	}
 	inside := u.inside(a.now)
