A nearly full engine: each router keeps to its part of the slots

Change: in an engine whose slots are taken but for 8 in 100, a router sends beyond its part of the demand only when one of its own requests ends.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -269,6 +269,7 @@
 // tick serves and refuses what waits, and forgets what is out of date.
 func (a *Admitter) tick() {
 	a.shares.settle(a.now, a.throughput(), a.peers)
+	a.divide()
 	for _, p := range a.pools {
 		p.forget(a.now)
 		a.serveWaiting(p)
@@ -290,6 +291,20 @@
 	p.waiting = kept
 }
 
+// divide works out this router's part of the demand.
+func (a *Admitter) divide() {
+	routers := 1
+	for _, p := range a.peers {
+		if a.now.Sub(p.heard) <= peerTTL {
+			routers++
+		}
+	}
+	part := a.shares.part(1 / float64(routers))
+	for _, p := range a.pools {
+		p.part = part
+	}
+}
+
 // throughput returns what the engines do in a second, as Work.Cost counts it.
 func (a *Admitter) throughput() float64 {
 	if a.policy == nil {
--- /dev/null
+++ b/internal/admitter/engine_test.go
@@ -0,0 +1,260 @@
+package admitter
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// The tests replay loads in virtual time: a fleet of routers, each with an
+// Admitter of its own, before engines that batch, read prompts in order of
+// arrival and keep what they read.
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+const (
+	simStep     = 2 * time.Millisecond
+	simPool     = messenger.PoolID("p")
+	readSeconds = 9e-6
+	stepSeconds = 0.005
+	simBase     = 20 * time.Millisecond
+)
+
+// simEngine is one engine.
+type simEngine struct {
+	id      messenger.UpstreamID
+	slots   int
+	running []*simRequest
+	waiting []*simRequest
+	// kept is when each part was last used, capacity is for how long it stays.
+	kept     map[uint64]time.Time
+	capacity time.Duration
+	slow     float64
+	dead     bool
+}
+
+// simRequest is one request on its way.
+type simRequest struct {
+	arrive  messenger.Arrive
+	router  int
+	arrived time.Time
+	large   bool
+	home    messenger.UpstreamID
+
+	reads, again int
+	readDone     time.Time
+	tokens       float64
+	first        time.Time
+	refused      bool
+	ended        bool
+}
+
+// onTime reports whether the first output came within the objective.
+func (r *simRequest) onTime() bool {
+	return !r.first.IsZero() && r.first.Sub(r.arrived) <= r.arrive.Objective
+}
+
+// sim is the fleet.
+type sim struct {
+	t        *testing.T
+	now      time.Time
+	rng      *rand.Rand
+	engines  map[messenger.UpstreamID]*simEngine
+	order    []*simEngine
+	routers  []*Admitter
+	requests map[messenger.RequestID]*simRequest
+	all      []*simRequest
+	next     messenger.RequestID
+	// again counts tokens of shared parts that were read though some engine
+	// had read them, shared all that were asked for.
+	again, shared float64
+	lastRead      map[uint64]time.Time
+	shareAt       time.Time
+}
+
+func newSim(t *testing.T, routers, engines, slots int, throughput float64) *sim {
+	s := &sim{
+		t: t, now: epoch, rng: rand.New(rand.NewPCG(1, 2)),
+		engines:  make(map[messenger.UpstreamID]*simEngine),
+		requests: make(map[messenger.RequestID]*simRequest),
+		lastRead: make(map[uint64]time.Time),
+	}
+	policy := &messenger.Policy{
+		Version: 1, Throughput: throughput,
+		Pools:     map[messenger.PoolID]messenger.PoolPolicy{simPool: {Engine: &messenger.EnginePolicy{Memory: 700_000}}},
+		Upstreams: make(map[messenger.UpstreamID]messenger.UpstreamPolicy),
+	}
+	domains := []string{"a", "b", "c"}
+	for i := range engines {
+		e := &simEngine{
+			id: messenger.UpstreamID(rune('A' + i)), slots: slots, slow: 1,
+			kept: make(map[uint64]time.Time), capacity: 10 * time.Second,
+		}
+		s.engines[e.id] = e
+		s.order = append(s.order, e)
+		policy.Upstreams[e.id] = messenger.UpstreamPolicy{Pool: simPool, Domain: domains[i%3], Window: slots}
+	}
+	for i := range routers {
+		a := New(Config{Self: messenger.RouterID(rune('0' + i)), Domain: domains[i%3], Seed: uint64(i)})
+		a.Handle(s.now, messenger.PolicyChange{Policy: policy})
+		s.routers = append(s.routers, a)
+	}
+	return s
+}
+
+// offer lets a request arrive at some router.
+func (s *sim) offer(account messenger.AccountID, objective time.Duration, prompt []messenger.PromptPart, output int) *simRequest {
+	s.next++
+	r := &simRequest{router: s.rng.IntN(len(s.routers)), arrived: s.now}
+	r.arrive = messenger.Arrive{
+		Request: s.next, Account: account, Pool: simPool, Objective: objective,
+		Deadline: s.now.Add(10 * time.Second),
+		Work:     messenger.Work{Prompt: prompt, Output: output},
+	}
+	s.requests[s.next] = r
+	s.all = append(s.all, r)
+	s.tell(r.router, r.arrive)
+	return r
+}
+
+func (s *sim) tell(router int, e messenger.Event) {
+	actions := append([]messenger.Action(nil), s.routers[router].Handle(s.now, e)...)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case messenger.Refuse:
+			s.requests[a.Request].refused = true
+		case messenger.Dispatch:
+			s.send(s.requests[a.Request], a)
+		}
+	}
+}
+
+func (s *sim) send(r *simRequest, d messenger.Dispatch) {
+	e := s.engines[d.Upstream]
+	r.home = e.id
+	if src, ok := s.engines[d.FetchFrom]; ok && d.FetchFrom != "" {
+		for _, p := range r.arrive.Work.Prompt[:len(r.arrive.Work.Prompt)-1] {
+			if s.now.Sub(src.kept[p.Chain]) < src.capacity {
+				e.kept[p.Chain] = s.now
+			}
+		}
+	}
+	e.waiting = append(e.waiting, r)
+}
+
+// admit moves what waits into free slots and begins to read it.
+func (s *sim) admit(e *simEngine) {
+	for len(e.running) < e.slots && len(e.waiting) > 0 && !e.dead {
+		r := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		busy := s.now
+		for _, other := range e.running {
+			if other.readDone.After(busy) {
+				busy = other.readDone
+			}
+		}
+		broken := false
+		prompt := r.arrive.Work.Prompt
+		for i, p := range prompt {
+			found := !broken && s.now.Sub(e.kept[p.Chain]) < e.capacity
+			broken = broken || !found
+			e.kept[p.Chain] = s.now
+			if i+1 < len(prompt) {
+				s.shared += float64(p.Tokens)
+			}
+			if found {
+				continue
+			}
+			r.reads += p.Tokens
+			if at, seen := s.lastRead[p.Chain]; seen && i+1 < len(prompt) && s.now.Sub(at) < 9*time.Second {
+				s.again += float64(p.Tokens)
+			}
+			s.lastRead[p.Chain] = s.now
+		}
+		took := time.Duration(float64(r.reads) * readSeconds * e.slow * float64(time.Second))
+		r.readDone = busy.Add(took + simBase)
+		e.running = append(e.running, r)
+	}
+}
+
+// step lets a little time pass.
+func (s *sim) step() {
+	s.now = s.now.Add(simStep)
+	for _, e := range s.order {
+		s.admit(e)
+		s.generate(e)
+	}
+	for i := range s.routers {
+		if s.now.Sub(epoch)%messenger.TickInterval == 0 {
+			s.tell(i, messenger.Tick{})
+		}
+	}
+	if s.now.Sub(s.shareAt) >= 150*time.Millisecond {
+		s.shareAt = s.now
+		s.gossip()
+	}
+}
+
+// generate gives every running request its tokens.
+func (s *sim) generate(e *simEngine) {
+	if e.dead {
+		return
+	}
+	kept := e.running[:0]
+	for _, r := range e.running {
+		if s.now.Before(r.readDone) {
+			kept = append(kept, r)
+			continue
+		}
+		if r.first.IsZero() {
+			r.first = s.now
+			s.tell(r.router, messenger.Progress{Request: r.arrive.Request, First: true})
+		}
+		r.tokens += simStep.Seconds() / (stepSeconds * e.slow)
+		if r.tokens < float64(r.arrive.Work.Output) {
+			kept = append(kept, r)
+			continue
+		}
+		r.ended = true
+		s.tell(r.router, messenger.Finish{Request: r.arrive.Request, Upstream: e.id})
+	}
+	e.running = kept
+}
+
+func (s *sim) gossip() {
+	for i, from := range s.routers {
+		load := from.Share(s.now)
+		for j := range s.routers {
+			if i != j {
+				s.tell(j, load)
+			}
+		}
+	}
+}
+
+// run plays a time in which offer is called at every step.
+func (s *sim) run(d time.Duration, offer func()) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		offer()
+		s.step()
+	}
+}
+
+// poisson calls f so that it happens rate times a second on average.
+func (s *sim) poisson(rate float64, f func()) {
+	for p := rate * simStep.Seconds(); p > 0; p-- {
+		if s.rng.Float64() < p {
+			f()
+		}
+	}
+}
+
+// session is a prompt with a part that other requests share.
+func (s *sim) session(n, shared, own int) []messenger.PromptPart {
+	return []messenger.PromptPart{
+		{Chain: 1, Tokens: 500}, {Chain: uint64(1000 + n), Tokens: shared},
+		{Chain: 1_000_000 + uint64(s.next), Tokens: own},
+	}
+}
--- /dev/null
+++ b/internal/admitter/load_test.go
@@ -0,0 +1,174 @@
+package admitter
+
+import (
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+const simObjective = 400 * time.Millisecond
+
+// share is the part of some requests for which f holds.
+func share(requests []*simRequest, f func(*simRequest) bool) float64 {
+	n := 0
+	for _, r := range requests {
+		if f(r) {
+			n++
+		}
+	}
+	return float64(n) / float64(max(1, len(requests)))
+}
+
+// TestCrestServesInTimeWhatFits has a crest of twice what the engines can do.
+// What is sent must be in time for the most part, and the engines must be full.
+func TestCrestServesInTimeWhatFits(t *testing.T) {
+	s := newSim(t, 8, 9, 24, 0)
+	// A request holds a slot for about 1.1 s, so 9 engines do about 190 a second.
+	const rate, fits = 380, 190
+	s.run(8*time.Second, func() {
+		s.poisson(rate, func() { s.offer("a", simObjective, s.session(s.rng.IntN(60), 3000, 800), 200) })
+	})
+	late := s.all[len(s.all)/4:]
+	sent := share(late, func(r *simRequest) bool { return !r.refused })
+	inTime := share(late, (*simRequest).onTime)
+	if want := 0.8 * fits / rate; inTime < want {
+		t.Errorf("%.2f of all in time, want at least %.2f: four fifths of what the engines can do", inTime, want)
+	}
+	if inTime < 0.8*sent {
+		t.Errorf("%.2f of all in time, but %.2f were sent: want four fifths of these", inTime, sent)
+	}
+}
+
+// TestRefusalsAreImmediate has the same crest: who gets nothing must be told at
+// once, long before its objective has passed, and come back spread.
+func TestRefusalsAreImmediate(t *testing.T) {
+	a := New(Config{Self: "r", Domain: "a"})
+	a.Handle(epoch, messenger.PolicyChange{Policy: &messenger.Policy{
+		Pools:     map[messenger.PoolID]messenger.PoolPolicy{simPool: {Engine: &messenger.EnginePolicy{Memory: 1000}}},
+		Upstreams: map[messenger.UpstreamID]messenger.UpstreamPolicy{"u": {Pool: simPool, Domain: "a", Window: 1}},
+	}})
+	now := epoch
+	refused := make(map[messenger.RequestID]time.Duration)
+	var returns []time.Duration
+	collect := func(actions []messenger.Action) {
+		for _, action := range actions {
+			if r, ok := action.(messenger.Refuse); ok {
+				refused[r.Request] = now.Sub(epoch)
+				returns = append(returns, r.RetryAfter)
+			}
+		}
+	}
+	const n = 40
+	for i := range n {
+		collect(a.Handle(now, messenger.Arrive{
+			Request: messenger.RequestID(i + 1), Pool: simPool, Objective: simObjective, Deadline: now.Add(9 * time.Second),
+			Work: messenger.Work{Prompt: []messenger.PromptPart{{Chain: 1, Tokens: 100}}, Output: 100},
+		}))
+	}
+	for now.Sub(epoch) < simObjective {
+		now = now.Add(messenger.TickInterval)
+		collect(a.Handle(now, messenger.Tick{}))
+	}
+	if len(refused) < n-2 {
+		t.Fatalf("%d of %d refused, want all but those that one slot serves", len(refused), n)
+	}
+	for id, at := range refused {
+		if limit := time.Duration(holdShare*float64(simObjective)) + messenger.TickInterval; at > limit {
+			t.Errorf("request %d refused after %v, want at most %v", id, at, limit)
+		}
+	}
+	low, high := returns[0], returns[0]
+	for _, r := range returns {
+		low, high = min(low, r), max(high, r)
+	}
+	if low < shortestReturn || high > 3*time.Second || high-low < time.Second {
+		t.Errorf("returns between %v and %v, want them spread over a third of the time left", low, high)
+	}
+}
+
+// TestSharedPartsAreReadOnce has sessions whose requests come through all
+// routers: a part that some engine has read is not to be read again elsewhere.
+func TestSharedPartsAreReadOnce(t *testing.T) {
+	s := newSim(t, 8, 9, 24, 0)
+	s.run(10*time.Second, func() {
+		s.poisson(150, func() { s.offer("a", simObjective, s.session(s.rng.IntN(80), 4800, 1500), 150) })
+	})
+	if got := s.again / s.shared; got > 0.1 {
+		t.Errorf("%.3f of the shared tokens read again, want at most a tenth", got)
+	}
+	if got := share(s.all, (*simRequest).onTime); got < 0.9 {
+		t.Errorf("%.2f in time, want at least 0.9: the engines have room", got)
+	}
+}
+
+// TestFloodCostsOthersNothing has one account ask for eight times what it did.
+func TestFloodCostsOthersNothing(t *testing.T) {
+	// 9 engines of 24 slots serve about 190 of these a second; each costs 4300.
+	s := newSim(t, 8, 9, 24, 190*4300)
+	others := []messenger.AccountID{"b", "c", "d", "e"}
+	offer := func(account messenger.AccountID) {
+		s.offer(account, simObjective, s.session(s.rng.IntN(60), 3000, 400), 200)
+	}
+	s.run(8*time.Second, func() {
+		s.poisson(320, func() { offer("a") })
+		for _, account := range others {
+			s.poisson(25, func() { offer(account) })
+		}
+	})
+	late := s.all[len(s.all)/3:]
+	for _, account := range others {
+		var own []*simRequest
+		for _, r := range late {
+			if r.arrive.Account == account {
+				own = append(own, r)
+			}
+		}
+		if got := share(own, (*simRequest).onTime); got < 0.8 {
+			t.Errorf("account %s: %.2f in time while another floods, want at least 0.8", account, got)
+		}
+	}
+}
+
+// TestLargePromptsAreServed has a crest in which one prompt in ten is so large
+// that reading it takes most of the objective.
+func TestLargePromptsAreServed(t *testing.T) {
+	s := newSim(t, 8, 9, 24, 0)
+	s.run(8*time.Second, func() {
+		s.poisson(300, func() {
+			large := s.rng.IntN(10) == 0
+			own := 800
+			if large {
+				own = 36_000
+			}
+			s.offer("a", simObjective, s.session(s.rng.IntN(60), 3000, own), 200).large = large
+		})
+	})
+	var large []*simRequest
+	for _, r := range s.all {
+		if r.large {
+			large = append(large, r)
+		}
+	}
+	served := func(r *simRequest) bool { return !r.refused }
+	if all, big := share(s.all, served), share(large, served); big < all/2 {
+		t.Errorf("%.2f of the large served, of all %.2f: want at least half as often", big, all)
+	}
+}
+
+// TestDarkEngineIsLeftAlone has an engine stop answering under load.
+func TestDarkEngineIsLeftAlone(t *testing.T) {
+	s := newSim(t, 8, 9, 24, 0)
+	offer := func() {
+		s.poisson(100, func() { s.offer("a", simObjective, s.session(s.rng.IntN(60), 3000, 400), 150) })
+	}
+	s.run(3*time.Second, offer)
+	s.order[2].dead = true
+	s.run(time.Second, offer)
+	before := len(s.all)
+	s.run(2*time.Second, offer)
+	sent := share(s.all[before:], func(r *simRequest) bool { return r.home == s.order[2].id })
+	if sent > 0.03 {
+		t.Errorf("%.3f of the requests still go to an engine that answers nothing, want few", sent)
+	}
+}
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -42,12 +42,14 @@
 	members []*upstream
 	waiting []*request
 	model   model
+	// part is this router's part of the fleet's demand, 0 to 1.
+	part float64
 	// holders knows where shared parts were last sent.
 	holders holders
 }
 
 func newPool(id messenger.PoolID) *pool {
-	return &pool{id: id, model: newModel()}
+	return &pool{id: id, model: newModel(), part: 1}
 }
 
 func (p *pool) set(policy messenger.PoolPolicy) {
--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -18,6 +18,9 @@
 	// shareSlack is how far above its share an account is served before it
 	// gives way: shares are forecasts.
 	shareSlack = 1.15
+	// partSpread is how far a router's part of the demand may lie from an even
+	// part.
+	partSpread = 4
 )
 
 // shares keeps what client accounts ask for and may have: max-min shares of
@@ -29,6 +32,8 @@
 	// level is what an account may have that asks for more, in cost a second;
 	// zero means that there is enough for all.
 	level float64
+	// foreign is the demand of accounts that only other routers know.
+	foreign float64
 }
 
 // account is one client account at this router.
@@ -102,13 +107,32 @@
 		a.all = a.asked + askedByPeers(now, id, peers)
 		demands = append(demands, a.all)
 	}
-	demands = append(demands, s.strangers(now, peers)...)
+	strangers := s.strangers(now, peers)
+	s.foreign = 0
+	for _, d := range strangers {
+		s.foreign += d
+	}
+	demands = append(demands, strangers...)
 	s.level = waterLevel(demands, throughput)
 	for _, a := range s.accounts {
 		a.refill(s.level, passed)
 	}
 }
 
+// part returns this router's part of the fleet's demand, between bounds around
+// an even part, or an even part while there is no demand.
+func (s *shares) part(even float64) float64 {
+	own, all := 0.0, s.foreign
+	for _, a := range s.accounts {
+		own += a.asked
+		all += a.all
+	}
+	if all <= 0 {
+		return even
+	}
+	return bound(own/all, even/partSpread, min(1, even*partSpread))
+}
+
 // strangers returns the demands of accounts that only other routers know.
 func (s *shares) strangers(now time.Time, peers map[messenger.RouterID]*peer) []float64 {
 	sums := make(map[messenger.AccountID]float64)
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -28,6 +28,9 @@
 	// another engine, and fetchTime what that takes.
 	leastFetch = 128
 	fetchTime  = 12 * time.Millisecond
+	// contestedShare is the part of the slots that no router takes beyond its
+	// own part.
+	contestedShare = 0.08
 	// defaultSlots serves upstreams that do not say how many requests they work
 	// on at a time.
 	defaultSlots = 8
@@ -120,6 +123,23 @@
 	return n
 }
 
+// contested returns how many requests to reckon with in an upstream that is
+// nearly full. Other routers see the same free slot, and what they send is
+// known late; so each keeps to its part of the slots there, and the next one is
+// sent when an own one ends.
+func (u *upstream) contested(now time.Time, inside int) int {
+	slots := u.slots()
+	if inside+1+int(contestedShare*float64(slots)) <= slots {
+		return inside
+	}
+	part := u.pool.part * float64(slots)
+	if float64(u.running+1) <= max(1, part) {
+		return inside
+	}
+	excess := float64(u.running+1) - part
+	return max(inside, slots+int(excess/u.pool.part))
+}
+
 // slowdown is how many times longer than usual work takes now.
 func (u *upstream) slowdown(now time.Time) float64 {
 	if u.report.Slowdown > 0 && now.Sub(u.reported) < slowdownTTL {
@@ -142,7 +162,7 @@
 		f.again -= f.fetched
 		fetch = fetchTime.Seconds()
 	}
-	inside := u.inside(a.now)
+	inside := u.contested(a.now, u.inside(a.now))
 	ahead := u.reading + u.others.reading
 	wait := 0.0
 	if over := inside + 1 - u.slots(); over > 0 {
