Accounts within their share go first while slots are scarce

Change: accounts that ask for more than their max-min share leave a reserve of slots to the others, which grows when one of those is turned away.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -176,6 +176,11 @@
 	}
 	objective := float64(r.arrive.Objective)
 	limit := max(time.Duration(inTime*objective)-f.own, time.Duration(patience*objective))
+	if f.scarce && a.shares.capped(r.arrive.Account) {
+		// Who asks for less than its share gets all of it; the others share
+		// what is left.
+		return false
+	}
 	if r.beyond {
 		limit = time.Duration(crowded*objective) - f.own
 	}
@@ -272,6 +277,7 @@
 	a.divide()
 	for _, p := range a.pools {
 		p.forget(a.now)
+		p.adapt(false, messenger.TickInterval)
 		a.serveWaiting(p)
 		a.refuseOverdue(p)
 	}
@@ -285,6 +291,9 @@
 			continue
 		}
 		delete(a.requests, r.arrive.Request)
+		if p.engine && !a.shares.capped(r.arrive.Account) {
+			p.adapt(true, 0)
+		}
 		a.refuse(r)
 	}
 	clear(p.waiting[len(kept):])
--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -91,6 +91,12 @@
 	return !ok || !a.capped || a.credit > 0
 }
 
+// capped reports whether an account asks for more than its share.
+func (s *shares) capped(id messenger.AccountID) bool {
+	a, ok := s.accounts[id]
+	return ok && a.capped
+}
+
 // settle works out the shares anew and gives each account its part.
 func (s *shares) settle(now time.Time, throughput float64, peers map[messenger.RouterID]*peer) {
 	passed := now.Sub(s.settled)
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -127,11 +127,11 @@
 // nearly full. Other routers see the same free slot, and what they send is
 // known late; so each keeps to its part of the slots there, and the next one is
 // sent when an own one ends.
-func (u *upstream) contested(now time.Time, inside int) int {
-	slots := u.slots()
-	if inside+1+int(contestedShare*float64(slots)) <= slots {
+func (u *upstream) contested(inside int) int {
+	if !u.nearlyFull(inside, contestedShare) {
 		return inside
 	}
+	slots := u.slots()
 	part := u.pool.part * float64(slots)
 	if float64(u.running+1) <= max(1, part) {
 		return inside
@@ -140,6 +140,12 @@
 	return max(inside, slots+int(excess/u.pool.part))
 }
 
+// nearlyFull reports whether another request leaves less than a share of the
+// slots free.
+func (u *upstream) nearlyFull(inside int, share float64) bool {
+	return inside+1+int(share*float64(u.slots())) > u.slots()
+}
+
 // slowdown is how many times longer than usual work takes now.
 func (u *upstream) slowdown(now time.Time) float64 {
 	if u.report.Slowdown > 0 && now.Sub(u.reported) < slowdownTTL {
@@ -162,7 +168,9 @@
 		f.again -= f.fetched
 		fetch = fetchTime.Seconds()
 	}
-	inside := u.contested(a.now, u.inside(a.now))
+	inside := u.inside(a.now)
+	f.scarce = u.nearlyFull(inside, u.pool.reserve)
+	inside = u.contested(inside)
 	ahead := u.reading + u.others.reading
 	wait := 0.0
 	if over := inside + 1 - u.slots(); over > 0 {
