Shares are charged when asked for; engines are kept full and no fuller

FAIR: an account at one router got 143,000 tokens a second of 395,000 while another got 637,000; credit was charged only for what was served, so whoever asked for more got more. ORDER: the answer 500 of a second worker was taken for the rest of a stream.

Change: credit is charged at the arrival; the level follows what engines really do; requests beyond a share leave a reserve, as large as the router wants that turns away most; waits inside engines are kept under 0.45 of the objective instead of 0.9.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -35,13 +35,13 @@
 	holdShare = 0.125
 	// inTime is the part of a request's objective that the expected time to its
 	// first output may take: forecasts err, and the answer has to travel.
-	inTime = 0.9
+	inTime = 0.45
 	// crowded is the part of the objective above which accounts beyond their
 	// share give way.
 	crowded = 0.4
 	// patience is the part of its objective that a request may wait for others
 	// even if its own prompt takes the rest: what is large is not to starve.
-	patience = 0.35
+	patience = 0.07
 	// defaultObjective serves requests whose route has none.
 	defaultObjective = time.Second
 	// lateShare is the part of the time to the deadline that a request for a
@@ -176,12 +176,10 @@
 	}
 	objective := float64(r.arrive.Objective)
 	limit := max(time.Duration(inTime*objective)-f.own, time.Duration(patience*objective))
-	if f.scarce && a.shares.capped(r.arrive.Account) {
-		// Who asks for less than its share gets all of it; the others share
-		// what is left.
-		return false
-	}
 	if r.beyond {
+		if f.roomless {
+			return false
+		}
 		limit = time.Duration(crowded*objective) - f.own
 	}
 	return waits <= limit
@@ -193,6 +191,9 @@
 	u.start(a.now, r)
 	if r.pool.engine && r.arrive.Work.Output > 0 {
 		a.shares.serve(a.now, r.arrive.Account, r.cost)
+		if !r.beyond {
+			a.shares.tookIn()
+		}
 		r.pool.keep(a.now, u, r, f)
 	}
 	d := messenger.Dispatch{Request: r.arrive.Request, Upstream: u.id}
@@ -277,7 +278,6 @@
 	a.divide()
 	for _, p := range a.pools {
 		p.forget(a.now)
-		p.adapt(false, messenger.TickInterval)
 		a.serveWaiting(p)
 		a.refuseOverdue(p)
 	}
@@ -291,8 +291,8 @@
 			continue
 		}
 		delete(a.requests, r.arrive.Request)
-		if p.engine && !a.shares.capped(r.arrive.Account) {
-			p.adapt(true, 0)
+		if p.engine && !r.beyond {
+			a.shares.turnedAway()
 		}
 		a.refuse(r)
 	}
@@ -309,8 +309,9 @@
 		}
 	}
 	part := a.shares.part(1 / float64(routers))
+	reserve := a.shares.kept(a.now, a.peers)
 	for _, p := range a.pools {
-		p.part = part
+		p.part, p.reserve = part, reserve
 	}
 }
 
--- a/internal/admitter/load_test.go
+++ b/internal/admitter/load_test.go
@@ -130,6 +130,27 @@
 	}
 }
 
+// TestFloodsShareAlike has two accounts ask for more than their share, one for
+// four times as much as the other: both must get about the same.
+func TestFloodsShareAlike(t *testing.T) {
+	// The engines do 190 a second, more than they are said to.
+	s := newSim(t, 8, 9, 24, 100*4300)
+	s.run(9*time.Second, func() {
+		s.poisson(400, func() { s.offer("big", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
+		s.poisson(130, func() { s.offer("small", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
+		s.poisson(20, func() { s.offer("third", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
+	})
+	got := make(map[messenger.AccountID]int)
+	for _, r := range s.all[len(s.all)/3:] {
+		if !r.refused {
+			got[r.arrive.Account]++
+		}
+	}
+	if got["small"] < got["big"]*2/3 {
+		t.Errorf("got %v served, want the two that flood to get about the same", got)
+	}
+}
+
 // TestLargePromptsAreServed has a crest in which one prompt in ten is so large
 // that reading it takes most of the objective.
 func TestLargePromptsAreServed(t *testing.T) {
--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -15,12 +15,16 @@
 	heard time.Time
 	loads map[messenger.UpstreamID]load
 	asked map[messenger.AccountID]float64
+	// served is what all its accounts get together, in cost a second.
+	served float64
+	// reserve is what it wants to be left to accounts within their share.
+	reserve float64
 }
 
 // hear takes in what another router runs and is asked for.
 func (a *Admitter) hear(e messenger.PeerLoad) {
 	p := &peer{
-		heard: a.now,
+		heard: a.now, reserve: bound(float64(e.Reserve), 0, mostReserve),
 		loads: make(map[messenger.UpstreamID]load, len(e.Upstreams)),
 		asked: make(map[messenger.AccountID]float64, len(e.Accounts)),
 	}
@@ -29,6 +33,7 @@
 	}
 	for _, d := range e.Accounts {
 		p.asked[d.Account] = float64(d.Rate)
+		p.served += float64(d.Served)
 	}
 	a.peers[e.From] = p
 	a.sumPeers()
@@ -56,7 +61,7 @@
 
 // Share returns what other routers should know of this one.
 func (a *Admitter) Share(now time.Time) messenger.PeerLoad {
-	out := messenger.PeerLoad{From: a.cfg.Self}
+	out := messenger.PeerLoad{From: a.cfg.Self, Reserve: float32(a.shares.reserve)}
 	for id, u := range a.upstreams {
 		if u.running > 0 {
 			out.Upstreams = append(out.Upstreams, messenger.UpstreamLoad{
@@ -67,7 +72,9 @@
 	for id, acc := range a.shares.accounts {
 		acc.fade(now)
 		if acc.asked >= leastRate {
-			out.Accounts = append(out.Accounts, messenger.AccountDemand{Account: id, Rate: uint32(acc.asked)})
+			out.Accounts = append(out.Accounts, messenger.AccountDemand{
+				Account: id, Rate: uint32(acc.asked), Served: uint32(acc.served),
+			})
 		}
 	}
 	return out
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -29,13 +29,6 @@
 	// homeCached is how much of a shared prompt is expected at the upstream
 	// that all routers prefer for it, though this one has not sent it there.
 	homeCached = 0.8
-	// leastReserve and mostReserve bound the part of the slots that is kept for
-	// accounts within their share; it grows by reserveGrowth for each of their
-	// requests that is turned away and halves in reserveHalfLife without.
-	leastReserve    = 0.05
-	mostReserve     = 0.4
-	reserveGrowth   = 0.02
-	reserveHalfLife = 4 * time.Second
 	// noUpstreamDelay is when a caller may come back that met a pool without
 	// any upstream.
 	noUpstreamDelay = time.Second
@@ -51,15 +44,14 @@
 	model   model
 	// part is this router's part of the fleet's demand, 0 to 1.
 	part float64
-	// reserve is the part of the slots that accounts which ask for more than
-	// their share leave to the others.
+	// reserve is the part of the slots that requests beyond a share leave free.
 	reserve float64
 	// holders knows where shared parts were last sent.
 	holders holders
 }
 
 func newPool(id messenger.PoolID) *pool {
-	return &pool{id: id, model: newModel(), part: 1, reserve: leastReserve}
+	return &pool{id: id, model: newModel(), part: 1}
 }
 
 func (p *pool) set(policy messenger.PoolPolicy) {
@@ -73,21 +65,12 @@
 	slices.SortFunc(p.members, func(a, b *upstream) int { return cmp.Compare(a.id, b.id) })
 }
 
-// adapt lets the reserve grow when an account within its share was turned away
-// and shrink with time.
-func (p *pool) adapt(turnedAway bool, passed time.Duration) {
-	if turnedAway {
-		p.reserve = min(mostReserve, p.reserve+reserveGrowth)
-	}
-	p.reserve = max(leastReserve, p.reserve*halved(passed, reserveHalfLife))
-}
-
 // order puts what waits in the order in which it is served: higher classes
 // first, accounts within their share before others, then by arrival.
 func (p *pool) order(a *Admitter) {
 	for _, r := range p.waiting {
 		if p.engine && r.beyond {
-			r.beyond = !a.shares.within(r.arrive.Account)
+			r.beyond = !a.shares.admit(r.arrive.Account, r.cost)
 		}
 	}
 	slices.SortStableFunc(p.waiting, func(x, y *request) int {
@@ -117,9 +100,11 @@
 	fetched int
 	// source is where parts of the prompt are to be fetched from, or nil.
 	source *upstream
-	// clear is true if nothing is ahead of the request, scarce if the slots that
-	// are left are kept for accounts within their share.
-	clear, scarce bool
+	// clear is true if nothing is ahead of the request.
+	clear bool
+	// roomless is true if the slots that are left are kept for accounts that
+	// have not used up their share.
+	roomless bool
 }
 
 // source is an upstream that parts of a prompt may be fetched from.
--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -17,7 +18,17 @@
 	settleInterval = 100 * time.Millisecond
 	// shareSlack is how far above its share an account is served before it
 	// gives way: shares are forecasts.
-	shareSlack = 1.15
+	shareSlack = 1.1
+	// tolerated is the part of the requests within a share that may be turned
+	// away, and reserveStep how much one of them changes the reserve, which is
+	// kept between leastReserve and mostReserve.
+	tolerated    = 0.1
+	reserveStep  = 0.02
+	leastReserve = 0.04
+	mostReserve  = 0.5
+	// growth is how much more than is served now is shared out, so that what
+	// engines can do is found.
+	growth = 1.05
 	// partSpread is how far a router's part of the demand may lie from an even
 	// part.
 	partSpread = 4
@@ -32,6 +43,9 @@
 	// level is what an account may have that asks for more, in cost a second;
 	// zero means that there is enough for all.
 	level float64
+	// reserve is the part of the slots that this router wants to be left to
+	// requests within a share.
+	reserve float64
 	// foreign is the demand of accounts that only other routers know.
 	foreign float64
 }
@@ -40,7 +54,9 @@
 type account struct {
 	// asked is the demand here, in cost a second; all includes other routers.
 	asked, all float64
-	updated    time.Time
+	// served is what it gets here, in cost a second.
+	served  float64
+	updated time.Time
 	// credit is what it may still use at once, in cost.
 	credit float64
 	capped bool
@@ -61,7 +77,9 @@
 // fade brings the demand up to date.
 func (a *account) fade(now time.Time) {
 	if !a.updated.IsZero() {
-		a.asked *= halved(now.Sub(a.updated), rateHalfLife)
+		left := halved(now.Sub(a.updated), rateHalfLife)
+		a.asked *= left
+		a.served *= left
 	}
 	a.updated = now
 }
@@ -70,33 +88,61 @@
 func (s *shares) ask(now time.Time, id messenger.AccountID, cost float64) bool {
 	a := s.of(id)
 	a.fade(now)
-	// A steady rate r makes the faded sum approach r * halfLife / ln 2.
-	a.asked += cost * ln2 / rateHalfLife.Seconds()
-	return a.capped && a.credit <= 0
+	a.asked += rateOf(cost)
+	return !a.charge(cost)
 }
 
-const ln2 = 0.6931471805599453
+// charge takes a request from the account's credit and reports whether it is
+// within its share. It is taken whether or not the request will be served: what
+// is turned away for want of slots is turned away from all alike, and not from
+// those who ask for less.
+func (a *account) charge(cost float64) bool {
+	if !a.capped {
+		return true
+	}
+	if a.credit <= 0 {
+		return false
+	}
+	a.credit -= cost
+	return true
+}
+
+// rateOf returns what a cost adds to a rate that fades: a steady rate r makes
+// the faded sum of costs approach r * half-life / ln 2.
+func rateOf(cost float64) float64 { return cost * math.Ln2 / rateHalfLife.Seconds() }
 
-// serve takes what is served from the account's credit.
+// serve notes what an account gets.
 func (s *shares) serve(now time.Time, id messenger.AccountID, cost float64) {
 	a := s.of(id)
-	if a.capped {
-		a.credit -= cost
-	}
+	a.fade(now)
+	a.served += rateOf(cost)
 }
 
-// within reports whether an account has not used up its share.
-func (s *shares) within(id messenger.AccountID) bool {
-	a, ok := s.accounts[id]
-	return !ok || !a.capped || a.credit > 0
+// admit reports whether a request that was beyond its account's share has come
+// within it.
+func (s *shares) admit(id messenger.AccountID, cost float64) bool {
+	return s.of(id).charge(cost)
 }
 
-// capped reports whether an account asks for more than its share.
-func (s *shares) capped(id messenger.AccountID) bool {
-	a, ok := s.accounts[id]
-	return ok && a.capped
+// kept returns the part of the slots that requests beyond a share leave free:
+// what the router wants that turns away most.
+func (s *shares) kept(now time.Time, peers map[messenger.RouterID]*peer) float64 {
+	most := s.reserve
+	for _, p := range peers {
+		if now.Sub(p.heard) <= peerTTL {
+			most = max(most, p.reserve)
+		}
+	}
+	return most
 }
 
+// tookIn and turnedAway note what became of a request within its account's
+// share. If more than a few of them are turned away, more slots are reserved for
+// them.
+func (s *shares) tookIn() { s.reserve = max(leastReserve, s.reserve-reserveStep*tolerated) }
+
+func (s *shares) turnedAway() { s.reserve = min(mostReserve, s.reserve+reserveStep*(1-tolerated)) }
+
 // settle works out the shares anew and gives each account its part.
 func (s *shares) settle(now time.Time, throughput float64, peers map[messenger.RouterID]*peer) {
 	passed := now.Sub(s.settled)
@@ -107,10 +153,12 @@
 		passed = settleInterval
 	}
 	s.settled = now
+	served := servedByPeers(now, peers)
 	demands := make([]float64, 0, len(s.accounts))
 	for id, a := range s.accounts {
 		a.fade(now)
 		a.all = a.asked + askedByPeers(now, id, peers)
+		served += a.served
 		demands = append(demands, a.all)
 	}
 	strangers := s.strangers(now, peers)
@@ -119,6 +167,11 @@
 		s.foreign += d
 	}
 	demands = append(demands, strangers...)
+	if throughput > 0 {
+		// Engines may do more than they are said to: prompts that are kept count
+		// though they are not read.
+		throughput = max(throughput, growth*served)
+	}
 	s.level = waterLevel(demands, throughput)
 	for _, a := range s.accounts {
 		a.refill(s.level, passed)
@@ -159,6 +212,17 @@
 	return demands
 }
 
+// servedByPeers returns what other routers serve, in cost a second.
+func servedByPeers(now time.Time, peers map[messenger.RouterID]*peer) float64 {
+	sum := 0.0
+	for _, p := range peers {
+		if now.Sub(p.heard) <= peerTTL {
+			sum += p.served
+		}
+	}
+	return sum
+}
+
 func askedByPeers(now time.Time, id messenger.AccountID, peers map[messenger.RouterID]*peer) float64 {
 	sum := 0.0
 	for _, p := range peers {
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -30,7 +30,7 @@
 	fetchTime  = 12 * time.Millisecond
 	// contestedShare is the part of the slots that no router takes beyond its
 	// own part.
-	contestedShare = 0.08
+	contestedShare = 0.16
 	// defaultSlots serves upstreams that do not say how many requests they work
 	// on at a time.
 	defaultSlots = 8
@@ -169,7 +169,7 @@
 		fetch = fetchTime.Seconds()
 	}
 	inside := u.inside(a.now)
-	f.scarce = u.nearlyFull(inside, u.pool.reserve)
+	f.roomless = u.nearlyFull(inside, u.pool.reserve)
 	inside = u.contested(inside)
 	ahead := u.reading + u.others.reading
 	wait := 0.0
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -147,6 +147,10 @@
 	if at.resuming {
 		return f.resumed(at)
 	}
+	if f.answered && !f.goesOn(p) {
+		f.attemptFailed(at, ProblemStreamBroken, false)
+		return false
+	}
 	if (busy(p.status) || f.d.traits.ResendsStreams && p.status >= http.StatusInternalServerError) && f.mayRetry() {
 		f.attemptFailed(at, ProblemUpstreamFailed, false)
 		return false
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -83,6 +83,12 @@
 	f.refuse(string(messenger.RefuseNoUpstream), 0)
 }
 
+// goesOn reports whether an answer can be the rest of a stream of which the
+// caller has the beginning.
+func (f *flight) goesOn(p progress) bool {
+	return p.status == http.StatusOK && isEventStream(p.header)
+}
+
 // mayFailOver reports whether another upstream may be given the request while
 // one that has it is silent.
 func (f *flight) mayFailOver() bool {
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -141,6 +141,9 @@
 	From      RouterID
 	Upstreams []UpstreamLoad
 	Accounts  []AccountDemand
+	// Reserve is the part of the slots, 0 to 1, that accounts which have used up
+	// their share are to leave to others.
+	Reserve float32
 }
 
 // UpstreamLoad is what one router runs on one upstream.
@@ -157,8 +160,9 @@
 type AccountDemand struct {
 	_       struct{} `codec:",toarray"`
 	Account AccountID
-	// Rate is in units of Work.Cost a second.
-	Rate uint32
+	// Rate is what it asks for, in units of Work.Cost a second, and Served what
+	// it gets.
+	Rate, Served uint32
 }
 
 func (PeerLoad) isEvent() {}
