Requests beyond a share wait less the more is reserved; slots are waited for with caution

Cause: where the batch is large (128 slots) time and not slots is scarce, so a reserve of slots held nobody back; where it is small, who waits for a slot inside an engine waits far longer than the average says.

Change: the wait that a request beyond its share may expect shrinks with the reserve; the expected wait for a slot counts four times; up to 0.65 of the objective may pass until the first output.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -35,10 +35,7 @@
 	holdShare = 0.125
 	// inTime is the part of a request's objective that the expected time to its
 	// first output may take: forecasts err, and the answer has to travel.
-	inTime = 0.45
-	// crowded is the part of the objective above which accounts beyond their
-	// share give way.
-	crowded = 0.4
+	inTime = 0.65
 	// patience is the part of its objective that a request may wait for others
 	// even if its own prompt takes the rest: what is large is not to starve.
 	patience = 0.07
@@ -180,7 +177,7 @@
 		if f.roomless {
 			return false
 		}
-		limit = time.Duration(crowded*objective) - f.own
+		limit = time.Duration(inTime*objective*(1-r.pool.reserve/mostReserve)) - f.own
 	}
 	return waits <= limit
 }
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -31,6 +31,9 @@
 	// contestedShare is the part of the slots that no router takes beyond its
 	// own part.
 	contestedShare = 0.16
+	// slotCaution is how much longer than on average a slot is waited for: who
+	// waits inside an engine can be given no other.
+	slotCaution = 4
 	// defaultSlots serves upstreams that do not say how many requests they work
 	// on at a time.
 	defaultSlots = 8
@@ -174,7 +177,7 @@
 	ahead := u.reading + u.others.reading
 	wait := 0.0
 	if over := inside + 1 - u.slots(); over > 0 {
-		wait = float64(over) * m.held / float64(u.slots())
+		wait = slotCaution * float64(over) * m.held / float64(u.slots())
 	}
 	f.clear = ahead == 0 && wait == 0
 	own := (fetch + m.base + float64(f.reads)*m.perRead) * u.error * u.slowdown(a.now)
