--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -188,6 +188,7 @@
 
 // completed relays a whole answer and frees the slot.
 func (f *flight) completed(at *attempt) {
+	f.dropOthers(at)
 	f.note(tracker.Complete)
 	f.d.live.remove(at.policy.Address, at.x)
 	at.x.linger()
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -168,6 +168,12 @@
 func (f *flight) win(at *attempt) {
 	at.won = true
 	f.note(answerEvent(at.status))
+	f.dropOthers(at)
+}
+
+// dropOthers ends every attempt but the one that answers. A copy may have begun
+// while the answer was asked for again.
+func (f *flight) dropOthers(at *attempt) {
 	for _, other := range append([]*attempt(nil), f.attempts...) {
 		if other != at {
 			f.drop(other)
