--- a/internal/cli/daemons.go
+++ b/internal/cli/daemons.go
@@ -12,7 +12,9 @@
 	"github.com/sirupsen/logrus"
 
 	"lentilwood.example/lentilwood/internal/loader"
+	"lentilwood.example/lentilwood/internal/logger"
 	"lentilwood.example/lentilwood/internal/parser"
+	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
 // daemon runs until ctx is cancelled and then shuts down gracefully.
@@ -80,15 +82,12 @@
 	log := newLog(s.out, cfg)
 	ctx, stop := untilSignal(log)
 	defer stop()
+	defer logger.Flush(log)
 	return run(ctx, settings, log)
 }
 
 func newLog(w io.Writer, cfg loader.Log) *logrus.Logger {
-	log := logrus.New()
-	log.SetOutput(w)
-	log.SetLevel(cfg.Level.Logrus())
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
-	return log
+	return logger.New(w, cfg.Level.Logrus(), timekeeper.System{}, logger.Budget{})
 }
 
 // untilSignal returns a context that ends at the first SIGTERM or SIGINT. The
@@ -97,6 +96,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go noteReloads(ctx, reloads, log)
 	go watchSignals(ctx, signals, cancel, log, os.Exit)
 	return ctx, func() {
 		signal.Stop(signals)
@@ -105,6 +107,20 @@
 	}
 }
 
+// noteReloads keeps a hangup from ending the process. Settings are read at the
+// start; what changes while a router runs stands in the configuration.
+func noteReloads(ctx context.Context, reloads chan os.Signal, log *logrus.Logger) {
+	defer signal.Stop(reloads)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reloads:
+			log.WithField("event", "reload").Info("settings changed; they are read at the next start")
+		}
+	}
+}
+
 func watchSignals(ctx context.Context, signals <-chan os.Signal, cancel func(), log *logrus.Logger, exit func(int)) {
 	sig, ok := <-signals
 	if !ok {
@@ -118,5 +134,6 @@
 		return
 	}
 	log.WithField("event", "signal").WithField("signal", sig).Error("second signal: ending at once, requests in progress are cut off")
+	logger.Flush(log)
 	exit(exitFailed)
 }
--- a/internal/dispatcher/fakes_test.go
+++ b/internal/dispatcher/fakes_test.go
@@ -27,6 +27,8 @@
 	slow    bool
 	pending int
 	done    chan struct{}
+	// left is true once the caller has gone, though done is not closed yet.
+	left bool
 	// wrote gets a token on each write.
 	wrote chan struct{}
 }
@@ -81,6 +83,12 @@
 
 func (c *fakeCaller) Done() <-chan struct{} { return c.done }
 
+func (c *fakeCaller) Left() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.left
+}
+
 func (c *fakeCaller) text() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -163,6 +163,11 @@
 
 // dispatch opens an attempt, after the key was claimed if there is one.
 func (f *flight) dispatch(ctx context.Context, a messenger.Dispatch) {
+	if !f.gone && !f.answered && f.c.Left() {
+		f.finish(a.Upstream, 0, false, false)
+		f.leave()
+		return
+	}
 	late := f.late()
 	if f.over || f.gone || late || f.pending != nil || !f.outcome.MaySend() {
 		f.finish(a.Upstream, 0, false, false)
--- a/internal/dispatcher/resend_test.go
+++ b/internal/dispatcher/resend_test.go
@@ -191,6 +191,20 @@
 	}
 }
 
+// TestNothingIsSentForACallerThatLeft has the caller go while its request waits
+// for its turn; the listener has not noticed yet.
+func TestNothingIsSentForACallerThatLeft(t *testing.T) {
+	ran := make(chan struct{}, 1)
+	addr := serve(t, func(http.ResponseWriter, *http.Request) { ran <- struct{}{} })
+	d := newTestDispatcher(t, Config{Dialect: resendDialect{}, Upstreams: fixedUpstreams{"a": {Address: addr}}})
+	q, c := newFakeQueue("a"), newFakeCaller()
+	c.left = true
+	res := d.Serve(context.Background(), reservation(), q, c)
+	if len(ran) != 0 || !res.CallerGone || res.Run != messenger.NotRun || len(q.finishes()) != 1 {
+		t.Errorf("got %+v, ran %d, want nothing sent and the slot given back", res, len(ran))
+	}
+}
+
 // TestCopyBesideAResumedStreamIsEnded has a second copy of a request begin while
 // its first stream is asked for again. The slots of both must come back.
 func TestCopyBesideAResumedStreamIsEnded(t *testing.T) {
--- a/internal/follower/feed.go
+++ b/internal/follower/feed.go
@@ -42,8 +42,9 @@
 	Table  Table
 	Clock  timekeeper.Clock
 	Log    *logrus.Logger
-	// Wait is how long the store may keep a call waiting.
-	Wait time.Duration
+	// Wait returns how long the store may keep a call waiting; nil means
+	// DefaultWait.
+	Wait func() time.Duration
 	// Batches gets what was read.
 	Batches func(Batch)
 
@@ -54,9 +55,6 @@
 
 // Run follows the table until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
-	if f.Wait <= 0 {
-		f.Wait = DefaultWait
-	}
 	pause := firstPause
 	for ctx.Err() == nil {
 		err := f.step(ctx)
@@ -81,7 +79,10 @@
 	if !f.started {
 		return f.read(ctx)
 	}
-	wait := f.Wait
+	wait := DefaultWait
+	if f.Wait != nil {
+		wait = f.Wait()
+	}
 	if f.failing {
 		wait = 0 // learn of the store's return, not of changes
 	}
--- a/internal/listener/caller.go
+++ b/internal/listener/caller.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -128,6 +130,17 @@
 // Done is closed once the connection is gone.
 func (c *Caller) Done() <-chan struct{} { return c.b.ctx.Done() }
 
+// Left reports whether the other end has closed its side, even if the poller
+// has not come to notice it yet, as on a VM that is short of processor time.
+func (c *Caller) Left() bool {
+	if c.b.ctx.Err() != nil {
+		return true
+	}
+	var next [1]byte
+	n, _, err := syscall.Recvfrom(c.b.nbc.Hash(), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+}
+
 // Opened returns when the connection was opened.
 func (c *Caller) Opened() time.Time { return c.b.openedAt }
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -200,7 +200,11 @@
 
 // AnnounceClose goes on accepting, but tells each connection with its next
 // answer that it will be closed.
-func (l *Listener) AnnounceClose() { l.draining.Store(true) }
+func (l *Listener) AnnounceClose() { l.SetClosing(true) }
+
+// SetClosing sets whether connections are told with their next answer that they
+// will be closed.
+func (l *Listener) SetClosing(closing bool) { l.draining.Store(closing) }
 
 // StopAccepting closes the port. Open connections live on; each is told with
 // its next answer that it will be closed.
--- /dev/null
+++ b/internal/logger/logger_test.go
@@ -0,0 +1,85 @@
+package logger
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// output keeps what is written; while blocked it takes nothing.
+type output struct {
+	mu      sync.Mutex
+	text    bytes.Buffer
+	blocked chan struct{}
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	if o.blocked != nil {
+		<-o.blocked
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+func (o *output) lines(substring string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return strings.Count(o.text.String(), substring)
+}
+
+func awaitLines(t *testing.T, o *output, substring string, want int) {
+	t.Helper()
+	for range 500 {
+		if o.lines(substring) >= want {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	t.Fatalf("got %d lines with %q, want %d", o.lines(substring), substring, want)
+}
+
+func TestBlockedOutputBlocksNobody(t *testing.T) {
+	o := &output{blocked: make(chan struct{})}
+	clock := timekeeper.NewManual(time.Unix(1000, 0))
+	log := New(o, logrus.InfoLevel, clock, Budget{Lines: 10_000, Burst: 100_000, Queue: 10})
+	for range 5000 { // would hang here if a line waited for the output
+		log.WithField("event", "request").Info("request ended")
+	}
+	clock.Advance(2 * summaryInterval)
+	close(o.blocked)
+	for range 100 {
+		log.WithField("event", "last").Info("after it")
+		clock.Advance(summaryInterval)
+		time.Sleep(time.Millisecond)
+	}
+	awaitLines(t, o, "event=logLeftOut", 1)
+}
+
+func TestFloodIsBoundedAndFailuresAreLeftOutLast(t *testing.T) {
+	o := &output{}
+	clock := timekeeper.NewManual(time.Unix(1000, 0))
+	log := New(o, logrus.InfoLevel, clock, Budget{Lines: 50, Burst: 100, Queue: 1000})
+	for range 10 {
+		for range 500 {
+			log.WithField("event", "chatter").Info("of no account")
+		}
+		for range 20 {
+			log.WithField("event", "request").WithField("problem", "deadline").Info("request ended")
+		}
+		clock.Advance(time.Second)
+	}
+	awaitLines(t, o, "problem=deadline", 200)
+	if got, limit := o.lines("of no account"), 10*50+100; got > limit {
+		t.Errorf("got %d lines of chatter, want at most %d", got, limit)
+	}
+	if got := o.lines("chatter="); got == 0 {
+		t.Error("what was left out is not said by event")
+	}
+}
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -35,7 +35,11 @@
 	// cutMargin is how long before the platform ends the process requests in
 	// progress are cut off, so that their callers are told.
 	cutMargin = 400 * time.Millisecond
-	// budgetBytes bounds what is held for slow callers, as a part of the memory.
+	// feedWaitPerPeer is how much longer a call for changes may wait for each
+	// other router, up to longestFeedWait.
+	feedWaitPerPeer = 150 * time.Millisecond
+	longestFeedWait = 10 * time.Second
+	// budgetShare bounds what is held for slow callers, as a part of the memory.
 	budgetShare = 8
 	// memoryShare is the part of the VM's memory that the runtime aims to stay
 	// under, in percent.
@@ -110,6 +114,8 @@
 	draining    atomic.Bool
 	lastRequest atomic.Uint64
 	inProgress  atomic.Int64
+	peerCount   atomic.Int64
+	strained    atomic.Bool
 
 	serving     context.Context
 	cutRequests context.CancelFunc
@@ -118,6 +124,7 @@
 	goroutines  sync.WaitGroup
 
 	// The control goroutine owns the rest.
+	strain   strain
 	follower *follower.Follower
 	peers    map[string]*hostedPeer
 	shared   time.Time
@@ -166,7 +173,7 @@
 	h.goroutines.Go(func() { h.control.run(h.background) })
 	for _, table := range []follower.Table{follower.ConfigurationTable, follower.RegistrationTable} {
 		feed := &follower.Feed{
-			Source: h.cfg.Source, Table: table, Clock: h.clock, Log: h.log,
+			Source: h.cfg.Source, Table: table, Clock: h.clock, Log: h.log, Wait: h.feedWait,
 			Batches: func(b follower.Batch) { h.control.call(func() { h.merge(b) }) },
 		}
 		h.goroutines.Go(func() { feed.Run(h.background) })
@@ -235,6 +242,8 @@
 		return false, "shutting-down"
 	case h.snapshot.Load() == nil:
 		return false, "no-configuration"
+	case h.strained.Load():
+		return false, "overloaded"
 	}
 	return true, ""
 }
@@ -300,11 +309,20 @@
 	}
 }
 
+// feedWait returns how long a call for changes may wait. The more routers there
+// are, the more of them tell one whose connection fell silent, and the more
+// calls all of them make.
+func (h *Hosted) feedWait() time.Duration {
+	wait := follower.DefaultWait + feedWaitPerPeer*time.Duration(h.peerCount.Load())
+	return min(wait, longestFeedWait)
+}
+
 // tick runs on the control goroutine at every tick.
 func (h *Hosted) tick() {
 	if h.follower.Expire(h.clock.Now()) {
 		h.publish()
 	}
+	h.watchStrain()
 	h.tellPeers()
 }
 
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -52,8 +52,9 @@
 type hostedEnvelope struct {
 	_    struct{} `codec:",toarray"`
 	From Member
-	// Leaving is true if the sender is about to stop.
-	Leaving bool
+	// Leaving is true if the sender is about to stop, Strained if it sends its
+	// callers elsewhere.
+	Leaving, Strained bool
 	// Configuration and Registrations are the newest versions that the sender
 	// has of the two tables.
 	Configuration, Registrations uint64
@@ -69,6 +70,8 @@
 	tried   time.Time
 	live    bool
 	leaving bool
+	// strained is true while it sends its callers elsewhere.
+	strained bool
 	// versions are the newest that it said it has, laggingSince when it was
 	// first seen to have less than this router.
 	versions     map[follower.Table]uint64
@@ -129,6 +132,7 @@
 		p = &hostedPeer{member: m, versions: make(map[follower.Table]uint64)}
 		h.peers[m.Name] = p
 		h.budget.SetRouters(len(h.peers) + 1)
+		h.peerCount.Store(int64(len(h.peers)))
 	}
 	if m.Incarnation >= p.member.Incarnation || m.Address != p.member.Address {
 		p.member = m
@@ -143,7 +147,7 @@
 		return
 	}
 	p.heard = h.clock.Now()
-	p.leaving = e.Leaving
+	p.leaving, p.strained = e.Leaving, e.Strained
 	if !p.live {
 		p.live = true
 		h.log.WithFields(logrus.Fields{"event": "peer", "peer": p.member.Name, "live": true}).Info("router heard")
@@ -183,7 +187,7 @@
 		return
 	}
 	e := hostedEnvelope{
-		From: h.member(), Leaving: h.draining.Load(),
+		From: h.member(), Leaving: h.draining.Load(), Strained: h.strained.Load(),
 		Configuration: h.follower.Version(follower.ConfigurationTable),
 		Registrations: h.follower.Version(follower.RegistrationTable),
 		Load:          h.admitter.Share(now),
