--- a/internal/admitter/engine_test.go
+++ b/internal/admitter/engine_test.go
@@ -43,12 +43,12 @@
 	large   bool
 	home    messenger.UpstreamID
 
-	reads, again int
-	readDone     time.Time
-	tokens       float64
-	first        time.Time
-	refused      bool
-	ended        bool
+	reads    int
+	readDone time.Time
+	tokens   float64
+	first    time.Time
+	refused  bool
+	ended    bool
 }
 
 // onTime reports whether the first output came within the objective.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -36,6 +36,8 @@
 	Drain    drainCommand     `cmd:"" help:"Give an upstream no new work."`
 	Evacuate evacuateCommands `cmd:"" help:"Empty old VMs by a deadline."`
 
+	Explain explainCommand `cmd:"" help:"Tell a request's story from the logs of routers."`
+
 	Slopes slopesCommand `cmd:"" hidden:"" help:"Fit lines through results of benchmarks (make slopes)."`
 
 	Version versionCommand `cmd:"" help:"Print the version."`
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -105,9 +105,9 @@
 		}
 		t.hosts[host][r.Prefix] = r
 	}
-	for i := range accounts {
-		for _, key := range accounts[i].Keys {
-			t.accounts[key] = &accounts[i]
+	for _, a := range accounts {
+		for _, key := range a.Keys {
+			t.accounts[key] = &a
 		}
 	}
 	return t
--- a/internal/router/doc.go
+++ b/internal/router/doc.go
@@ -12,3 +12,6 @@
 //	...
 //	err = r.Shutdown(ctx) // cuts off nothing in progress
 package router
+
+// eventField names the field of a log line that says what happened.
+const eventField = "event"
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -66,7 +66,7 @@
 	case coordinator.Peers:
 		r.changePeers(a.PeersChange)
 	case coordinator.Rejected:
-		r.log.WithField("event", "configuration").WithError(a.Err).Error("configuration rejected; the version before it stays in force")
+		r.log.WithField(eventField, "configuration").WithError(a.Err).Error("configuration rejected; the version before it stays in force")
 	case coordinator.Ready:
 		r.changeReady(a.ReadyChange)
 	}
@@ -82,13 +82,13 @@
 	r.control.handle(messenger.PolicyChange{Policy: a.Policy})
 	r.assignPolls()
 	r.conductor.Update(a.Document, a.Policy)
-	r.log.WithFields(logrus.Fields{"event": "configuration", "version": a.Document.Version}).Info("configuration in force")
+	r.log.WithFields(logrus.Fields{eventField: "configuration", "version": a.Document.Version}).Info("configuration in force")
 }
 
 // replaceTokens identifies client accounts by the tokens of a document.
 func (r *Router) replaceTokens(doc *configurer.Document) {
 	if err := r.accounts.Replace(doc.Tokens()); err != nil {
-		r.log.WithField("event", "configuration").WithError(err).Error("tokens not replaced")
+		r.log.WithField(eventField, "configuration").WithError(err).Error("tokens not replaced")
 	}
 }
 
@@ -99,7 +99,7 @@
 	r.assignPolls()
 	r.conductor.Peers(change.Live)
 	r.log.WithFields(logrus.Fields{
-		"event": "peers", "live": len(change.Live), "reached": len(change.Reached), "known": change.Known,
+		eventField: "peers", "live": len(change.Live), "reached": len(change.Reached), "known": change.Known,
 	}).Info("fleet changed")
 }
 
@@ -124,7 +124,7 @@
 		state = readiness{reason: "no-members"}
 	}
 	r.ready.Store(&state)
-	r.log.WithFields(logrus.Fields{"event": "ready", "ready": state.ready, "reason": state.reason}).Info("readiness changed")
+	r.log.WithFields(logrus.Fields{eventField: "ready", "ready": state.ready, "reason": state.reason}).Info("readiness changed")
 }
 
 // storeContext bounds a use of the platform's store.
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -180,7 +180,7 @@
 	}
 	h.goroutines.Go(h.join)
 	h.log.WithFields(logrus.Fields{
-		"event": "started", "router": h.self, "incarnation": h.incarnation, "callers": h.callers.Addr(),
+		eventField: "started", "router": h.self, "incarnation": h.incarnation, "callers": h.callers.Addr(),
 	}).Info("router started")
 	return nil
 }
@@ -269,7 +269,7 @@
 // publish puts what the follower knows in force.
 func (h *Hosted) publish() {
 	for _, r := range h.follower.TakeRejected() {
-		h.log.WithFields(logrus.Fields{"event": "rowRejected", "table": r.Table, "key": r.Key, "rowVersion": r.Version}).
+		h.log.WithFields(logrus.Fields{eventField: "rowRejected", "table": r.Table, "key": r.Key, "rowVersion": r.Version}).
 			WithError(r.Err).Warn("row left out")
 	}
 	s := h.follower.Snapshot()
@@ -285,7 +285,7 @@
 func (h *Hosted) logChange(before, after *follower.Snapshot) {
 	if before == nil || before.Table.Version() != after.Table.Version() {
 		h.log.WithFields(logrus.Fields{
-			"event": "configuration", "version": after.Table.Version(),
+			eventField: "configuration", "version": after.Table.Version(),
 			"rowVersion": h.follower.Version(follower.ConfigurationTable),
 		}).Info("configuration in force")
 	}
@@ -296,7 +296,7 @@
 			}
 		}
 		h.log.WithFields(logrus.Fields{
-			"event": "upstream", "upstream": id, "pool": u.Pool, "address": u.Address, "leaving": u.Leaving,
+			eventField: "upstream", "upstream": id, "pool": u.Pool, "address": u.Address, "leaving": u.Leaving,
 		}).Info("upstream known")
 	}
 	if before == nil {
@@ -304,7 +304,7 @@
 	}
 	for id := range before.Policy.Upstreams {
 		if _, ok := after.Policy.Upstreams[id]; !ok {
-			h.log.WithFields(logrus.Fields{"event": "upstream", "upstream": id, "gone": true}).Info("upstream gone")
+			h.log.WithFields(logrus.Fields{eventField: "upstream", "upstream": id, "gone": true}).Info("upstream gone")
 		}
 	}
 }
@@ -333,7 +333,7 @@
 	began := h.clock.Now()
 	h.draining.Store(true)
 	h.callers.AnnounceClose()
-	h.log.WithField("event", "draining").WithField("inProgress", h.inProgress.Load()).Info("not ready; waiting for the balancer")
+	h.log.WithField(eventField, "draining").WithField("inProgress", h.inProgress.Load()).Info("not ready; waiting for the balancer")
 	select {
 	case <-ctx.Done():
 	case <-h.clock.After(h.settings.BalancerLag):
@@ -347,7 +347,7 @@
 	h.dispatcher.Close()
 	h.stopAll()
 	h.exchanger.Stop()
-	h.log.WithField("event", "stopped").Info("router stopped")
+	h.log.WithField(eventField, "stopped").Info("router stopped")
 	return err
 }
 
@@ -355,7 +355,7 @@
 // ctx ends are told so before the process ends.
 func (h *Hosted) finishRequests(ctx context.Context) error {
 	done := make(chan error, 1)
-	go func() { done <- h.callers.Shutdown(context.Background()) }()
+	go func() { done <- h.callers.Shutdown(context.WithoutCancel(ctx)) }()
 	select {
 	case err := <-done:
 		return err
@@ -375,7 +375,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
 	defer cancel()
 	if err := h.cfg.Directory.Withdraw(ctx, string(h.self)); err != nil {
-		h.log.WithField("event", "withdraw").WithError(err).Info("own entry left behind")
+		h.log.WithField(eventField, "withdraw").WithError(err).Info("own entry left behind")
 	}
 }
 
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -97,12 +97,12 @@
 	defer cancel()
 	self := h.member()
 	if err := h.cfg.Directory.Announce(ctx, self); err != nil {
-		h.log.WithField("event", "join").WithError(err).Info("entry not written yet")
+		h.log.WithField(eventField, "join").WithError(err).Info("entry not written yet")
 		return false
 	}
 	members, err := h.cfg.Directory.Members(ctx)
 	if err != nil {
-		h.log.WithField("event", "join").WithError(err).Info("routers not known yet, or not all")
+		h.log.WithField(eventField, "join").WithError(err).Info("routers not known yet, or not all")
 	}
 	if members == nil {
 		return false
@@ -150,7 +150,7 @@
 	p.leaving, p.strained = e.Leaving, e.Strained
 	if !p.live {
 		p.live = true
-		h.log.WithFields(logrus.Fields{"event": "peer", "peer": p.member.Name, "live": true}).Info("router heard")
+		h.log.WithFields(logrus.Fields{eventField: "peer", "peer": p.member.Name, "live": true}).Info("router heard")
 	}
 	p.versions[follower.ConfigurationTable] = e.Configuration
 	p.versions[follower.RegistrationTable] = e.Registrations
@@ -172,7 +172,7 @@
 		}
 		h.merge(b)
 	}
-	h.log.WithFields(logrus.Fields{"event": "rowsFromPeer", "peer": p.member.Name, "rows": len(rows)}).Info("rows taken from a router")
+	h.log.WithFields(logrus.Fields{eventField: "rowsFromPeer", "peer": p.member.Name, "rows": len(rows)}).Info("rows taken from a router")
 }
 
 // tellPeers sends the others what they should know.
@@ -210,7 +210,7 @@
 func (h *Hosted) tell(now time.Time, p *hostedPeer, e hostedEnvelope) {
 	if p.live && now.Sub(p.heard) > silentAfter {
 		p.live = false
-		h.log.WithFields(logrus.Fields{"event": "peer", "peer": p.member.Name, "live": false, "age": now.Sub(p.heard)}).Info("router silent")
+		h.log.WithFields(logrus.Fields{eventField: "peer", "peer": p.member.Name, "live": false, "age": now.Sub(p.heard)}).Info("router silent")
 	}
 	if !p.live && now.Sub(p.tried) < retryInterval {
 		return
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -50,9 +50,9 @@
 		d.RetryAfter = notReadyRetryAfter
 	}
 	h.meter.Counter(p.metric()).Inc()
-	h.log.WithFields(logrus.Fields{"event": "refused", "request": id, "reason": p.name, "status": p.status, "version": h.version()}).Info("request refused at entry")
+	h.log.WithFields(logrus.Fields{eventField: "refused", "request": id, "reason": p.name, "status": p.status, "version": h.version()}).Info("request refused at entry")
 	if err := h.cfg.Dialect.WriteProblem(c, &dispatcher.Request{WireID: id}, d); err != nil {
-		h.log.WithFields(logrus.Fields{"event": "callerGone", "request": id}).WithError(err).Debug("refusal not delivered")
+		h.log.WithFields(logrus.Fields{eventField: "callerGone", "request": id}).WithError(err).Debug("refusal not delivered")
 	}
 }
 
@@ -157,7 +157,7 @@
 		return
 	}
 	h.log.WithFields(logrus.Fields{
-		"event": "request", "request": out.WireID, "account": out.Arrive.Account, "pool": out.Arrive.Pool,
+		eventField: "request", "request": out.WireID, "account": out.Arrive.Account, "pool": out.Arrive.Pool,
 		"upstream": result.Upstream, "status": result.Status, "run": result.Run, "problem": result.Problem,
 		"attempts": result.Attempts, "callerGone": result.CallerGone, "version": h.version(),
 		"ms": result.Finished.Sub(arrived).Milliseconds(),
--- a/internal/router/records.go
+++ b/internal/router/records.go
@@ -49,7 +49,7 @@
 		removed, err := r.recorder.Sweep(ctx, sweepBatch)
 		cancel()
 		if err != nil {
-			r.log.WithField("event", "sweep").WithError(err).Warn("expired records not removed")
+			r.log.WithField(eventField, "sweep").WithError(err).Warn("expired records not removed")
 			continue
 		}
 		r.meter.Counter("lentilwood_idempotency_records_removed_total").Add(removed)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -171,7 +171,7 @@
 	r.goroutines.Go(func() { r.control.run(r.background) })
 	r.goroutines.Go(r.sweepRecords)
 	r.log.WithFields(logrus.Fields{
-		"event": "started", "router": r.self, "incarnation": r.incarnation,
+		eventField: "started", "router": r.self, "incarnation": r.incarnation,
 		"callers": r.CallersAddr(), "operators": r.OperatorsAddr(),
 	}).Info("router started")
 	return nil
@@ -261,7 +261,7 @@
 func (r *Router) Shutdown(ctx context.Context) error {
 	r.draining.Store(true)
 	r.control.submit(coordinator.Leave{})
-	r.log.WithField("event", "draining").WithField("inProgress", r.inProgress.Load()).Info("not ready; waiting for the balancer")
+	r.log.WithField(eventField, "draining").WithField("inProgress", r.inProgress.Load()).Info("not ready; waiting for the balancer")
 	select {
 	case <-ctx.Done():
 	case <-r.clock.After(r.settings.BalancerLag):
@@ -278,6 +278,6 @@
 	r.stopAll()
 	r.goroutines.Wait()
 	r.exchanger.Stop()
-	r.log.WithField("event", "stopped").Info("router stopped")
+	r.log.WithField(eventField, "stopped").Info("router stopped")
 	return err
 }
--- a/internal/router/strain.go
+++ b/internal/router/strain.go
@@ -72,6 +72,6 @@
 		h.callers.SetClosing(on)
 	}
 	h.log.WithFields(logrus.Fields{
-		"event": "overload", "on": on, "lag": h.strain.lag, "inProgress": h.inProgress.Load(),
+		eventField: "overload", "on": on, "lag": h.strain.lag, "inProgress": h.inProgress.Load(),
 	}).Warn("overload changed: callers are sent elsewhere while it is on")
 }
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -71,7 +71,7 @@
 		return
 	}
 	r.log.WithFields(logrus.Fields{
-		"event": "request", "request": out.WireID, "callerRequest": callerID,
+		eventField: "request", "request": out.WireID, "callerRequest": callerID,
 		"account": out.Arrive.Account, "class": out.Arrive.Class, "pool": out.Arrive.Pool,
 		"upstream": result.Upstream, "status": result.Status, "run": result.Run,
 		"problem": result.Problem, "tokens": result.Tokens, "attempts": result.Attempts,
