A router's part of the slots follows what its accounts are entitled to

Change: the part is that of what accounts are entitled to, up to 16 times an even part; above half of the connections that a listener may have, none is kept open; a few routers follow the store closely and tell the others.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -38,7 +38,7 @@
 	inTime = 0.65
 	// patience is the part of its objective that a request may wait for others
 	// even if its own prompt takes the rest: what is large is not to starve.
-	patience = 0.07
+	patience = 0.12
 	// defaultObjective serves requests whose route has none.
 	defaultObjective = time.Second
 	// lateShare is the part of the time to the deadline that a request for a
--- a/internal/admitter/engine_test.go
+++ b/internal/admitter/engine_test.go
@@ -106,8 +106,13 @@
 
 // offer lets a request arrive at some router.
 func (s *sim) offer(account messenger.AccountID, objective time.Duration, prompt []messenger.PromptPart, output int) *simRequest {
+	return s.offerAt(s.rng.IntN(len(s.routers)), account, objective, prompt, output)
+}
+
+// offerAt lets a request arrive at a router.
+func (s *sim) offerAt(router int, account messenger.AccountID, objective time.Duration, prompt []messenger.PromptPart, output int) *simRequest {
 	s.next++
-	r := &simRequest{router: s.rng.IntN(len(s.routers)), arrived: s.now}
+	r := &simRequest{router: router, arrived: s.now}
 	r.arrive = messenger.Arrive{
 		Request: s.next, Account: account, Pool: simPool, Objective: objective,
 		Deadline: s.now.Add(10 * time.Second),
--- a/internal/admitter/load_test.go
+++ b/internal/admitter/load_test.go
@@ -151,6 +151,25 @@
 	}
 }
 
+// TestAccountAtOneRouterGetsItsShare has all requests of one account reach the
+// fleet through a single router of many, and others ask for as much elsewhere.
+func TestAccountAtOneRouterGetsItsShare(t *testing.T) {
+	s := newSim(t, 24, 9, 24, 190*4300)
+	s.run(9*time.Second, func() {
+		s.poisson(200, func() { s.offerAt(0, "lone", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
+		s.poisson(200, func() { s.offer("spread", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
+	})
+	got := make(map[messenger.AccountID]int)
+	for _, r := range s.all[len(s.all)/3:] {
+		if !r.refused {
+			got[r.arrive.Account]++
+		}
+	}
+	if got["lone"] < got["spread"]/2 {
+		t.Errorf("got %v served, want at least half as many for the one that has a single router", got)
+	}
+}
+
 // TestLargePromptsAreServed has a crest in which one prompt in ten is so large
 // that reading it takes most of the objective.
 func TestLargePromptsAreServed(t *testing.T) {
--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -31,7 +31,7 @@
 	growth = 1.05
 	// partSpread is how far a router's part of the demand may lie from an even
 	// part.
-	partSpread = 4
+	partSpread = 16
 )
 
 // shares keeps what client accounts ask for and may have: max-min shares of
@@ -46,7 +46,7 @@
 	// reserve is the part of the slots that this router wants to be left to
 	// requests within a share.
 	reserve float64
-	// foreign is the demand of accounts that only other routers know.
+	// foreign is, as far as they are entitled to it, the demand of accounts that only other routers know.
 	foreign float64
 }
 
@@ -162,10 +162,6 @@
 		demands = append(demands, a.all)
 	}
 	strangers := s.strangers(now, peers)
-	s.foreign = 0
-	for _, d := range strangers {
-		s.foreign += d
-	}
 	demands = append(demands, strangers...)
 	if throughput > 0 {
 		// Engines may do more than they are said to: prompts that are kept count
@@ -173,18 +169,27 @@
 		throughput = max(throughput, growth*served)
 	}
 	s.level = waterLevel(demands, throughput)
+	s.foreign = 0
+	for _, d := range strangers {
+		s.foreign += s.entitled(d)
+	}
 	for _, a := range s.accounts {
 		a.refill(s.level, passed)
 	}
 }
 
-// part returns this router's part of the fleet's demand, between bounds around
-// an even part, or an even part while there is no demand.
+// part returns this router's part of what the accounts of the fleet are entitled
+// to, between bounds around an even part, or an even part while there is no
+// demand. An account may reach the fleet through one router alone.
 func (s *shares) part(even float64) float64 {
 	own, all := 0.0, s.foreign
 	for _, a := range s.accounts {
-		own += a.asked
-		all += a.all
+		if a.all <= 0 {
+			continue
+		}
+		entitled := s.entitled(a.all)
+		own += entitled * a.asked / a.all
+		all += entitled
 	}
 	if all <= 0 {
 		return even
@@ -192,6 +197,14 @@
 	return bound(own/all, even/partSpread, min(1, even*partSpread))
 }
 
+// entitled returns what an account may have that asks for a demand.
+func (s *shares) entitled(demand float64) float64 {
+	if s.level > 0 {
+		return min(demand, s.level)
+	}
+	return demand
+}
+
 // strangers returns the demands of accounts that only other routers know.
 func (s *shares) strangers(now time.Time, peers map[messenger.RouterID]*peer) []float64 {
 	sums := make(map[messenger.AccountID]float64)
--- a/internal/follower/feed.go
+++ b/internal/follower/feed.go
@@ -45,6 +45,9 @@
 	// Wait returns how long the store may keep a call waiting; nil means
 	// DefaultWait.
 	Wait func() time.Duration
+	// Pause returns how long changes are gathered after some came; nil means
+	// not at all.
+	Pause func() time.Duration
 	// Batches gets what was read.
 	Batches func(Batch)
 
@@ -66,10 +69,7 @@
 			pause = firstPause
 			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-f.Clock.After(pause):
-		}
+		f.sleep(ctx, pause)
 		pause = min(2*pause, longestPause)
 	}
 }
@@ -86,9 +86,9 @@
 	if f.failing {
 		wait = 0 // learn of the store's return, not of changes
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	callCtx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
-	b, err := f.Source.Changes(ctx, f.Table, f.since, wait)
+	b, err := f.Source.Changes(callCtx, f.Table, f.since, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.Log.WithFields(logrus.Fields{"event": "historyGone", "table": f.Table, "since": f.since}).Info("reading the whole table again")
 		f.started = false
@@ -98,9 +98,19 @@
 		return err
 	}
 	f.take(b)
+	if f.Pause != nil && len(b.Rows) > 0 {
+		f.sleep(ctx, f.Pause())
+	}
 	return nil
 }
 
+func (f *Feed) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.Clock.After(d):
+	}
+}
+
 func (f *Feed) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
--- a/internal/listener/caller.go
+++ b/internal/listener/caller.go
@@ -155,7 +155,7 @@
 		return
 	}
 	c := &Caller{b: g.b, res: res, isHead: r.Method == http.MethodHead, http10: r.ProtoMinor == 0}
-	c.close = c.http10 || wantsClose(r.Header) || l.draining.Load()
+	c.close = c.http10 || wantsClose(r.Header) || l.draining.Load() || l.crowded()
 	r.Close = false
 	if c.close {
 		g.b.mu.Lock()
--- a/internal/listener/lifecycle_test.go
+++ b/internal/listener/lifecycle_test.go
@@ -45,6 +45,35 @@
 	return res, body
 }
 
+// TestCrowdedListenerKeepsNoConnection opens more than half of the connections
+// that a listener may have.
+func TestCrowdedListenerKeepsNoConnection(t *testing.T) {
+	l, err := Start(Config{Name: "crowded", Address: "127.0.0.1:0", MaxConns: 8, Handler: func(c *Caller, _ *http.Request) { c.WriteHeader(http.StatusOK) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Shutdown(context.Background()) //nolint:errcheck // a test
+	closes := func() bool {
+		conn, err := net.Dial("tcp", l.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		return resp.Close
+	}
+	for i := range 6 {
+		if got, want := closes(), i >= 4; got != want {
+			t.Errorf("connection %d of at most 8: closed after its answer %v, want %v", i+1, got, want)
+		}
+	}
+}
+
 func TestShutdownCutsOffNoRequestInProgress(t *testing.T) {
 	begun, finish := make(chan struct{}), make(chan struct{})
 	l := start(t, Config{Handler: func(c *Caller, _ *http.Request) {
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -55,6 +55,9 @@
 	// mostOpenFiles bounds nbio's table of connections, which is indexed by
 	// file descriptor.
 	mostOpenFiles = 1 << 20
+	// crowdedShare is the part of the most connections, as a divisor, above which
+	// none is kept open.
+	crowdedShare = 2
 	// never is a deadline for nbhttp's own timers; the sweeper has ours.
 	never = 100 * 365 * 24 * time.Hour
 )
@@ -196,6 +199,10 @@
 	return len(l.conns)
 }
 
+// crowded reports whether so many connections are open that each is closed after
+// its next answer: callers that keep theirs would take the place of others.
+func (l *Listener) crowded() bool { return l.Conns() > l.cfg.MaxConns/crowdedShare }
+
 func (l *Listener) full() bool { return l.Conns() >= l.cfg.MaxConns }
 
 // AnnounceClose goes on accepting, but tells each connection with its next
--- a/internal/loader/check.go
+++ b/internal/loader/check.go
@@ -110,6 +110,7 @@
 	atLeast(c, "limits.maxBodyBytes", l.MaxBodyBytes, 1<<10)
 	atLeast(c, "limits.maxPendingBytes", l.MaxPendingBytes, 4<<10)
 	atLeast(c, "limits.maxConnections", l.MaxConnections, 1)
+	atLeast(c, "limits.maxOpenFiles", l.MaxOpenFiles, 0)
 	atLeast(c, "limits.readTimeout", l.ReadTimeout, 100*time.Millisecond)
 	atLeast(c, "limits.idleTimeout", l.IdleTimeout, 100*time.Millisecond)
 }
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -74,6 +74,9 @@
 	// MaxPendingBytes bounds an answer's bytes that a slow caller has not read.
 	MaxPendingBytes int `json:"maxPendingBytes"`
 	MaxConnections  int `json:"maxConnections"`
+	// MaxOpenFiles is how many files and sockets the process may open; half of
+	// them are for callers. Zero means no bound.
+	MaxOpenFiles int `json:"maxOpenFiles"`
 	// ReadTimeout is the longest that one request may take to arrive.
 	ReadTimeout time.Duration `json:"readTimeout"`
 	// IdleTimeout is how long a connection without a request stays open.
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -39,6 +39,12 @@
 	// other router, up to longestFeedWait.
 	feedWaitPerPeer = 150 * time.Millisecond
 	longestFeedWait = 10 * time.Second
+	// gatherShort is how long a router that follows the store closely gathers
+	// changes before it asks again, gatherLong how long the others do.
+	gatherShort = 300 * time.Millisecond
+	gatherLong  = 5 * time.Second
+	// followers is how many routers of a fleet follow the store closely.
+	followers = 10
 	// budgetShare bounds what is held for slow callers, as a part of the memory.
 	budgetShare = 8
 	// memoryShare is the part of the VM's memory that the runtime aims to stay
@@ -116,6 +122,8 @@
 	inProgress  atomic.Int64
 	peerCount   atomic.Int64
 	strained    atomic.Bool
+	// lagging is true if others follow the store for this router.
+	lagging atomic.Bool
 
 	serving     context.Context
 	cutRequests context.CancelFunc
@@ -173,7 +181,7 @@
 	h.goroutines.Go(func() { h.control.run(h.background) })
 	for _, table := range []follower.Table{follower.ConfigurationTable, follower.RegistrationTable} {
 		feed := &follower.Feed{
-			Source: h.cfg.Source, Table: table, Clock: h.clock, Log: h.log, Wait: h.feedWait,
+			Source: h.cfg.Source, Table: table, Clock: h.clock, Log: h.log, Wait: h.feedWait, Pause: h.feedPause,
 			Batches: func(b follower.Batch) { h.control.call(func() { h.merge(b) }) },
 		}
 		h.goroutines.Go(func() { feed.Run(h.background) })
@@ -213,12 +221,20 @@
 	return listener.Config{
 		Name: name, Address: l.Address,
 		MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes,
-		MaxPendingBytes: limits.MaxPendingBytes, MaxConns: limits.MaxConnections,
+		MaxPendingBytes: limits.MaxPendingBytes, MaxConns: callersBound(limits),
 		ReadTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout,
 		Handler: handler, Log: h.log, Clock: h.clock,
 	}
 }
 
+// callersBound returns how many connections of callers may be open.
+func callersBound(limits loader.Limits) int {
+	if limits.MaxOpenFiles <= 0 {
+		return limits.MaxConnections
+	}
+	return min(limits.MaxConnections, max(1, limits.MaxOpenFiles/2))
+}
+
 // serveOperator answers the readiness check and shows the metrics.
 func (h *Hosted) serveOperator(c *listener.Caller, req *http.Request) {
 	switch req.URL.Path {
@@ -317,6 +333,15 @@
 	return min(wait, longestFeedWait)
 }
 
+// feedPause returns how long changes are gathered before the next call. In a
+// large fleet a few routers follow the store closely and tell the others.
+func (h *Hosted) feedPause() time.Duration {
+	if h.lagging.Load() {
+		return gatherLong
+	}
+	return gatherShort
+}
+
 // tick runs on the control goroutine at every tick.
 func (h *Hosted) tick() {
 	if h.follower.Expire(h.clock.Now()) {
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"lentilwood.example/lentilwood/internal/follower"
@@ -186,6 +187,7 @@
 		h.trySeeds()
 		return
 	}
+	h.assignFollowers()
 	e := hostedEnvelope{
 		From: h.member(), Leaving: h.draining.Load(), Strained: h.strained.Load(),
 		Configuration: h.follower.Version(follower.ConfigurationTable),
@@ -197,6 +199,19 @@
 	}
 }
 
+// assignFollowers works out whether this router follows the store closely: those
+// with the lowest hashes among the routers that are heard do.
+func (h *Hosted) assignFollowers() {
+	own := xxhash.Sum64String(string(h.self))
+	before := 0
+	for name, p := range h.peers {
+		if p.live && !p.leaving && xxhash.Sum64String(name) < own {
+			before++
+		}
+	}
+	h.lagging.Store(before >= followers)
+}
+
 // trySeeds greets the routers that the settings name, in case the directory
 // can't be reached.
 func (h *Hosted) trySeeds() {
@@ -226,7 +241,7 @@
 	for _, table := range []follower.Table{follower.ConfigurationTable, follower.RegistrationTable} {
 		behind = behind || p.live && p.versions[table] < h.follower.Version(table)
 	}
-	if !behind {
+	if !behind || h.lagging.Load() {
 		p.laggingSince = time.Time{}
 		return nil
 	}
--- a/internal/router/strain.go
+++ b/internal/router/strain.go
@@ -11,8 +11,8 @@
 const (
 	// strainLag is how late the control goroutine's ticks may come on average
 	// before the VM counts as overloaded, easeLag when it no longer does.
-	strainLag = 60 * time.Millisecond
-	easeLag   = 15 * time.Millisecond
+	strainLag = 30 * time.Millisecond
+	easeLag   = 10 * time.Millisecond
 	// strainWeight is the weight of one tick in the average, within a bound for
 	// a VM that was frozen.
 	strainWeight = 0.05
