--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -404,8 +404,8 @@
 	}
 }
 
-// sharedPath returns the path of a request without its query.
-func sharedPath(uri string) string {
+// pathOf returns the path of a request without its query.
+func pathOf(uri string) string {
 	path, _, _ := strings.Cut(uri, "?")
 	return path
 }
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -28,8 +28,6 @@
 	callClass   messenger.ClassID = "call"
 )
 
-var problemMethodNotRead = &refusal{http.StatusBadRequest, "body", "The body could not be read"}
-
 // serveCaller answers one request of a caller.
 func (h *Hosted) serveCaller(c *listener.Caller, req *http.Request) {
 	h.inProgress.Add(1)
@@ -71,7 +69,7 @@
 	if s == nil {
 		return nil, refuseNotReady
 	}
-	route, ok := s.Table.Route(req.Host, sharedPath(req.URL.RequestURI()))
+	route, ok := s.Table.Route(req.Host, pathOf(req.URL.RequestURI()))
 	if !ok {
 		return nil, refuseRoute
 	}
@@ -81,7 +79,7 @@
 	}
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
-		return nil, problemMethodNotRead
+		return nil, refuseBody
 	}
 	out := &dispatcher.Request{
 		ID: messenger.RequestID(h.lastRequest.Add(1)), WireID: in.RequestID,
