--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/tracker"
 )
@@ -223,6 +225,10 @@
 // a resume, another attempt, or the end of the request. With resumable false
 // the stream is not worth asking for.
 func (f *flight) attemptFailed(at *attempt, problem string, resumable bool) {
+	f.log("attemptFailed").WithFields(logrus.Fields{
+		"upstream": at.upstream, "problem": problem, "status": at.status, "sent": at.sent,
+		"silentMs": f.now().Sub(at.last).Milliseconds(), "events": at.counted, "cause": at.x.failure(),
+	}).Info("attempt failed")
 	if at.won && f.outcome.State() == tracker.Answered {
 		f.note(tracker.Break)
 	}
@@ -254,6 +260,9 @@
 // scheduleRetry asks for another upstream than at after a short wait.
 func (f *flight) scheduleRetry(at *attempt) {
 	f.retries++
+	f.log("resend").WithFields(logrus.Fields{
+		"avoid": at.upstream, "sends": f.sends, "lastEvent": f.lastEvent, "run": f.outcome.Run(),
+	}).Info("asking for another upstream")
 	f.retry = at
 	f.retryAt = f.now()
 	if f.retries > 1 {
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -173,6 +173,13 @@
 	x.signal()
 }
 
+// failure returns why the exchange ended, or nil if it did not or ended well.
+func (x *exchange) failure() error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.err
+}
+
 // cancel ends the exchange from the side of the request. It returns whether a
 // byte of the request may have left; none does after it.
 func (x *exchange) cancel() bool {
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -69,7 +69,7 @@
 // another upstream, or with a refusal that says so.
 func (f *flight) declined(at *attempt) {
 	at.declined = true
-	f.log("declined").WithField("upstream", at.upstream).Debug("upstream did not run the request")
+	f.log("declined").WithField("upstream", at.upstream).Info("upstream did not run the request")
 	f.close(at, false)
 	if len(f.attempts) > 0 {
 		f.finish(at.upstream, 0, true, false)
