--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -65,8 +65,8 @@
 	slices.SortFunc(p.members, func(a, b *upstream) int { return cmp.Compare(a.id, b.id) })
 }
 
-// order puts what waits in the order in which it is served: higher classes
-// first, accounts within their share before others, then by arrival.
+// order puts what waits in the order in which it is served: requests within
+// their account's share before others, then by arrival.
 func (p *pool) order(a *Admitter) {
 	for _, r := range p.waiting {
 		if p.engine && r.beyond {
--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -46,7 +46,7 @@
 	// reserve is the part of the slots that this router wants to be left to
 	// requests within a share.
 	reserve float64
-	// foreign is, as far as they are entitled to it, the demand of accounts that only other routers know.
+	// foreign is what accounts are entitled to that only other routers know.
 	foreign float64
 }
 
--- a/internal/dispatcher/dialect.go
+++ b/internal/dispatcher/dialect.go
@@ -10,7 +10,7 @@
 
 // Outgoing says for which attempt of a request a header is written.
 type Outgoing struct {
-	// Upstream is where the attempt goes; Instance is its id there.
+	// Upstream is where the attempt goes.
 	Upstream messenger.UpstreamID
 	// Left is how much longer the caller waits; zero means without an end.
 	Left time.Duration
