Wait for nbio's loops before a listener counts as started

Cause: the whole check failed once after its 600 s limit in the listener's tests. The dump shows Stop waiting for a poller that is in epoll_wait, without a time beside the state, so it turns. nbio's pollers and its accept loop clear their own request to stop when they begin to run; one that is told to stop before it was scheduled never ends.

Ruled out: a connection left open (the engine waits for those before the pollers), and the wake-up event lost (it is level triggered).

Change: Start returns once each poller has read a byte from a pair of sockets inside the process and the accept loop has asked for its first connection.

Before: TestStopRightAfterStart (one processor) fails 3 of 3 times. After: passes 3 of 3 with the race detector, the package 3 of 3.

Conclusion: a listener that started can be stopped at any time.

--- a/internal/listener/acceptor.go
+++ b/internal/listener/acceptor.go
@@ -21,14 +21,26 @@
 	once     sync.Once
 	stopping chan struct{}
 	closed   chan struct{}
+	// running is closed once nbio's loop asks for its first connection. Like a
+	// poller, a loop that is told to stop before never ends.
+	running     chan struct{}
+	runningOnce sync.Once
 }
 
 func newAcceptor(ln net.Listener, full func() bool, refused func(problem string)) *acceptor {
-	return &acceptor{Listener: ln, full: full, refused: refused, stopping: make(chan struct{}), closed: make(chan struct{})}
+	return &acceptor{
+		Listener: ln,
+		full:     full,
+		refused:  refused,
+		stopping: make(chan struct{}),
+		closed:   make(chan struct{}),
+		running:  make(chan struct{}),
+	}
 }
 
 // Accept returns the next connection that may be served.
 func (a *acceptor) Accept() (net.Conn, error) {
+	a.runningOnce.Do(func() { close(a.running) })
 	for {
 		conn, err := a.Listener.Accept()
 		if err == nil && a.full() {
--- a/internal/listener/lifecycle_test.go
+++ b/internal/listener/lifecycle_test.go
@@ -15,6 +15,7 @@
 	"math/big"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -375,3 +376,25 @@
 	client = &tls.Config{RootCAs: pool, ServerName: "127.0.0.1", MinVersion: tls.VersionTLS12}
 	return server, client
 }
+
+// TestStopRightAfterStart covers pollers that have not run yet when they are told
+// to stop: with one processor none has, unless Start waits for them.
+func TestStopRightAfterStart(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for range 50 {
+		l, err := Start(Config{Name: t.Name(), Address: "127.0.0.1:0", Handler: echo, Log: quiet()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- l.Shutdown(t.Context()) }()
+		select {
+		case err := <-ended:
+			if err != nil {
+				t.Fatalf("got %v, want a clean end", err)
+			}
+		case <-time.After(patience):
+			t.Fatal("got a listener that does not stop")
+		}
+	}
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -176,6 +176,11 @@
 	if err := l.engine.Start(); err != nil {
 		return nil, merry.Prependf(err, "listen on %s for %s", cfg.Address, cfg.Name)
 	}
+	<-l.acceptor.running
+	if err := awaitPollers(l.engine); err != nil {
+		l.acceptor.stopAccepting()
+		return nil, merry.Prependf(err, "start the pollers of %s", cfg.Name)
+	}
 	go l.sweep()
 	return l, nil
 }
