Judge an upstream's silence by its pool, and a pause by its weight

Cause: a router that gets no processor for a second heard from no upstream and took all of them for slow, so every window shrank; and the time since the last turn stood for the time of each turn to come, so 13 requests behind a pause of 1.2 s were refused for a queue timeout of 15 s.

Change: silence is measured in the time in which others of the pool spoke; a pause that still lasts counts as one sample of the moving average.

--- a/internal/placer/pace.go
+++ b/internal/placer/pace.go
@@ -30,6 +30,9 @@
 	// counts as slow, besides silenceGaps of its usual times between events.
 	silence     = 250 * time.Millisecond
 	silenceGaps = 8
+	// longestLull bounds what one pause between two events of a pool adds to the
+	// time in which it was lively.
+	longestLull = 100 * time.Millisecond
 	// sweepLimit bounds the upstreams looked at in one Sweep.
 	sweepLimit = 32
 )
@@ -44,8 +47,10 @@
 	perToken, first float64
 	// gap is a moving average of the time between events, in seconds.
 	gap float64
-	// seen is the time of the newest event.
-	seen time.Time
+	// seen is the time of the newest event, and lively how long the pool had
+	// been lively then.
+	seen   time.Time
+	lively time.Duration
 	// health is the part of the window that is used, 0 to 1.
 	health           float64
 	adjusted, probed time.Time
@@ -77,7 +82,7 @@
 	}
 	average(&u.pace.first, latency.Seconds(), fastWeight)
 	reference(&p.speed.first, latency.Seconds())
-	u.heard(now)
+	p.heard(now, u)
 	p.adjust(now, u)
 }
 
@@ -90,7 +95,7 @@
 	perToken := took.Seconds() / tokens
 	average(&u.pace.perToken, perToken, fastWeight)
 	reference(&p.speed.perToken, perToken)
-	u.heard(now)
+	p.heard(now, u)
 	p.adjust(now, u)
 }
 
@@ -101,11 +106,16 @@
 }
 
 // heard notes an event of u.
-func (u *upstream) heard(now time.Time) {
+func (p *Placer) heard(now time.Time, u *upstream) {
+	if !p.seen.IsZero() {
+		p.lively += min(now.Sub(p.seen), longestLull)
+	}
+	p.seen = now
 	if !u.pace.seen.IsZero() {
 		average(&u.pace.gap, now.Sub(u.pace.seen).Seconds(), fastWeight)
 	}
 	u.pace.seen = now
+	u.pace.lively = p.lively
 }
 
 // slowness returns how many times slower u is than the pool.
@@ -152,7 +162,7 @@
 	for range min(sweepLimit, len(p.list)) {
 		p.cursor = (p.cursor + 1) % len(p.list)
 		u := p.list[p.cursor]
-		if u.running > 0 && p.silent(now, u) && now.Sub(u.pace.adjusted) >= adjustEvery {
+		if u.running > 0 && p.silent(u) && now.Sub(u.pace.adjusted) >= adjustEvery {
 			u.pace.health = max(lowestHealth, u.pace.health*shrink)
 			u.pace.adjusted = now
 			p.refresh(u)
@@ -164,10 +174,12 @@
 	}
 }
 
-// silent reports whether u should have said something by now.
-func (p *Placer) silent(now time.Time, u *upstream) bool {
+// silent reports whether u should have said something by now. Only time in
+// which others of the pool spoke counts: where all are silent at once, nothing
+// was learnt of one of them, and this router may itself have stood still.
+func (p *Placer) silent(u *upstream) bool {
 	usual := max(silenceGaps*u.pace.gap, slowFactor*p.speed.first)
-	return u.pace.gap > 0 && now.Sub(u.pace.seen).Seconds() > silence.Seconds()+usual
+	return u.pace.gap > 0 && (p.lively-u.pace.lively).Seconds() > silence.Seconds()+usual
 }
 
 // probe lets one request through to u.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -52,6 +52,10 @@
 	cursor int
 	speed  speed
 	cache  affinity
+	// seen is the time of the pool's newest event; lively is the time in which
+	// its upstreams spoke, without the long pauses of all of them.
+	seen   time.Time
+	lively time.Duration
 	// running counts the requests on all upstreams.
 	running int
 }
@@ -188,6 +192,7 @@
 	}
 	if u.running == 0 {
 		u.pace.seen = now
+		u.pace.lively = p.lively
 	}
 	u.running++
 	p.running++
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -77,6 +77,28 @@
 	}
 }
 
+// TestPoolThatIsSilentAsOneKeepsItsWindows replays a router that gets no
+// processor for seconds: it hears of no upstream, then of all in a burst.
+func TestPoolThatIsSilentAsOneKeepsItsWindows(t *testing.T) {
+	p := newPlacer(4, 10)
+	for i := range 4 {
+		p.Start(start, name(i), false)
+	}
+	now := observe(p, start, 2*time.Second, 4, nil)
+	for range 20 {
+		for range 40 {
+			now = now.Add(50 * time.Millisecond)
+			p.Sweep(now)
+		}
+		now = observe(p, now, 100*time.Millisecond, 4, nil)
+	}
+	for i := range 4 {
+		if got := p.upstreams[name(i)].limit(); got != 10 {
+			t.Errorf("got a window of %d for %s, want all of 10", got, name(i))
+		}
+	}
+}
+
 func TestIdleSlowUpstreamIsProbed(t *testing.T) {
 	p := newPlacer(2, 10)
 	now := observe(p, start, time.Second, 2, nil)
--- a/internal/scheduler/wait.go
+++ b/internal/scheduler/wait.go
@@ -37,18 +37,23 @@
 // note takes in an event at now. One that did not have to be waited for says
 // nothing about the time between events.
 func (c *cadence) note(now time.Time) {
-	gap := now.Sub(c.last)
-	if !c.last.IsZero() && gap > 0 {
+	if !c.last.IsZero() && now.After(c.last) {
+		c.interval = c.after(now.Sub(c.last))
 		c.samples++
-		// The first intervals count alike, so that a slow start is soon outweighed.
-		weight := max(1-smoothing, 1/float64(c.samples))
-		c.interval += time.Duration(weight * float64(gap-c.interval))
 	}
 	c.last = now
 }
 
-// expected returns the time to expect between events, which is no less than
-// the time since the last one. It is zero while too little was seen.
+// after returns the average with gap as its next sample. The first ones count
+// alike, so that a slow start is soon outweighed.
+func (c *cadence) after(gap time.Duration) time.Duration {
+	weight := max(1-smoothing, 1/float64(c.samples+1))
+	return c.interval + time.Duration(weight*float64(gap-c.interval))
+}
+
+// expected returns the time to expect between events. A pause that still lasts
+// counts like any other sample: it may end at once, so the events behind it are
+// not each as late. The result is zero while too little was seen.
 func (c *cadence) expected(now time.Time) time.Duration {
 	if c.samples < minSamples {
 		return 0
@@ -56,7 +61,7 @@
 	if c.last.IsZero() {
 		return c.interval
 	}
-	return max(c.interval, now.Sub(c.last))
+	return max(c.interval, c.after(now.Sub(c.last)))
 }
 
 // pause forgets the last event, so that an idle time counts for nothing.
--- a/internal/scheduler/wait_test.go
+++ b/internal/scheduler/wait_test.go
@@ -29,6 +29,28 @@
 	}
 }
 
+// TestOnePauseRefusesNobody has a pool that turns twenty requests a second stand
+// still for a moment, as a router sees it that got no processor.
+func TestOnePauseRefusesNobody(t *testing.T) {
+	policy := testPolicy(1, 2)
+	policy.Classes["order"] = messenger.ClassPolicy{ExpectedTokens: 1, QueueTimeout: 5 * time.Second}
+	l := newLone(t, policy)
+	l.arrive(40, "a", "order")
+	for range 20 {
+		l.pass(50 * time.Millisecond)
+		l.finish(1)
+	}
+	l.pass(1200 * time.Millisecond)
+	l.arrive(10, "a", "order")
+	for range 30 {
+		l.pass(50 * time.Millisecond)
+		l.finish(1)
+	}
+	if got := len(l.refused); got != 0 {
+		t.Errorf("%d of 50 requests refused, want none: the last waits for under 3 s of 5 s", got)
+	}
+}
+
 func TestSlowStartIsSoonOutweighed(t *testing.T) {
 	var c cadence
 	now := epoch
