Turn away new connections unread while a router has no processor time left

What is late is not in the process: connections wait to be accepted, and callers give up on them.

Ruled out: slow reading once a connection is accepted (0 to 1 ms from the first byte to the last), and the queue of runnable goroutines (the lag itself). The overload rule with 30 ms never met such a VM.

Change: the router moves the share of new connections to turn away so that ticks come 2.5 to 4 ms late; they get a 503 that says not run and to come back at once, which leads callers to other routers.

Tests: TestSaturatedRouterTurnsAwayNewConnections replays such a VM, TestTurnedAwayConnectionsAreToldSo shows what callers see.

--- a/internal/listener/lifecycle_test.go
+++ b/internal/listener/lifecycle_test.go
@@ -398,3 +398,28 @@
 		}
 	}
 }
+
+// TestTurnedAwayConnectionsAreToldSo has a router short of processor time answer
+// new connections unread, while the ones it has go on.
+func TestTurnedAwayConnectionsAreToldSo(t *testing.T) {
+	l := start(t, Config{Handler: echo})
+	kept := dial(t, l)
+	send(t, kept, getKeep)
+	readBody(t, kept)
+	l.TurnAway(1)
+	fresh := dial(t, l)
+	res, _ := readBody(t, fresh)
+	if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") != "0" || !res.Close {
+		t.Errorf("got %d, Retry-After %q, close %v, want 503, 0, true", res.StatusCode, res.Header.Get("Retry-After"), res.Close)
+	}
+	send(t, kept, getKeep)
+	if res, _ := readBody(t, kept); res.StatusCode != http.StatusOK {
+		t.Errorf("got %d on a kept connection, want 200", res.StatusCode)
+	}
+	l.TurnAway(0)
+	again := dial(t, l)
+	send(t, again, getKeep)
+	if res, _ := readBody(t, again); res.StatusCode != http.StatusOK {
+		t.Errorf("got %d after the load, want 200", res.StatusCode)
+	}
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -218,6 +218,10 @@
 // will be closed.
 func (l *Listener) SetClosing(closing bool) { l.draining.Store(closing) }
 
+// TurnAway sets the share, 0 to 1, of new connections that are answered with
+// 503 before anything is read of them.
+func (l *Listener) TurnAway(share float64) { l.acceptor.turnAway(share) }
+
 // StopAccepting closes the port. Open connections live on; each is told with
 // its next answer that it will be closed.
 func (l *Listener) StopAccepting() {
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -122,6 +122,9 @@
 	inProgress  atomic.Int64
 	peerCount   atomic.Int64
 	strained    atomic.Bool
+	// refusedUnread counts the connections and requests that the listeners
+	// refused since that was logged.
+	refusedUnread atomic.Int64
 	// lagging is true if others follow the store for this router.
 	lagging atomic.Bool
 
@@ -224,6 +227,10 @@
 		MaxPendingBytes: limits.MaxPendingBytes, MaxConns: callersBound(limits),
 		ReadTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout,
 		Handler: handler, Log: h.log, Clock: h.clock,
+		Refused: func(problem string) {
+			h.meter.Counter(listenerRefusals(name, problem)).Inc()
+			h.refusedUnread.Add(1)
+		},
 	}
 }
 
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -50,3 +50,9 @@
 func (p *refusal) metric() string {
 	return fmt.Sprintf("lentilwood_refused_at_entry_total{reason=%q}", p.name)
 }
+
+// listenerRefusals returns the name of the counter of what a listener refused
+// before any handler saw it.
+func listenerRefusals(listener, problem string) string {
+	return fmt.Sprintf("lentilwood_refused_at_entry_total{listener=%q,reason=%q}", listener, problem)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -223,7 +222,7 @@
 		ReadTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout,
 		Handler: h, Log: r.log, Clock: r.clock,
 		Refused: func(problem string) {
-			r.meter.Counter(fmt.Sprintf("lentilwood_refused_at_entry_total{listener=%q,reason=%q}", name, problem)).Inc()
+			r.meter.Counter(listenerRefusals(name, problem)).Inc()
 		},
 	}
 }
--- a/internal/router/strain.go
+++ b/internal/router/strain.go
@@ -21,6 +21,17 @@
 	// strainPause how long it stays in before it may leave again.
 	strainHold  = 1500 * time.Millisecond
 	strainPause = 4 * time.Second
+	// busyLag is how late ticks come on average once the processor has no time
+	// left, calmLag how late when it has.
+	busyLag = 4 * time.Millisecond
+	calmLag = 2500 * time.Microsecond
+	// intakeEvery is the time between two changes of the share of connections
+	// turned away; it grows by intakeStep and shrinks by half of that.
+	intakeEvery = 100 * time.Millisecond
+	intakeStep  = 0.1
+	// mostTurnedAway leaves some new connections, by whose load the router
+	// notices that it may take more.
+	mostTurnedAway = 0.9
 	// strainedShare is the part of the fleet, as a divisor, that may send its
 	// callers elsewhere at a time.
 	strainedShare = 8
@@ -28,12 +39,17 @@
 
 // strain tells from late ticks that a VM has too little processor time for
 // what its callers ask. It answers the load of a small VM that many busy
-// callers happen to be connected to.
+// callers happen to be connected to: a share of the new connections is turned
+// away before anything is read, so that their callers try other routers, and
+// what is taken in is read in time. At the worst the VM leaves the rotation.
 type strain struct {
 	lag     time.Duration
 	last    time.Time
 	changed time.Time
 	on      bool
+	// turnedAway is the share of new connections to turn away, 0 to 1.
+	turnedAway float64
+	adjusted   time.Time
 }
 
 // note takes in a tick and reports whether the VM is overloaded. With allowed
@@ -44,6 +60,7 @@
 		s.lag += time.Duration(strainWeight * float64(late-s.lag))
 	}
 	s.last = now
+	s.adjust(now)
 	switch {
 	case !s.on && s.lag > strainLag && allowed && now.Sub(s.changed) >= strainPause:
 		s.on, s.changed = true, now
@@ -53,8 +70,23 @@
 	return s.on
 }
 
-// watchStrain takes an overloaded router out of rotation, so that its callers
-// connect to others, while only a few routers do so.
+// adjust moves the share of new connections to turn away towards the one at
+// which ticks are hardly late.
+func (s *strain) adjust(now time.Time) {
+	if now.Sub(s.adjusted) < intakeEvery {
+		return
+	}
+	s.adjusted = now
+	switch {
+	case s.lag > busyLag:
+		s.turnedAway = min(mostTurnedAway, s.turnedAway+intakeStep)
+	case s.lag < calmLag:
+		s.turnedAway = max(0, s.turnedAway-intakeStep/2)
+	}
+}
+
+// watchStrain lets an overloaded router turn away callers or, while only a few
+// routers do so, leave the rotation.
 func (h *Hosted) watchStrain() {
 	others := 0
 	for _, p := range h.peers {
@@ -63,7 +95,9 @@
 		}
 	}
 	allowed := others < len(h.peers)/strainedShare
+	before := h.strain.turnedAway
 	on := h.strain.note(h.clock.Now(), allowed)
+	h.setTurnedAway(before, h.strain.turnedAway)
 	if on == h.strained.Load() {
 		return
 	}
@@ -75,3 +109,19 @@
 		eventField: "overload", "on": on, "lag": h.strain.lag, "inProgress": h.inProgress.Load(),
 	}).Warn("overload changed: callers are sent elsewhere while it is on")
 }
+
+// setTurnedAway tells the listener which share of new connections to turn away,
+// and logs when it begins and ends.
+func (h *Hosted) setTurnedAway(before, share float64) {
+	if before == share {
+		return
+	}
+	h.callers.TurnAway(share)
+	if before > 0 && share > 0 {
+		return
+	}
+	h.log.WithFields(logrus.Fields{
+		eventField: "turnAway", "on": share > 0, "lag": h.strain.lag, "inProgress": h.inProgress.Load(),
+		"refusedUnread": h.refusedUnread.Swap(0),
+	}).Warn("short of processor time: a share of new connections is turned away while it is on")
+}
--- a/internal/router/strain_test.go
+++ b/internal/router/strain_test.go
@@ -46,3 +46,28 @@
 		t.Error("one long pause counts as overload")
 	}
 }
+
+// TestSaturatedRouterTurnsAwayNewConnections replays a small VM without a moment
+// to spare: its ticks come somewhat late, and less so the fewer callers it takes.
+func TestSaturatedRouterTurnsAwayNewConnections(t *testing.T) {
+	var s strain
+	now := time.Unix(1_700_000_000, 0)
+	play(&s, &now, 2*time.Second, time.Millisecond, true)
+	if s.turnedAway != 0 {
+		t.Errorf("got a share of %v turned away by a router with time to spare, want none", s.turnedAway)
+	}
+	for range 100 {
+		late := time.Duration(float64(10*time.Millisecond) * (1 - s.turnedAway))
+		play(&s, &now, 100*time.Millisecond, late, true)
+	}
+	if s.turnedAway < 0.5 || s.turnedAway > 0.8 {
+		t.Errorf("got a share of %v turned away, want the part that brings ticks within %v", s.turnedAway, busyLag)
+	}
+	if s.on {
+		t.Error("the router leaves the rotation though it keeps up with what it takes")
+	}
+	play(&s, &now, 4*time.Second, time.Millisecond, true)
+	if s.turnedAway != 0 {
+		t.Errorf("got a share of %v turned away after the load, want none", s.turnedAway)
+	}
+}
