Routers tell one another where shared parts of prompts are

Change: the messages between routers name the shared parts (32 bits each, from 256 tokens on) sent to each upstream since the last one; a part's last three holders are remembered. The field Unstarted, which nothing read, is gone. An upstream that left the policy is no longer a source.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -366,7 +366,11 @@
 		p.members = append(p.members, u)
 	}
 	for id, u := range a.upstreams {
-		if _, ok := policy.Upstreams[id]; !ok && u.running == 0 {
+		if _, ok := policy.Upstreams[id]; ok {
+			continue
+		}
+		u.open = false
+		if u.running == 0 {
 			delete(a.upstreams, id)
 		}
 	}
--- a/internal/admitter/engine_test.go
+++ b/internal/admitter/engine_test.go
@@ -72,6 +72,9 @@
 	again, shared float64
 	lastRead      map[uint64]time.Time
 	shareAt       time.Time
+	// shareEvery is the time between two messages of a router to the others.
+	shareEvery time.Duration
+	policy     *messenger.Policy
 }
 
 func newSim(t *testing.T, routers, engines, slots int, throughput float64) *sim {
@@ -79,13 +82,14 @@
 		t: t, now: epoch, rng: rand.New(rand.NewPCG(1, 2)),
 		engines:  make(map[messenger.UpstreamID]*simEngine),
 		requests: make(map[messenger.RequestID]*simRequest),
-		lastRead: make(map[uint64]time.Time),
+		lastRead: make(map[uint64]time.Time), shareEvery: 150 * time.Millisecond,
 	}
 	policy := &messenger.Policy{
 		Version: 1, Throughput: throughput,
 		Pools:     map[messenger.PoolID]messenger.PoolPolicy{simPool: {Engine: &messenger.EnginePolicy{Memory: 700_000}}},
 		Upstreams: make(map[messenger.UpstreamID]messenger.UpstreamPolicy),
 	}
+	s.policy = policy
 	domains := []string{"a", "b", "c"}
 	for i := range engines {
 		e := &simEngine{
@@ -104,6 +108,19 @@
 	return s
 }
 
+// shrink gives the engines a memory of so many tokens, of which a part that is
+// not used goes after a time.
+func (s *sim) shrink(memory int, after time.Duration) {
+	for _, e := range s.order {
+		e.capacity = after
+	}
+	policy := *s.policy
+	policy.Pools = map[messenger.PoolID]messenger.PoolPolicy{simPool: {Engine: &messenger.EnginePolicy{Memory: memory}}}
+	for _, a := range s.routers {
+		a.Handle(s.now, messenger.PolicyChange{Policy: &policy})
+	}
+}
+
 // offer lets a request arrive at some router.
 func (s *sim) offer(account messenger.AccountID, objective time.Duration, prompt []messenger.PromptPart, output int) *simRequest {
 	return s.offerAt(s.rng.IntN(len(s.routers)), account, objective, prompt, output)
@@ -196,7 +213,7 @@
 			s.tell(i, messenger.Tick{})
 		}
 	}
-	if s.now.Sub(s.shareAt) >= 150*time.Millisecond {
+	if s.now.Sub(s.shareAt) >= s.shareEvery {
 		s.shareAt = s.now
 		s.gossip()
 	}
--- a/internal/admitter/holders.go
+++ b/internal/admitter/holders.go
@@ -12,12 +12,19 @@
 	// turnoverWeight is the weight of one interval in the pace at which engines
 	// read.
 	turnoverWeight = 0.3
+	// holdersKept is how many upstreams are remembered for a part.
+	holdersKept = 3
+	// leastTold is the size of shared parts, in tokens, from which on other
+	// routers are told where they are, and mostTold how many parts of one
+	// upstream one message names.
+	leastTold = 256
+	mostTold  = 64
 )
 
-// holders remembers where the shared parts of prompts were last sent from
-// here, and for how long engines keep them. The zero value is ready to use.
+// holders remembers where the shared parts of prompts were last sent by any
+// router, and for how long engines keep them. The zero value is ready to use.
 type holders struct {
-	last map[uint64]holder
+	last map[messenger.PartID]held
 	// read is what this router let engines read since the last look, in tokens,
 	// and pace that for a second.
 	read    float64
@@ -26,45 +33,98 @@
 	horizon time.Duration
 }
 
+// holder is an upstream that was sent a part.
 type holder struct {
 	at *upstream
 	on time.Time
 }
 
-// sharedChain returns the longest part that other requests may share.
-func sharedChain(prompt []messenger.PromptPart) (uint64, bool) {
+// held is the upstreams that were sent a part, the latest first.
+type held [holdersKept]holder
+
+// sharedPart names the longest part that other requests may share.
+func sharedPart(prompt []messenger.PromptPart) (messenger.PartID, bool) {
 	if len(prompt) < 2 {
 		return 0, false
 	}
-	return prompt[len(prompt)-2].Chain, true
+	return messenger.PartID(prompt[len(prompt)-2].Chain), true
 }
 
-// find returns the upstream that was last sent the shared part of a prompt, if
-// it is expected to keep it.
-func (h *holders) find(now time.Time, prompt []messenger.PromptPart) *upstream {
-	chain, ok := sharedChain(prompt)
+// ownTokens returns how much of a prompt no other request shares.
+func ownTokens(prompt []messenger.PromptPart) int {
+	if len(prompt) == 0 {
+		return 0
+	}
+	return prompt[len(prompt)-1].Tokens
+}
+
+// find returns the upstreams that were last sent the shared parts of a prompt
+// and are expected to keep them.
+func (h *holders) find(now time.Time, prompt []messenger.PromptPart) held {
+	part, ok := sharedPart(prompt)
 	if !ok {
-		return nil
+		return held{}
 	}
-	held, ok := h.last[chain]
-	if !ok || now.Sub(held.on) >= h.horizon {
-		return nil
+	found := h.last[part]
+	for i := range found {
+		if now.Sub(found[i].on) >= h.horizon {
+			found[i] = holder{}
+		}
+	}
+	return found
+}
+
+// note puts an upstream before the others that were sent a part.
+func (h *holders) note(part messenger.PartID, latest holder) {
+	if h.last == nil {
+		h.last = make(map[messenger.PartID]held)
+	}
+	before := h.last[part]
+	after := held{latest}
+	n := 1
+	for _, old := range before {
+		if old.at != nil && old.at != latest.at && n < len(after) {
+			after[n] = old
+			n++
+		}
+	}
+	h.last[part] = after
+}
+
+// drop forgets an upstream that kept nothing.
+func (h *holders) drop(u *upstream) {
+	for part, at := range h.last {
+		for i := range at {
+			if at[i].at == u {
+				at[i] = holder{}
+			}
+		}
+		h.last[part] = at
 	}
-	return held.at
 }
 
 // keep notes that a prompt was sent to an upstream.
 func (p *pool) keep(now time.Time, u *upstream, r *request, f forecast) {
-	u.cache.use(now, r.arrive.Work.Prompt)
+	prompt := r.arrive.Work.Prompt
+	u.cache.use(now, prompt)
 	p.holders.read += float64(f.reads)
-	chain, ok := sharedChain(r.arrive.Work.Prompt)
+	part, ok := sharedPart(prompt)
 	if !ok {
 		return
 	}
-	if p.holders.last == nil {
-		p.holders.last = make(map[uint64]holder)
+	p.holders.note(part, holder{at: u, on: now})
+	if sharedTokens(prompt) >= leastTold && len(u.untold) < mostTold {
+		u.untold = append(u.untold, part)
+	}
+}
+
+// sharedTokens returns how much of a prompt other requests share.
+func sharedTokens(prompt []messenger.PromptPart) int {
+	n := 0
+	for _, p := range prompt[:len(prompt)-1] {
+		n += p.Tokens
 	}
-	p.holders.last[chain] = holder{at: u, on: now}
+	return n
 }
 
 // forget drops what engines no longer keep, and works out for how long they
@@ -80,9 +140,9 @@
 	}
 	h.looked, h.read = now, 0
 	h.horizon = p.horizon()
-	for chain, held := range h.last {
-		if now.Sub(held.on) >= h.horizon {
-			delete(h.last, chain)
+	for part, at := range h.last {
+		if now.Sub(at[0].on) >= h.horizon {
+			delete(h.last, part)
 		}
 	}
 }
--- a/internal/admitter/load_test.go
+++ b/internal/admitter/load_test.go
@@ -102,6 +102,24 @@
 	}
 }
 
+// TestLargeFleetReadsSharedPartsOnce has so many routers that each meets a
+// session once in a minute, at a load where the engine that has read a part is
+// often taken: the routers must know of one another where parts are.
+func TestLargeFleetReadsSharedPartsOnce(t *testing.T) {
+	s := newSim(t, 48, 24, 24, 0)
+	s.shareEvery = 600 * time.Millisecond
+	s.shrink(200_000, 3*time.Second)
+	s.run(8*time.Second, func() {
+		s.poisson(320, func() { s.offer("a", simObjective, s.session(s.rng.IntN(240), 4800, 1500), 200) })
+	})
+	if got := s.again / s.shared; got > 0.1 {
+		t.Errorf("%.3f of the shared tokens read again, want at most a tenth", got)
+	}
+	if got := share(s.all, (*simRequest).onTime); got < 0.85 {
+		t.Errorf("%.2f in time, want at least 0.85: the engines have room", got)
+	}
+}
+
 // TestFloodCostsOthersNothing has one account ask for eight times what it did.
 func TestFloodCostsOthersNothing(t *testing.T) {
 	// 9 engines of 24 slots serve about 190 of these a second; each costs 4300.
--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -29,7 +29,8 @@
 		asked: make(map[messenger.AccountID]float64, len(e.Accounts)),
 	}
 	for _, u := range e.Upstreams {
-		p.loads[u.Upstream] = load{running: int(u.Running), unstarted: int(u.Unstarted), reading: int(u.Reading)}
+		a.hearParts(u)
+		p.loads[u.Upstream] = load{running: int(u.Running), reading: int(u.Reading)}
 	}
 	for _, d := range e.Accounts {
 		p.asked[d.Account] = float64(d.Rate)
@@ -39,6 +40,17 @@
 	a.sumPeers()
 }
 
+// hearParts notes what another router had an upstream read.
+func (a *Admitter) hearParts(l messenger.UpstreamLoad) {
+	u, ok := a.upstreams[l.Upstream]
+	if !ok {
+		return
+	}
+	for _, part := range l.Parts {
+		u.pool.holders.note(part, holder{at: u, on: a.now})
+	}
+}
+
 // sumPeers adds up what the other routers run.
 func (a *Admitter) sumPeers() {
 	for _, u := range a.upstreams {
@@ -52,22 +64,24 @@
 		for up, l := range p.loads {
 			if u, ok := a.upstreams[up]; ok {
 				u.others.running += l.running
-				u.others.unstarted += l.unstarted
 				u.others.reading += l.reading
 			}
 		}
 	}
 }
 
-// Share returns what other routers should know of this one.
+// Share returns what other routers should know of this one, and notes that they
+// were told.
 func (a *Admitter) Share(now time.Time) messenger.PeerLoad {
 	out := messenger.PeerLoad{From: a.cfg.Self, Reserve: float32(a.shares.reserve)}
 	for id, u := range a.upstreams {
-		if u.running > 0 {
-			out.Upstreams = append(out.Upstreams, messenger.UpstreamLoad{
-				Upstream: id, Running: uint32(u.running), Unstarted: uint32(u.unstarted), Reading: uint32(max(0, u.reading)),
-			})
+		if u.running == 0 && len(u.untold) == 0 {
+			continue
 		}
+		out.Upstreams = append(out.Upstreams, messenger.UpstreamLoad{
+			Upstream: id, Running: uint32(u.running), Reading: uint32(max(0, u.reading)), Parts: u.untold,
+		})
+		u.untold = nil
 	}
 	for id, acc := range a.shares.accounts {
 		acc.fade(now)
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -107,21 +107,31 @@
 	roomless bool
 }
 
-// source is an upstream that parts of a prompt may be fetched from.
+// source is where the shared parts of a prompt are.
 type source struct {
-	at *upstream
-	// kept is the share of them that it is expected to keep.
+	// holders are the upstreams that were sent them of late.
+	holders held
+	// at is the upstream to fetch them from, or nil, and kept the share of them
+	// that it is expected to keep.
+	at   *upstream
 	kept float64
 }
 
+// holds reports whether u is expected to keep all of them.
+func (s source) holds(u *upstream) bool {
+	for _, h := range s.holders {
+		if h.at == u {
+			return true
+		}
+	}
+	return false
+}
+
 // pick returns the upstream where a request costs least, all told, or nil if
 // there is none.
 func (p *pool) pick(a *Admitter, r *request) (*upstream, forecast) {
 	home := p.home(a, r)
-	src := source{at: p.holders.find(a.now, r.arrive.Work.Prompt), kept: 1}
-	if src.at == nil || !src.at.sound(a.now) {
-		src = source{at: home, kept: homeCached}
-	}
+	src := p.source(a, r, home)
 	var best *upstream
 	var bestForecast forecast
 	var least time.Duration
@@ -139,6 +149,20 @@
 	return best, bestForecast
 }
 
+// source returns where the shared parts of a prompt are: where some router sent
+// them of late, or else at their home for the most part.
+func (p *pool) source(a *Admitter, r *request, home *upstream) source {
+	s := source{holders: p.holders.find(a.now, r.arrive.Work.Prompt)}
+	for _, h := range s.holders {
+		if h.at != nil && h.at.sound(a.now) {
+			s.at, s.kept = h.at, 1
+			return s
+		}
+	}
+	s.at, s.kept = home, homeCached
+	return s
+}
+
 // cost is what a request at u takes from its caller and from everyone else.
 func (p *pool) cost(u *upstream, f forecast) time.Duration {
 	cost := f.first + time.Duration(u.failures*float64(failurePenalty))
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -48,12 +48,15 @@
 	open   bool
 	far    bool
 
-	// running counts the own requests, unstarted those of them that have no
-	// output yet, and reading what the engine has to read for these, in tokens.
-	running, unstarted, reading int
+	// running counts the own requests, reading is what the engine has to read for
+	// those of them that have no output yet, in tokens.
+	running, reading int
 	// pending holds the own requests without an output, by the time of sending.
 	pending []*request
 	cache   cache
+	// untold names the shared parts sent here that other routers were not yet
+	// told of.
+	untold []messenger.PartID
 
 	report   messenger.LoadReport
 	reported time.Time
@@ -73,7 +76,7 @@
 
 // load is what some routers run on one upstream.
 type load struct {
-	running, unstarted, reading int
+	running, reading int
 }
 
 func newUpstream(id messenger.UpstreamID, p *pool) *upstream {
@@ -95,6 +98,10 @@
 // restart forgets what was known of an upstream whose process started anew.
 func (u *upstream) restart() {
 	u.cache = cache{}
+	u.untold = nil
+	if u.pool != nil {
+		u.pool.holders.drop(u)
+	}
 	u.report, u.reported = messenger.LoadReport{}, time.Time{}
 	u.error, u.failures, u.inARow, u.closedTil = 1, 0, 0, time.Time{}
 }
@@ -162,7 +169,11 @@
 func (u *upstream) forecast(a *Admitter, r *request, home bool, src source) forecast {
 	m := &u.pool.model
 	var f forecast
-	f.reads, f.again = u.cache.missing(a.now, u.pool.holders.horizon, r.arrive.Work.Prompt, home)
+	if src.holds(u) {
+		f.reads = ownTokens(r.arrive.Work.Prompt)
+	} else {
+		f.reads, f.again = u.cache.missing(a.now, u.pool.holders.horizon, r.arrive.Work.Prompt, home)
+	}
 	fetch := 0.0
 	if src.at != nil && src.at != u && f.again >= leastFetch {
 		f.source = src.at
@@ -203,7 +214,6 @@
 
 func (u *upstream) start(now time.Time, r *request) {
 	u.running++
-	u.unstarted++
 	u.reading += r.reads
 	u.pending = append(u.pending, r)
 }
@@ -213,7 +223,6 @@
 	for i, other := range u.pending {
 		if other == r {
 			u.pending = append(u.pending[:i], u.pending[i+1:]...)
-			u.unstarted--
 			u.reading -= r.reads
 			return
 		}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,7 @@
 	Router   routerCommand   `cmd:"" help:"Run a router."`
 	Demo     demoCommand     `cmd:"" help:"Run a whole fleet in this process and show what it does under load."`
 	Load     loadCommand     `cmd:"" help:"Send a load to routers on this machine and check the answers."`
+	Soak     soakCommand     `cmd:"" help:"Run the programs as processes, harm them from outside and check the promises."`
 	Standin  standinCommands `cmd:"" help:"Run a small stand-in for a part of the platform."`
 	Settings settingsCommand `cmd:"" help:"Work with settings files."`
 
--- a/internal/demonstrator/evidence.go
+++ b/internal/demonstrator/evidence.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"lentilwood.example/lentilwood/internal/auditor"
 	"lentilwood.example/lentilwood/internal/emulator"
 	"lentilwood.example/lentilwood/internal/generator"
 	"lentilwood.example/lentilwood/internal/messenger"
@@ -66,20 +67,11 @@
 	e.desk = f.desk.Journal()
 }
 
-// ran returns the journal entries by the id of the request, the earliest
-// first.
-func (e *evidence) ran() map[string]emulator.Entry {
-	ran := map[string]emulator.Entry{}
-	add := func(entries []emulator.Entry) {
-		for _, entry := range entries {
-			if earlier, ok := ran[entry.RequestID]; !ok || entry.Arrived.Before(earlier.Arrived) {
-				ran[entry.RequestID] = entry
-			}
-		}
-	}
+// audit returns what callers saw beside the journals.
+func (e *evidence) audit() auditor.Audit {
+	a := auditor.Audit{Observations: e.observations, Calls: e.desk}
 	for _, entries := range e.workers {
-		add(entries)
+		a.Streams = append(a.Streams, entries...)
 	}
-	add(e.desk)
-	return ran
+	return a
 }
--- a/internal/demonstrator/judge.go
+++ b/internal/demonstrator/judge.go
@@ -6,8 +6,7 @@
 	"slices"
 	"time"
 
-	"lentilwood.example/lentilwood/internal/generator"
-	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/auditor"
 )
 
 const (
@@ -21,90 +20,24 @@
 	starvedBelow = 0.5
 )
 
-// Promise is one thing that must hold, and how often it did not.
-type Promise struct {
-	Name string `json:"name"`
-	// Checked is how many cases were looked at.
-	Checked    int `json:"checked"`
-	Violations int `json:"violations"`
-}
-
 // promises checks everything that must hold.
-func (e *evidence) promises(accounts []AccountReport) []Promise {
+func (e *evidence) promises(accounts []AccountReport) []auditor.Promise {
 	sum := e.load.Total()
 	answered := sum.Sent - sum.Lost
-	return []Promise{
-		{"every request gets an answer", sum.Sent, sum.Lost},
-		{"every answer is whole", answered, sum.Cut},
-		{"every answer belongs to its request", answered, sum.Wrong},
-		{"every answer states whether the request was run", answered, sum.Statements["none"]},
-		{"every refusal says when to come back", sum.Refused, sum.NoRetryAfter},
-		e.notRunMeansNotRun(),
-		e.runMeansRun(),
-		e.atMostOnce(),
-		e.leavingGetsNothing(),
-		e.configurationIsInForce(),
-		e.shutdownCutsNothing(),
-		nobodyStarves(accounts),
-	}
-}
-
-// notRunMeansNotRun looks for requests that were refused as not run but stand
-// in a journal.
-func (e *evidence) notRunMeansNotRun() Promise {
-	p := Promise{Name: `what is stated as "not run" did not run`}
-	ran := e.ran()
-	for _, o := range e.observations {
-		if o.Statement != messenger.NotRun {
-			continue
-		}
-		p.Checked++
-		if _, ok := ran[o.WireID]; ok {
-			p.Violations++
-		}
-	}
-	return p
-}
-
-// runMeansRun looks for complete answers to calls that stand in no journal. A
-// repeat with the same key may have got the answer to the first copy.
-func (e *evidence) runMeansRun() Promise {
-	p := Promise{Name: "what was answered as committed was committed"}
-	keys := map[string]bool{}
-	for _, entry := range e.desk {
-		keys[entry.Key] = true
+	promises := []auditor.Promise{
+		{Name: "every request gets an answer", Checked: sum.Sent, Violations: sum.Lost},
+		{Name: "every answer is whole", Checked: answered, Violations: sum.Cut},
+		{Name: "every answer belongs to its request", Checked: answered, Violations: sum.Wrong},
+		{Name: "every answer states whether the request was run", Checked: answered, Violations: sum.Statements["none"]},
+		{Name: "every refusal says when to come back", Checked: sum.Refused, Violations: sum.NoRetryAfter},
 	}
-	for _, o := range e.observations {
-		if o.Kind != generator.Commit || !o.Complete {
-			continue
-		}
-		p.Checked++
-		if !keys[o.Key] {
-			p.Violations++
-		}
-	}
-	return p
-}
-
-// atMostOnce looks for keys that the order desk ran twice.
-func (e *evidence) atMostOnce() Promise {
-	p := Promise{Name: "a print run is committed at most once"}
-	runs := map[string]int{}
-	for _, entry := range e.desk {
-		if entry.Key != "" {
-			runs[entry.Key]++
-		}
-	}
-	for _, n := range runs {
-		p.Checked++
-		p.Violations += n - 1
-	}
-	return p
+	promises = append(promises, e.audit().Promises()...)
+	return append(promises, e.leavingGetsNothing(), e.configurationIsInForce(), e.shutdownCutsNothing(), nobodyStarves(accounts))
 }
 
 // configurationIsInForce looks for routers that did not follow the drain.
-func (e *evidence) configurationIsInForce() Promise {
-	p := Promise{
+func (e *evidence) configurationIsInForce() auditor.Promise {
+	p := auditor.Promise{
 		Name:    fmt.Sprintf("a configuration is in force everywhere within %v", configurationLimit),
 		Checked: routerCount, Violations: e.lateRouters,
 	}
@@ -115,8 +48,8 @@
 }
 
 // leavingGetsNothing looks for work that reached the drained worker late.
-func (e *evidence) leavingGetsNothing() Promise {
-	p := Promise{Name: fmt.Sprintf("a leaving upstream gets no new work after %v", drainGrace)}
+func (e *evidence) leavingGetsNothing() auditor.Promise {
+	p := auditor.Promise{Name: fmt.Sprintf("a leaving upstream gets no new work after %v", drainGrace)}
 	if e.drainErr != nil {
 		p.Checked, p.Violations = 1, 1
 		return p
@@ -132,8 +65,8 @@
 
 // shutdownCutsNothing looks for requests that were in progress when the routers
 // shut down and came to no good end, and for routers that gave up.
-func (e *evidence) shutdownCutsNothing() Promise {
-	p := Promise{Name: "a graceful shutdown cuts off nothing", Checked: len(e.late), Violations: e.cutRouters}
+func (e *evidence) shutdownCutsNothing() auditor.Promise {
+	p := auditor.Promise{Name: "a graceful shutdown cuts off nothing", Checked: len(e.late), Violations: e.cutRouters}
 	for _, o := range e.late {
 		if o.Broken {
 			p.Violations++
@@ -144,8 +77,8 @@
 
 // nobodyStarves looks for client accounts that got far less than they asked
 // for and than they had a right to.
-func nobodyStarves(accounts []AccountReport) Promise {
-	p := Promise{Name: "no client account starves"}
+func nobodyStarves(accounts []AccountReport) auditor.Promise {
+	p := auditor.Promise{Name: "no client account starves"}
 	for _, a := range accounts {
 		p.Checked++
 		if a.Share < starvedBelow*a.FairShare {
--- a/internal/demonstrator/report.go
+++ b/internal/demonstrator/report.go
@@ -7,16 +7,17 @@
 
 	hdrhistogram "github.com/HdrHistogram/hdrhistogram-go"
 
+	"lentilwood.example/lentilwood/internal/auditor"
 	"lentilwood.example/lentilwood/internal/generator"
 )
 
 // Report is what the demonstration showed.
 type Report struct {
-	Seconds  float64         `json:"seconds"`
-	Routers  int             `json:"routers"`
-	Workers  int             `json:"workers"`
-	Accounts []AccountReport `json:"accounts"`
-	Promises []Promise       `json:"promises"`
+	Seconds  float64           `json:"seconds"`
+	Routers  int               `json:"routers"`
+	Workers  int               `json:"workers"`
+	Accounts []AccountReport   `json:"accounts"`
+	Promises []auditor.Promise `json:"promises"`
 	// Events are what was done to the fleet.
 	Events []Event `json:"events"`
 	// Problems counts the problem types that callers saw.
@@ -112,7 +113,7 @@
 // waits returns the time from when a request was due until it reached an
 // upstream.
 func (e *evidence) waits() map[waitKey]*hdrhistogram.Histogram {
-	ran := e.ran()
+	ran := e.audit().Ran()
 	waits := map[waitKey]*hdrhistogram.Histogram{}
 	for _, o := range e.observations {
 		key := waitKey{o.Account, o.Class}
--- a/internal/generator/generator.go
+++ b/internal/generator/generator.go
@@ -96,9 +96,12 @@
 	Statement messenger.RunState
 	// Complete is true for a whole answer that belongs to the request.
 	Complete bool
-	// Broken is true for an answer that was wrong, cut off or lost.
-	Broken bool
-	Tokens int
+	// Broken is true for an answer that was wrong, cut off or lost, Lost for the
+	// last of these: nothing came at all.
+	Broken, Lost bool
+	// Problem is the type of the problem document, or the fault of the answer.
+	Problem string
+	Tokens  int
 	// Due is when the request was due.
 	Due time.Time
 }
@@ -244,7 +247,7 @@
 	}
 	r.cfg.Observe(Observation{
 		RequestID: a.id, WireID: o.wireID, Account: a.stream.Account, Class: a.stream.Class, Kind: a.stream.Kind, Key: a.key,
-		Statement: stated(o.statement), Complete: o.kind == complete, Broken: o.broken(), Tokens: o.tokens, Due: r.start.Add(a.at),
+		Statement: stated(o.statement), Complete: o.kind == complete, Broken: o.broken(), Lost: o.kind == lost, Problem: o.problem, Tokens: o.tokens, Due: r.start.Add(a.at),
 	})
 }
 
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -150,12 +150,19 @@
 type UpstreamLoad struct {
 	_        struct{} `codec:",toarray"`
 	Upstream UpstreamID
-	// Running counts the requests, Unstarted those of them without output.
-	Running, Unstarted uint32
-	// Reading is what is to be read for the unstarted ones, in tokens.
+	// Running counts the requests.
+	Running uint32
+	// Reading is what is to be read for those without output, in tokens.
 	Reading uint32
+	// Parts names the shared parts of prompts sent there since the last message.
+	Parts []PartID
 }
 
+// PartID names a part of a prompt, with all parts before it, between routers:
+// the lower half of PromptPart.Chain. Two parts that bear the same one only make
+// a forecast worse.
+type PartID uint32
+
 // AccountDemand is what one client account asks of one router.
 type AccountDemand struct {
 	_       struct{} `codec:",toarray"`
