Let only failed probes lengthen the break of the store's circuit

Each call that was under way when the circuit opened doubled the break when it failed, up to 20 s at once, and ended the probe of another.

Ruled out: kept connections (the proxy resets them), the retry budget (calls were rejected by the circuit, none was sent).

Change: the circuit knows its probe; other calls' failures change nothing while it is open.

--- a/internal/storer/circuit.go
+++ b/internal/storer/circuit.go
@@ -27,21 +27,29 @@
 	return c.failures >= openAfter && (c.probing || now.Before(c.until))
 }
 
-func (c *circuit) admit(now time.Time) bool {
+// admit reports whether a call may be sent, and whether it is a probe.
+func (c *circuit) admit(now time.Time) (probe, ok bool) {
 	if c.failures < openAfter {
-		return true
+		return false, true
 	}
 	if c.open(now) {
-		return false
+		return false, false
 	}
 	c.probing = true
-	return true
+	return true, true
 }
 
-func (c *circuit) record(now time.Time, failed bool, rng *rand.Rand) {
-	c.probing = false
+// record takes in how a call ended. While the circuit is open a failure counts
+// if it is the probe's: the others were sent before, and say nothing new.
+func (c *circuit) record(now time.Time, failed, probe bool, rng *rand.Rand) {
+	if probe {
+		c.probing = false
+	}
 	if !failed {
-		c.failures, c.wait = 0, 0
+		c.failures, c.wait, c.probing = 0, 0, false
+		return
+	}
+	if c.failures >= openAfter && !probe {
 		return
 	}
 	c.failures++
--- a/internal/storer/guard.go
+++ b/internal/storer/guard.go
@@ -90,10 +90,11 @@
 func (g *Guard) call(ctx context.Context, p Purpose, write, again bool, do func(context.Context) error) error {
 	unknown := false
 	for attempt := 1; ; attempt++ {
-		if !g.admit(p, write, attempt > 1) {
+		probe, ok := g.admit(p, write, attempt > 1)
+		if !ok {
 			return worse(unknown, ErrUnavailable)
 		}
-		err := g.attempt(ctx, p, do)
+		err := g.attempt(ctx, p, probe, do)
 		unknown = unknown || errors.Is(err, ErrUnknown)
 		if !retryable(err, again) || attempt == maxAttempts || ctx.Err() != nil {
 			return worse(unknown, err)
@@ -123,14 +124,16 @@
 	return errors.Is(err, ErrUnavailable) || again && errors.Is(err, ErrUnknown)
 }
 
-func (g *Guard) admit(p Purpose, write, retry bool) bool {
+// admit asks the circuit for one attempt, and reports whether it is a probe.
+func (g *Guard) admit(p Purpose, write, retry bool) (probe, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.counts[p]
 	defer func() { g.counts[p] = c }()
-	if !g.circuit.admit(g.clock.Now()) {
+	probe, ok = g.circuit.admit(g.clock.Now())
+	if !ok {
 		c.Rejected++
-		return false
+		return false, false
 	}
 	if retry {
 		c.Retries++
@@ -142,10 +145,10 @@
 	} else {
 		c.Reads++
 	}
-	return true
+	return probe, true
 }
 
-func (g *Guard) attempt(ctx context.Context, p Purpose, do func(context.Context) error) error {
+func (g *Guard) attempt(ctx context.Context, p Purpose, probe bool, do func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -159,7 +162,7 @@
 	failed := errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUnknown)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.circuit.record(g.clock.Now(), failed, g.rng)
+	g.circuit.record(g.clock.Now(), failed, probe, g.rng)
 	if failed {
 		c := g.counts[p]
 		c.Failures++
