A fault soak: the programs as processes, harmed from outside

lentilwood soak starts the store's stand-in, two workers, a desk and three routers as processes on an address of the loopback range of its own, with a proxy before each stand-in and a balancer before the routers. Its seed stops, kills and pauses processes and delays, resets, cuts one way or silences connections, in series that overlap, while callers send a load, some leave early, and an operator changes the configuration.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SLOPES := ./internal/scheduler ./internal/coordinator ./internal/configurer ./internal/recorder ./internal/meter ./internal/demonstrator
 
 
-.PHONY: build test lint vet race bench demo fmt slopes promises
+.PHONY: build test lint vet race bench demo fmt slopes promises soak
 
 build:
 	CGO_ENABLED=1 go build -o bin/lentilwood .
@@ -40,3 +40,7 @@
 # promises runs the tests that docs/PROMISES.md names and counts its rows.
 promises:
 	sh scripts/promises.sh
+
+# soak plays the seeds that failed once and some fresh ones.
+soak:
+	sh scripts/soak.sh
--- a/internal/soaker/child.go
+++ b/internal/soaker/child.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return merry.Prependf(err, "open the log of %s", c.name)
 	}
-	cmd := exec.Command(c.program, c.args...)
+	cmd := exec.Command(c.program, c.args...) //nolint:gosec // the program is this one
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.Env = append(os.Environ(), ChildVariable+"=1")
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/internal/soaker/fleet.go
+++ b/internal/soaker/fleet.go
@@ -38,8 +38,14 @@
 	readyLimit = 20 * time.Second
 	askTimeout = time.Second
 	// operatorName is who changes the configuration.
-	operatorName  = "soak"
-	operatorToken = "soak-token-of-the-operator"
+	operatorName = "soak"
+)
+
+// The run's address is 127.N.P.Q with N from firstNet on, by the seed, and the
+// process's number in P and Q, so that runs beside each other don't meet.
+const (
+	firstNet = 200
+	nets     = 50
 )
 
 // Ports of the processes; routers use one above another.
@@ -78,7 +84,7 @@
 func startFleet(ctx context.Context, cfg Config) (*fleet, error) {
 	pid := os.Getpid()
 	f := &fleet{
-		host:    fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, 1+pid&0x7f, 1+cfg.Seed%250),
+		host:    fmt.Sprintf("127.%d.%d.%d", firstNet+cfg.Seed%nets, pid>>8&0xff, pid&0xff),
 		dir:     cfg.Dir,
 		program: cfg.Program,
 		http:    &http.Client{Timeout: askTimeout},
@@ -190,7 +196,7 @@
 		"balancerLag": balancerLag.String(), "drainLimit": drainLimit.String(),
 		"platform": settings{"address": f.at(portStore), "timeout": "1s"},
 		"peerKey":  "peer key of the soak's fleet", "seedPeers": seeds,
-		"operators": []settings{{"name": operatorName, "tokenDigest": identifier.DigestOf(operatorToken).Hex()}},
+		"operators": []settings{{"name": operatorName, "tokenDigest": identifier.DigestOf(tokenOf(operatorName)).Hex()}},
 	}
 }
 
@@ -209,7 +215,7 @@
 	}
 	return settings{
 		"kind":     "configuration",
-		"accounts": settings{account: settings{"tokens": []string{configurer.Digest(accountToken)}}},
+		"accounts": settings{account: settings{"tokens": []string{configurer.Digest(tokenOf(account))}}},
 		"classes":  settings{"question": class(20, false), "consultation": class(150, true), "lookup": class(1, false), "order": class(1, false)},
 		"pools":    settings{"assistant": settings{}, "desk": settings{}}, "upstreams": upstreams,
 		"routes": []settings{
@@ -301,7 +307,7 @@
 // operators returns a client of the operators' API of one router.
 func (f *fleet) operators(i int) *operator.Client {
 	return operator.NewClient(operator.ClientConfig{
-		Routers: []string{f.at(portOperators + i)}, Token: operatorToken, Timeout: askTimeout,
+		Routers: []string{f.at(portOperators + i)}, Token: tokenOf(operatorName), Timeout: askTimeout,
 	})
 }
 
--- a/internal/soaker/mix.go
+++ b/internal/soaker/mix.go
@@ -8,17 +8,19 @@
 )
 
 const (
-	account      = "clinic"
-	accountToken = "soak-token-of-the-clinic"
+	account = "clinic"
 	// patientTimeout is longer than any answer takes, hastyTimeout shorter than
 	// the answers that hasty callers ask for.
 	patientTimeout = 40 * time.Second
 	hastyTimeout   = 400 * time.Millisecond
 )
 
+// tokenOf returns the bearer token of a client account or operator.
+func tokenOf(name string) string { return "soak-token-of-" + name }
+
 func completions(class string, rate float64, tokens generator.Range) generator.Stream {
 	return generator.Stream{
-		Account: account, Token: loader.NewSecret(accountToken), Class: class, Kind: generator.Completion, Rate: rate, Tokens: tokens,
+		Account: account, Token: loader.NewSecret(tokenOf(account)), Class: class, Kind: generator.Completion, Rate: rate, Tokens: tokens,
 	}
 }
 
@@ -26,7 +28,7 @@
 func patientMix() generator.Mix {
 	call := func(class string, kind generator.Kind, path string, rate float64) generator.Stream {
 		return generator.Stream{
-			Account: account, Token: loader.NewSecret(accountToken), Class: class, Kind: kind, Path: path, Rate: rate,
+			Account: account, Token: loader.NewSecret(tokenOf(account)), Class: class, Kind: kind, Path: path, Rate: rate,
 			Keyed: kind == generator.Commit, Repeat: 0.1,
 		}
 	}
--- a/internal/soaker/proxy.go
+++ b/internal/soaker/proxy.go
@@ -103,10 +103,10 @@
 	piece := make([]byte, pieceSize)
 	for {
 		n, err := from.Read(piece)
-		switch h := harm(p.harm.Load()); {
-		case h == cut || h == harmSilence:
+		switch harm(p.harm.Load()) {
+		case cut, harmSilence:
 			silenced.Store(true)
-		case h == harmDelay:
+		case harmDelay:
 			time.Sleep(delayedBy)
 		}
 		if n > 0 && !silenced.Load() {
