Divide contested slots exactly, and go by means for brief work

What others run was known 0.74 s late, half of the time a slot is held. Calls of 40 ms were sent by what the others ran half a second ago: all to the same server, or, since the slots of three servers can't be divided among 62 routers, to none.

Change: routers divide the slots in an order that differs between upstreams, by place, so that all together have as many as there are. The part of the slots that is divided grows while first outputs come too late. Plain services are not divided. Where requests are over before the routers speak again, the mean of what others run counts. How long slots are held is learnt at once and not from an assumed second.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -63,10 +63,15 @@
 	policy    *messenger.Policy
 	pools     map[messenger.PoolID]*pool
 	upstreams map[messenger.UpstreamID]*upstream
+	byKey     map[messenger.Key]*upstream
 	requests  map[messenger.RequestID]*request
 	shares    shares
 	peers     map[messenger.RouterID]*peer
-	actions   []messenger.Action
+	// shared is when the other routers were last told of this one, shareEvery
+	// the time between two such messages.
+	shared     time.Time
+	shareEvery time.Duration
+	actions    []messenger.Action
 }
 
 // request is one request that waits or runs.
@@ -91,6 +96,8 @@
 	expected time.Duration
 	// clear is true if nothing was ahead of the request when it was sent.
 	clear bool
+	// late is true once the first output has taken longer than the objective.
+	late bool
 }
 
 // New returns an Admitter without a policy.
@@ -99,6 +106,7 @@
 		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		pools:     make(map[messenger.PoolID]*pool),
 		upstreams: make(map[messenger.UpstreamID]*upstream),
+		byKey:     make(map[messenger.Key]*upstream),
 		requests:  make(map[messenger.RequestID]*request),
 		peers:     make(map[messenger.RouterID]*peer),
 	}
@@ -183,7 +191,7 @@
 }
 
 func (a *Admitter) send(r *request, u *upstream, f forecast) {
-	r.at, r.sent, r.started = u, a.now, time.Time{}
+	r.at, r.sent, r.started, r.late = u, a.now, time.Time{}, false
 	r.reads, r.expected, r.clear = f.reads, f.first, f.clear
 	u.start(a.now, r)
 	if r.pool.engine && r.arrive.Work.Output > 0 {
@@ -271,8 +279,13 @@
 
 // tick serves and refuses what waits, and forgets what is out of date.
 func (a *Admitter) tick() {
+	a.forgetSilent()
 	a.shares.settle(a.now, a.throughput(), a.peers)
 	a.divide()
+	for _, u := range a.upstreams {
+		u.noteLate(a.now)
+		u.smooth(messenger.TickInterval)
+	}
 	for _, p := range a.pools {
 		p.forget(a.now)
 		a.serveWaiting(p)
@@ -299,16 +312,12 @@
 
 // divide works out this router's part of the demand.
 func (a *Admitter) divide() {
-	routers := 1
-	for _, p := range a.peers {
-		if a.now.Sub(p.heard) <= peerTTL {
-			routers++
-		}
-	}
+	routers := 1 + len(a.peers)
 	part := a.shares.part(1 / float64(routers))
-	reserve := a.shares.kept(a.now, a.peers)
+	reserve := a.shares.kept(a.peers)
 	for _, p := range a.pools {
 		p.part, p.reserve = part, reserve
+		p.brief = p.model.held < a.shareEvery.Seconds()
 	}
 }
 
@@ -361,6 +370,7 @@
 		if !known {
 			u = newUpstream(id, p)
 			a.upstreams[id] = u
+			a.byKey[messenger.KeyOf(id)] = u
 		}
 		u.set(up, p, a.cfg.Domain)
 		p.members = append(p.members, u)
@@ -372,9 +382,11 @@
 		u.open = false
 		if u.running == 0 {
 			delete(a.upstreams, id)
+			delete(a.byKey, messenger.KeyOf(id))
 		}
 	}
 	for _, p := range a.pools {
 		p.sortMembers()
 	}
+	a.orderRouters()
 }
--- a/internal/admitter/engine_test.go
+++ b/internal/admitter/engine_test.go
@@ -33,6 +33,8 @@
 	capacity time.Duration
 	slow     float64
 	dead     bool
+	// plain servers begin what they are sent at once.
+	plain bool
 }
 
 // simRequest is one request on its way.
@@ -121,6 +123,18 @@
 	}
 }
 
+// plain makes the pool one of a plain service.
+func (s *sim) plain() {
+	policy := *s.policy
+	policy.Pools = map[messenger.PoolID]messenger.PoolPolicy{simPool: {}}
+	for _, e := range s.order {
+		e.plain = true
+	}
+	for _, a := range s.routers {
+		a.Handle(s.now, messenger.PolicyChange{Policy: &policy})
+	}
+}
+
 // offer lets a request arrive at some router.
 func (s *sim) offer(account messenger.AccountID, objective time.Duration, prompt []messenger.PromptPart, output int) *simRequest {
 	return s.offerAt(s.rng.IntN(len(s.routers)), account, objective, prompt, output)
@@ -173,7 +187,7 @@
 		e.waiting = e.waiting[1:]
 		busy := s.now
 		for _, other := range e.running {
-			if other.readDone.After(busy) {
+			if !e.plain && other.readDone.After(busy) {
 				busy = other.readDone
 			}
 		}
--- a/internal/admitter/load_test.go
+++ b/internal/admitter/load_test.go
@@ -40,6 +40,28 @@
 	}
 }
 
+// TestCrestBeforeALargeFleet has the same crest before so many routers that each
+// has less than one slot of each engine to itself, and they speak rarely: they
+// must not all send to the engine that all believe to have a slot free.
+func TestCrestBeforeALargeFleet(t *testing.T) {
+	s := newSim(t, 60, 24, 24, 0)
+	s.shareEvery = 430 * time.Millisecond
+	// A request holds a slot for about 1.1 s, so 24 engines do about 500 a second.
+	const rate, fits = 900, 500
+	s.run(8*time.Second, func() {
+		s.poisson(rate, func() { s.offer("a", simObjective, s.session(s.rng.IntN(160), 3000, 800), 200) })
+	})
+	late := s.all[len(s.all)/4:]
+	sent := share(late, func(r *simRequest) bool { return !r.refused })
+	inTime := share(late, (*simRequest).onTime)
+	if want := 0.8 * fits / rate; inTime < want {
+		t.Errorf("%.2f of all in time, want at least %.2f: four fifths of what the engines can do", inTime, want)
+	}
+	if inTime < 0.8*sent {
+		t.Errorf("%.2f of all in time, but %.2f were sent: want four fifths of these", inTime, sent)
+	}
+}
+
 // TestRefusalsAreImmediate has the same crest: who gets nothing must be told at
 // once, long before its objective has passed, and come back spread.
 func TestRefusalsAreImmediate(t *testing.T) {
@@ -107,7 +129,7 @@
 // often taken: the routers must know of one another where parts are.
 func TestLargeFleetReadsSharedPartsOnce(t *testing.T) {
 	s := newSim(t, 48, 24, 24, 0)
-	s.shareEvery = 600 * time.Millisecond
+	s.shareEvery = 370 * time.Millisecond
 	s.shrink(200_000, 3*time.Second)
 	s.run(8*time.Second, func() {
 		s.poisson(320, func() { s.offer("a", simObjective, s.session(s.rng.IntN(240), 4800, 1500), 200) })
@@ -169,6 +191,30 @@
 	}
 }
 
+// TestSharesFollowLostEngines has the fleet do half of what it is said to, since
+// engines are lost, while one account floods a single router and others ask for
+// more than their share through all of them: they must get about the same.
+func TestSharesFollowLostEngines(t *testing.T) {
+	s := newSim(t, 8, 9, 24, 380*4300)
+	s.run(9*time.Second, func() {
+		s.poisson(200, func() { s.offerAt(0, "lone", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
+		s.poisson(100, func() { s.offer("b", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
+		s.poisson(100, func() { s.offer("c", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
+		s.poisson(100, func() { s.offer("d", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
+	})
+	got := make(map[messenger.AccountID]int)
+	for _, r := range s.all[len(s.all)/3:] {
+		if !r.refused {
+			got[r.arrive.Account]++
+		}
+	}
+	for _, account := range []messenger.AccountID{"b", "c", "d"} {
+		if got["lone"] < got[account]*2/3 || got[account] < got["lone"]*2/3 {
+			t.Errorf("got %v served, want about the same for all", got)
+		}
+	}
+}
+
 // TestAccountAtOneRouterGetsItsShare has all requests of one account reach the
 // fleet through a single router of many, and others ask for as much elsewhere.
 func TestAccountAtOneRouterGetsItsShare(t *testing.T) {
@@ -230,3 +276,53 @@
 		t.Errorf("%.3f of the requests still go to an engine that answers nothing, want few", sent)
 	}
 }
+
+// TestCallsOfALargeFleetAreServed has so many routers before three servers of a
+// plain service that each has a fraction of a slot, while a call is over long
+// before the routers speak again. The servers have room for all.
+func TestCallsOfALargeFleetAreServed(t *testing.T) {
+	s := newSim(t, 60, 3, 6, 0)
+	s.plain()
+	s.shareEvery = 430 * time.Millisecond
+	// A call takes about 55 ms, so three servers of six slots do 320 a second.
+	s.run(6*time.Second, func() {
+		s.poisson(200, func() {
+			s.offer("a", 150*time.Millisecond, []messenger.PromptPart{{Chain: 1, Tokens: 0}}, 7)
+		})
+	})
+	late := s.all[len(s.all)/4:]
+	if got := share(late, func(r *simRequest) bool { return !r.refused }); got < 0.98 {
+		t.Errorf("%.2f of the calls sent, want at least 0.98: there is room", got)
+	}
+	if got := share(late, (*simRequest).onTime); got < 0.9 {
+		t.Errorf("%.2f of the calls answered in time, want at least 0.9", got)
+	}
+}
+
+// TestPrecedenceOrdersWhatWaits has two requests wait for the only slot; the one
+// that came later goes first.
+func TestPrecedenceOrdersWhatWaits(t *testing.T) {
+	a := New(Config{Self: "r", Domain: "a"})
+	a.Handle(epoch, messenger.PolicyChange{Policy: &messenger.Policy{
+		Pools:     map[messenger.PoolID]messenger.PoolPolicy{simPool: {Engine: &messenger.EnginePolicy{Memory: 1000}}},
+		Upstreams: map[messenger.UpstreamID]messenger.UpstreamPolicy{"u": {Pool: simPool, Domain: "a", Window: 1}},
+	}})
+	arrive := func(id messenger.RequestID, precedence int) {
+		a.Handle(epoch, messenger.Arrive{
+			Request: id, Pool: simPool, Objective: simObjective, Precedence: precedence,
+			Work: messenger.Work{Prompt: []messenger.PromptPart{{Chain: uint64(id), Tokens: 10}}, Output: 10},
+		})
+	}
+	arrive(1, 0)
+	arrive(2, -1)
+	arrive(3, 0)
+	var got []messenger.RequestID
+	for _, action := range a.Handle(epoch.Add(time.Millisecond), messenger.Finish{Request: 1, Upstream: "u"}) {
+		if d, ok := action.(messenger.Dispatch); ok {
+			got = append(got, d.Request)
+		}
+	}
+	if len(got) != 1 || got[0] != 3 {
+		t.Errorf("got %v sent to the free slot, want the request of the higher precedence, 3", got)
+	}
+}
--- a/internal/admitter/model.go
+++ b/internal/admitter/model.go
@@ -37,6 +37,8 @@
 // output as a line over the tokens to read, and how long slots are held.
 type model struct {
 	base, perRead, held float64
+	// ended counts the requests whose slot is free again.
+	ended int
 	// sums of a least-squares line whose past fades.
 	n, x, y, xx, xy float64
 }
@@ -63,8 +65,12 @@
 	m.base = max(lowestBase, meanY-m.perRead*meanX)
 }
 
-// learnHeld takes in for how many seconds a slot was held.
-func (m *model) learnHeld(seconds float64) { m.held += heldWeight * (seconds - m.held) }
+// learnHeld takes in for how many seconds a slot was held. The first ones count
+// alike, so that a wrong assumption is soon outweighed.
+func (m *model) learnHeld(seconds float64) {
+	m.ended++
+	m.held += max(heldWeight, 1/float64(m.ended)) * (seconds - m.held)
+}
 
 func bound(v, low, high float64) float64 { return min(max(v, low), high) }
 
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -3,11 +3,8 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
@@ -44,6 +41,12 @@
 	model   model
 	// part is this router's part of the fleet's demand, 0 to 1.
 	part float64
+	// contested is the part of the slots, 0 to 1, that no router takes beyond its
+	// own part: they may be taken though they were free when the others spoke.
+	contested float64
+	// brief is true if requests hold a slot for less time than passes between two
+	// messages of the routers.
+	brief bool
 	// reserve is the part of the slots that requests beyond a share leave free.
 	reserve float64
 	// holders knows where shared parts were last sent.
@@ -51,7 +54,7 @@
 }
 
 func newPool(id messenger.PoolID) *pool {
-	return &pool{id: id, model: newModel(), part: 1}
+	return &pool{id: id, model: newModel(), part: 1, contested: leastContested}
 }
 
 func (p *pool) set(policy messenger.PoolPolicy) {
@@ -66,7 +69,7 @@
 }
 
 // order puts what waits in the order in which it is served: requests within
-// their account's share before others, then by arrival.
+// their account's share before others, then by precedence and by arrival.
 func (p *pool) order(a *Admitter) {
 	for _, r := range p.waiting {
 		if p.engine && r.beyond {
@@ -80,10 +83,23 @@
 			}
 			return 1
 		}
+		if x.arrive.Precedence != y.arrive.Precedence {
+			return cmp.Compare(y.arrive.Precedence, x.arrive.Precedence)
+		}
 		return x.arrived.Compare(y.arrived)
 	})
 }
 
+// noteFirst learns from whether a request's first output came too late. If many
+// do, the routers send to the same slots, and each is to keep to its own.
+func (p *pool) noteFirst(late bool) {
+	change := -lateTolerated
+	if late {
+		change = 1 - lateTolerated
+	}
+	p.contested = bound(p.contested+contestedStep*change, leastContested, mostContested)
+}
+
 func (p *pool) drop(r *request) {
 	p.waiting = slices.DeleteFunc(p.waiting, func(other *request) bool { return other == r })
 }
@@ -205,5 +221,3 @@
 	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
-
-func hashID(id messenger.UpstreamID) uint64 { return xxhash.Sum64String(strings.Clone(string(id))) }
--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -38,7 +38,7 @@
 // the fleet's throughput. The zero value knows no account and holds nobody
 // back.
 type shares struct {
-	accounts map[messenger.AccountID]*account
+	accounts map[messenger.Key]*account
 	settled  time.Time
 	// level is what an account may have that asks for more, in cost a second;
 	// zero means that there is enough for all.
@@ -64,12 +64,13 @@
 
 func (s *shares) of(id messenger.AccountID) *account {
 	if s.accounts == nil {
-		s.accounts = make(map[messenger.AccountID]*account)
+		s.accounts = make(map[messenger.Key]*account)
 	}
-	a, ok := s.accounts[id]
+	key := messenger.KeyOf(id)
+	a, ok := s.accounts[key]
 	if !ok {
 		a = &account{}
-		s.accounts[id] = a
+		s.accounts[key] = a
 	}
 	return a
 }
@@ -126,12 +127,10 @@
 
 // kept returns the part of the slots that requests beyond a share leave free:
 // what the router wants that turns away most.
-func (s *shares) kept(now time.Time, peers map[messenger.RouterID]*peer) float64 {
+func (s *shares) kept(peers map[messenger.RouterID]*peer) float64 {
 	most := s.reserve
 	for _, p := range peers {
-		if now.Sub(p.heard) <= peerTTL {
-			most = max(most, p.reserve)
-		}
+		most = max(most, p.reserve)
 	}
 	return most
 }
@@ -153,15 +152,15 @@
 		passed = settleInterval
 	}
 	s.settled = now
-	served := servedByPeers(now, peers)
+	served := servedByPeers(peers)
 	demands := make([]float64, 0, len(s.accounts))
 	for id, a := range s.accounts {
 		a.fade(now)
-		a.all = a.asked + askedByPeers(now, id, peers)
+		a.all = a.asked + askedByPeers(id, peers)
 		served += a.served
 		demands = append(demands, a.all)
 	}
-	strangers := s.strangers(now, peers)
+	strangers := s.strangers(peers)
 	demands = append(demands, strangers...)
 	if throughput > 0 {
 		// Engines may do more than they are said to: prompts that are kept count
@@ -206,12 +205,9 @@
 }
 
 // strangers returns the demands of accounts that only other routers know.
-func (s *shares) strangers(now time.Time, peers map[messenger.RouterID]*peer) []float64 {
-	sums := make(map[messenger.AccountID]float64)
+func (s *shares) strangers(peers map[messenger.RouterID]*peer) []float64 {
+	sums := make(map[messenger.Key]float64)
 	for _, p := range peers {
-		if now.Sub(p.heard) > peerTTL {
-			continue
-		}
 		for id, rate := range p.asked {
 			if _, known := s.accounts[id]; !known {
 				sums[id] += rate
@@ -226,22 +222,18 @@
 }
 
 // servedByPeers returns what other routers serve, in cost a second.
-func servedByPeers(now time.Time, peers map[messenger.RouterID]*peer) float64 {
+func servedByPeers(peers map[messenger.RouterID]*peer) float64 {
 	sum := 0.0
 	for _, p := range peers {
-		if now.Sub(p.heard) <= peerTTL {
-			sum += p.served
-		}
+		sum += p.served
 	}
 	return sum
 }
 
-func askedByPeers(now time.Time, id messenger.AccountID, peers map[messenger.RouterID]*peer) float64 {
+func askedByPeers(id messenger.Key, peers map[messenger.RouterID]*peer) float64 {
 	sum := 0.0
 	for _, p := range peers {
-		if now.Sub(p.heard) <= peerTTL {
-			sum += p.asked[id]
-		}
+		sum += p.asked[id]
 	}
 	return sum
 }
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -1,8 +1,11 @@
 package admitter
 
 import (
+	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
@@ -11,8 +14,6 @@
 	reportTTL = 400 * time.Millisecond
 	// slowdownTTL is how long what it said of its speed counts.
 	slowdownTTL = 300 * time.Millisecond
-	// peerTTL is how long what another router said counts.
-	peerTTL = time.Second
 	// failureWeight is the weight of one outcome in the share of failures.
 	failureWeight = 0.15
 	// failureHalfLife is the time in which the share of failures halves without
@@ -28,9 +29,18 @@
 	// another engine, and fetchTime what that takes.
 	leastFetch = 128
 	fetchTime  = 12 * time.Millisecond
-	// contestedShare is the part of the slots that no router takes beyond its
-	// own part.
-	contestedShare = 0.16
+	// leastContested and mostContested bound the part of the slots that no router
+	// takes beyond its own part. It grows by contestedStep with each request whose
+	// first output came too late, so far that lateTolerated of them do.
+	leastContested = 0.16
+	mostContested  = 0.8
+	contestedStep  = 0.1
+	lateTolerated  = 0.05
+	// othersHalfLife is the time in which half of a change in what the other
+	// routers run enters its mean.
+	othersHalfLife = time.Second
+	// roundingSlack keeps sums of parts from falling short of a whole slot.
+	roundingSlack = 1e-6
 	// slotCaution is how much longer than on average a slot is waited for: who
 	// waits inside an engine can be given no other.
 	slotCaution = 4
@@ -41,8 +51,11 @@
 
 // upstream is what one router knows of one upstream.
 type upstream struct {
-	id     messenger.UpstreamID
-	hash   uint64
+	id   messenger.UpstreamID
+	hash uint64
+	// before is the share of the other routers, 0 to 1, that come before this one
+	// in the order in which they divide the slots.
+	before float64
 	pool   *pool
 	policy messenger.UpstreamPolicy
 	open   bool
@@ -63,8 +76,10 @@
 	// ownAtReport is how many own requests ran when the report came.
 	ownAtReport int
 
-	// others is what the other routers run here.
-	others load
+	// others is what the other routers run here, and meanOthers the mean number
+	// of these requests over a while.
+	others     load
+	meanOthers float64
 
 	// error is the ratio of observed to forecast times to the first output.
 	error     float64
@@ -80,7 +95,7 @@
 }
 
 func newUpstream(id messenger.UpstreamID, p *pool) *upstream {
-	return &upstream{id: id, hash: hashID(id), pool: p, error: 1}
+	return &upstream{id: id, hash: xxhash.Sum64String(string(id)), pool: p, error: 1}
 }
 
 func (u *upstream) set(policy messenger.UpstreamPolicy, p *pool, domain string) {
@@ -126,30 +141,55 @@
 
 // inside estimates how many requests of all routers are in the upstream.
 func (u *upstream) inside(now time.Time) int {
-	n := u.running + u.others.running
+	n := u.running + u.expectedOthers()
 	if now.Sub(u.reported) < reportTTL {
 		n = max(n, u.report.Running+u.report.Waiting+u.running-u.ownAtReport)
 	}
 	return n
 }
 
+// expectedOthers returns how many requests of the other routers to reckon with.
+// Where a request is over before they speak again, what they last said is of the
+// past: all routers would follow it to the same upstream, so their mean counts.
+func (u *upstream) expectedOthers() int {
+	if u.pool.brief {
+		return int(math.Round(u.meanOthers))
+	}
+	return u.others.running
+}
+
+// smooth moves the mean of what the other routers run towards what they said.
+func (u *upstream) smooth(passed time.Duration) {
+	u.meanOthers += (1 - halved(passed, othersHalfLife)) * (float64(u.others.running) - u.meanOthers)
+}
+
 // contested returns how many requests to reckon with in an upstream that is
 // nearly full. Other routers see the same free slot, and what they send is
 // known late; so each keeps to its part of the slots there, and the next one is
 // sent when an own one ends.
 func (u *upstream) contested(inside int) int {
-	if !u.nearlyFull(inside, contestedShare) {
+	if !u.nearlyFull(inside, u.pool.contested) {
 		return inside
 	}
 	slots := u.slots()
 	part := u.pool.part * float64(slots)
-	if float64(u.running+1) <= max(1, part) {
+	if u.running < u.entitled() {
 		return inside
 	}
 	excess := float64(u.running+1) - part
 	return max(inside, slots+int(excess/u.pool.part))
 }
 
+// entitled returns how many slots of a contested upstream are this router's. The
+// routers divide them in an order that differs between upstreams, so that a part
+// of a slot is a whole one at some upstreams, and all together have no more than
+// there are.
+func (u *upstream) entitled() int {
+	slots := float64(u.slots())
+	before := u.before * (1 - u.pool.part)
+	return int(slots*(before+u.pool.part)+roundingSlack) - int(slots*before+roundingSlack)
+}
+
 // nearlyFull reports whether another request leaves less than a share of the
 // slots free.
 func (u *upstream) nearlyFull(inside int, share float64) bool {
@@ -184,7 +224,9 @@
 	}
 	inside := u.inside(a.now)
 	f.roomless = u.nearlyFull(inside, u.pool.reserve)
-	inside = u.contested(inside)
+	if u.pool.engine {
+		inside = u.contested(inside)
+	}
 	ahead := u.reading + u.others.reading
 	wait := 0.0
 	if over := inside + 1 - u.slots(); over > 0 {
@@ -212,6 +254,16 @@
 	return waited
 }
 
+// noteLate looks for requests whose first output has come too late by now.
+func (u *upstream) noteLate(now time.Time) {
+	for _, r := range u.pending {
+		if !r.late && now.Sub(r.sent) > r.arrive.Objective {
+			r.late = true
+			u.pool.noteFirst(true)
+		}
+	}
+}
+
 func (u *upstream) start(now time.Time, r *request) {
 	u.running++
 	u.reading += r.reads
@@ -232,6 +284,9 @@
 // began learns from the first output of a request.
 func (u *upstream) began(now time.Time, r *request) {
 	u.settle(r)
+	if !r.late {
+		u.pool.noteFirst(false)
+	}
 	took := now.Sub(r.sent).Seconds()
 	slowdown := u.slowdown(now)
 	if r.clear {
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -218,7 +218,7 @@
 // it is not known.
 func (f *flight) writeHead(at *attempt, length int) {
 	h := f.c.Header()
-	for name, values := range forwardable(at.header) {
+	for name, values := range Forwardable(at.header) {
 		h[name] = values
 	}
 	f.d.dialect.AnswerHeader(h, f.req, f.outcome.Run())
--- a/internal/dispatcher/header.go
+++ b/internal/dispatcher/header.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 
 	"lentilwood.example/lentilwood/internal/messenger"
@@ -16,6 +17,9 @@
 	"Content-Length",
 }
 
+// headerSpare is how many fields are usually added to those of a caller.
+const headerSpare = 4
+
 // privateHeaders are meant for lentilwood and go no further.
 var privateHeaders = []string{
 	"Authorization", messenger.ClassHeader, messenger.CostHintHeader,
@@ -23,11 +27,12 @@
 	messenger.FenceHeader, "Expect", "Host",
 }
 
-// forwardable returns a copy of h without the fields of one connection.
-func forwardable(h http.Header) http.Header {
-	out := h.Clone()
-	if out == nil {
-		out = make(http.Header)
+// Forwardable returns a copy of h without the fields of one connection. The
+// values are those of h, so that a copy costs little.
+func Forwardable(h http.Header) http.Header {
+	out := make(http.Header, len(h)+headerSpare)
+	for name, values := range h {
+		out[name] = slices.Clip(values)
 	}
 	for _, line := range h.Values("Connection") {
 		for name := range strings.SplitSeq(line, ",") {
@@ -42,7 +47,7 @@
 
 // upstreamHeader returns the header of req as an upstream is to see it.
 func upstreamHeader(req *Request) http.Header {
-	h := forwardable(req.Header)
+	h := Forwardable(req.Header)
 	for _, name := range privateHeaders {
 		h.Del(name)
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -238,9 +238,6 @@
 	return changed
 }
 
-// Known reports whether there is a configuration.
-func (f *Follower) Known() bool { return f.configuration != nil }
-
 // Snapshot returns what requests are served by, or nil without a
 // configuration.
 func (f *Follower) Snapshot() *Snapshot {
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -1,6 +1,10 @@
 package messenger
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Event is one thing that happened, told to the decision logic.
 type Event interface{ isEvent() }
@@ -26,6 +30,9 @@
 	// Objective is the time from the arrival to the first output that the
 	// operator aims at; zero means none.
 	Objective time.Duration
+	// Precedence orders requests that wait; the higher goes first. Requests with
+	// a class of the configuration have that class's instead.
+	Precedence int
 }
 
 // Work is what one request asks of a model engine.
@@ -149,7 +156,7 @@
 // UpstreamLoad is what one router runs on one upstream.
 type UpstreamLoad struct {
 	_        struct{} `codec:",toarray"`
-	Upstream UpstreamID
+	Upstream Key
 	// Running counts the requests.
 	Running uint32
 	// Reading is what is to be read for those without output, in tokens.
@@ -158,6 +165,14 @@
 	Parts []PartID
 }
 
+// Key stands for an upstream or account between routers that know its name: what
+// they tell each other several times a second is to be short. Two that bear the
+// same key count as one in forecasts and shares.
+type Key uint32
+
+// KeyOf returns the key of a name.
+func KeyOf[T ~string](name T) Key { return Key(xxhash.Sum64String(string(name))) }
+
 // PartID names a part of a prompt, with all parts before it, between routers:
 // the lower half of PromptPart.Chain. Two parts that bear the same one only make
 // a forecast worse.
@@ -166,7 +181,7 @@
 // AccountDemand is what one client account asks of one router.
 type AccountDemand struct {
 	_       struct{} `codec:",toarray"`
-	Account AccountID
+	Account Key
 	// Rate is what it asks for, in units of Work.Cost a second, and Served what
 	// it gets.
 	Rate, Served uint32
--- a/internal/messenger/policy.go
+++ b/internal/messenger/policy.go
@@ -82,8 +82,6 @@
 type EnginePolicy struct {
 	// Memory is the tokens that running requests and kept prompts share.
 	Memory int
-	// EventTokens is how many tokens one event of a stream holds.
-	EventTokens int
 }
 
 // UpstreamPolicy describes one upstream.
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -21,7 +21,7 @@
 	// sharePerPeer what each further router adds to it, so that what a router
 	// receives stays bounded.
 	shareInterval = 120 * time.Millisecond
-	sharePerPeer  = 10 * time.Millisecond
+	sharePerPeer  = 5 * time.Millisecond
 	// silentAfter is when a router counts as silent; it is then tried again
 	// every retryInterval only.
 	silentAfter   = 2 * time.Second
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -92,6 +92,9 @@
 	if account != nil {
 		out.Arrive.Account = account.Name
 	}
+	if account != nil && account.HasPrecedence {
+		out.Arrive.Precedence = account.Precedence
+	}
 	return out, nil
 }
 
@@ -107,7 +110,7 @@
 func (h *Hosted) arrival(id messenger.RequestID, in *Incoming, route *matcher.Route) messenger.Arrive {
 	a := messenger.Arrive{
 		Request: id, Pool: route.Pool(xxhash.Sum64String(in.RequestID)), Class: callClass,
-		Idempotent: route.Idempotent, Work: in.Work, Objective: route.Objective,
+		Idempotent: route.Idempotent, Work: in.Work, Objective: route.Objective, Precedence: route.Precedence,
 	}
 	if route.Streaming {
 		a.Class = streamClass
