The soak takes a desk's error for a route that is there

The desk answers 404 without the request's id, which a router reports as 502; so no added route was ever seen as served, and a configuration that went back was not found.

--- a/internal/soaker/fleet.go
+++ b/internal/soaker/fleet.go
@@ -305,8 +305,9 @@
 	return journal.Entries, nil
 }
 
-// asksRoute asks a router for one of the added routes. Known is false if its
-// answer does not tell whether the route is there: the desk may be away.
+// asksRoute asks a router for one of the added routes. The desk does not know
+// them, so a route that is there leads to an error of the desk. Known is false if
+// the answer does not tell whether the route is there.
 func (f *fleet) asksRoute(ctx context.Context, router, step int) (served, known bool) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.at(portRouters+router)+stepPath(step), nil)
 	if err != nil {
@@ -318,10 +319,14 @@
 		return false, false // the router is down or harmed
 	}
 	_ = resp.Body.Close()
-	if resp.StatusCode != http.StatusNotFound {
-		return false, false
-	}
-	return resp.Header.Get(messenger.RunHeader) != string(messenger.NotRun), true
+	own := resp.Header.Get(messenger.RunHeader) == string(messenger.NotRun)
+	switch resp.StatusCode {
+	case http.StatusNotFound:
+		return !own, true
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		return true, true
+	}
+	return false, false
 }
 
 // operators returns a client of the operators' API of one router.
