--- a/internal/admitter/load_test.go
+++ b/internal/admitter/load_test.go
@@ -20,24 +20,31 @@
 	return float64(n) / float64(max(1, len(requests)))
 }
 
+// checkCrest looks whether most of what was sent was in time, and whether this is
+// most of the part of the load that fits.
+func (s *sim) checkCrest(fits float64) {
+	s.t.Helper()
+	late := s.all[len(s.all)/4:]
+	sent := share(late, func(r *simRequest) bool { return !r.refused })
+	inTime := share(late, (*simRequest).onTime)
+	if want := 0.8 * fits; inTime < want {
+		s.t.Errorf("%.2f of all in time, want at least %.2f: four fifths of what the engines can do", inTime, want)
+	}
+	if inTime < 0.8*sent {
+		s.t.Errorf("%.2f of all in time, but %.2f were sent: want four fifths of these", inTime, sent)
+	}
+}
+
 // TestCrestServesInTimeWhatFits has a crest of twice what the engines can do.
 // What is sent must be in time for the most part, and the engines must be full.
 func TestCrestServesInTimeWhatFits(t *testing.T) {
 	s := newSim(t, 8, 9, 24, 0)
 	// A request holds a slot for about 1.1 s, so 9 engines do about 190 a second.
-	const rate, fits = 380, 190
+	const rate, fits = 380.0, 190.0
 	s.run(8*time.Second, func() {
 		s.poisson(rate, func() { s.offer("a", simObjective, s.session(s.rng.IntN(60), 3000, 800), 200) })
 	})
-	late := s.all[len(s.all)/4:]
-	sent := share(late, func(r *simRequest) bool { return !r.refused })
-	inTime := share(late, (*simRequest).onTime)
-	if want := 0.8 * fits / rate; inTime < want {
-		t.Errorf("%.2f of all in time, want at least %.2f: four fifths of what the engines can do", inTime, want)
-	}
-	if inTime < 0.8*sent {
-		t.Errorf("%.2f of all in time, but %.2f were sent: want four fifths of these", inTime, sent)
-	}
+	s.checkCrest(fits / rate)
 }
 
 // TestCrestBeforeALargeFleet has the same crest before so many routers that each
@@ -47,19 +54,11 @@
 	s := newSim(t, 60, 24, 24, 0)
 	s.shareEvery = 430 * time.Millisecond
 	// A request holds a slot for about 1.1 s, so 24 engines do about 500 a second.
-	const rate, fits = 900, 500
+	const rate, fits = 900.0, 500.0
 	s.run(8*time.Second, func() {
 		s.poisson(rate, func() { s.offer("a", simObjective, s.session(s.rng.IntN(160), 3000, 800), 200) })
 	})
-	late := s.all[len(s.all)/4:]
-	sent := share(late, func(r *simRequest) bool { return !r.refused })
-	inTime := share(late, (*simRequest).onTime)
-	if want := 0.8 * fits / rate; inTime < want {
-		t.Errorf("%.2f of all in time, want at least %.2f: four fifths of what the engines can do", inTime, want)
-	}
-	if inTime < 0.8*sent {
-		t.Errorf("%.2f of all in time, but %.2f were sent: want four fifths of these", inTime, sent)
-	}
+	s.checkCrest(fits / rate)
 }
 
 // TestRefusalsAreImmediate has the same crest: who gets nothing must be told at
