--- a/scripts/promises.sh
+++ b/scripts/promises.sh
@@ -33,7 +33,7 @@
 	'| not |'*) not=$((not + 1)); continue ;;
 	*) continue ;;
 	esac
-	names=$(printf '%s\n' "$row" | grep -o '`internal/[a-z]*:[A-Za-z0-9_/]*`' | tr -d '`')
+	names=$(printf '%s\n' "$row" | grep -o '`\(internal/\)\{0,1\}[a-z]*:[A-Za-z0-9_/]*`' | tr -d '`')
 	failed=
 	[ -n "$names" ] || failed=' (names no test)'
 	for name in $names; do
