Refusals say what they rest on, and when to come back to the millisecond

Ruled out: whole seconds on our own interface stay, they are rounded up there.

Change: messenger.Grounds goes with a refusal into the log; the floor of a second holds only where nobody said a time; holders close up when one is dropped. Shares are divided when they are settled, every 100 ms, not at each tick, and the weight of the others' mean is worked out once a tick. The soak's two watchers of routers are one.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -23,6 +23,7 @@
 package admitter
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -89,6 +90,9 @@
 	// beyond is true if the account had used up its share at the arrival.
 	beyond bool
 
+	// tried is what was expected when it was last looked at and not sent.
+	tried trial
+
 	// at is where the request runs; nil while it waits.
 	at      *upstream
 	avoid   messenger.UpstreamID
@@ -169,30 +173,41 @@
 // place sends a request to the best upstream if it can be served in time.
 func (a *Admitter) place(r *request) bool {
 	u, f := r.pool.pick(a, r)
-	if u == nil || !a.inTime(r, f) {
+	if u == nil {
+		r.tried = trial{}
+		return false
+	}
+	limit := a.limit(r, f)
+	if r.beyond && f.roomless || a.now.Sub(r.arrived)+f.ahead() > limit {
+		r.tried = trial{at: u, forecast: f, limit: limit, on: a.now}
 		return false
 	}
 	a.send(r, u, f)
 	return true
 }
 
-// inTime reports whether a request that would take f until its first output is
-// worth sending.
-func (a *Admitter) inTime(r *request, f forecast) bool {
-	waits := a.now.Sub(r.arrived) + f.first - f.own
+// limit returns how long a request may wait for others, from its arrival on, to
+// be worth sending where f is expected of it.
+func (a *Admitter) limit(r *request, f forecast) time.Duration {
 	if !r.pool.engine {
-		return r.arrive.Deadline.IsZero() || f.first < time.Duration(lateShare*float64(r.arrive.Deadline.Sub(a.now)))
+		return a.plainLimit(r, f)
 	}
 	objective := float64(r.arrive.Objective)
-	reach := inTime + a.shares.shortfall(r.arrive.Account)*(latestReach-inTime)
-	limit := max(time.Duration(reach*objective)-f.own, time.Duration(patience*objective))
 	if r.beyond {
-		if f.roomless {
-			return false
-		}
-		limit = time.Duration(inTime*objective*(1-r.pool.reserve/mostReserve)) - f.own
+		return time.Duration(inTime*objective*(1-r.pool.reserve/mostReserve)) - f.own
 	}
-	return waits <= limit
+	reach := inTime + a.shares.shortfall(r.arrive.Account)*(latestReach-inTime)
+	return max(time.Duration(reach*objective)-f.own, time.Duration(patience*objective))
+}
+
+// plainLimit is the limit of a request for a plain service, whose caller is
+// served as well if the answer comes late.
+func (a *Admitter) plainLimit(r *request, f forecast) time.Duration {
+	if r.arrive.Deadline.IsZero() {
+		return math.MaxInt64
+	}
+	left := r.arrive.Deadline.Sub(a.now)
+	return a.now.Sub(r.arrived) + time.Duration(lateShare*float64(left)) - f.own
 }
 
 func (a *Admitter) send(r *request, u *upstream, f forecast) {
@@ -285,11 +300,13 @@
 // tick serves and refuses what waits, and forgets what is out of date.
 func (a *Admitter) tick() {
 	a.forgetSilent()
-	a.shares.settle(a.now, a.throughput(), a.peers)
-	a.divide()
+	if a.shares.settle(a.now, a.throughput(), a.peers) {
+		a.divide()
+	}
+	kept := halved(messenger.TickInterval, othersHalfLife)
 	for _, u := range a.upstreams {
 		u.noteLate(a.now)
-		u.smooth(messenger.TickInterval)
+		u.smooth(kept)
 	}
 	for _, p := range a.pools {
 		p.forget(a.now)
--- a/internal/admitter/holders.go
+++ b/internal/admitter/holders.go
@@ -94,12 +94,15 @@
 // drop forgets an upstream that kept nothing.
 func (h *holders) drop(u *upstream) {
 	for part, at := range h.last {
-		for i := range at {
-			if at[i].at == u {
-				at[i] = holder{}
+		var left held
+		n := 0
+		for _, old := range at {
+			if old.at != nil && old.at != u {
+				left[n] = old
+				n++
 			}
 		}
-		h.last[part] = at
+		h.last[part] = left
 	}
 }
 
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -160,6 +160,9 @@
 	roomless bool
 }
 
+// ahead returns how long the request waits for others.
+func (f forecast) ahead() time.Duration { return f.first - f.own }
+
 // source is where the shared parts of a prompt are.
 type source struct {
 	// holders are the upstreams that were sent them of late.
--- a/internal/admitter/refuse.go
+++ b/internal/admitter/refuse.go
@@ -27,7 +27,54 @@
 	if r.beyond {
 		reason = messenger.RefuseTokens
 	}
-	a.act(messenger.Refuse{Request: r.arrive.Request, Reason: reason, RetryAfter: a.returnIn(r)})
+	a.act(messenger.Refuse{
+		Request: r.arrive.Request, Reason: reason, RetryAfter: a.returnIn(r), Grounds: a.grounds(r),
+	})
+}
+
+// trial is what was expected of a request at the upstream that looked best when
+// it was not sent.
+type trial struct {
+	at       *upstream
+	forecast forecast
+	// limit is how long the request might have waited for others altogether.
+	limit time.Duration
+	on    time.Time
+}
+
+// grounds returns why a request was not sent when that was last looked at, or
+// nil if there was no upstream to look at.
+func (a *Admitter) grounds(r *request) *messenger.Grounds {
+	t := r.tried
+	if t.at == nil {
+		return nil
+	}
+	asked, share := a.shares.standing(r.arrive.Account)
+	return &messenger.Grounds{
+		Upstream: t.at.id, Ahead: t.forecast.ahead(), Own: t.forecast.own,
+		Waited: t.on.Sub(r.arrived), Limit: t.limit,
+		ReportAge: a.age(t.at.reported), PeerAge: a.age(a.longestSilent()),
+		Asked: asked, Share: share, SlotsKept: r.beyond && t.forecast.roomless,
+	}
+}
+
+// age returns how long ago something was, or a negative time if it never was.
+func (a *Admitter) age(at time.Time) time.Duration {
+	if at.IsZero() {
+		return -1
+	}
+	return a.now.Sub(at)
+}
+
+// longestSilent returns when the router was heard that has been silent longest.
+func (a *Admitter) longestSilent() time.Time {
+	var oldest time.Time
+	for _, p := range a.peers {
+		if oldest.IsZero() || p.heard.Before(oldest) {
+			oldest = p.heard
+		}
+	}
+	return oldest
 }
 
 // returnIn draws the time after which a refused caller may come back.
--- /dev/null
+++ b/internal/admitter/refuse_test.go
@@ -0,0 +1,55 @@
+package admitter
+
+import (
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// TestRefusalSaysWhatItRestsOn fills the only engine: the refusal must name it,
+// what was expected there, and how old that knowledge was.
+func TestRefusalSaysWhatItRestsOn(t *testing.T) {
+	a := New(Config{Self: "r", Domain: "a"})
+	a.Handle(epoch, messenger.PolicyChange{Policy: &messenger.Policy{
+		Pools:     map[messenger.PoolID]messenger.PoolPolicy{simPool: {Engine: &messenger.EnginePolicy{Memory: 1000}}},
+		Upstreams: map[messenger.UpstreamID]messenger.UpstreamPolicy{"u": {Pool: simPool, Domain: "a", Window: 1}},
+	}})
+	a.Handle(epoch, messenger.LoadReport{Upstream: "u", Running: 1, Waiting: 30, Slots: 1, Slowdown: 1})
+	a.Handle(epoch, messenger.PeerLoad{From: "other"})
+	now := epoch.Add(20 * time.Millisecond)
+	a.Handle(now, messenger.Arrive{
+		Request: 1, Pool: simPool, Account: "clinic", Objective: simObjective,
+		Work: messenger.Work{Prompt: []messenger.PromptPart{{Chain: 1, Tokens: 100}}, Output: 100},
+	})
+	var refusal messenger.Refuse
+	for refusal.Request == 0 && now.Sub(epoch) < simObjective {
+		now = now.Add(messenger.TickInterval)
+		for _, action := range a.Handle(now, messenger.Tick{}) {
+			refusal, _ = action.(messenger.Refuse)
+		}
+	}
+	g := refusal.Grounds
+	if g == nil || g.Upstream != "u" {
+		t.Fatalf("got grounds %+v, want those at the only engine", g)
+	}
+	if g.Waited+g.Ahead <= g.Limit || g.Own <= 0 {
+		t.Errorf("got %v waited and %v ahead within the limit of %v, own %v, want beyond it", g.Waited, g.Ahead, g.Limit, g.Own)
+	}
+	if got, want := g.ReportAge, now.Sub(epoch); got != want || g.PeerAge != want {
+		t.Errorf("got a report %v old and peers %v old, want %v", got, g.PeerAge, want)
+	}
+	if g.Asked <= 0 || g.Share <= 0 {
+		t.Errorf("got %v asked and a share of %v, want the account's", g.Asked, g.Share)
+	}
+}
+
+// TestRefusalWithoutUpstreamHasNoGrounds has nothing to forecast.
+func TestRefusalWithoutUpstreamHasNoGrounds(t *testing.T) {
+	a := New(Config{Self: "r"})
+	for _, action := range a.Handle(epoch, messenger.Arrive{Request: 1, Pool: simPool}) {
+		if refusal, ok := action.(messenger.Refuse); !ok || refusal.Grounds != nil {
+			t.Errorf("got %+v, want a refusal without grounds", action)
+		}
+	}
+}
--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -108,6 +108,13 @@
 	return true
 }
 
+// standing returns what an account asks of the whole fleet and what it is
+// entitled to of it, in cost a second.
+func (s *shares) standing(id messenger.AccountID) (asked, share float64) {
+	a := s.of(id)
+	return a.all, s.entitled(a.all)
+}
+
 // shortfall returns how much of its share an account does not get here, 0 to 1.
 // One that asks for no more than its share has none.
 func (s *shares) shortfall(id messenger.AccountID) float64 {
@@ -152,11 +159,12 @@
 
 func (s *shares) turnedAway() { s.reserve = min(mostReserve, s.reserve+reserveStep*(1-tolerated)) }
 
-// settle works out the shares anew and gives each account its part.
-func (s *shares) settle(now time.Time, throughput float64, peers map[messenger.RouterID]*peer) {
+// settle works out the shares anew and gives each account its part. It returns
+// false if it is too early for that.
+func (s *shares) settle(now time.Time, throughput float64, peers map[messenger.RouterID]*peer) bool {
 	passed := now.Sub(s.settled)
 	if passed < settleInterval {
-		return
+		return false
 	}
 	if s.settled.IsZero() || passed > time.Second {
 		passed = settleInterval
@@ -185,6 +193,7 @@
 	for _, a := range s.accounts {
 		a.refill(s.level, passed)
 	}
+	return true
 }
 
 // part returns this router's part of what the accounts of the fleet are entitled
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -159,8 +159,9 @@
 }
 
 // smooth moves the mean of what the other routers run towards what they said.
-func (u *upstream) smooth(passed time.Duration) {
-	u.meanOthers += (1 - halved(passed, othersHalfLife)) * (float64(u.others.running) - u.meanOthers)
+// Kept is the weight of the mean so far.
+func (u *upstream) smooth(kept float64) {
+	u.meanOthers += (1 - kept) * (float64(u.others.running) - u.meanOthers)
 }
 
 // contested returns how many requests to reckon with in an upstream that is
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -225,10 +225,15 @@
 // a resume, another attempt, or the end of the request. With resumable false
 // the stream is not worth asking for.
 func (f *flight) attemptFailed(at *attempt, problem string, resumable bool) {
-	f.log("attemptFailed").WithFields(logrus.Fields{
+	entry := f.log("attemptFailed").WithFields(logrus.Fields{
 		"upstream": at.upstream, "problem": problem, "status": at.status, "sent": at.sent,
-		"silentMs": f.now().Sub(at.last).Milliseconds(), "events": at.counted, "cause": at.x.failure(),
-	}).Info("attempt failed")
+		"silentMs": f.now().Sub(at.last).Milliseconds(), "events": at.counted,
+	})
+	// A whole answer that is a failure is its own cause: its status says it.
+	if cause := at.x.failure(); cause != nil {
+		entry = entry.WithField("cause", cause)
+	}
+	entry.Info("attempt failed")
 	if at.won && f.outcome.State() == tracker.Answered {
 		f.note(tracker.Break)
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -115,6 +115,8 @@
 	Tokens   float64
 	Attempts int
 	Resumes  int
+	// Grounds is what a refusal was decided on, where that is known.
+	Grounds *messenger.Grounds
 	// CallerGone is true if the caller left before its answer was whole.
 	CallerGone bool
 	// Aborted is true if the answer must end by cutting the connection.
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -155,6 +155,7 @@
 		if f.over || len(f.attempts) > 0 || f.pending != nil {
 			return
 		}
+		f.result.Grounds = a.Grounds
 		f.refuse(string(a.Reason), a.RetryAfter)
 	case messenger.Dispatch:
 		f.dispatch(ctx, a)
@@ -317,8 +318,8 @@
 func (f *flight) refuse(reason string, after time.Duration) {
 	p := newProblem(reason, f.outcome.Run())
 	p.RetryAfter = after
-	if p.Run == messenger.NotRun && p.Status != http.StatusNotFound {
-		p.RetryAfter = max(after, time.Second)
+	if p.Run == messenger.NotRun && p.Status != http.StatusNotFound && after <= 0 {
+		p.RetryAfter = time.Second
 	}
 	f.answerProblem(reason, p)
 }
--- a/internal/dispatcher/resend_test.go
+++ b/internal/dispatcher/resend_test.go
@@ -242,3 +242,32 @@
 		t.Errorf("got %d slots back, want both", got)
 	}
 }
+
+// problemKeeper keeps what callers are told.
+type problemKeeper struct {
+	resendDialect
+	told *explainer.Document
+}
+
+func (d problemKeeper) WriteProblem(w http.ResponseWriter, req *Request, p explainer.Document) error {
+	*d.told = p
+	return d.resendDialect.WriteProblem(w, req, p)
+}
+
+// TestRefusalSaysWhenToComeBack has the scheduler spread the returns within less
+// than a second: each caller is told its own time, and the log what was forecast.
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	var told explainer.Document
+	d := newTestDispatcher(t, Config{Dialect: problemKeeper{told: &told}, Upstreams: fixedUpstreams{}})
+	q := newFakeQueue()
+	q.hold = true
+	grounds := &messenger.Grounds{Upstream: "a", Ahead: time.Second}
+	q.actions <- messenger.Refuse{Reason: messenger.RefuseDeadline, RetryAfter: 350 * time.Millisecond, Grounds: grounds}
+	res := d.Serve(context.Background(), reservation(), q, newFakeCaller())
+	if got, want := told.RetryAfter, 350*time.Millisecond; got != want {
+		t.Errorf("told to come back after %v, want %v", got, want)
+	}
+	if res.Grounds != grounds {
+		t.Errorf("got grounds %v, want those of the refusal", res.Grounds)
+	}
+}
--- a/internal/messenger/action.go
+++ b/internal/messenger/action.go
@@ -23,6 +23,29 @@
 	Reason  RefuseReason
 	// RetryAfter is when the caller may come back, from the actual backlog.
 	RetryAfter time.Duration
+	// Grounds is what the decision rests on; nil if nothing was forecast.
+	Grounds *Grounds
+}
+
+// Grounds is what a refusal was decided on: the upstream that looked best, what
+// was expected there, and how old that knowledge was.
+type Grounds struct {
+	Upstream UpstreamID
+	// Ahead is how long the request was expected to wait there for others, Own
+	// the rest of the time to its first output.
+	Ahead, Own time.Duration
+	// Waited is how long it had waited already, and Limit how long it may wait
+	// for others altogether.
+	Waited, Limit time.Duration
+	// ReportAge is how long ago the upstream told its load, and PeerAge how long
+	// ago the router was heard that has been silent longest; negative if never.
+	ReportAge, PeerAge time.Duration
+	// Asked and Share are the account's demand in the whole fleet and what it is
+	// entitled to of it, in cost a second.
+	Asked, Share float64
+	// SlotsKept is true if the slots that were left are kept for accounts that
+	// have not used up their share.
+	SlotsKept bool
 }
 
 // RefuseReason is the stable name of a cause, used in answers and metrics.
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -162,7 +162,20 @@
 		"upstream": result.Upstream, "status": result.Status, "run": result.Run, "problem": result.Problem,
 		"attempts": result.Attempts, "callerGone": result.CallerGone, "version": h.version(),
 		"ms": result.Finished.Sub(arrived).Milliseconds(),
-	}).Log(level, "request ended")
+	}).WithFields(groundsFields(result.Grounds)).Log(level, "request ended")
+}
+
+// groundsFields returns what a refusal was decided on, for the log.
+func groundsFields(g *messenger.Grounds) logrus.Fields {
+	if g == nil {
+		return nil
+	}
+	return logrus.Fields{
+		"best": g.Upstream, "aheadMs": g.Ahead.Milliseconds(), "ownMs": g.Own.Milliseconds(),
+		"waitedMs": g.Waited.Milliseconds(), "limitMs": g.Limit.Milliseconds(),
+		"reportAgeMs": g.ReportAge.Milliseconds(), "peerAgeMs": g.PeerAge.Milliseconds(),
+		"asked": int(g.Asked), "share": int(g.Share), "slotsKept": g.SlotsKept,
+	}
 }
 
 // limitMemory lets the runtime collect garbage before it passes a bound, in
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -100,8 +100,7 @@
 	work.Go(func() { schedule.play(ctx, f, w) })
 	watched, stopWatching := context.WithCancel(ctx)
 	var watchers sync.WaitGroup
-	watchers.Go(func() { w.watchVersions(watched, f) })
-	watchers.Go(func() { w.watchRoutes(watched, f) })
+	watchers.Go(func() { w.watchRouters(watched, f) })
 	watchers.Go(func() { w.changeConfiguration(watched, f, cfg.Seed) })
 	work.Go(func() { w.load(ctx, f, cfg, patientMix(), patientTimeout, "p") })
 	work.Go(func() { w.load(ctx, f, cfg, hastyMix(), hastyTimeout, "h") })
--- a/internal/soaker/witness.go
+++ b/internal/soaker/witness.go
@@ -96,27 +96,35 @@
 	}
 }
 
-// watchVersions looks whether the version in force at a router goes back while
-// its process lives.
-func (w *witness) watchVersions(ctx context.Context, f *fleet) {
+// watchRouters looks at each router, as long as its process lives, whether the
+// version in force goes back, and whether it goes on serving the newest of the
+// added routes that it served.
+func (w *witness) watchRouters(ctx context.Context, f *fleet) {
 	var all sync.WaitGroup
 	for i := range routerCount {
-		all.Go(func() {
-			client := f.operators(i)
-			var last operator.Status
-			for sleepUntil(ctx, time.Now().Add(versionPoll)) {
-				status, err := client.Status(ctx)
-				if err != nil {
-					continue // the router is down or harmed
-				}
-				w.compare(last, status)
-				last = status
-			}
-		})
+		all.Go(func() { w.watchRouter(ctx, f, i) })
 	}
 	all.Wait()
 }
 
+func (w *witness) watchRouter(ctx context.Context, f *fleet, router int) {
+	client := f.operators(router)
+	var last operator.Status
+	step := 0
+	for sleepUntil(ctx, time.Now().Add(versionPoll)) {
+		status, err := client.Status(ctx)
+		if err != nil {
+			continue // the router is down or harmed
+		}
+		if !status.Started.Equal(last.Started) {
+			step = 0
+		}
+		w.compare(last, status)
+		last = status
+		step = w.askSteps(ctx, f, router, step)
+	}
+}
+
 func (w *witness) compare(before, now operator.Status) {
 	back := now.Started.Equal(before.Started) && now.Version < before.Version
 	w.mu.Lock()
@@ -172,29 +180,6 @@
 
 func stepPath(step int) string { return fmt.Sprintf("/step/%d", step) }
 
-// watchRoutes asks each router for the newest of the added routes that it served:
-// as long as its process lives it must go on serving it.
-func (w *witness) watchRoutes(ctx context.Context, f *fleet) {
-	var all sync.WaitGroup
-	for i := range routerCount {
-		all.Go(func() {
-			var started time.Time
-			step := 0
-			for sleepUntil(ctx, time.Now().Add(versionPoll)) {
-				status, err := f.operators(i).Status(ctx)
-				if err != nil {
-					continue // the router is down or harmed
-				}
-				if !status.Started.Equal(started) {
-					started, step = status.Started, 0
-				}
-				step = w.askSteps(ctx, f, i, step)
-			}
-		})
-	}
-	all.Wait()
-}
-
 // askSteps asks for the newest route that a router served and the one after it, and
 // returns the newest that it serves.
 func (w *witness) askSteps(ctx context.Context, f *fleet, router, step int) int {
