A flooded small VM takes in what it can do, blames no engine, and shares follow lost engines

Causes, from the logs of the VM with what refusals now say they rest on: - It read three to five times the requests that it could serve, and refused them after reading: 0.2 ms of processor time each, beside 1 ms for a stream served and 0.02 ms for a connection turned away unread. Lateness of ticks, by which it turned away, is small while goroutines wait 30 to 130 ms for the processor. - Callers that are turned away come back to the same VM at once, as told: up to 1,500 a second.

Ruled out: too small a part of the slots (the bound is 16 times an even part); slots kept for others (slotsKept was false); old news of the others.

Change: the share of connections taken in follows how long goroutines wait for the processor as well, by factors instead of steps, down to 2 in 100; they are turned away by three system calls before the runtime sets them up; Retry-After is spread over 1 to 3 s; the model is the median of the fleet's, and an engine is slow only beside the others; what is shared out gives way to what is served once more than a tenth of what accounts are entitled to is missing.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -98,8 +98,8 @@
 	avoid   messenger.UpstreamID
 	sent    time.Time
 	started time.Time
-	// reads is what the engine has to read of the prompt, in tokens, and
-	// expected the time to the first output that was forecast.
+	// reads is what the engine has to read of the prompt, in tokens, and expected
+	// the time to the first output that was forecast, with what this router adds.
 	reads    int
 	expected time.Duration
 	// clear is true if nothing was ahead of the request when it was sent.
@@ -212,7 +212,8 @@
 
 func (a *Admitter) send(r *request, u *upstream, f forecast) {
 	r.at, r.sent, r.started, r.late = u, a.now, time.Time{}, false
-	r.reads, r.expected, r.clear = f.reads, f.first, f.clear
+	r.reads, r.clear = f.reads, f.clear
+	r.expected = time.Duration(float64(f.first) * r.pool.commonError)
 	u.start(a.now, r)
 	if r.pool.engine && r.arrive.Work.Output > 0 {
 		a.shares.serve(a.now, r.arrive.Account, r.cost)
@@ -340,6 +341,7 @@
 	for _, p := range a.pools {
 		p.part, p.reserve = part, reserve
 		p.learnFromPeers(a.peers)
+		p.learnErrors()
 		p.brief = p.model.held < a.shareEvery.Seconds()
 	}
 }
--- a/internal/admitter/load_test.go
+++ b/internal/admitter/load_test.go
@@ -246,6 +246,37 @@
 	}
 }
 
+// TestFloodAtOneRouterWhenEnginesAreLost has a third of the engines gone that the
+// fleet's throughput was stated for, and a crest in which a large account asks for
+// several times its share through all routers. An account at one small router,
+// which takes in no more than a quarter of what the fleet does, gets at least half
+// of what the large one gets.
+func TestFloodAtOneRouterWhenEnginesAreLost(t *testing.T) {
+	// Reading takes 74 ms, so 24 engines begin 320 of these a second.
+	s := newSim(t, 60, 24, 24, 480*9000)
+	s.shareEvery = 430 * time.Millisecond
+	small := []messenger.AccountID{"b", "c", "d", "e", "f", "g", "h", "i"}
+	offer := func(router int, account messenger.AccountID) {
+		s.offerAt(router, account, simObjective, s.session(s.rng.IntN(160), 3000, 6000), 100)
+	}
+	s.run(9*time.Second, func() {
+		s.poisson(90, func() { offer(0, "lone") })
+		s.poisson(400, func() { offer(s.rng.IntN(len(s.routers)), "large") })
+		for _, account := range small {
+			s.poisson(25, func() { offer(s.rng.IntN(len(s.routers)), account) })
+		}
+	})
+	begun := make(map[messenger.AccountID]int)
+	for _, r := range s.all[len(s.all)/4:] {
+		if !r.first.IsZero() {
+			begun[r.arrive.Account]++
+		}
+	}
+	if begun["lone"] < begun["large"]/2 {
+		t.Errorf("got %v begun, want the lone account to get at least half of what the large one gets", begun)
+	}
+}
+
 // TestAccountAtOneRouterGetsItsShare has all requests of one account reach the
 // fleet through a single router of many, and others ask for as much elsewhere.
 func TestAccountAtOneRouterGetsItsShare(t *testing.T) {
--- a/internal/admitter/model.go
+++ b/internal/admitter/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -43,6 +44,10 @@
 	n, x, y, xx, xy float64
 }
 
+// speed is how fast engines are: the shortest time to a first output in seconds,
+// and the seconds for each token read.
+type speed struct{ base, perRead float64 }
+
 func newModel() model { return model{base: firstBase, perRead: firstPerRead, held: firstHeld} }
 
 // learnt reports whether enough was observed to believe it.
@@ -75,6 +80,13 @@
 	m.held += max(heldWeight, 1/float64(m.ended)) * (seconds - m.held)
 }
 
+// median returns the middle of some values, of which there is one at least. It
+// changes their order.
+func median(values []float64) float64 {
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
 func bound(v, low, high float64) float64 { return min(max(v, low), high) }
 
 // halved returns what is left of 1 after some time.
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -39,6 +39,11 @@
 	members []*upstream
 	waiting []*request
 	model   model
+	// speed is how fast most routers find the engines: one that is short of
+	// processor time finds each of them slow.
+	speed speed
+	// commonError is by how much forecasts are off at most upstreams, 1 or more.
+	commonError float64
 	// part is this router's part of the fleet's demand, 0 to 1.
 	part float64
 	// contested is the part of the slots, 0 to 1, that no router takes beyond its
@@ -56,7 +61,11 @@
 }
 
 func newPool(id messenger.PoolID) *pool {
-	return &pool{id: id, model: newModel(), part: 1, contested: leastContested, learnt: leastContested}
+	m := newModel()
+	return &pool{
+		id: id, model: m, speed: speed{base: m.base, perRead: m.perRead}, commonError: 1,
+		part: 1, contested: leastContested, learnt: leastContested,
+	}
 }
 
 func (p *pool) set(policy messenger.PoolPolicy) {
@@ -112,11 +121,14 @@
 }
 
 // learnFromPeers works out how much of the slots the routers divide, and takes
-// over how fast engines are while this router has seen too little of them.
+// over how fast the fleet finds engines.
 func (p *pool) learnFromPeers(peers map[messenger.RouterID]*peer) {
 	key := messenger.KeyOf(p.id)
 	contested, n := p.learnt, 1.0
-	base, perRead, models := 0.0, 0.0, 0.0
+	var bases, perReads []float64
+	if p.model.learnt() {
+		bases, perReads = append(bases, p.model.base), append(perReads, p.model.perRead)
+	}
 	for _, other := range peers {
 		d, ok := other.pools[key]
 		if !ok {
@@ -125,15 +137,27 @@
 		contested += bound(float64(d.Contested), leastContested, mostContested)
 		n++
 		if d.PerRead > 0 {
-			base += float64(d.Base)
-			perRead += float64(d.PerRead)
-			models++
+			bases, perReads = append(bases, float64(d.Base)), append(perReads, float64(d.PerRead))
 		}
 	}
 	p.contested = max(p.learnt, contested/n)
-	if models > 0 && !p.model.learnt() {
-		p.model.base = max(lowestBase, base/models)
-		p.model.perRead = bound(perRead/models, lowestPerRead, highestPerRead)
+	p.speed = speed{base: p.model.base, perRead: p.model.perRead}
+	if len(bases) > 0 {
+		p.speed.base = max(lowestBase, median(bases))
+		p.speed.perRead = bound(median(perReads), lowestPerRead, highestPerRead)
+	}
+}
+
+// learnErrors works out how far off the forecasts for most upstreams are. If they
+// are late at all of them, this router is, and no engine is to be taken for slow.
+func (p *pool) learnErrors() {
+	errors := make([]float64, 0, len(p.members))
+	for _, u := range p.members {
+		errors = append(errors, u.error)
+	}
+	p.commonError = 1
+	if len(errors) > 0 {
+		p.commonError = max(1, median(errors))
 	}
 }
 
@@ -222,9 +246,9 @@
 // cost is what a request at u takes from its caller and from everyone else.
 func (p *pool) cost(u *upstream, f forecast) time.Duration {
 	cost := f.first + time.Duration(u.failures*float64(failurePenalty))
-	cost += time.Duration(readPenalty * float64(f.again) * p.model.perRead * float64(time.Second))
+	cost += time.Duration(readPenalty * float64(f.again) * p.speed.perRead * float64(time.Second))
 	if f.source != nil {
-		cost += fetchPenalty + time.Duration(fetchShare*float64(f.fetched)*p.model.perRead*float64(time.Second))
+		cost += fetchPenalty + time.Duration(fetchShare*float64(f.fetched)*p.speed.perRead*float64(time.Second))
 	}
 	if u.far {
 		cost += farPenalty
--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -29,6 +29,9 @@
 	// growth is how much more than is served now is shared out, so that what
 	// engines can do is found.
 	growth = 1.05
+	// shortBand is the part of what accounts are entitled to over which the stated
+	// throughput gives way to what is served: once more than tolerated is missing.
+	shortBand = 0.2
 	// partSpread is how far a router's part of the demand may lie from an even
 	// part.
 	partSpread = 16
@@ -180,12 +183,7 @@
 	}
 	strangers := s.strangers(peers)
 	demands = append(demands, strangers...)
-	if throughput > 0 {
-		// Engines may do more than they are said to: prompts that are kept count
-		// though they are not read.
-		throughput = max(throughput, growth*served)
-	}
-	s.level = waterLevel(demands, throughput)
+	s.level = waterLevel(demands, capacity(demands, throughput, served))
 	s.foreign = 0
 	for _, d := range strangers {
 		s.foreign += s.entitled(d)
@@ -196,6 +194,31 @@
 	return true
 }
 
+// capacity returns what there is to share out between the demands, in cost a
+// second, of which throughput is said to be there and served is in use. Engines may
+// do more than they are said to, since prompts that are kept count though they are
+// not read. They may do less, as some are lost or cold: the more is missing of what
+// the accounts would be entitled to, the more counts what is served.
+func capacity(demands []float64, throughput, served float64) float64 {
+	if throughput <= 0 {
+		return 0
+	}
+	found := growth * served
+	if found >= throughput {
+		return found
+	}
+	due := 0.0
+	level := waterLevel(demands, throughput)
+	for _, d := range demands {
+		due += entitled(d, level)
+	}
+	if due <= 0 {
+		return throughput
+	}
+	short := bound((1-tolerated-served/due)/shortBand, 0, 1)
+	return throughput + short*(found-throughput)
+}
+
 // part returns this router's part of what the accounts of the fleet are entitled
 // to, between bounds around an even part, or an even part while there is no
 // demand. An account may reach the fleet through one router alone.
@@ -216,9 +239,13 @@
 }
 
 // entitled returns what an account may have that asks for a demand.
-func (s *shares) entitled(demand float64) float64 {
-	if s.level > 0 {
-		return min(demand, s.level)
+func (s *shares) entitled(demand float64) float64 { return entitled(demand, s.level) }
+
+// entitled returns what a demand may have at a level, of which zero means that there
+// is enough for all.
+func entitled(demand, level float64) float64 {
+	if level > 0 {
+		return min(demand, level)
 	}
 	return demand
 }
--- /dev/null
+++ b/internal/admitter/starved_test.go
@@ -0,0 +1,130 @@
+package admitter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// starvedRouter is an Admitter on a VM so short of processor time that each first
+// output reaches it late, whatever engine it comes from.
+type starvedRouter struct {
+	t    *testing.T
+	a    *Admitter
+	now  time.Time
+	next messenger.RequestID
+	// delay is what the VM adds to the time to a first output.
+	delay time.Duration
+	// slow is an engine that takes longer by itself.
+	slow messenger.UpstreamID
+}
+
+func newStarvedRouter(t *testing.T, delay time.Duration) *starvedRouter {
+	t.Helper()
+	s := &starvedRouter{t: t, a: New(Config{Self: "r"}), now: epoch, delay: delay}
+	policy := &messenger.Policy{
+		Pools:     map[messenger.PoolID]messenger.PoolPolicy{simPool: {Engine: &messenger.EnginePolicy{Memory: 600_000}}},
+		Upstreams: make(map[messenger.UpstreamID]messenger.UpstreamPolicy),
+	}
+	for i := range 8 {
+		policy.Upstreams[messenger.UpstreamID(fmt.Sprint("u", i))] = messenger.UpstreamPolicy{Pool: simPool, Window: 24}
+	}
+	s.a.Handle(s.now, messenger.PolicyChange{Policy: policy})
+	return s
+}
+
+// arrive offers a request that nothing is kept for, and returns where it is sent.
+func (s *starvedRouter) arrive() (messenger.UpstreamID, bool) {
+	s.next++
+	for _, action := range s.a.Handle(s.now, messenger.Arrive{
+		Request: s.next, Pool: simPool, Account: "clinic", Objective: 300 * time.Millisecond, Deadline: s.now.Add(10 * time.Second),
+		Work: messenger.Work{Prompt: []messenger.PromptPart{{Chain: uint64(s.next) + 100, Tokens: 3000}}, Output: 100},
+	}) {
+		if d, ok := action.(messenger.Dispatch); ok {
+			return d.Upstream, true
+		}
+	}
+	return "", false
+}
+
+// serve lets one request run alone and reports whether it was sent.
+func (s *starvedRouter) serve() bool {
+	s.t.Helper()
+	u, ok := s.arrive()
+	if !ok {
+		s.a.Handle(s.now, messenger.Abandon{Request: s.next})
+		s.pass(50 * time.Millisecond)
+		return false
+	}
+	took := simBase + time.Duration(3000*readSeconds*float64(time.Second))
+	if u == s.slow {
+		took *= 5
+	}
+	s.pass(took + s.delay)
+	s.a.Handle(s.now, messenger.Progress{Request: s.next, Tokens: 1})
+	s.pass(20 * time.Millisecond)
+	s.a.Handle(s.now, messenger.Finish{Request: s.next, Upstream: u})
+	return true
+}
+
+// pass lets time pass, in which three other routers say how fast they find the
+// engines.
+func (s *starvedRouter) pass(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(messenger.TickInterval)
+		for i := range 3 {
+			s.a.Handle(s.now, messenger.PeerLoad{
+				From: messenger.RouterID(fmt.Sprint("p", i)),
+				Pools: []messenger.PoolDemand{{
+					Pool: messenger.KeyOf(simPool), Base: float32(simBase.Seconds()), PerRead: readSeconds, Contested: leastContested,
+				}},
+			})
+		}
+		s.a.Handle(s.now, messenger.Tick{})
+	}
+}
+
+// TestStarvedRouterBlamesNoEngine replays the flood of a small VM: what it takes
+// in gets late by its own fault. It must go on sending what the engines have room
+// for: three prompts to each, of which the last waits for two.
+func TestStarvedRouterBlamesNoEngine(t *testing.T) {
+	s := newStarvedRouter(t, 250*time.Millisecond)
+	for range 60 {
+		s.serve()
+	}
+	const burst = 3 * 8
+	sent := 0
+	for range burst {
+		if _, ok := s.arrive(); ok {
+			sent++
+		}
+	}
+	if sent < burst {
+		t.Errorf("got %d of %d requests sent before idle engines, want all", sent, burst)
+	}
+}
+
+// TestStarvedRouterStillFindsASlowEngine has one engine take five times as long as
+// the others beside the VM's own delay.
+func TestStarvedRouterStillFindsASlowEngine(t *testing.T) {
+	s := newStarvedRouter(t, 100*time.Millisecond)
+	s.slow = "u3"
+	for range 60 {
+		s.serve()
+	}
+	atSlow := 0
+	for range 40 {
+		u, ok := s.arrive()
+		if ok {
+			s.a.Handle(s.now, messenger.Finish{Request: s.next, Upstream: u, Failed: false})
+		}
+		if u == s.slow {
+			atSlow++
+		}
+	}
+	if atSlow > 2 {
+		t.Errorf("got %d of 40 requests sent to the slow engine, want hardly any", atSlow)
+	}
+}
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -208,7 +208,8 @@
 // forecast expects the first output of a request from what is ahead of it:
 // prompts to be read and, once all slots are taken, requests that must end.
 func (u *upstream) forecast(a *Admitter, r *request, home bool, src source) forecast {
-	m := &u.pool.model
+	speed := u.pool.speed
+	off := u.error / u.pool.commonError
 	var f forecast
 	if src.holds(u) {
 		f.reads = ownTokens(r.arrive.Work.Prompt)
@@ -231,12 +232,12 @@
 	ahead := float64(u.reading + u.others.reading)
 	wait := 0.0
 	if over := inside + 1 - u.slots(); over > 0 {
-		wait = slotCaution * float64(over) * m.held / float64(u.slots())
+		wait = slotCaution * float64(over) * u.pool.model.held / float64(u.slots())
 	}
 	f.clear = ahead == 0 && wait == 0
-	own := (fetch + m.base + float64(f.reads)*m.perRead) * u.error * u.slowdown(a.now)
+	own := (fetch + speed.base + float64(f.reads)*speed.perRead) * off * u.slowdown(a.now)
 	f.own = time.Duration(own * float64(time.Second))
-	before := (ahead*m.perRead*u.error + wait) * u.slowdown(a.now)
+	before := (ahead*speed.perRead*off + wait) * u.slowdown(a.now)
 	f.first = max(f.own+time.Duration(before*float64(time.Second)), u.overdue(a.now))
 	return f
 }
--- a/internal/listener/acceptor.go
+++ b/internal/listener/acceptor.go
@@ -1,11 +1,13 @@
 package listener
 
 import (
+	"errors"
 	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -48,9 +50,10 @@
 func (a *acceptor) Accept() (net.Conn, error) {
 	a.runningOnce.Do(func() { close(a.running) })
 	for {
+		next := a.turnAwayQueued()
 		conn, err := a.Listener.Accept()
 		if err == nil {
-			p := a.check()
+			p := a.check(next)
 			if p == nil {
 				return conn, nil
 			}
@@ -67,17 +70,81 @@
 	}
 }
 
-// check returns why a new connection is turned away, or nil.
-func (a *acceptor) check() *problem {
+// lot is the decision about one connection, drawn at some share.
+type lot struct {
+	turnAway bool
+	share    float64
+}
+
+func (a *acceptor) draw() lot {
+	share := math.Float64frombits(a.turnedAway.Load())
+	return lot{turnAway: share > 0 && rand.Float64() < share, share: share}
+}
+
+// check returns why a new connection is turned away, or nil. The lot was drawn
+// before it came, and is drawn again if the share has changed since.
+func (a *acceptor) check(l lot) *problem {
 	if a.full() {
 		return &problemFull
 	}
-	if share := math.Float64frombits(a.turnedAway.Load()); share > 0 && rand.Float64() < share {
+	if again := a.draw(); again.share != l.share {
+		l = again
+	}
+	if l.turnAway {
 		return &problemOverload
 	}
 	return nil
 }
 
+// turnAwayQueued answers connections that wait to be accepted until one is to be
+// served or none waits, and returns the lot of the next one.
+// Setting up a connection as the runtime does costs several times what this does,
+// which counts for a router that is asked for many times what it can do.
+func (a *acceptor) turnAwayQueued() lot {
+	next := a.draw()
+	for next.turnAway && a.turnAwayOne() {
+		next = a.draw()
+	}
+	return next
+}
+
+// turnAwayOne answers and closes one connection that waits to be accepted. It
+// returns false if there is none, or if only Accept can tell.
+func (a *acceptor) turnAwayOne() bool {
+	listener, ok := a.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return false // Accept meets the same error and reports it
+	}
+	done := false
+	err = raw.Control(func(fd uintptr) { done = rejectRaw(int(fd), problemOverload.answer()) })
+	if err != nil || !done {
+		return false
+	}
+	a.refused(problemOverload.kind)
+	return true
+}
+
+// rejectRaw accepts a connection, writes an answer, which a new connection has
+// room for, and closes it. It returns false if there is no connection.
+func rejectRaw(listener int, answer []byte) bool {
+	for {
+		conn, _, err := syscall.Accept4(listener, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		if errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED) {
+			continue
+		}
+		if err != nil {
+			return false
+		}
+		_, _ = syscall.Write(conn, answer) // the caller may have left; it is refused either way
+		_ = syscall.Close(conn)
+		return true
+	}
+}
+
 // turnAway sets the share of new connections that are turned away.
 func (a *acceptor) turnAway(share float64) { a.turnedAway.Store(math.Float64bits(share)) }
 
@@ -102,6 +169,6 @@
 // reject answers before anything was read: it costs little beside a request.
 func reject(conn net.Conn, p *problem) {
 	_ = conn.SetWriteDeadline(time.Now().Add(rejectWithin))
-	_, _ = conn.Write(p.encoded())
+	_, _ = conn.Write(p.answer())
 	_ = conn.Close()
 }
--- a/internal/listener/boundary.go
+++ b/internal/listener/boundary.go
@@ -296,7 +296,7 @@
 		b.mu.Lock()
 		b.closeAfter = true
 		b.mu.Unlock()
-		_, _ = b.parser.Conn.Write(p.encode())
+		_, _ = b.parser.Conn.Write(p.answer())
 	})
 }
 
--- a/internal/listener/problem.go
+++ b/internal/listener/problem.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -14,66 +15,80 @@
 	status int
 	kind   string
 	detail string
-	// elsewhere is true if the caller may try another router at once.
-	elsewhere bool
 }
 
 var (
-	problemHeaders  = problem{http.StatusRequestHeaderFieldsTooLarge, "headers-too-large", "The request line and headers are larger than this port allows.", false}
-	problemBody     = problem{http.StatusRequestEntityTooLarge, "body-too-large", "The body is larger than this port allows.", false}
-	problemTimeout  = problem{http.StatusRequestTimeout, "request-timeout", "The request did not arrive in time.", false}
-	problemVersion  = problem{http.StatusHTTPVersionNotSupported, "version", "Only HTTP/1.1 and HTTP/1.0 are served.", false}
-	problemMethod   = problem{http.StatusNotImplemented, "method", "The method is not known here.", false}
-	problemCoding   = problem{http.StatusNotImplemented, "transfer-coding", "The only transfer coding served is chunked.", false}
-	problemExpect   = problem{http.StatusExpectationFailed, "expectation", "The only expectation met is 100-continue.", false}
-	problemFull     = problem{http.StatusServiceUnavailable, "too-many-connections", "Too many connections are open.", false}
-	problemOverload = problem{http.StatusServiceUnavailable, "overloaded", "This router is overloaded; others may not be.", true}
-	problemPipeline = problem{http.StatusTooManyRequests, "pipeline-too-long", "Too many requests wait on this connection.", false}
+	problemHeaders  = problem{http.StatusRequestHeaderFieldsTooLarge, "headers-too-large", "The request line and headers are larger than this port allows."}
+	problemBody     = problem{http.StatusRequestEntityTooLarge, "body-too-large", "The body is larger than this port allows."}
+	problemTimeout  = problem{http.StatusRequestTimeout, "request-timeout", "The request did not arrive in time."}
+	problemVersion  = problem{http.StatusHTTPVersionNotSupported, "version", "Only HTTP/1.1 and HTTP/1.0 are served."}
+	problemMethod   = problem{http.StatusNotImplemented, "method", "The method is not known here."}
+	problemCoding   = problem{http.StatusNotImplemented, "transfer-coding", "The only transfer coding served is chunked."}
+	problemExpect   = problem{http.StatusExpectationFailed, "expectation", "The only expectation met is 100-continue."}
+	problemFull     = problem{http.StatusServiceUnavailable, "too-many-connections", "Too many connections are open."}
+	problemOverload = problem{http.StatusServiceUnavailable, "overloaded", "This router is short of processor time."}
+	problemPipeline = problem{http.StatusTooManyRequests, "pipeline-too-long", "Too many requests wait on this connection."}
 )
 
 func malformed(detail string) *problem {
 	return &problem{status: http.StatusBadRequest, kind: "malformed-request", detail: detail}
 }
 
-// retryAfter is when a caller that met too many connections may return.
-const retryAfter = time.Second
+const (
+	// retryAfter is when a caller that met too many connections may return.
+	retryAfter = time.Second
+	// longestOverloadReturn bounds when a caller may return that met a router short
+	// of processor time. A balancer by client leads it back to the same router, and
+	// such times last for seconds, so returns are spread from retryAfter on.
+	longestOverloadReturn = 3 * time.Second
+)
 
 // document returns the problem as callers get it.
 func (p problem) document() explainer.Document {
 	d := explainer.New(p.kind, http.StatusText(p.status), p.status, messenger.NotRun)
 	d.Detail = p.detail
-	if !p.elsewhere && (p.status == http.StatusServiceUnavailable || p.status == http.StatusTooManyRequests) {
+	if p.status == http.StatusServiceUnavailable || p.status == http.StatusTooManyRequests {
 		d.RetryAfter = retryAfter
 	}
 	return d
 }
 
-// encodedProblems holds the answers of the problems that an acceptor meets.
-var encodedProblems = map[string][]byte{
-	problemFull.kind:     problemFull.encode(),
-	problemOverload.kind: problemOverload.encode(),
+// overloadAnswers are the answers of a router short of processor time, one for
+// each second after which a caller may return.
+var overloadAnswers = encodeOverload()
+
+func encodeOverload() [][]byte {
+	var answers [][]byte
+	for after := retryAfter; after <= longestOverloadReturn; after += time.Second {
+		d := problemOverload.document()
+		d.RetryAfter = after
+		answers = append(answers, encode(d))
+	}
+	return answers
 }
 
-// encoded returns encode's result, made once for the problems of an acceptor.
-func (p problem) encoded() []byte {
-	if raw, ok := encodedProblems[p.kind]; ok {
-		return raw
+// fullAnswer is made once, since it is given when there is the least room.
+var fullAnswer = encode(problemFull.document())
+
+// answer returns the whole answer as bytes for the connection.
+func (p problem) answer() []byte {
+	switch p.kind {
+	case problemOverload.kind:
+		return overloadAnswers[rand.IntN(len(overloadAnswers))]
+	case problemFull.kind:
+		return fullAnswer
 	}
-	return p.encode()
+	return encode(p.document())
 }
 
-// encode returns the whole answer as bytes for the connection.
-func (p problem) encode() []byte {
-	d := p.document()
+// encode returns a document as an answer after which the connection ends.
+func encode(d explainer.Document) []byte {
 	body := d.Body()
 	retry := ""
-	if p.elsewhere {
-		retry = explainer.RetryAfterHeader + ": 0\r\n"
-	}
 	if d.RetryAfter > 0 {
 		retry = fmt.Sprintf("%s: %d\r\n", explainer.RetryAfterHeader, d.RetryAfterSeconds())
 	}
 	return fmt.Appendf(nil,
 		"HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n%s: %s\r\n%sConnection: close\r\n\r\n%s",
-		p.status, http.StatusText(p.status), explainer.ContentType, len(body), messenger.RunHeader, messenger.NotRun, retry, body)
+		d.Status, http.StatusText(d.Status), explainer.ContentType, len(body), messenger.RunHeader, messenger.NotRun, retry, body)
 }
--- a/internal/listener/sweeper.go
+++ b/internal/listener/sweeper.go
@@ -59,6 +59,6 @@
 		b.mu.Lock()
 		b.closeAfter = true
 		b.mu.Unlock()
-		_, _ = b.parser.Conn.Write(problemTimeout.encode())
+		_, _ = b.parser.Conn.Write(problemTimeout.answer())
 	})
 }
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -156,6 +156,7 @@
 		meter:       meter.New(cfg.Clock, cfg.Settings.Metrics.Accounts),
 		follower:    follower.New(cfg.Decoder),
 		peers:       make(map[string]*hostedPeer),
+		strain:      strain{queue: &runQueue{}},
 	}
 	h.serving, h.cutRequests = context.WithCancel(context.Background())
 	h.background, h.stopAll = context.WithCancel(context.Background())
--- a/internal/router/strain.go
+++ b/internal/router/strain.go
@@ -25,13 +25,20 @@
 	// left, calmLag how late when it has.
 	busyLag = 4 * time.Millisecond
 	calmLag = 2500 * time.Microsecond
+	// busyWait and calmWait are the same of the time that goroutines wait for the
+	// processor. A request waits for it a dozen times on its way, ticks go before.
+	busyWait = 8 * time.Millisecond
+	calmWait = 4 * time.Millisecond
+	// waitWeight is the weight of one measurement of these waits in their mean.
+	waitWeight = 0.5
 	// intakeEvery is the time between two changes of the share of connections
-	// turned away; it grows by intakeStep and shrinks by half of that.
-	intakeEvery = 100 * time.Millisecond
-	intakeStep  = 0.1
-	// mostTurnedAway leaves some new connections, by whose load the router
-	// notices that it may take more.
-	mostTurnedAway = 0.9
+	// taken in, which shrinks by the factor intakeCut and grows by intakeGrowth.
+	intakeEvery  = 100 * time.Millisecond
+	intakeCut    = 0.75
+	intakeGrowth = 1.1
+	// leastTakenIn leaves some new connections, by whose load the router notices
+	// that it may take more: callers may ask for fifty times what a VM can do.
+	leastTakenIn = 0.02
 	// strainedShare is the part of the fleet, as a divisor, that may send its
 	// callers elsewhere at a time.
 	strainedShare = 8
@@ -47,6 +54,10 @@
 	last    time.Time
 	changed time.Time
 	on      bool
+	// queue measures how long goroutines wait for the processor, and wait is the
+	// mean of that.
+	queue interface{ wait() time.Duration }
+	wait  time.Duration
 	// turnedAway is the share of new connections to turn away, 0 to 1.
 	turnedAway float64
 	adjusted   time.Time
@@ -71,18 +82,23 @@
 }
 
 // adjust moves the share of new connections to turn away towards the one at
-// which ticks are hardly late.
+// which nothing waits long for the processor.
 func (s *strain) adjust(now time.Time) {
 	if now.Sub(s.adjusted) < intakeEvery {
 		return
 	}
 	s.adjusted = now
+	if s.queue != nil {
+		s.wait += time.Duration(waitWeight * float64(s.queue.wait()-s.wait))
+	}
+	takenIn := 1 - s.turnedAway
 	switch {
-	case s.lag > busyLag:
-		s.turnedAway = min(mostTurnedAway, s.turnedAway+intakeStep)
-	case s.lag < calmLag:
-		s.turnedAway = max(0, s.turnedAway-intakeStep/2)
+	case s.lag > busyLag || s.wait > busyWait:
+		takenIn = max(leastTakenIn, takenIn*intakeCut)
+	case s.lag < calmLag && s.wait < calmWait:
+		takenIn = min(1, takenIn*intakeGrowth)
 	}
+	s.turnedAway = 1 - takenIn
 }
 
 // watchStrain lets an overloaded router turn away callers or, while only a few
@@ -121,7 +137,7 @@
 		return
 	}
 	h.log.WithFields(logrus.Fields{
-		eventField: "turnAway", "on": share > 0, "lag": h.strain.lag, "inProgress": h.inProgress.Load(),
+		eventField: "turnAway", "on": share > 0, "lag": h.strain.lag, "wait": h.strain.wait, "inProgress": h.inProgress.Load(),
 		"refusedUnread": h.refusedUnread.Swap(0),
 	}).Warn("short of processor time: a share of new connections is turned away while it is on")
 }
