Messages cross a failure domain once, rows come from one router, and on demand

Load: a fleet of sixty routers and more that tells itself what it does.

Ruled out: longer intervals between messages, by which shares and slots get stale; fewer followers alone, by which a cut of the store for a few is felt by all.

Change: internal/gossiper decides, without I/O, whom a message is sent to: each router of the own domain, and one of each other domain, another one each time, which passes it on there. Messages bear a number, since relays may swap them. Rows come from one follower of the router's own domain first, the others wait 400 ms each. A router that left the store to others asks it as soon as it hears of newer rows for a second; those that lost the store say so and are not among the followers. So changes are gathered for 10 s instead of 5 s where others follow the store.

--- a/internal/follower/feed.go
+++ b/internal/follower/feed.go
@@ -48,8 +48,12 @@
 	// Pause returns how long changes are gathered after some came; nil means
 	// not at all.
 	Pause func() time.Duration
+	// Wake ends a time in which changes are gathered; nil never does.
+	Wake <-chan struct{}
 	// Batches gets what was read.
 	Batches func(Batch)
+	// Noted is told when the store is lost and when it is regained; nil is not.
+	Noted func(lost bool)
 
 	since   uint64
 	started bool
@@ -60,13 +64,14 @@
 func (f *Feed) Run(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
-		err := f.step(ctx)
+		changed, err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		f.note(err)
 		if err == nil {
 			pause = firstPause
+			f.gather(ctx, changed)
 			continue
 		}
 		f.sleep(ctx, pause)
@@ -74,10 +79,10 @@
 	}
 }
 
-// step makes one call.
-func (f *Feed) step(ctx context.Context) error {
+// step makes one call. It returns whether rows have changed since the one before.
+func (f *Feed) step(ctx context.Context) (bool, error) {
 	if !f.started {
-		return f.read(ctx)
+		return false, f.read(ctx)
 	}
 	wait := DefaultWait
 	if f.Wait != nil {
@@ -92,16 +97,25 @@
 	if errors.Is(err, ErrHistoryGone) {
 		f.Log.WithFields(logrus.Fields{"event": "historyGone", "table": f.Table, "since": f.since}).Info("reading the whole table again")
 		f.started = false
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	f.take(b)
-	if f.Pause != nil && len(b.Rows) > 0 {
-		f.sleep(ctx, f.Pause())
+	return len(b.Rows) > 0, nil
+}
+
+// gather lets changes add up after some came, unless it is woken.
+func (f *Feed) gather(ctx context.Context, changed bool) {
+	if f.Pause == nil || !changed {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-f.Clock.After(f.Pause()):
+	case <-f.Wake:
 	}
-	return nil
 }
 
 func (f *Feed) sleep(ctx context.Context, d time.Duration) {
@@ -137,6 +151,9 @@
 		return
 	}
 	f.failing = err != nil
+	if f.Noted != nil {
+		f.Noted(f.failing)
+	}
 	entry := f.Log.WithFields(logrus.Fields{"event": "store", "table": f.Table, "version": f.since})
 	if err != nil {
 		entry.WithError(err).Warn("store lost; serving by what is known")
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -15,6 +15,7 @@
 	"lentilwood.example/lentilwood/internal/dispatcher"
 	"lentilwood.example/lentilwood/internal/exchanger"
 	"lentilwood.example/lentilwood/internal/follower"
+	"lentilwood.example/lentilwood/internal/gossiper"
 	"lentilwood.example/lentilwood/internal/listener"
 	"lentilwood.example/lentilwood/internal/loader"
 	"lentilwood.example/lentilwood/internal/messenger"
@@ -42,9 +43,7 @@
 	// gatherShort is how long a router that follows the store closely gathers
 	// changes before it asks again, gatherLong how long the others do.
 	gatherShort = 300 * time.Millisecond
-	gatherLong  = 5 * time.Second
-	// followers is how many routers of a fleet follow the store closely.
-	followers = 10
+	gatherLong  = 10 * time.Second
 	// budgetShare bounds what is held for slow callers, as a part of the memory.
 	budgetShare = 8
 	// memoryShare is the part of the VM's memory that the runtime aims to stay
@@ -127,6 +126,8 @@
 	refusedUnread atomic.Int64
 	// lagging is true if others follow the store for this router.
 	lagging atomic.Bool
+	// lostTables counts the tables of the store that cannot be followed now.
+	lostTables atomic.Int32
 
 	serving     context.Context
 	cutRequests context.CancelFunc
@@ -138,7 +139,15 @@
 	strain   strain
 	follower *follower.Follower
 	peers    map[string]*hostedPeer
+	// feeders are the routers that follow the store closely, and send the others
+	// what they lack.
+	feeders []gossiper.Member
+	// pulls are asked for the tables that this router lacks rows of.
+	pulls map[follower.Table]*pull
+	// shared is when the others were last told of this router, and sequence the
+	// number of that message.
 	shared   time.Time
+	sequence uint64
 }
 
 // NewHosted returns a Hosted router that is not yet started.
@@ -157,6 +166,7 @@
 		follower:    follower.New(cfg.Decoder),
 		peers:       make(map[string]*hostedPeer),
 		strain:      strain{queue: &runQueue{}},
+		pulls:       make(map[follower.Table]*pull),
 	}
 	h.serving, h.cutRequests = context.WithCancel(context.Background())
 	h.background, h.stopAll = context.WithCancel(context.Background())
@@ -183,12 +193,8 @@
 		return err
 	}
 	h.goroutines.Go(func() { h.control.run(h.background) })
-	for _, table := range []follower.Table{follower.ConfigurationTable, follower.RegistrationTable} {
-		feed := &follower.Feed{
-			Source: h.cfg.Source, Table: table, Clock: h.clock, Log: h.log, Wait: h.feedWait, Pause: h.feedPause,
-			Batches: func(b follower.Batch) { h.control.call(func() { h.merge(b) }) },
-		}
-		h.goroutines.Go(func() { feed.Run(h.background) })
+	for _, table := range rowTables {
+		h.follow(table)
 	}
 	h.goroutines.Go(h.join)
 	h.log.WithFields(logrus.Fields{
@@ -197,6 +203,27 @@
 	return nil
 }
 
+// follow begins to follow a table of the platform's store.
+func (h *Hosted) follow(table follower.Table) {
+	wake := make(chan struct{}, 1)
+	h.pulls[table] = &pull{wake: wake}
+	feed := &follower.Feed{
+		Source: h.cfg.Source, Table: table, Clock: h.clock, Log: h.log, Wait: h.feedWait, Pause: h.feedPause, Wake: wake,
+		Batches: func(b follower.Batch) { h.control.call(func() { h.merge(b) }) },
+		Noted:   h.noteStore,
+	}
+	h.goroutines.Go(func() { feed.Run(h.background) })
+}
+
+// noteStore counts the tables that cannot be followed.
+func (h *Hosted) noteStore(lost bool) {
+	if lost {
+		h.lostTables.Add(1)
+		return
+	}
+	h.lostTables.Add(-1)
+}
+
 func (h *Hosted) listen() error {
 	key, err := h.settings.ReadPeerKey()
 	if err != nil {
@@ -357,6 +384,8 @@
 	}
 	h.watchStrain()
 	h.tellPeers()
+	h.tellRows()
+	h.pullRows()
 }
 
 // Shutdown makes the router not ready, goes on serving until the balancer has
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -4,17 +4,17 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"lentilwood.example/lentilwood/internal/follower"
+	"lentilwood.example/lentilwood/internal/gossiper"
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
 const (
-	// peerQueue bounds the messages that wait for a router: each says all that
-	// the ones before it did.
-	peerQueue = 4
+	// peerQueue bounds the messages that wait for a router. Each says all that
+	// its sender's ones before it did, but relayed ones have many senders.
+	peerQueue = 64
 	// peerTimeout bounds one call to a router.
 	peerTimeout = 400 * time.Millisecond
 	// shareInterval is the time between two messages to the other routers, and
@@ -22,15 +22,12 @@
 	// receives stays bounded.
 	shareInterval = 120 * time.Millisecond
 	sharePerPeer  = 5 * time.Millisecond
-	// silentAfter is when a router counts as silent; it is then tried again
-	// every retryInterval only.
-	silentAfter   = 2 * time.Second
-	retryInterval = time.Second
-	// lagBefore is how long a router must lag behind before it is sent rows:
-	// most have them from the store by then. lagSpread keeps all others from
-	// sending them at the same time.
-	lagBefore = 300 * time.Millisecond
-	lagSpread = 400 * time.Millisecond
+	// leastSilence is after what time a router counts as silent, and
+	// missedMessages how many of its messages may be missing in a large fleet; it is
+	// then tried again every retryInterval only.
+	leastSilence   = 2 * time.Second
+	missedMessages = 4
+	retryInterval  = time.Second
 	// joinPause is the wait between two tries to join the fleet.
 	joinPause = 500 * time.Millisecond
 	// directoryTimeout bounds a call to the directory, withdrawTimeout the last
@@ -53,13 +50,18 @@
 type hostedEnvelope struct {
 	_    struct{} `codec:",toarray"`
 	From Member
+	// Sequence numbers the sender's messages: relays may deliver them out of order.
+	Sequence uint64
+	// Relay asks the receiver to pass the message on in its failure domain.
+	Relay bool
 	// Leaving is true if the sender is about to stop, Strained if it sends its
-	// callers elsewhere.
-	Leaving, Strained bool
+	// callers elsewhere, StoreLost if it cannot follow the platform's store.
+	Leaving, Strained, StoreLost bool
 	// Configuration and Registrations are the newest versions that the sender
 	// has of the two tables.
 	Configuration, Registrations uint64
-	Load                         messenger.PeerLoad
+	// Load is nil in a message that only brings rows.
+	Load *messenger.PeerLoad
 	// Rows are what the receiver lacks.
 	Rows []follower.Row
 }
@@ -71,14 +73,21 @@
 	tried   time.Time
 	live    bool
 	leaving bool
-	// strained is true while it sends its callers elsewhere.
-	strained bool
-	// versions are the newest that it said it has, laggingSince when it was
-	// first seen to have less than this router.
-	versions     map[follower.Table]uint64
-	laggingSince time.Time
+	// strained is true while it sends its callers elsewhere, storeLost while it
+	// cannot follow the platform's store.
+	strained, storeLost bool
+	// incarnation and sequence are those of its last message.
+	incarnation, sequence uint64
+	// versions are the newest that it said it has.
+	versions map[follower.Table]uint64
+	// behindSince is when it was first seen to have less than this router, and
+	// rowsSent when it was last sent what it lacks.
+	behindSince, rowsSent time.Time
 }
 
+// id returns how the decisions about the fleet know the router.
+func (m Member) id() gossiper.Member { return gossiper.Member{Name: m.Name, Domain: m.Domain} }
+
 // join announces this router and learns of the others, until both succeed.
 func (h *Hosted) join() {
 	for {
@@ -143,37 +152,42 @@
 
 // receive takes in a message of another router.
 func (h *Hosted) receive(e hostedEnvelope) {
+	if e.Relay {
+		h.relay(e)
+	}
 	p := h.meet(e.From)
 	if p == nil {
 		return
 	}
 	p.heard = h.clock.Now()
-	p.leaving, p.strained = e.Leaving, e.Strained
 	if !p.live {
 		p.live = true
 		h.log.WithFields(logrus.Fields{eventField: "peer", "peer": p.member.Name, "live": true}).Info("router heard")
 	}
-	p.versions[follower.ConfigurationTable] = e.Configuration
-	p.versions[follower.RegistrationTable] = e.Registrations
-	e.Load.From = messenger.RouterID(e.From.Name)
-	h.control.handle(e.Load)
 	if len(e.Rows) > 0 {
 		h.mergePeerRows(p, e.Rows)
 	}
+	if e.Load != nil && p.isNext(e) {
+		h.learnState(p, e)
+	}
 }
 
-// mergePeerRows takes in rows that this router lacks.
-func (h *Hosted) mergePeerRows(p *hostedPeer, rows []follower.Row) {
-	for _, table := range []follower.Table{follower.ConfigurationTable, follower.RegistrationTable} {
-		b := follower.Batch{Table: table}
-		for _, row := range rows {
-			if row.Table == table {
-				b.Rows = append(b.Rows, row)
-			}
-		}
-		h.merge(b)
+// isNext reports whether a message is newer than those before it.
+func (p *hostedPeer) isNext(e hostedEnvelope) bool {
+	if e.From.Incarnation == p.incarnation && e.Sequence <= p.sequence {
+		return false
 	}
-	h.log.WithFields(logrus.Fields{eventField: "rowsFromPeer", "peer": p.member.Name, "rows": len(rows)}).Info("rows taken from a router")
+	p.incarnation, p.sequence = e.From.Incarnation, e.Sequence
+	return true
+}
+
+// learnState takes in what a router says of itself.
+func (h *Hosted) learnState(p *hostedPeer, e hostedEnvelope) {
+	p.leaving, p.strained, p.storeLost = e.Leaving, e.Strained, e.StoreLost
+	p.versions[follower.ConfigurationTable] = e.Configuration
+	p.versions[follower.RegistrationTable] = e.Registrations
+	e.Load.From = messenger.RouterID(e.From.Name)
+	h.control.handle(*e.Load)
 }
 
 // tellPeers sends the others what they should know.
@@ -187,75 +201,86 @@
 		h.trySeeds()
 		return
 	}
+	h.forgetSilentPeers(now)
 	h.assignFollowers()
+	load := h.admitter.Share(now)
+	h.sequence++
 	e := hostedEnvelope{
-		From: h.member(), Leaving: h.draining.Load(), Strained: h.strained.Load(),
+		From: h.member(), Sequence: h.sequence, Leaving: h.draining.Load(), Strained: h.strained.Load(),
+		StoreLost:     h.lostTables.Load() > 0,
 		Configuration: h.follower.Version(follower.ConfigurationTable),
 		Registrations: h.follower.Version(follower.RegistrationTable),
-		Load:          h.admitter.Share(now),
-	}
-	for _, p := range h.peers {
-		h.tell(now, p, e)
+		Load:          &load,
 	}
+	near, relays := gossiper.Targets(h.member().id(), h.liveMembers(), h.sequence)
+	h.send(near, e)
+	h.trySilent(now, e)
+	e.Relay = true
+	h.send(relays, e)
+}
+
+// relay passes a message on to the routers of the own failure domain.
+func (h *Hosted) relay(e hostedEnvelope) {
+	e.Relay = false
+	h.meter.Counter("lentilwood_peer_messages_total{event=\"relayed\"}").Inc()
+	near, _ := gossiper.Targets(h.member().id(), h.liveMembers(), 0)
+	h.send(near, e)
 }
 
-// assignFollowers works out whether this router follows the store closely: those
-// with the lowest hashes among the routers that are heard do.
-func (h *Hosted) assignFollowers() {
-	own := xxhash.Sum64String(string(h.self))
-	before := 0
-	for name, p := range h.peers {
-		if p.live && !p.leaving && xxhash.Sum64String(name) < own {
-			before++
+func (h *Hosted) send(to []gossiper.Member, e hostedEnvelope) {
+	for _, m := range to {
+		if m.Name == e.From.Name {
+			continue
 		}
+		_ = h.exchanger.Send(h.peers[m.Name].member.Address, e) // a dropped message is said again with the next share
 	}
-	h.lagging.Store(before >= followers)
 }
 
-// trySeeds greets the routers that the settings name, in case the directory
-// can't be reached.
-func (h *Hosted) trySeeds() {
-	for _, address := range h.settings.SeedPeers {
-		if address != h.exchanger.Addr() {
-			_ = h.exchanger.Send(address, hostedEnvelope{From: h.member()}) // said again with the next share
+// liveMembers returns the routers that are heard.
+func (h *Hosted) liveMembers() []gossiper.Member {
+	members := make([]gossiper.Member, 0, len(h.peers))
+	for _, p := range h.peers {
+		if p.live {
+			members = append(members, p.member.id())
 		}
 	}
+	return members
 }
 
-func (h *Hosted) tell(now time.Time, p *hostedPeer, e hostedEnvelope) {
-	if p.live && now.Sub(p.heard) > silentAfter {
+// forgetSilentPeers notes which routers are no longer heard.
+func (h *Hosted) forgetSilentPeers(now time.Time) {
+	for _, p := range h.peers {
+		if !p.live || now.Sub(p.heard) <= h.silentAfter() {
+			continue
+		}
 		p.live = false
 		h.log.WithFields(logrus.Fields{eventField: "peer", "peer": p.member.Name, "live": false, "age": now.Sub(p.heard)}).Info("router silent")
 	}
-	if !p.live && now.Sub(p.tried) < retryInterval {
-		return
-	}
-	p.tried = now
-	e.Rows = h.lacking(now, p)
-	_ = h.exchanger.Send(p.member.Address, e) // a dropped message is said again with the next share
 }
 
-// lacking returns the rows that a router lacks for a while now.
-func (h *Hosted) lacking(now time.Time, p *hostedPeer) []follower.Row {
-	behind := false
-	for _, table := range []follower.Table{follower.ConfigurationTable, follower.RegistrationTable} {
-		behind = behind || p.live && p.versions[table] < h.follower.Version(table)
-	}
-	if !behind || h.lagging.Load() {
-		p.laggingSince = time.Time{}
-		return nil
-	}
-	if p.laggingSince.IsZero() {
-		p.laggingSince = now.Add(time.Duration(h.incarnation % uint64(lagSpread)))
-		return nil
-	}
-	if now.Sub(p.laggingSince) < lagBefore {
-		return nil
+// silentAfter returns after what time a router counts as silent. In a large fleet
+// routers speak less often.
+func (h *Hosted) silentAfter() time.Duration {
+	return max(leastSilence, missedMessages*(shareInterval+sharePerPeer*time.Duration(len(h.peers))))
+}
+
+// trySilent sends a message to the routers that are not heard, from time to time.
+func (h *Hosted) trySilent(now time.Time, e hostedEnvelope) {
+	for _, p := range h.peers {
+		if p.live || now.Sub(p.tried) < retryInterval {
+			continue
+		}
+		p.tried = now
+		_ = h.exchanger.Send(p.member.Address, e) // tried again after the interval
 	}
-	p.laggingSince = now
-	var rows []follower.Row
-	for _, table := range []follower.Table{follower.ConfigurationTable, follower.RegistrationTable} {
-		rows = append(rows, h.follower.Since(table, p.versions[table])...)
+}
+
+// trySeeds greets the routers that the settings name, in case the directory
+// can't be reached.
+func (h *Hosted) trySeeds() {
+	for _, address := range h.settings.SeedPeers {
+		if address != h.exchanger.Addr() {
+			_ = h.exchanger.Send(address, hostedEnvelope{From: h.member()}) // said again with the next share
+		}
 	}
-	return rows
 }
--- /dev/null
+++ b/internal/router/hostedrows.go
@@ -0,0 +1,157 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/follower"
+	"lentilwood.example/lentilwood/internal/gossiper"
+)
+
+const (
+	// followers is how many routers of a fleet follow the store closely.
+	followers = 10
+	// behindBefore is how long a router must lag behind before it is sent rows: most
+	// have them from the store by then. behindStep is how much longer each further
+	// router waits that could send them, up to mostSteps.
+	behindBefore = 300 * time.Millisecond
+	behindStep   = 400 * time.Millisecond
+	mostSteps    = 3
+	// rowsAgain is how long a router that was sent rows has to say that it has them.
+	rowsAgain = time.Second
+	// pullAfter is how long a router that is sent nothing lags behind before it asks
+	// the store itself, and how long before it asks again.
+	pullAfter = time.Second
+)
+
+// pull asks for the changes of a table before it is time.
+type pull struct {
+	wake chan<- struct{}
+	// behindSince is when another router was first heard to have newer rows.
+	behindSince time.Time
+}
+
+// rowTables are the tables that routers tell each other of.
+var rowTables = []follower.Table{follower.ConfigurationTable, follower.RegistrationTable}
+
+// assignFollowers works out which of the routers that reach the store follow it
+// closely, and whether this one leaves it to them: only if there are enough.
+func (h *Hosted) assignFollowers() {
+	var candidates []gossiper.Member
+	if h.lostTables.Load() == 0 {
+		candidates = append(candidates, h.member().id())
+	}
+	for _, p := range h.peers {
+		if p.live && !p.leaving && !p.storeLost {
+			candidates = append(candidates, p.member.id())
+		}
+	}
+	h.feeders = gossiper.Followers(candidates, followers)
+	lagging := len(h.feeders) == followers && !slices.Contains(h.feeders, h.member().id())
+	if h.lagging.Swap(lagging) && !lagging {
+		for _, pull := range h.pulls {
+			pull.ask()
+		}
+	}
+}
+
+// tellRows sends rows to the routers that lack some for a while now.
+func (h *Hosted) tellRows() {
+	if h.lagging.Load() {
+		return
+	}
+	now := h.clock.Now()
+	for _, p := range h.peers {
+		if rows := h.lacking(now, p); len(rows) > 0 {
+			p.rowsSent = now
+			_ = h.exchanger.Send(p.member.Address, hostedEnvelope{From: h.member(), Rows: rows}) // sent again if it still lacks them
+		}
+	}
+}
+
+// lacking returns the rows that a router lacks for a while now, if it is for this
+// one to send them.
+func (h *Hosted) lacking(now time.Time, p *hostedPeer) []follower.Row {
+	if !h.isBehind(p) {
+		p.behindSince = time.Time{}
+		return nil
+	}
+	if p.behindSince.IsZero() {
+		p.behindSince = now
+	}
+	steps := min(mostSteps, gossiper.Rank(h.feeders, h.member().id(), p.member.id()))
+	if now.Sub(p.behindSince) < behindBefore+behindStep*time.Duration(steps) || now.Sub(p.rowsSent) < rowsAgain {
+		return nil
+	}
+	var rows []follower.Row
+	for _, table := range rowTables {
+		rows = append(rows, h.follower.Since(table, p.versions[table])...)
+	}
+	return rows
+}
+
+func (h *Hosted) isBehind(p *hostedPeer) bool {
+	if !p.live {
+		return false
+	}
+	for _, table := range rowTables {
+		if p.versions[table] < h.follower.Version(table) {
+			return true
+		}
+	}
+	return false
+}
+
+// pullRows asks the store for the tables of which others have newer rows for a while
+// now: those that should have sent them may not reach this router.
+func (h *Hosted) pullRows() {
+	if !h.lagging.Load() {
+		return
+	}
+	now := h.clock.Now()
+	for table, pull := range h.pulls {
+		switch {
+		case h.newest(table) <= h.follower.Version(table):
+			pull.behindSince = time.Time{}
+		case pull.behindSince.IsZero():
+			pull.behindSince = now
+		case now.Sub(pull.behindSince) >= pullAfter:
+			pull.behindSince = now
+			pull.ask()
+		}
+	}
+}
+
+// newest returns the newest version of a table that another router has.
+func (h *Hosted) newest(table follower.Table) uint64 {
+	var newest uint64
+	for _, p := range h.peers {
+		if p.live {
+			newest = max(newest, p.versions[table])
+		}
+	}
+	return newest
+}
+
+func (p *pull) ask() {
+	select {
+	case p.wake <- struct{}{}:
+	default: // asked already
+	}
+}
+
+// mergePeerRows takes in rows that this router lacks.
+func (h *Hosted) mergePeerRows(p *hostedPeer, rows []follower.Row) {
+	for _, table := range rowTables {
+		b := follower.Batch{Table: table}
+		for _, row := range rows {
+			if row.Table == table {
+				b.Rows = append(b.Rows, row)
+			}
+		}
+		h.merge(b)
+	}
+	h.log.WithFields(logrus.Fields{eventField: "rowsFromPeer", "peer": p.member.Name, "rows": len(rows)}).Info("rows taken from a router")
+}
--- /dev/null
+++ b/internal/router/hostedrows_test.go
@@ -0,0 +1,126 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/exchanger"
+	"lentilwood.example/lentilwood/internal/follower"
+	"lentilwood.example/lentilwood/internal/gossiper"
+	"lentilwood.example/lentilwood/internal/loader"
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+// blankDecoder reads every row as nothing in particular.
+type blankDecoder struct{}
+
+func (blankDecoder) Configuration([]byte) (*follower.Configuration, error) {
+	return &follower.Configuration{}, nil
+}
+
+func (blankDecoder) Registration(string, []byte) (messenger.UpstreamPolicy, error) {
+	return messenger.UpstreamPolicy{}, nil
+}
+
+// largeFleet returns a router, not started, that hears n others, all at a version.
+func largeFleet(t *testing.T, name string, n int, version uint64) (*Hosted, *timekeeper.Manual) {
+	t.Helper()
+	clock := timekeeper.NewManual(time.Unix(1_700_000_000, 0))
+	h := NewHosted(HostedConfig{Settings: loader.Router{Name: name, FailureDomain: "a"}, Decoder: blankDecoder{}, Clock: clock})
+	h.exchanger = exchanger.New(exchanger.Config[hostedEnvelope]{Name: name})
+	for i := range n {
+		p := h.meet(Member{Name: fmt.Sprint("p", i), Domain: "b"})
+		p.live = true
+		p.versions[follower.RegistrationTable] = version
+	}
+	h.follower.Merge(clock.Now(), follower.Batch{
+		Table: follower.RegistrationTable, Version: version,
+		Rows: []follower.Row{{Table: follower.RegistrationTable, Key: "k", Version: version}},
+	})
+	return h, clock
+}
+
+// TestOthersFollowWhenTheFollowersLoseTheStore has the store turn away all routers
+// that follow it closely, and then everybody.
+func TestOthersFollowWhenTheFollowersLoseTheStore(t *testing.T) {
+	// Which routers follow the store depends on their names.
+	var h *Hosted
+	for i := 0; h == nil || !h.lagging.Load(); i++ {
+		h, _ = largeFleet(t, fmt.Sprint("self", i), 40, 1)
+		h.assignFollowers()
+	}
+	first := h.feeders
+	for _, f := range first {
+		h.peers[f.Name].storeLost = true
+	}
+	h.assignFollowers()
+	for _, f := range h.feeders {
+		for _, lost := range first {
+			if f == lost {
+				t.Errorf("%s is to follow the store, which it lost", f.Name)
+			}
+		}
+	}
+	for _, p := range h.peers {
+		p.storeLost = true
+	}
+	h.assignFollowers()
+	if h.lagging.Load() {
+		t.Error("the router leaves the store to others though they have lost it")
+	}
+}
+
+// TestOneRouterSendsRows has a router lag behind: of those that could send it rows
+// one does so at once, and the next only after it had time to.
+func TestOneRouterSendsRows(t *testing.T) {
+	sent := make(map[int]int)
+	const fleet = 9
+	for i := range fleet {
+		h, clock := largeFleet(t, fmt.Sprint("self", i), 1, 1)
+		h.follower.Merge(clock.Now(), follower.Batch{Table: follower.RegistrationTable, Version: 2, Rows: []follower.Row{{Table: follower.RegistrationTable, Key: "k", Version: 2}}})
+		p := h.peers["p0"]
+		h.feeders = nil
+		for j := range fleet {
+			h.feeders = append(h.feeders, gossiper.Member{Name: fmt.Sprint("self", j), Domain: "a"})
+		}
+		for step := range 40 {
+			if rows := h.lacking(clock.Now(), p); len(rows) > 0 {
+				sent[step]++
+				break
+			}
+			clock.Advance(100 * time.Millisecond)
+		}
+	}
+	if sent[3] != 1 || sent[7] != 1 {
+		t.Errorf("got rows sent at steps of 100 ms %v, want one router at 300 and one at 700 ms", sent)
+	}
+	total := 0
+	for step, n := range sent {
+		total += n
+		if step > 15 {
+			t.Errorf("got rows sent at %d00 ms, want all who could to have tried by 1500 ms", step)
+		}
+	}
+	if total != fleet {
+		t.Errorf("got %d routers that would send rows, want all %d in the end", total, fleet)
+	}
+}
+
+// TestRouterAsksTheStoreWhenNobodySendsRows has others know a newer version.
+func TestRouterAsksTheStoreWhenNobodySendsRows(t *testing.T) {
+	h, clock := largeFleet(t, "self", 40, 1)
+	h.lagging.Store(true)
+	wake := make(chan struct{}, 1)
+	h.pulls[follower.RegistrationTable] = &pull{wake: wake}
+	h.pullRows()
+	h.peers["p3"].versions[follower.RegistrationTable] = 2
+	for step := range 13 {
+		h.pullRows()
+		if asked := len(wake) > 0; asked != (step >= 10) {
+			t.Fatalf("after %d00 ms: asked is %v, want it from %v on", step, asked, pullAfter)
+		}
+		clock.Advance(100 * time.Millisecond)
+	}
+}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -6,13 +6,14 @@
 	"sync/atomic"
 
 	"lentilwood.example/lentilwood/internal/dispatcher"
+	"lentilwood.example/lentilwood/internal/exchanger"
 	"lentilwood.example/lentilwood/internal/meter"
 )
 
 // writeMetrics writes all metrics of the router. Counters that other packages
 // keep are copied first.
 func (r *Router) writeMetrics(w io.Writer) {
-	r.copyPeerCounters()
+	copyPeerCounters(r.meter, r.exchanger.Stats())
 	r.copyStoreCounters()
 	r.copyRequestCounters()
 	r.meter.WritePrometheus(w)
@@ -20,22 +21,22 @@
 
 // writeMetrics writes all metrics of the router.
 func (h *Hosted) writeMetrics(w io.Writer) {
+	copyPeerCounters(h.meter, h.exchanger.Stats())
 	copyDispatcherCounters(h.meter, h.dispatcher.Counters())
 	h.meter.WritePrometheus(w)
 }
 
 // copyPeerCounters copies what the exchanger counted.
-func (r *Router) copyPeerCounters() {
-	s := r.exchanger.Stats()
+func copyPeerCounters(m *meter.Meter, s exchanger.Stats) {
 	for kind, traffic := range s.Traffic {
-		r.meter.ControlSent(meter.PeerKind(kind)).Set(traffic.Sent)
-		r.meter.ControlReceived(meter.PeerKind(kind)).Set(traffic.Received)
+		m.ControlSent(meter.PeerKind(kind)).Set(traffic.Sent)
+		m.ControlReceived(meter.PeerKind(kind)).Set(traffic.Received)
 	}
-	r.meter.Counter("lentilwood_peer_messages_total{event=\"sent\"}").Set(s.Sent)
-	r.meter.Counter("lentilwood_peer_messages_total{event=\"received\"}").Set(s.Received)
-	r.meter.Counter("lentilwood_peer_messages_total{event=\"dropped\"}").Set(s.Dropped)
-	r.meter.Counter("lentilwood_peer_messages_total{event=\"lost\"}").Set(s.Lost)
-	r.meter.Counter("lentilwood_peer_connections_total{event=\"rejected\"}").Set(s.Rejected)
+	m.Counter("lentilwood_peer_messages_total{event=\"sent\"}").Set(s.Sent)
+	m.Counter("lentilwood_peer_messages_total{event=\"received\"}").Set(s.Received)
+	m.Counter("lentilwood_peer_messages_total{event=\"dropped\"}").Set(s.Dropped)
+	m.Counter("lentilwood_peer_messages_total{event=\"lost\"}").Set(s.Lost)
+	m.Counter("lentilwood_peer_connections_total{event=\"rejected\"}").Set(s.Rejected)
 }
 
 // copyStoreCounters copies what the guard of the platform's store counted.
