Mend two races between routers' messages

A message that is relayed was written to (its sender's name is put into what it says) while the connections to the neighbours encoded it; and the map of pulls was filled after the control goroutine had begun to read it.

Change: what is learnt is a copy; the map is complete before anything runs.

--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -142,7 +142,8 @@
 	// feeders are the routers that follow the store closely, and send the others
 	// what they lack.
 	feeders []gossiper.Member
-	// pulls are asked for the tables that this router lacks rows of.
+	// pulls are asked for the tables that this router lacks rows of. The map itself
+	// never changes.
 	pulls map[follower.Table]*pull
 	// shared is when the others were last told of this router, and sequence the
 	// number of that message.
@@ -166,7 +167,7 @@
 		follower:    follower.New(cfg.Decoder),
 		peers:       make(map[string]*hostedPeer),
 		strain:      strain{queue: &runQueue{}},
-		pulls:       make(map[follower.Table]*pull),
+		pulls:       newPulls(),
 	}
 	h.serving, h.cutRequests = context.WithCancel(context.Background())
 	h.background, h.stopAll = context.WithCancel(context.Background())
@@ -205,10 +206,9 @@
 
 // follow begins to follow a table of the platform's store.
 func (h *Hosted) follow(table follower.Table) {
-	wake := make(chan struct{}, 1)
-	h.pulls[table] = &pull{wake: wake}
 	feed := &follower.Feed{
-		Source: h.cfg.Source, Table: table, Clock: h.clock, Log: h.log, Wait: h.feedWait, Pause: h.feedPause, Wake: wake,
+		Source: h.cfg.Source, Table: table, Clock: h.clock, Log: h.log,
+		Wait: h.feedWait, Pause: h.feedPause, Wake: h.pulls[table].wake,
 		Batches: func(b follower.Batch) { h.control.call(func() { h.merge(b) }) },
 		Noted:   h.noteStore,
 	}
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -186,8 +186,9 @@
 	p.leaving, p.strained, p.storeLost = e.Leaving, e.Strained, e.StoreLost
 	p.versions[follower.ConfigurationTable] = e.Configuration
 	p.versions[follower.RegistrationTable] = e.Registrations
-	e.Load.From = messenger.RouterID(e.From.Name)
-	h.control.handle(*e.Load)
+	load := *e.Load // the message itself may be on its way to those it is relayed to
+	load.From = messenger.RouterID(e.From.Name)
+	h.control.handle(load)
 }
 
 // tellPeers sends the others what they should know.
--- a/internal/router/hostedrows.go
+++ b/internal/router/hostedrows.go
@@ -32,7 +32,7 @@
 
 // pull asks for the changes of a table before it is time.
 type pull struct {
-	wake chan<- struct{}
+	wake chan struct{}
 	// behindSince is when another router was first heard to have newer rows.
 	behindSince time.Time
 }
@@ -40,6 +40,14 @@
 // rowTables are the tables that routers tell each other of.
 var rowTables = []follower.Table{follower.ConfigurationTable, follower.RegistrationTable}
 
+func newPulls() map[follower.Table]*pull {
+	pulls := make(map[follower.Table]*pull, len(rowTables))
+	for _, table := range rowTables {
+		pulls[table] = &pull{wake: make(chan struct{}, 1)}
+	}
+	return pulls
+}
+
 // assignFollowers works out which of the routers that reach the store follow it
 // closely, and whether this one leaves it to them: only if there are enough.
 func (h *Hosted) assignFollowers() {
