--- a/internal/router/strain.go
+++ b/internal/router/strain.go
@@ -44,11 +44,11 @@
 	strainedShare = 8
 )
 
-// strain tells from late ticks that a VM has too little processor time for
-// what its callers ask. It answers the load of a small VM that many busy
-// callers happen to be connected to: a share of the new connections is turned
-// away before anything is read, so that their callers try other routers, and
-// what is taken in is read in time. At the worst the VM leaves the rotation.
+// strain tells from late ticks, and from how long goroutines wait, that a VM has
+// too little processor time for what its callers ask. It answers the load of a
+// small VM that many busy callers happen to be connected to: a share of the new
+// connections is turned away before anything is read, so that what is taken in
+// is read in time. At the worst the VM leaves the rotation.
 type strain struct {
 	lag     time.Duration
 	last    time.Time
