The third way into a connection sees that it was opened, too

Cause: the accepting goroutine sets up a connection and publishes it with an atomic; Parse and CloseAndClean look at that before they use it, UnderlayerConn, by which nbhttp's TLS handler enters first, did not. The kernel orders the two, the memory model does not.

Seen: make test once, TestTLSStreams, race detected. Ruled out: the acceptor's new way to turn connections away, which TLS tests do not use.

Change: UnderlayerConn looks as well.

--- a/internal/listener/boundary.go
+++ b/internal/listener/boundary.go
@@ -82,7 +82,12 @@
 }
 
 // UnderlayerConn returns the connection as nbhttp's parser knows it.
-func (b *boundary) UnderlayerConn() net.Conn { return b.parser.UnderlayerConn() }
+func (b *boundary) UnderlayerConn() net.Conn {
+	if !b.opened.Load() {
+		return nil
+	}
+	return b.parser.UnderlayerConn()
+}
 
 // CloseAndClean is called once the connection is gone.
 func (b *boundary) CloseAndClean(err error) {
