Say once what stood twice in what was added

Read the whole change once more. Behaviour stays as it is.

- A router that lags behind: the order of those that could send it rows was worked out at each tick, with a hash of two names for each of them, also while it was too early to send.
It is worked out once it is time.
- What is relayed goes to the neighbours: gossiper.Near finds them, without grouping and sorting the other domains for nothing.
- Two loops that take an upstream out of a part's holders are held.without; two that filter what waits are slices.DeleteFunc; two waits of the feed are one.
- A comment that ran over its line, a field's name in a usage section.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -25,6 +25,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lentilwood.example/lentilwood/internal/messenger"
@@ -287,15 +288,12 @@
 		return
 	}
 	p.order(a)
-	kept := p.waiting[:0]
-	for _, r := range p.waiting {
-		if r.avoid != "" && a.placeAgain(r) || r.avoid == "" && a.place(r) {
-			continue
+	p.waiting = slices.DeleteFunc(p.waiting, func(r *request) bool {
+		if r.avoid != "" {
+			return a.placeAgain(r)
 		}
-		kept = append(kept, r)
-	}
-	clear(p.waiting[len(kept):])
-	p.waiting = kept
+		return a.place(r)
+	})
 }
 
 // tick serves and refuses what waits, and forgets what is out of date.
@@ -317,20 +315,17 @@
 }
 
 func (a *Admitter) refuseOverdue(p *pool) {
-	kept := p.waiting[:0]
-	for _, r := range p.waiting {
+	p.waiting = slices.DeleteFunc(p.waiting, func(r *request) bool {
 		if a.now.Before(r.holdUntil) {
-			kept = append(kept, r)
-			continue
+			return false
 		}
 		delete(a.requests, r.arrive.Request)
 		if p.engine && !r.beyond {
 			a.shares.turnedAway()
 		}
 		a.refuse(r)
-	}
-	clear(p.waiting[len(kept):])
-	p.waiting = kept
+		return true
+	})
 }
 
 // divide works out this router's part of the demand.
--- a/internal/admitter/holders.go
+++ b/internal/admitter/holders.go
@@ -79,30 +79,29 @@
 	if h.last == nil {
 		h.last = make(map[messenger.PartID]held)
 	}
-	before := h.last[part]
 	after := held{latest}
-	n := 1
-	for _, old := range before {
-		if old.at != nil && old.at != latest.at && n < len(after) {
-			after[n] = old
+	others := h.last[part].without(latest.at)
+	copy(after[1:], others[:])
+	h.last[part] = after
+}
+
+// without returns what is left, closed up, if an upstream no longer counts.
+func (h held) without(u *upstream) held {
+	var left held
+	n := 0
+	for _, old := range h {
+		if old.at != nil && old.at != u {
+			left[n] = old
 			n++
 		}
 	}
-	h.last[part] = after
+	return left
 }
 
 // drop forgets an upstream that kept nothing.
 func (h *holders) drop(u *upstream) {
 	for part, at := range h.last {
-		var left held
-		n := 0
-		for _, old := range at {
-			if old.at != nil && old.at != u {
-				left[n] = old
-				n++
-			}
-		}
-		h.last[part] = left
+		h.last[part] = at.without(u)
 	}
 }
 
--- a/internal/admitter/load_test.go
+++ b/internal/admitter/load_test.go
@@ -20,6 +20,17 @@
 	return float64(n) / float64(max(1, len(requests)))
 }
 
+// count returns for how many requests of each account f holds.
+func count(requests []*simRequest, f func(*simRequest) bool) map[messenger.AccountID]int {
+	n := make(map[messenger.AccountID]int)
+	for _, r := range requests {
+		if f(r) {
+			n[r.arrive.Account]++
+		}
+	}
+	return n
+}
+
 // checkCrest looks whether most of what was sent was in time, and whether this is
 // most of the part of the load that fits.
 func (s *sim) checkCrest(fits float64) {
@@ -179,12 +190,7 @@
 		s.poisson(130, func() { s.offer("small", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
 		s.poisson(20, func() { s.offer("third", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
 	})
-	got := make(map[messenger.AccountID]int)
-	for _, r := range s.all[len(s.all)/3:] {
-		if !r.refused {
-			got[r.arrive.Account]++
-		}
-	}
+	got := count(s.all[len(s.all)/3:], func(r *simRequest) bool { return !r.refused })
 	if got["small"] < got["big"]*2/3 {
 		t.Errorf("got %v served, want the two that flood to get about the same", got)
 	}
@@ -201,12 +207,7 @@
 		s.poisson(100, func() { s.offer("c", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
 		s.poisson(100, func() { s.offer("d", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
 	})
-	got := make(map[messenger.AccountID]int)
-	for _, r := range s.all[len(s.all)/3:] {
-		if !r.refused {
-			got[r.arrive.Account]++
-		}
-	}
+	got := count(s.all[len(s.all)/3:], func(r *simRequest) bool { return !r.refused })
 	for _, account := range []messenger.AccountID{"b", "c", "d"} {
 		if got["lone"] < got[account]*2/3 || got[account] < got["lone"]*2/3 {
 			t.Errorf("got %v served, want about the same for all", got)
@@ -231,12 +232,7 @@
 			s.poisson(100, func() { offer(s.rng.IntN(len(s.routers)), account) })
 		}
 	})
-	begun := make(map[messenger.AccountID]int)
-	for _, r := range s.all[len(s.all)/4:] {
-		if !r.first.IsZero() {
-			begun[r.arrive.Account]++
-		}
-	}
+	begun := count(s.all[len(s.all)/4:], func(r *simRequest) bool { return !r.first.IsZero() })
 	most := 0
 	for _, account := range others {
 		most = max(most, begun[account])
@@ -266,12 +262,7 @@
 			s.poisson(25, func() { offer(s.rng.IntN(len(s.routers)), account) })
 		}
 	})
-	begun := make(map[messenger.AccountID]int)
-	for _, r := range s.all[len(s.all)/4:] {
-		if !r.first.IsZero() {
-			begun[r.arrive.Account]++
-		}
-	}
+	begun := count(s.all[len(s.all)/4:], func(r *simRequest) bool { return !r.first.IsZero() })
 	if begun["lone"] < begun["large"]/2 {
 		t.Errorf("got %v begun, want the lone account to get at least half of what the large one gets", begun)
 	}
@@ -285,12 +276,7 @@
 		s.poisson(200, func() { s.offerAt(0, "lone", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
 		s.poisson(200, func() { s.offer("spread", simObjective, s.session(s.rng.IntN(60), 3000, 400), 200) })
 	})
-	got := make(map[messenger.AccountID]int)
-	for _, r := range s.all[len(s.all)/3:] {
-		if !r.refused {
-			got[r.arrive.Account]++
-		}
-	}
+	got := count(s.all[len(s.all)/3:], func(r *simRequest) bool { return !r.refused })
 	if got["lone"] < got["spread"]/2 {
 		t.Errorf("got %v served, want at least half as many for the one that has a single router", got)
 	}
--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	a := auditor.Audit{Observations: observations, Workers: streams, Calls: calls}
+//	a := auditor.Audit{Observations: observations, Streams: streams, Calls: calls}
 //	for _, p := range a.Promises() { ... }
 package auditor
 
--- a/internal/follower/feed.go
+++ b/internal/follower/feed.go
@@ -71,10 +71,12 @@
 		f.note(err)
 		if err == nil {
 			pause = firstPause
-			f.gather(ctx, changed)
+			if changed && f.Pause != nil {
+				f.sleep(ctx, f.Pause(), f.Wake)
+			}
 			continue
 		}
-		f.sleep(ctx, pause)
+		f.sleep(ctx, pause, nil)
 		pause = min(2*pause, longestPause)
 	}
 }
@@ -106,22 +108,12 @@
 	return len(b.Rows) > 0, nil
 }
 
-// gather lets changes add up after some came, unless it is woken.
-func (f *Feed) gather(ctx context.Context, changed bool) {
-	if f.Pause == nil || !changed {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-f.Clock.After(f.Pause()):
-	case <-f.Wake:
-	}
-}
-
-func (f *Feed) sleep(ctx context.Context, d time.Duration) {
+// sleep returns after a time, or once it is woken; a nil channel never wakes it.
+func (f *Feed) sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	select {
 	case <-ctx.Done():
 	case <-f.Clock.After(d):
+	case <-wake:
 	}
 }
 
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -13,6 +13,7 @@
 // # Usage
 //
 //	near, relays := gossiper.Targets(self, members, round)
+//	near = gossiper.Near(self, members) // for a message that is relayed
 //	feeders := gossiper.Followers(members, 10)
 //	rank := gossiper.Rank(feeders, self, to)
 package gossiper
@@ -37,11 +38,9 @@
 func Targets(self Member, others []Member, round uint64) (near, relays []Member) {
 	domains := make(map[string][]Member)
 	for _, m := range others {
-		if m.Domain == self.Domain {
-			near = append(near, m)
-			continue
+		if m.Domain != self.Domain {
+			domains[m.Domain] = append(domains[m.Domain], m)
 		}
-		domains[m.Domain] = append(domains[m.Domain], m)
 	}
 	own := hash(self)
 	for _, members := range domains {
@@ -49,7 +48,19 @@
 		relays = append(relays, members[(own+round)%uint64(len(members))])
 	}
 	slices.SortFunc(relays, byName)
-	return near, relays
+	return Near(self, others), relays
+}
+
+// Near returns the routers of the own failure domain, to which a message is passed
+// on that another router relays.
+func Near(self Member, others []Member) []Member {
+	var near []Member
+	for _, m := range others {
+		if m.Domain == self.Domain {
+			near = append(near, m)
+		}
+	}
+	return near
 }
 
 // Followers returns the n routers that follow the platform's store closely, or all
--- a/internal/listener/acceptor.go
+++ b/internal/listener/acceptor.go
@@ -97,8 +97,9 @@
 }
 
 // turnAwayQueued answers connections that wait to be accepted until one is to be
-// served or none waits, and returns the lot of the next one. Setting up a connection as the runtime does costs several times what this does,
-// which counts for a router that is asked for many times what it can do.
+// served or none waits, and returns the lot of the next one. Setting up a
+// connection as the runtime does costs several times what this does, which counts
+// for a router that is asked for many times what it can do.
 func (a *acceptor) turnAwayQueued() lot {
 	next := a.draw()
 	for next.turnAway && a.turnAwayOne() {
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -224,8 +224,7 @@
 func (h *Hosted) relay(e hostedEnvelope) {
 	e.Relay = false
 	h.meter.Counter("lentilwood_peer_messages_total{event=\"relayed\"}").Inc()
-	near, _ := gossiper.Targets(h.member().id(), h.liveMembers(), 0)
-	h.send(near, e)
+	h.send(gossiper.Near(h.member().id(), h.liveMembers()), e)
 }
 
 func (h *Hosted) send(to []gossiper.Member, e hostedEnvelope) {
@@ -250,8 +249,9 @@
 
 // forgetSilentPeers notes which routers are no longer heard.
 func (h *Hosted) forgetSilentPeers(now time.Time) {
+	limit := h.silentAfter()
 	for _, p := range h.peers {
-		if !p.live || now.Sub(p.heard) <= h.silentAfter() {
+		if !p.live || now.Sub(p.heard) <= limit {
 			continue
 		}
 		p.live = false
--- a/internal/router/hostedrows.go
+++ b/internal/router/hostedrows.go
@@ -97,8 +97,12 @@
 	if p.behindSince.IsZero() {
 		p.behindSince = now
 	}
+	waited := now.Sub(p.behindSince)
+	if waited < behindBefore || now.Sub(p.rowsSent) < max(rowsAgain, messagesBetween*h.shareEvery()) {
+		return nil
+	}
 	steps := min(mostSteps, gossiper.Rank(h.feeders, h.member().id(), p.member.id()))
-	if now.Sub(p.behindSince) < behindBefore+behindStep*time.Duration(steps) || now.Sub(p.rowsSent) < max(rowsAgain, messagesBetween*h.shareEvery()) {
+	if waited < behindBefore+behindStep*time.Duration(steps) {
 		return nil
 	}
 	var rows []follower.Row
