Upstreams that leave, want a pause, or send bytes without end; late rows bring nothing back

News on the wire: Server-Leaving in any answer, strays included, makes an upstream leave until its row names another process, and the other routers are told. Retry-After with an upstream's 503 keeps everything away from it for so long; if all of a pool want a pause, who comes is refused at once and told when one of them may be used.

Only events that bring the stream further count now.

Ruled out by reading and tests: a second copy of an answer is told by its id, and a second send of a request takes a new connection.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -137,6 +137,8 @@
 		a.abandon(e)
 	case messenger.LoadReport:
 		a.report(e)
+	case messenger.Pause:
+		a.pause(e)
 	case messenger.PeerLoad:
 		a.hear(e)
 	case messenger.PolicyChange:
@@ -168,6 +170,11 @@
 	if a.place(r) {
 		return
 	}
+	if p.pausedFor(a.now) > r.holdUntil.Sub(a.now) {
+		delete(a.requests, e.Request)
+		a.refuse(r)
+		return
+	}
 	p.waiting = append(p.waiting, r)
 }
 
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -161,6 +161,25 @@
 	}
 }
 
+// pausedFor returns how long it is until the first upstream may be sent something
+// again, or zero if one may be now.
+func (p *pool) pausedFor(now time.Time) time.Duration {
+	var least time.Duration
+	for _, u := range p.members {
+		if !u.open {
+			continue
+		}
+		left := u.pausedTil.Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
 func (p *pool) drop(r *request) {
 	p.waiting = slices.DeleteFunc(p.waiting, func(other *request) bool { return other == r })
 }
--- a/internal/admitter/refuse.go
+++ b/internal/admitter/refuse.go
@@ -77,8 +77,13 @@
 	return oldest
 }
 
-// returnIn draws the time after which a refused caller may come back.
+// returnIn draws the time after which a refused caller may come back. It is no use to
+// come while all upstreams want to be sent nothing.
 func (a *Admitter) returnIn(r *request) time.Duration {
+	return max(a.drawReturn(r), r.pool.pausedFor(a.now))
+}
+
+func (a *Admitter) drawReturn(r *request) time.Duration {
 	longest := longestReturn
 	if !r.arrive.Deadline.IsZero() {
 		longest = min(longest, time.Duration(returnShare*float64(r.arrive.Deadline.Sub(a.now))))
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -87,6 +87,8 @@
 	failedAt  time.Time
 	inARow    int
 	closedTil time.Time
+	// pausedTil is until when the upstream asked to be sent nothing.
+	pausedTil time.Time
 }
 
 // load is what some routers run on one upstream.
@@ -118,18 +120,19 @@
 		u.pool.holders.drop(u)
 	}
 	u.report, u.reported = messenger.LoadReport{}, time.Time{}
-	u.error, u.failures, u.inARow, u.closedTil = 1, 0, 0, time.Time{}
+	u.error, u.failures, u.inARow = 1, 0, 0
+	u.closedTil, u.pausedTil = time.Time{}, time.Time{}
 }
 
 // usable reports whether new work may be sent. With desperate, an upstream that
 // failed of late may be tried as well.
 func (u *upstream) usable(now time.Time, desperate bool) bool {
-	return u.open && (desperate || !now.Before(u.closedTil))
+	return u.open && !now.Before(u.pausedTil) && (desperate || !now.Before(u.closedTil))
 }
 
 // sound reports whether nothing speaks against an upstream.
 func (u *upstream) sound(now time.Time) bool {
-	return u.open && u.inARow == 0 && u.overdue(now) == 0
+	return u.open && !now.Before(u.pausedTil) && u.inARow == 0 && u.overdue(now) == 0
 }
 
 func (u *upstream) slots() int {
@@ -328,6 +331,17 @@
 	}
 }
 
+// pause sends nothing to an upstream for as long as it asked for.
+func (a *Admitter) pause(e messenger.Pause) {
+	u, ok := a.upstreams[e.Upstream]
+	if !ok {
+		return
+	}
+	if until := a.now.Add(e.For); until.After(u.pausedTil) {
+		u.pausedTil = until
+	}
+}
+
 // report takes in what an answer said of its upstream.
 func (a *Admitter) report(e messenger.LoadReport) {
 	u, ok := a.upstreams[e.Upstream]
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -30,6 +30,8 @@
 	begun  bool
 	ended  bool
 	broken bool
+	// idle counts the bytes since the last event that brought the stream further.
+	idle int
 }
 
 // newStream returns the stream that an attempt answers with.
@@ -72,6 +74,7 @@
 		return false
 	}
 	at.whole = append(at.whole, p...)
+	at.progressed(f.now(), f.progressTimeout())
 	return true
 }
 
@@ -101,6 +104,7 @@
 	})
 	if len(out) > 0 {
 		at.resumes = 0
+		at.progressed(f.now(), f.progressTimeout())
 	}
 	f.deliver(at, out)
 	if tokens > 0 {
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -109,11 +109,8 @@
 			return
 		}
 	}
-	if len(p.body) > 0 {
-		at.progressed(f.now(), f.progressTimeout())
-		if !f.body(at, p.body) {
-			return
-		}
+	if len(p.body) > 0 && !f.body(at, p.body) {
+		return
 	}
 	f.considerMove(at)
 	if f.holds(at) && (p.done || at.stream.complete()) {
@@ -134,6 +131,7 @@
 // head checks the head of an answer. It returns false if the attempt ended.
 func (f *flight) head(at *attempt, p progress) bool {
 	f.learnLoad(at, p.header)
+	f.learnNotice(at, p)
 	if f.d.dialect.Declined(p.status, p.header) {
 		f.declined(at)
 		return false
--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -226,7 +226,7 @@
 }
 
 // roundTrip writes a request and reads the head of its answer.
-func roundTrip(conn *upstreamConn, req *http.Request, answers func(http.Header) bool) (*http.Response, error) {
+func roundTrip(conn *upstreamConn, req *http.Request, answers func(int, http.Header) bool) (*http.Response, error) {
 	var head bytes.Buffer
 	if err := req.Write(&head); err != nil {
 		return nil, err
@@ -245,7 +245,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if answers == nil || answers(resp.Header) {
+		if answers == nil || answers(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
 		if err := skipAnswer(resp); err != nil {
--- a/internal/dispatcher/dialect.go
+++ b/internal/dispatcher/dialect.go
@@ -34,6 +34,8 @@
 	Declined(status int, answer http.Header) bool
 	// Load returns what an answer says of the upstream's load.
 	Load(answer http.Header) (messenger.LoadReport, bool)
+	// Notice returns what the head of an answer says of its upstream's wishes.
+	Notice(status int, answer http.Header) Notice
 	// AnswerHeader adds to an answer what the caller is told about it.
 	AnswerHeader(h http.Header, req *Request, run messenger.RunState)
 	// WriteProblem answers a caller that gets no upstream's answer.
@@ -42,6 +44,15 @@
 	Traits() Traits
 }
 
+// Notice is what an upstream says of itself with an answer, whatever request the answer
+// belongs to. The zero value says nothing.
+type Notice struct {
+	// Leaving is true if the upstream is about to stop.
+	Leaving bool
+	// Pause is how long it wants to be sent nothing; zero means that it does not say.
+	Pause time.Duration
+}
+
 // Traits are the differences between dialects that are no matter of wording.
 type Traits struct {
 	// ResendsStreams is true if a broken stream goes on by sending the request
@@ -87,6 +98,9 @@
 	return messenger.LoadReport{}, false
 }
 
+// Notice finds nothing: upstreams tell their wishes when they are polled.
+func (ownDialect) Notice(int, http.Header) Notice { return Notice{} }
+
 // AnswerHeader states whether the request ran, and its id.
 func (ownDialect) AnswerHeader(h http.Header, req *Request, run messenger.RunState) {
 	h.Set(messenger.RunHeader, string(run))
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -164,6 +164,9 @@
 	Dialect Dialect
 	// Loads, if set, gets what answers say of the load of their upstreams.
 	Loads func(messenger.LoadReport)
+	// Notices, if set, gets what answers say of the wishes of their upstreams. It is
+	// called from several goroutines.
+	Notices func(messenger.UpstreamID, Notice)
 }
 
 // Dispatcher sends requests to upstreams. It is safe for concurrent use.
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -28,9 +28,9 @@
 	// once is true if the request must not be sent a second time, even if the
 	// connection turns out to be dead.
 	once bool
-	// answers, if set, reports whether an answer belongs to the request; others
-	// that come before it are skipped.
-	answers func(http.Header) bool
+	// answers, if set, reports by status and header whether an answer belongs to the
+	// request; others that come before it are skipped.
+	answers func(int, http.Header) bool
 	// unwanted, if set, reports whether nobody waits for the answer any more. It is
 	// asked right before the request is written, on another goroutine than that of
 	// the request.
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -221,7 +221,7 @@
 		address: policy.Address, method: f.req.Method, uri: f.req.URI,
 		header: f.requestHeader(at), body: f.req.Body,
 		fresh: f.retries > 0 || !f.req.Arrive.Idempotent && !f.d.traits.ReusesConnections,
-		once:  !f.req.Arrive.Idempotent, answers: f.answersTo(), unwanted: f.c.Left,
+		once:  !f.req.Arrive.Idempotent, answers: f.answersTo(a.Upstream), unwanted: f.c.Left,
 	})
 }
 
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -42,14 +42,36 @@
 }
 
 // answersTo returns what tells the request's answers from others, or nil if
-// the dialect has no use for it.
-func (f *flight) answersTo() func(http.Header) bool {
+// the dialect has no use for it. An answer to another request may come late, but that
+// its upstream leaves holds all the same.
+func (f *flight) answersTo(upstream messenger.UpstreamID) func(int, http.Header) bool {
 	if !f.d.traits.ReusesConnections {
 		return nil
 	}
-	return func(h http.Header) bool {
+	return func(status int, h http.Header) bool {
 		id := f.d.dialect.AnswersTo(h)
-		return id == "" || id == f.req.WireID
+		if id == "" || id == f.req.WireID {
+			return true
+		}
+		f.d.noteLeaving(upstream, status, h)
+		return false
+	}
+}
+
+// noteLeaving passes on that an upstream leaves.
+func (d *Dispatcher) noteLeaving(upstream messenger.UpstreamID, status int, h http.Header) {
+	if d.cfg.Notices != nil && d.dialect.Notice(status, h).Leaving {
+		d.cfg.Notices(upstream, Notice{Leaving: true})
+	}
+}
+
+// learnNotice passes on what an answer says of its upstream's wishes.
+func (f *flight) learnNotice(at *attempt, p progress) {
+	if f.d.cfg.Notices == nil {
+		return
+	}
+	if n := f.d.dialect.Notice(p.status, p.header); n != (Notice{}) {
+		f.d.cfg.Notices(at.upstream, n)
 	}
 }
 
@@ -97,10 +119,18 @@
 		(f.req.MaxSends == 0 || f.sends < f.req.MaxSends)
 }
 
-// framedEvents relays the whole events of a stream that ends with its message.
+// framedEvents relays the whole events of a stream that ends with its message. Bytes
+// that complete no new event are no sign of life: an upstream that stalled may still
+// send some now and then, or without end.
 func (f *flight) framedEvents(at *attempt, p []byte) bool {
 	s := at.stream
 	out, count, ok := s.takeFramed(p)
+	s.idle += len(p)
+	if count > 0 {
+		s.idle = 0
+		at.progressed(f.now(), f.progressTimeout())
+	}
+	ok = ok && s.idle <= maxEventBytes
 	first := len(out) > 0 && f.result.FirstOutput.IsZero()
 	f.deliver(at, out)
 	f.lastEvent, f.hasEvent = s.lastID, s.numbered
@@ -120,8 +150,8 @@
 }
 
 // takeFramed returns the bytes of the whole events that p completes, without
-// those that the caller has, and their number. It returns false if an event is
-// missing before one of them.
+// those that the caller has, and the number of those that bring something new. It
+// returns false if an event is missing before one of them.
 func (s *streamAnswer) takeFramed(p []byte) (out []byte, count int, ok bool) {
 	s.split.rest = append(s.split.rest, p...)
 	rest := s.split.rest
@@ -140,6 +170,8 @@
 		}
 		if keep && has {
 			s.lastID, s.numbered = id, true
+		}
+		if keep && (has || bytes.Contains(rest[:n], dataField)) {
 			count++
 		}
 		rest = rest[n:]
@@ -148,6 +180,9 @@
 	return out, count, len(rest) <= maxEventBytes
 }
 
+// dataField begins a line with the content of an event.
+var dataField = []byte("data:")
+
 // eventID returns the number of an event.
 func eventID(event []byte) (uint64, bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -98,6 +98,12 @@
 	configuration *Configuration
 	// rejected are the rows that could not be read, since the last look.
 	rejected []Rejected
+	// wholeAt is the version at which each table was last read whole: a row that was
+	// not there and is no newer is gone.
+	wholeAt map[Table]uint64
+	// departing holds the upstreams that said themselves that they leave, whatever
+	// their rows say, with the start of the process that said so.
+	departing map[string]time.Time
 }
 
 // entry is the newest row of a key.
@@ -120,7 +126,10 @@
 
 // New returns a Follower that knows nothing.
 func New(decoder Decoder) *Follower {
-	f := &Follower{decoder: decoder, rows: make(map[Table]map[string]*entry), newest: make(map[Table]uint64)}
+	f := &Follower{
+		decoder: decoder, rows: make(map[Table]map[string]*entry), newest: make(map[Table]uint64),
+		wholeAt: make(map[Table]uint64), departing: make(map[string]time.Time),
+	}
 	f.rows[ConfigurationTable] = make(map[string]*entry)
 	f.rows[RegistrationTable] = make(map[string]*entry)
 	return f
@@ -145,6 +154,7 @@
 	}
 	if b.Whole {
 		changed = f.dropMissing(now, b, seen) || changed
+		f.wholeAt[b.Table] = max(f.wholeAt[b.Table], b.Version)
 	}
 	f.newest[b.Table] = max(f.newest[b.Table], b.Version)
 	return changed
@@ -168,6 +178,9 @@
 	if ok && e.row.Version >= row.Version {
 		return false
 	}
+	if !ok && row.Version <= f.wholeAt[row.Table] {
+		return false
+	}
 	f.newest[row.Table] = max(f.newest[row.Table], row.Version)
 	fresh := &entry{row: row}
 	if ok {
@@ -262,11 +275,70 @@
 			continue
 		}
 		u.Engine = pool.Engine != nil
+		u.Leaving = u.Leaving || f.departs(key, u)
 		policy.Upstreams[messenger.UpstreamID(key)] = u
 	}
 	return &Snapshot{Table: f.configuration.Table, Policy: policy}
 }
 
+// Departure is an upstream that said itself that it leaves.
+type Departure struct {
+	_        struct{} `codec:",toarray"`
+	Upstream messenger.UpstreamID
+	// Started is when the process started that said so, in Unix milliseconds; zero if
+	// its row does not say.
+	Started int64
+}
+
+// NoteDeparture notes that an upstream said itself that it leaves, and reports whether
+// that is news. It holds until its row names another process.
+func (f *Follower) NoteDeparture(id messenger.UpstreamID) bool {
+	e, ok := f.rows[RegistrationTable][string(id)]
+	if !ok {
+		return false
+	}
+	if started, ok := f.departing[string(id)]; ok && started.Equal(e.last.Started) {
+		return false
+	}
+	f.departing[string(id)] = e.last.Started
+	return true
+}
+
+// HearDeparture takes in a departure that another router knows of, and reports whether
+// that is news. One of another process than the row names is of no use.
+func (f *Follower) HearDeparture(d Departure) bool {
+	e, ok := f.rows[RegistrationTable][string(d.Upstream)]
+	if !ok || startedMS(e.last.Started) != d.Started {
+		return false
+	}
+	return f.NoteDeparture(d.Upstream)
+}
+
+// Departures returns the upstreams that are registered as if they stayed and said
+// themselves that they leave.
+func (f *Follower) Departures() []Departure {
+	var out []Departure
+	for key, e := range f.rows[RegistrationTable] {
+		if !e.row.Deleted && e.readable && !e.upstream.Leaving && f.departs(key, e.upstream) {
+			out = append(out, Departure{Upstream: messenger.UpstreamID(key), Started: startedMS(e.upstream.Started)})
+		}
+	}
+	return out
+}
+
+// departs reports whether the process of a row said itself that it leaves.
+func (f *Follower) departs(key string, u messenger.UpstreamPolicy) bool {
+	started, ok := f.departing[key]
+	return ok && started.Equal(u.Started)
+}
+
+func startedMS(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
 // Since returns the rows of a table that are newer than a version, for a
 // router that lags. Registrations that may come back are not among them.
 func (f *Follower) Since(t Table, version uint64) []Row {
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -94,6 +94,13 @@
 // PeersChange says which routers are alive, in any order, self included.
 type PeersChange struct{ Routers []RouterID }
 
+// Pause is an upstream's wish to be sent nothing by this router for a while. It said so
+// when it turned a request away.
+type Pause struct {
+	Upstream UpstreamID
+	For      time.Duration
+}
+
 // LoadReport is what an upstream said of its own load, some time ago.
 type LoadReport struct {
 	Upstream UpstreamID
@@ -135,6 +142,7 @@
 func (Abandon) isEvent()      {}
 func (PolicyChange) isEvent() {}
 func (PeersChange) isEvent()  {}
+func (Pause) isEvent()        {}
 func (LoadReport) isEvent()   {}
 func (CacheReport) isEvent()  {}
 func (Receive) isEvent()      {}
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -182,10 +182,25 @@
 		ConnectTimeout: connectTimeout, IdleTimeout: upstreamIdle,
 		MaxAttempts: resends, Retries: h.budget, Dialect: cfg.Dialect,
 		Loads: func(report messenger.LoadReport) { h.control.submit(report) },
+		Notices: func(id messenger.UpstreamID, n dispatcher.Notice) {
+			h.control.submit(inspection{run: func() { h.notice(id, n) }, done: make(chan struct{})})
+		},
 	})
 	return h
 }
 
+// notice takes in what an upstream said of its wishes. It runs on the control goroutine.
+func (h *Hosted) notice(id messenger.UpstreamID, n dispatcher.Notice) {
+	if n.Pause > 0 {
+		h.log.WithFields(logrus.Fields{eventField: "pause", "upstream": id, "ms": n.Pause.Milliseconds()}).Info("upstream wants nothing for a while")
+		h.control.handle(messenger.Pause{Upstream: id, For: n.Pause})
+	}
+	if n.Leaving && h.follower.NoteDeparture(id) {
+		h.log.WithFields(logrus.Fields{eventField: "departure", "upstream": id}).Info("upstream says that it leaves")
+		h.publish()
+	}
+}
+
 // Start opens the listeners and begins to follow the platform's store.
 func (h *Hosted) Start() error {
 	limitMemory(h.settings.Memory * memoryShare / 100)
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -64,6 +64,8 @@
 	Load *messenger.PeerLoad
 	// Rows are what the receiver lacks.
 	Rows []follower.Row
+	// Departures are the upstreams that said themselves that they leave.
+	Departures []follower.Departure
 }
 
 // hostedPeer is another router.
@@ -186,11 +188,26 @@
 	p.leaving, p.strained, p.storeLost = e.Leaving, e.Strained, e.StoreLost
 	p.versions[follower.ConfigurationTable] = e.Configuration
 	p.versions[follower.RegistrationTable] = e.Registrations
+	h.hearDepartures(e)
 	load := *e.Load // the message itself may be on its way to those it is relayed to
 	load.From = messenger.RouterID(e.From.Name)
 	h.control.handle(load)
 }
 
+// hearDepartures takes in which upstreams told another router that they leave.
+func (h *Hosted) hearDepartures(e hostedEnvelope) {
+	news := false
+	for _, d := range e.Departures {
+		if h.follower.HearDeparture(d) {
+			h.log.WithFields(logrus.Fields{eventField: "departure", "upstream": d.Upstream, "peer": e.From.Name}).Info("upstream says that it leaves")
+			news = true
+		}
+	}
+	if news {
+		h.publish()
+	}
+}
+
 // tellPeers sends the others what they should know.
 func (h *Hosted) tellPeers() {
 	now := h.clock.Now()
@@ -211,7 +228,7 @@
 		StoreLost:     h.lostTables.Load() > 0,
 		Configuration: h.follower.Version(follower.ConfigurationTable),
 		Registrations: h.follower.Version(follower.RegistrationTable),
-		Load:          &load,
+		Load:          &load, Departures: h.follower.Departures(),
 	}
 	near, relays := gossiper.Targets(h.member().id(), h.liveMembers(), h.sequence)
 	h.send(near, e)
