--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -141,6 +141,9 @@
 		a.pause(e)
 	case messenger.PeerLoad:
 		a.hear(e)
+	case messenger.PeerLost:
+		a.forgetPeer(e.Router)
+		a.orderRouters()
 	case messenger.PolicyChange:
 		a.change(e.Policy)
 	case messenger.Tick:
@@ -337,14 +340,13 @@
 
 // divide works out this router's part of the demand.
 func (a *Admitter) divide() {
-	routers := 1 + len(a.peers)
-	part := a.shares.part(1 / float64(routers))
+	part := a.shares.part(1 / float64(a.fleetSize()))
 	reserve := a.shares.kept(a.peers)
 	for _, p := range a.pools {
 		p.part, p.reserve = part, reserve
 		p.learnFromPeers(a.peers)
 		p.learnErrors()
-		p.brief = p.model.held < a.shareEvery.Seconds()
+		p.brief = p.model.held < a.newsAge().Seconds()
 	}
 }
 
--- a/internal/admitter/load_test.go
+++ b/internal/admitter/load_test.go
@@ -347,6 +347,30 @@
 	}
 }
 
+// TestCallsOfAHugeFleetAreSpread has hundreds of routers before a plain service a third
+// of whose slots are asked for. Each router sends a call or two a second and hears of
+// the others seldom: they must not all send to the server that all believe to be free.
+func TestCallsOfAHugeFleetAreSpread(t *testing.T) {
+	for _, every := range []time.Duration{250 * time.Millisecond, 1600 * time.Millisecond} {
+		s := newSim(t, 200, 12, 6, 0)
+		s.plain()
+		s.shareEvery = every
+		// A call takes about 55 ms, so twelve servers of six slots do 1300 a second.
+		s.run(5*time.Second, func() {
+			s.poisson(430, func() {
+				s.offer("a", 300*time.Millisecond, []messenger.PromptPart{{Chain: 1, Tokens: 0}}, 7)
+			})
+		})
+		late := s.all[len(s.all)/4:]
+		if got := share(late, func(r *simRequest) bool { return !r.refused }); got < 0.99 {
+			t.Errorf("news every %v: %.3f of the calls sent, want at least 0.99: there is room", every, got)
+		}
+		if got := share(late, func(r *simRequest) bool { return r.onTime() && r.first.Sub(r.arrived) <= 60*time.Millisecond }); got < 0.9 {
+			t.Errorf("news every %v: %.3f of the calls found a free slot, want at least 0.9", every, got)
+		}
+	}
+}
+
 // TestPrecedenceOrdersWhatWaits has two requests wait for the only slot; the one
 // that came later goes first.
 func TestPrecedenceOrdersWhatWaits(t *testing.T) {
--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -1,10 +1,9 @@
 package admitter
 
 import (
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
@@ -16,13 +15,23 @@
 	// missedShares how many of its messages may be late or lost.
 	shortestPeerTTL = time.Second
 	missedShares    = 3
+	// countTTL is how long the routers of a sum count as part of the fleet: one that
+	// no longer hears of the others is not to take their slots as well.
+	countTTL = 10 * time.Second
+	// sumLag is how many times later what other routers do is known by a sum of their
+	// loads than by messages of their own.
+	sumLag = 3
 )
 
-// peer is what another router last said.
+// peer is what another router last said of itself, or of several.
 type peer struct {
 	heard time.Time
-	loads []peerLoad
-	asked map[messenger.Key]float64
+	// routers are those whose loads it added up, itself included.
+	routers []messenger.Key
+	// lapsed is true once what it said of loads no longer counts.
+	lapsed bool
+	loads  []peerLoad
+	asked  map[messenger.Key]float64
 	// pools is what it learnt of the pools of engines.
 	pools map[messenger.Key]messenger.PoolDemand
 	// served is what all its accounts get together, in cost a second.
@@ -37,10 +46,20 @@
 	load
 }
 
-// hear takes in what another router runs and is asked for.
+// hear takes in what another router runs and is asked for, or what several do. A router
+// that is in a sum does not count by itself as well.
 func (a *Admitter) hear(e messenger.PeerLoad) {
+	routers := e.Routers
+	if len(routers) == 0 {
+		routers = []messenger.Key{messenger.KeyOf(e.From)}
+		if a.inSum(routers[0]) {
+			return
+		}
+	} else {
+		a.forgetMembers(e.From, routers)
+	}
 	p := &peer{
-		heard: a.now, reserve: bound(float64(e.Reserve), 0, mostReserve),
+		heard: a.now, routers: routers, reserve: bound(float64(e.Reserve), 0, mostReserve),
 		loads: make([]peerLoad, 0, len(e.Upstreams)),
 		asked: make(map[messenger.Key]float64, len(e.Accounts)),
 		pools: make(map[messenger.Key]messenger.PoolDemand, len(e.Pools)),
@@ -57,13 +76,13 @@
 		p.asked[d.Account] = float64(d.Rate)
 		p.served += float64(d.Served)
 	}
-	_, known := a.peers[e.From]
+	before, known := a.peers[e.From]
 	for _, d := range e.Pools {
 		p.pools[d.Pool] = d
 	}
 	a.forgetPeer(e.From)
 	a.peers[e.From] = p
-	if !known {
+	if !known || !slices.Equal(before.routers, routers) {
 		a.orderRouters()
 	}
 	for _, l := range p.loads {
@@ -72,6 +91,28 @@
 	}
 }
 
+// inSum reports whether a sum of loads that counts has that of a router in it.
+func (a *Admitter) inSum(router messenger.Key) bool {
+	for _, p := range a.peers {
+		if !p.lapsed && len(p.routers) > 1 && slices.Contains(p.routers, router) {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetMembers takes out what those said by themselves that are in the sum of another.
+func (a *Admitter) forgetMembers(from messenger.RouterID, routers []messenger.Key) {
+	for id, p := range a.peers {
+		if id == from {
+			continue
+		}
+		if from == messenger.FleetSum || len(p.routers) == 1 && slices.Contains(routers, p.routers[0]) {
+			a.forgetPeer(id)
+		}
+	}
+}
+
 // forgetPeer takes out what another router said.
 func (a *Admitter) forgetPeer(id messenger.RouterID) {
 	p, ok := a.peers[id]
@@ -79,10 +120,17 @@
 		return
 	}
 	delete(a.peers, id)
+	p.forgetLoads()
+}
+
+// forgetLoads takes out what the peer runs and is asked for.
+func (p *peer) forgetLoads() {
 	for _, l := range p.loads {
 		l.at.others.running -= l.running
 		l.at.others.reading -= l.reading
 	}
+	p.lapsed = true
+	p.loads, p.asked, p.pools, p.served, p.reserve = nil, nil, nil, 0, 0
 }
 
 // peerTTL returns how long what another router said counts. In a large fleet
@@ -93,9 +141,14 @@
 func (a *Admitter) forgetSilent() {
 	lost := false
 	for id, p := range a.peers {
-		if a.now.Sub(p.heard) > a.peerTTL() {
+		silent := a.now.Sub(p.heard)
+		switch {
+		case silent <= a.peerTTL():
+		case len(p.routers) == 1 || silent > countTTL:
 			a.forgetPeer(id)
 			lost = true
+		case !p.lapsed:
+			p.forgetLoads()
 		}
 	}
 	if lost {
@@ -106,15 +159,20 @@
 // orderRouters finds this router's place in the order in which the routers divide
 // the slots of each upstream.
 func (a *Admitter) orderRouters() {
-	self := xxhash.Sum64String(string(a.cfg.Self))
-	others := make([]uint64, 0, len(a.peers))
-	for id := range a.peers {
-		others = append(others, xxhash.Sum64String(string(id)))
+	own := messenger.KeyOf(a.cfg.Self)
+	self := spread(own)
+	var others []uint64
+	for _, p := range a.peers {
+		for _, key := range p.routers {
+			if key != own {
+				others = append(others, spread(key))
+			}
+		}
 	}
 	for _, u := range a.upstreams {
-		own, before := mix(self^u.hash), 0
+		place, before := mix(self^u.hash), 0
 		for _, other := range others {
-			if mix(other^u.hash) < own {
+			if mix(other^u.hash) < place {
 				before++
 			}
 		}
@@ -122,6 +180,28 @@
 	}
 }
 
+// spread makes a number of a router's key whose bits all depend on it.
+func spread(key messenger.Key) uint64 { return mix(uint64(key) + 1) }
+
+// fleetSize returns how many routers there are, this one included.
+func (a *Admitter) fleetSize() int {
+	n := 1
+	for _, p := range a.peers {
+		n += len(p.routers)
+	}
+	return n
+}
+
+// newsAge returns how old what is known of the other routers mostly is at the most.
+func (a *Admitter) newsAge() time.Duration {
+	for _, p := range a.peers {
+		if len(p.routers) > 1 {
+			return sumLag * a.shareEvery
+		}
+	}
+	return a.shareEvery
+}
+
 // hearParts notes the shared parts that another router sent to u.
 func (u *upstream) hearParts(now time.Time, parts []messenger.PartID) {
 	for _, part := range parts {
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -126,18 +126,24 @@
 	key := messenger.KeyOf(p.id)
 	contested, n := p.learnt, 1.0
 	var bases, perReads []float64
+	learn := func(base, perRead float64, routers int) {
+		for range routers {
+			bases, perReads = append(bases, base), append(perReads, perRead)
+		}
+	}
 	if p.model.learnt() {
-		bases, perReads = append(bases, p.model.base), append(perReads, p.model.perRead)
+		learn(p.model.base, p.model.perRead, 1)
 	}
 	for _, other := range peers {
 		d, ok := other.pools[key]
 		if !ok {
 			continue
 		}
-		contested += bound(float64(d.Contested), leastContested, mostContested)
-		n++
+		routers := len(other.routers)
+		contested += float64(routers) * bound(float64(d.Contested), leastContested, mostContested)
+		n += float64(routers)
 		if d.PerRead > 0 {
-			bases, perReads = append(bases, float64(d.Base)), append(perReads, float64(d.PerRead))
+			learn(float64(d.Base), float64(d.PerRead), routers)
 		}
 	}
 	p.contested = max(p.learnt, contested/n)
--- /dev/null
+++ b/internal/collector/collector_test.go
@@ -0,0 +1,149 @@
+package collector
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// loadOf returns what router i of a fleet runs: something of its own everywhere.
+func loadOf(i int) messenger.PeerLoad {
+	return messenger.PeerLoad{
+		From:    routerID(i),
+		Reserve: float32(i) / 100,
+		Upstreams: []messenger.UpstreamLoad{
+			{Upstream: 1, Running: uint32(i), Reading: 10, Parts: []messenger.PartID{messenger.PartID(i)}},
+			{Upstream: messenger.Key(100 + i), Running: 1},
+		},
+		Accounts: []messenger.AccountDemand{{Account: 7, Rate: uint32(i), Served: 1}},
+		Pools:    []messenger.PoolDemand{{Pool: 3, Contested: 0.5, Base: 0.02, PerRead: float32(i + 1)}},
+	}
+}
+
+func routerID(i int) messenger.RouterID { return messenger.RouterID(fmt.Sprint("r", i)) }
+
+// running returns what a load says of an upstream.
+func running(l messenger.PeerLoad, upstream messenger.Key) uint32 {
+	for _, u := range l.Upstreams {
+		if u.Upstream == upstream {
+			return u.Running
+		}
+	}
+	return 0
+}
+
+// fleetOf returns the digest that each of n routers gets, of which every fifth collects.
+func fleetOf(n int) map[int]messenger.PeerLoad {
+	const each = 5
+	collectors := make(map[int]*Collector)
+	for i := range n {
+		at := i - i%each
+		if at == i {
+			collectors[i] = &Collector{}
+			continue
+		}
+		collectors[at].Hear(epoch, routerID(i), loadOf(i), true)
+	}
+	for i, from := range collectors {
+		partial := from.peek(loadOf(i))
+		for j, to := range collectors {
+			if i != j {
+				to.Hear(epoch, routerID(i), partial, false)
+			}
+		}
+	}
+	digests := make(map[int]messenger.PeerLoad)
+	for i := range n {
+		if i%each != 0 {
+			digests[i] = collectors[i-i%each].peekRound(loadOf(i - i%each)).Without(routerID(i))
+		}
+	}
+	return digests
+}
+
+// peek returns a partial without ending the round.
+func (c *Collector) peek(own messenger.PeerLoad) messenger.PeerLoad {
+	return c.peekRound(own).Partial()
+}
+
+func (c *Collector) peekRound(own messenger.PeerLoad) *Round {
+	kept := make(map[messenger.RouterID]map[messenger.Key][]messenger.PartID)
+	for id, s := range c.sources {
+		kept[id] = s.parts
+	}
+	r := c.Round(own)
+	for id, s := range c.sources {
+		s.parts = kept[id]
+	}
+	return r
+}
+
+// TestEachRouterLearnsOfAllOthers has a fleet of sixty collect its loads: what each
+// router is told must be the sum over the fifty-nine others, no more and no less.
+func TestEachRouterLearnsOfAllOthers(t *testing.T) {
+	const n = 60
+	all := uint32(n * (n - 1) / 2)
+	for i, digest := range fleetOf(n) {
+		if got, want := running(digest, 1), all-uint32(i); got != want {
+			t.Fatalf("router %d: got %d requests of the others, want %d", i, got, want)
+		}
+		if got := running(digest, messenger.Key(100+i)); got != 0 {
+			t.Errorf("router %d: got %d of its own requests back, want none", i, got)
+		}
+		if got, want := digest.Accounts[0].Rate, all-uint32(i); got != want {
+			t.Errorf("router %d: got a demand of %d, want %d", i, got, want)
+		}
+		routers := slices.Clone(digest.Routers)
+		slices.Sort(routers)
+		if got := len(slices.Compact(routers)); got != n-1 || slices.Contains(routers, messenger.KeyOf(routerID(i))) {
+			t.Errorf("router %d: got %d other routers, want %d without itself", i, got, n-1)
+		}
+		if got := digest.Pools[0].PerRead; got < n/2-5 || got > n/2+5 {
+			t.Errorf("router %d: got a median of %v, want about %d", i, got, n/2)
+		}
+		if got := digest.Reserve; got != float32(n-1)/100 {
+			t.Errorf("router %d: got reserve %v, want the largest", i, got)
+		}
+	}
+}
+
+// TestPartsAreToldOnce has a router tell of shared parts in two reports of one round.
+func TestPartsAreToldOnce(t *testing.T) {
+	var c Collector
+	c.Hear(epoch, "r1", loadOf(1), true)
+	second := loadOf(1)
+	second.Upstreams[0].Parts = []messenger.PartID{50}
+	c.Hear(epoch, "r1", second, true)
+	got := c.Round(loadOf(0)).Partial()
+	slices.Sort(got.Upstreams[0].Parts)
+	if want := []messenger.PartID{0, 1, 50}; !slices.Equal(got.Upstreams[0].Parts, want) {
+		t.Errorf("got parts %v, want those of both reports: %v", got.Upstreams[0].Parts, want)
+	}
+	own := messenger.PeerLoad{From: routerID(0)}
+	for _, u := range c.Round(own).Partial().Upstreams {
+		if len(u.Parts) > 0 {
+			t.Errorf("got parts %v once more", u.Parts)
+		}
+	}
+}
+
+// TestSilentRouterCountsNoMore has one of two reporters fall silent and the other leave
+// for another collecting router.
+func TestSilentRouterCountsNoMore(t *testing.T) {
+	var c Collector
+	c.Hear(epoch, "r1", loadOf(1), true)
+	c.Hear(epoch.Add(time.Second), "r2", loadOf(2), true)
+	c.Expire(epoch.Add(time.Millisecond))
+	if got := c.Reporters(); !slices.Equal(got, []messenger.RouterID{"r2"}) {
+		t.Errorf("got reporters %v, want r2 alone", got)
+	}
+	c.Drop("r2")
+	if got := running(c.Round(messenger.PeerLoad{}).Partial(), 1); got != 0 {
+		t.Errorf("got %d requests of routers that are gone, want none", got)
+	}
+}
--- /dev/null
+++ b/internal/collector/sum.go
@@ -0,0 +1,145 @@
+package collector
+
+import (
+	"slices"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// sum adds up the loads of routers.
+type sum struct {
+	routers    []messenger.Key
+	upstreams  []messenger.UpstreamLoad
+	upstreamAt map[messenger.Key]int
+	accounts   []messenger.AccountDemand
+	accountAt  map[messenger.Key]int
+	pools      map[messenger.Key]*poolSum
+	reserve    float32
+}
+
+// poolSum adds up what routers learnt of one pool.
+type poolSum struct {
+	contested, weight float32
+	// bases and perReads are what those learnt that have seen enough.
+	bases, perReads []weighted
+}
+
+// weighted is a value that counts for some routers.
+type weighted struct {
+	value float32
+	n     int
+}
+
+func newSum() *sum {
+	return &sum{
+		upstreamAt: make(map[messenger.Key]int), accountAt: make(map[messenger.Key]int),
+		pools: make(map[messenger.Key]*poolSum),
+	}
+}
+
+// add takes in a load, with the parts that count instead of those in it; nil means the
+// latter do.
+func (s *sum) add(l messenger.PeerLoad, parts map[messenger.Key][]messenger.PartID) {
+	routers := l.Routers
+	if len(routers) == 0 {
+		routers = []messenger.Key{messenger.KeyOf(l.From)}
+	}
+	s.routers = append(s.routers, routers...)
+	s.reserve = max(s.reserve, l.Reserve)
+	for _, u := range l.Upstreams {
+		if parts != nil {
+			u.Parts = nil
+		}
+		s.addUpstream(u)
+	}
+	for upstream, ids := range parts {
+		s.addUpstream(messenger.UpstreamLoad{Upstream: upstream, Parts: ids})
+	}
+	for _, a := range l.Accounts {
+		s.addAccount(a)
+	}
+	for _, d := range l.Pools {
+		s.addPool(d, len(routers))
+	}
+}
+
+func (s *sum) addUpstream(u messenger.UpstreamLoad) {
+	i, ok := s.upstreamAt[u.Upstream]
+	if !ok {
+		s.upstreamAt[u.Upstream] = len(s.upstreams)
+		u.Parts = slices.Clone(u.Parts)
+		s.upstreams = append(s.upstreams, u)
+		return
+	}
+	to := &s.upstreams[i]
+	to.Running += u.Running
+	to.Reading += u.Reading
+	to.Parts = append(to.Parts, u.Parts...)
+}
+
+func (s *sum) addAccount(a messenger.AccountDemand) {
+	i, ok := s.accountAt[a.Account]
+	if !ok {
+		s.accountAt[a.Account] = len(s.accounts)
+		s.accounts = append(s.accounts, a)
+		return
+	}
+	s.accounts[i].Rate += a.Rate
+	s.accounts[i].Served += a.Served
+}
+
+// addPool takes in what some routers learnt of a pool.
+func (s *sum) addPool(d messenger.PoolDemand, routers int) {
+	p, ok := s.pools[d.Pool]
+	if !ok {
+		p = &poolSum{}
+		s.pools[d.Pool] = p
+	}
+	p.contested += d.Contested * float32(routers)
+	p.weight += float32(routers)
+	if d.PerRead > 0 {
+		p.bases = append(p.bases, weighted{value: d.Base, n: routers})
+		p.perReads = append(p.perReads, weighted{value: d.PerRead, n: routers})
+	}
+}
+
+// load returns the sum as one load, which is the caller's to change.
+func (s *sum) load(from messenger.RouterID) messenger.PeerLoad {
+	out := messenger.PeerLoad{
+		From: from, Routers: slices.Clone(s.routers), Reserve: s.reserve,
+		Upstreams: slices.Clone(s.upstreams), Accounts: slices.Clone(s.accounts),
+	}
+	for pool, p := range s.pools {
+		out.Pools = append(out.Pools, messenger.PoolDemand{
+			Pool: pool, Contested: p.contested / p.weight, Base: median(p.bases), PerRead: median(p.perReads),
+		})
+	}
+	return out
+}
+
+// median returns the value that half of the routers are at or below, or 0 if there is
+// none.
+func median(values []weighted) float32 {
+	values = slices.Clone(values)
+	slices.SortFunc(values, func(a, b weighted) int {
+		switch {
+		case a.value < b.value:
+			return -1
+		case a.value > b.value:
+			return 1
+		}
+		return 0
+	})
+	all := 0
+	for _, v := range values {
+		all += v.n
+	}
+	seen := 0
+	for _, v := range values {
+		seen += v.n
+		if 2*seen > all {
+			return v.value
+		}
+	}
+	return 0
+}
--- a/internal/follower/feed.go
+++ b/internal/follower/feed.go
@@ -48,7 +48,12 @@
 	// Pause returns how long changes are gathered after some came; nil means
 	// not at all.
 	Pause func() time.Duration
-	// Wake ends a time in which changes are gathered; nil never does.
+	// Rest returns for how long the table is left to other routers, which tell this one
+	// of changes, before the next call; nil or zero means not at all.
+	Rest func() time.Duration
+	// Known returns the newest version that other routers told of; nil means none.
+	Known func() uint64
+	// Wake ends a rest and a time in which changes are gathered; nil never does.
 	Wake <-chan struct{}
 	// Batches gets what was read.
 	Batches func(Batch)
@@ -64,6 +69,9 @@
 func (f *Feed) Run(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
+		if f.rest(ctx) {
+			continue
+		}
 		changed, err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -81,6 +89,25 @@
 	}
 }
 
+// rest leaves the table to other routers for a while and reports whether nothing asked
+// for a call meanwhile. A table that they tell of need not be read whole.
+func (f *Feed) rest(ctx context.Context) bool {
+	if f.Rest == nil {
+		return false
+	}
+	d := f.Rest()
+	if d <= 0 || f.failing {
+		return false
+	}
+	woken := f.sleep(ctx, d, f.Wake)
+	if f.Known != nil {
+		if known := f.Known(); known > 0 {
+			f.since, f.started = max(f.since, known), true
+		}
+	}
+	return !woken
+}
+
 // step makes one call. It returns whether rows have changed since the one before.
 func (f *Feed) step(ctx context.Context) (bool, error) {
 	if !f.started {
@@ -108,13 +135,16 @@
 	return len(b.Rows) > 0, nil
 }
 
-// sleep returns after a time, or once it is woken; a nil channel never wakes it.
-func (f *Feed) sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+// sleep returns after a time, or once it is woken, which it reports; a nil channel
+// never wakes it.
+func (f *Feed) sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) (woken bool) {
 	select {
 	case <-ctx.Done():
 	case <-f.Clock.After(d):
 	case <-wake:
+		return true
 	}
+	return false
 }
 
 func (f *Feed) read(ctx context.Context) error {
--- /dev/null
+++ b/internal/gossiper/collectors.go
@@ -0,0 +1,159 @@
+package gossiper
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// smallFleet is up to how many routers all tell each other what they do.
+	smallFleet = 12
+	// leastCollectors is how many routers of a failure domain collect at least, so that
+	// one of them can be lost.
+	leastCollectors = 2
+	// digestTimeout is after what time without a digest a router reports to another
+	// one, and failedFor how long it leaves the first alone.
+	digestTimeout = 300 * time.Millisecond
+	failedFor     = 3 * time.Second
+	// settledAfter is how long a router reports to one that collects before it may
+	// change to one that it would rather report to.
+	settledAfter = 4 * time.Second
+)
+
+// Collectors returns the routers that collect what all do: all of a small fleet, else
+// about as many as each then has reporters, spread over the failure domains. Those
+// with most processor time come first, then those with the lowest hashes.
+func Collectors(members []Member) []Member {
+	if len(members) <= smallFleet {
+		return slices.Clone(members)
+	}
+	domains := make(map[string][]Member)
+	for _, m := range members {
+		domains[m.Domain] = append(domains[m.Domain], m)
+	}
+	each := int(math.Round(math.Sqrt(float64(len(members))) / float64(len(domains))))
+	each = max(leastCollectors, each)
+	var chosen []Member
+	for _, members := range domains {
+		slices.SortFunc(members, byFitness)
+		chosen = append(chosen, members[:min(each, len(members))]...)
+	}
+	slices.SortFunc(chosen, byName)
+	return chosen
+}
+
+// byFitness puts the routers first that should rather collect.
+func byFitness(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(hash(a), hash(b)), byName(a, b))
+}
+
+// Reporter decides which of the routers that collect one router reports to. The zero
+// value reports to nobody yet.
+type Reporter struct {
+	current Member
+	since   time.Time
+	heard   time.Time
+	failed  map[string]time.Time
+}
+
+// Current returns the router that is reported to; its name is "" if there is none.
+func (r *Reporter) Current() Member { return r.current }
+
+// Heard notes that a router sent a digest.
+func (r *Reporter) Heard(now time.Time, from string) {
+	if from == r.current.Name {
+		r.heard = now
+	}
+}
+
+// Fail notes that a router no longer collects, as it leaves.
+func (r *Reporter) Fail(now time.Time, name string) {
+	if r.failed == nil {
+		r.failed = make(map[string]time.Time)
+	}
+	r.failed[name] = now
+}
+
+// InTouch reports whether a digest came of late.
+func (r *Reporter) InTouch(now time.Time) bool {
+	return !r.heard.IsZero() && now.Sub(r.heard) <= digestTimeout
+}
+
+// Pick returns the router that self reports to, of those that collect and of the
+// others that could if none of these answers. It changes if the one before fell silent,
+// or if another one has been preferable for a while.
+func (r *Reporter) Pick(now time.Time, self Member, collectors, others []Member) Member {
+	if r.current.Name != "" && now.Sub(later(r.since, r.heard)) > digestTimeout {
+		r.Fail(now, r.current.Name)
+	}
+	best, ok := r.best(now, self, collectors, others)
+	if !ok {
+		r.current = Member{}
+		return r.current
+	}
+	if best.Name == r.current.Name {
+		r.current = best
+		return best
+	}
+	if r.usable(now, r.current) && r.InTouch(now) && now.Sub(r.since) < settledAfter {
+		return r.current
+	}
+	r.current, r.since, r.heard = best, now, time.Time{}
+	return best
+}
+
+// best returns the router that self would rather report to than to all others: one of
+// its failure domain that collects; else the one there that should collect next, the
+// same for all; else one elsewhere.
+func (r *Reporter) best(now time.Time, self Member, collectors, others []Member) (Member, bool) {
+	near := func(m Member) bool { return m.Domain == self.Domain }
+	far := func(m Member) bool { return m.Domain != self.Domain }
+	byPair := func(a, b Member) int { return cmp.Compare(pairHash(a, self), pairHash(b, self)) }
+	for _, choice := range []struct {
+		members []Member
+		where   func(Member) bool
+		order   func(a, b Member) int
+	}{
+		{collectors, near, byPair}, {others, near, byFitness}, {collectors, far, byPair}, {others, far, byFitness},
+	} {
+		if m, ok := r.first(now, self, choice.members, choice.where, choice.order); ok {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// first returns the first of some routers that self may report to.
+func (r *Reporter) first(now time.Time, self Member, members []Member, where func(Member) bool, order func(a, b Member) int) (first Member, ok bool) {
+	for _, m := range members {
+		if m.Name == self.Name || !where(m) || !r.usable(now, m) {
+			continue
+		}
+		if !ok || order(m, first) < 0 {
+			first, ok = m, true
+		}
+	}
+	return first, ok
+}
+
+// usable reports whether a router has not failed of late.
+func (r *Reporter) usable(now time.Time, m Member) bool {
+	failed, ok := r.failed[m.Name]
+	if !ok {
+		return true
+	}
+	if now.Sub(failed) < failedFor {
+		return false
+	}
+	delete(r.failed, m.Name)
+	return true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/gossiper/collectors_test.go
@@ -0,0 +1,174 @@
+package gossiper
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// TestCollectorsGrowWithTheRoot has fleets of several sizes: all collect in a small one,
+// and in a large one so few that neither they nor those that report have much to hear.
+func TestCollectorsGrowWithTheRoot(t *testing.T) {
+	domains := []string{"a", "b", "c", "d", "e"}
+	for _, c := range []struct{ each, least, most int }{{2, 10, 10}, {12, 10, 10}, {59, 15, 20}, {80, 15, 25}} {
+		all := fleet(c.each, domains...)
+		chosen := Collectors(all)
+		if got := len(chosen); got < c.least || got > c.most {
+			t.Errorf("got %d routers of %d that collect, want %d to %d", got, len(all), c.least, c.most)
+		}
+		for _, domain := range domains {
+			if got := len(Near(Member{Domain: domain}, chosen)); got < leastCollectors {
+				t.Errorf("got %d that collect in a domain of %d, want at least %d", got, c.each, leastCollectors)
+			}
+		}
+	}
+}
+
+// TestCollectorsHaveProcessorTime has a few routers on larger VMs.
+func TestCollectorsHaveProcessorTime(t *testing.T) {
+	all := fleet(40, "a", "b")
+	for i := range all {
+		all[i].Weight = 192
+		if i%10 == 0 {
+			all[i].Weight = 800
+		}
+	}
+	for _, m := range Collectors(all) {
+		if m.Weight < 800 {
+			t.Errorf("got %s with weight %d chosen, want the large VMs", m.Name, m.Weight)
+		}
+	}
+}
+
+// reporters is a fleet in virtual time whose routers report to some that collect.
+type reporters struct {
+	all, chosen []Member
+	picked      map[string]*Reporter
+	dead        map[string]bool
+	now         time.Time
+}
+
+func newReporters(n int, domains ...string) *reporters {
+	f := &reporters{all: fleet(n, domains...), picked: make(map[string]*Reporter), dead: make(map[string]bool), now: epoch}
+	f.chosen = Collectors(f.all)
+	for _, m := range f.all {
+		if !slices.Contains(f.chosen, m) {
+			f.picked[m.Name] = &Reporter{}
+		}
+	}
+	return f
+}
+
+// run plays some rounds in which each router that lives reports and gets a digest.
+func (f *reporters) run(d time.Duration) {
+	const round = 80 * time.Millisecond
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(round) {
+		for _, m := range f.all {
+			r := f.picked[m.Name]
+			if r == nil || f.dead[m.Name] {
+				continue
+			}
+			if to := r.Pick(f.now, m, f.chosen, f.all); to.Name != "" && !f.dead[to.Name] {
+				r.Heard(f.now.Add(round/2), to.Name)
+			}
+		}
+	}
+}
+
+// inTouch returns how many of the routers that live hear of the others, and how many
+// live.
+func (f *reporters) inTouch() (heard, live int) {
+	for _, m := range f.all {
+		if r := f.picked[m.Name]; r != nil && !f.dead[m.Name] {
+			live++
+			if r.InTouch(f.now) {
+				heard++
+			}
+		}
+	}
+	return heard, live
+}
+
+// TestReportersFindAnother loses some of the routers that collect, one after the other
+// and together with whole failure domains.
+func TestReportersFindAnother(t *testing.T) {
+	for name, lost := range map[string]func(f *reporters, m Member) bool{
+		"one that collects":  func(f *reporters, m Member) bool { return m == f.chosen[0] },
+		"all of a domain":    func(f *reporters, m Member) bool { return m.Domain == "a" && slices.Contains(f.chosen, m) },
+		"a domain":           func(_ *reporters, m Member) bool { return m.Domain == "a" },
+		"half of all":        func(_ *reporters, m Member) bool { return hash(m)%2 == 0 },
+		"all that collect":   func(f *reporters, m Member) bool { return slices.Contains(f.chosen, m) },
+		"all but one domain": func(_ *reporters, m Member) bool { return m.Domain != "b" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newReporters(59, "a", "b", "c", "d", "e")
+			f.run(2 * time.Second)
+			if heard, live := f.inTouch(); heard != live {
+				t.Fatalf("got %d of %d routers in touch before anything happened", heard, live)
+			}
+			for _, m := range f.all {
+				if lost(f, m) {
+					f.dead[m.Name] = true
+				}
+			}
+			f.run(3 * time.Second)
+			if heard, live := f.inTouch(); heard < live*9/10 {
+				t.Errorf("got %d of %d routers in touch three seconds later, want nine tenths", heard, live)
+			}
+		})
+	}
+}
+
+// TestReportersSpread has each failure domain's routers report to all of those that
+// collect there, and to no others.
+func TestReportersSpread(t *testing.T) {
+	f := newReporters(59, "a", "b", "c", "d", "e")
+	f.run(time.Second)
+	load := make(map[string]int)
+	for _, m := range f.all {
+		if r := f.picked[m.Name]; r != nil {
+			load[r.Current().Name]++
+			if got := r.Current().Domain; got != m.Domain {
+				t.Errorf("%s reports into domain %s", m.Name, got)
+			}
+		}
+	}
+	for _, m := range f.chosen {
+		if got, fair := load[m.Name], len(f.picked)/len(f.chosen); got > 2*fair || got < fair/3 {
+			t.Errorf("got %d routers that report to %s, want about %d", got, m.Name, fair)
+		}
+	}
+}
+
+// TestReporterStaysWhereItIsServed has a better router appear, go and come back.
+func TestReporterStaysWhereItIsServed(t *testing.T) {
+	var r Reporter
+	self := Member{Name: "self", Domain: "a"}
+	near, far := Member{Name: "near", Domain: "a"}, Member{Name: "far", Domain: "b"}
+	changes, last := 0, ""
+	for step := range 200 {
+		now := epoch.Add(time.Duration(step) * 80 * time.Millisecond)
+		collectors := []Member{far}
+		if step/10%2 == 1 {
+			collectors = append(collectors, near)
+		}
+		to := r.Pick(now, self, collectors, nil)
+		r.Heard(now, to.Name)
+		if to.Name != last {
+			changes, last = changes+1, to.Name
+		}
+	}
+	if changes > 8 {
+		t.Errorf("got %d changes in 16 s, want one in a few seconds at most", changes)
+	}
+	r.Fail(epoch.Add(16*time.Second), last)
+	if to := r.Pick(epoch.Add(16*time.Second), self, []Member{near, far}, nil); to.Name == last {
+		t.Errorf("got %s again right after it said that it leaves", last)
+	}
+	if got := fmt.Sprint(r.Current().Name); got == "" {
+		t.Error("got nobody to report to")
+	}
+}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -30,6 +30,9 @@
 	Name string
 	// Domain is the failure domain that it stands in.
 	Domain string
+	// Weight is its processor time, in thousandths of a core; zero means that it does
+	// not say.
+	Weight int
 }
 
 // Targets returns the routers that are sent a message: near are those of the own
--- a/internal/loader/check.go
+++ b/internal/loader/check.go
@@ -96,6 +96,7 @@
 	atLeast(c, "retries.extra", s.Retries.Extra, 0)
 	atLeast(c, "retries.window", s.Retries.Window, 100*time.Millisecond)
 	atLeast(c, "memory", s.Memory, 0)
+	atLeast(c, "processor", s.Processor, 0)
 	checkPeerKey(c, s)
 	for i, peer := range s.SeedPeers {
 		c.address(parser.Index("seedPeers", i), peer)
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -35,9 +35,15 @@
 	// the interface "rows".
 	Retries Retries `json:"retries"`
 	// Memory is what the process may use, in MB; zero means no bound.
-	Memory  int     `json:"memory"`
-	Metrics Metrics `json:"metrics"`
-	Log     Log     `json:"log"`
+	Memory int `json:"memory"`
+	// Processor is the processor time that the VM has, in cores; zero means that it is
+	// not known. Used on a platform of the interface "rows".
+	Processor float64 `json:"processor"`
+	// FirstStart is true while the whole fleet starts for the first time; used on a
+	// platform of the interface "rows".
+	FirstStart bool    `json:"firstStart"`
+	Metrics    Metrics `json:"metrics"`
+	Log        Log     `json:"log"`
 }
 
 // Listeners are the addresses that a router serves.
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -161,6 +161,17 @@
 	Reserve float32
 	// Pools says how much of each pool's slots the routers are to divide.
 	Pools []PoolDemand
+	// Routers are the routers whose loads are added up here; none means that it is the
+	// load of From alone.
+	Routers []Key
+}
+
+// FleetSum is the sender of a load that adds up those of all other routers.
+const FleetSum RouterID = "*"
+
+// PeerLost says that what another router said of loads no longer counts.
+type PeerLost struct {
+	Router RouterID
 }
 
 // PoolDemand is what one router saw of the demand for one pool of engines.
@@ -209,4 +220,5 @@
 	Rate, Served uint32
 }
 
+func (PeerLost) isEvent() {}
 func (PeerLoad) isEvent() {}
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -12,6 +12,7 @@
 
 	"lentilwood.example/lentilwood/internal/admitter"
 	"lentilwood.example/lentilwood/internal/budgeter"
+	"lentilwood.example/lentilwood/internal/collector"
 	"lentilwood.example/lentilwood/internal/dispatcher"
 	"lentilwood.example/lentilwood/internal/exchanger"
 	"lentilwood.example/lentilwood/internal/follower"
@@ -40,10 +41,13 @@
 	// other router, up to longestFeedWait.
 	feedWaitPerPeer = 150 * time.Millisecond
 	longestFeedWait = 10 * time.Second
-	// gatherShort is how long a router that follows the store closely gathers
-	// changes before it asks again, gatherLong how long the others do.
-	gatherShort = 300 * time.Millisecond
-	gatherLong  = 10 * time.Second
+	// gatherTime is how long a router that follows the store closely gathers changes
+	// before it asks again, and restTime how long the others leave the store alone.
+	gatherTime = 300 * time.Millisecond
+	restTime   = time.Minute
+	// firstRows is how long a router waits for the rows that others read while the
+	// whole fleet starts.
+	firstRows = 3 * time.Second
 	// budgetShare bounds what is held for slow callers, as a part of the memory.
 	budgetShare = 8
 	// memoryShare is the part of the VM's memory that the runtime aims to stay
@@ -124,8 +128,11 @@
 	// refusedUnread counts the connections and requests that the listeners
 	// refused since that was logged.
 	refusedUnread atomic.Int64
-	// lagging is true if others follow the store for this router.
-	lagging atomic.Bool
+	// lagging is true if others follow the store for this router, collecting if it
+	// collects what others do.
+	lagging, collecting atomic.Bool
+	// known are the newest versions of the tables, for the goroutines that follow them.
+	known [2]atomic.Uint64
 	// lostTables counts the tables of the store that cannot be followed now.
 	lostTables atomic.Int32
 
@@ -142,6 +149,16 @@
 	// feeders are the routers that follow the store closely, and send the others
 	// what they lack.
 	feeders []gossiper.Member
+	// collector sums up what other routers tell; reporter decides which router this one
+	// reports to while it does not collect itself; chosen are the other routers that
+	// should collect.
+	collector collector.Collector
+	reporter  gossiper.Reporter
+	chosen    []gossiper.Member
+	// allTellAll is true in a small fleet, where each router tells each other one.
+	allTellAll bool
+	// strainedOthers counts the routers that send their callers elsewhere.
+	strainedOthers int
 	// pulls are asked for the tables that this router lacks rows of. The map itself
 	// never changes.
 	pulls map[follower.Table]*pull
@@ -209,8 +226,8 @@
 		return err
 	}
 	h.goroutines.Go(func() { h.control.run(h.background) })
-	for _, table := range rowTables {
-		h.follow(table)
+	for i, table := range rowTables {
+		h.follow(table, &h.known[i])
 	}
 	h.goroutines.Go(h.join)
 	h.log.WithFields(logrus.Fields{
@@ -220,14 +237,37 @@
 }
 
 // follow begins to follow a table of the platform's store.
-func (h *Hosted) follow(table follower.Table) {
+func (h *Hosted) follow(table follower.Table, known *atomic.Uint64) {
 	feed := &follower.Feed{
 		Source: h.cfg.Source, Table: table, Clock: h.clock, Log: h.log,
-		Wait: h.feedWait, Pause: h.feedPause, Wake: h.pulls[table].wake,
+		Wait: h.feedWait, Pause: func() time.Duration { return gatherTime }, Rest: h.feedRest,
+		Known: known.Load, Wake: h.pulls[table].wake,
 		Batches: func(b follower.Batch) { h.control.call(func() { h.merge(b) }) },
 		Noted:   h.noteStore,
 	}
-	h.goroutines.Go(func() { feed.Run(h.background) })
+	h.goroutines.Go(func() {
+		if h.settings.FirstStart {
+			h.awaitRows(known, h.pulls[table].wake)
+		}
+		feed.Run(h.background)
+	})
+}
+
+// awaitRows gives the routers that follow the store closely the time to send rows, in
+// place of each router's reading them while the whole fleet starts.
+func (h *Hosted) awaitRows(known *atomic.Uint64, wake <-chan struct{}) {
+	timeout := h.clock.After(firstRows)
+	for known.Load() == 0 {
+		select {
+		case <-h.background.Done():
+			return
+		case <-timeout:
+			return
+		case <-wake:
+			return
+		case <-h.clock.After(gatherTime):
+		}
+	}
 }
 
 // noteStore counts the tables that cannot be followed.
@@ -327,7 +367,11 @@
 // merge takes in rows of the store or of another router. It runs on the
 // control goroutine.
 func (h *Hosted) merge(b follower.Batch) {
-	if h.follower.Merge(h.clock.Now(), b) {
+	changed := h.follower.Merge(h.clock.Now(), b)
+	for i, table := range rowTables {
+		h.known[i].Store(h.follower.Version(table))
+	}
+	if changed {
 		h.publish()
 	}
 }
@@ -383,13 +427,13 @@
 	return min(wait, longestFeedWait)
 }
 
-// feedPause returns how long changes are gathered before the next call. In a
-// large fleet a few routers follow the store closely and tell the others.
-func (h *Hosted) feedPause() time.Duration {
+// feedRest returns how long this router leaves the store to others before it asks
+// again. In a large fleet a few routers follow the store closely and tell the others.
+func (h *Hosted) feedRest() time.Duration {
 	if h.lagging.Load() {
-		return gatherLong
+		return restTime
 	}
-	return gatherShort
+	return 0
 }
 
 // tick runs on the control goroutine at every tick.
@@ -399,8 +443,6 @@
 	}
 	h.watchStrain()
 	h.tellPeers()
-	h.tellRows()
-	h.pullRows()
 }
 
 // Shutdown makes the router not ready, goes on serving until the balancer has
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -18,16 +18,28 @@
 	// peerTimeout bounds one call to a router.
 	peerTimeout = 400 * time.Millisecond
 	// shareInterval is the time between two messages to the other routers, and
-	// sharePerPeer what each further router adds to it, so that what a router
-	// receives stays bounded.
+	// sharePerPeer what each further router adds to it while all tell all.
 	shareInterval = 120 * time.Millisecond
 	sharePerPeer  = 5 * time.Millisecond
+	// reportInterval is the time between two reports of a router that does not collect.
+	reportInterval = 80 * time.Millisecond
+	// rosterEvery is how many digests bring no list of the routers that collect
+	// between two that do.
+	rosterEvery = 8
+	// gathering is how long a fleet that starts takes to write its entries, and
+	// rosterAgain after what time a router that collects reads them once more.
+	gathering   = 600 * time.Millisecond
+	rosterAgain = 1500 * time.Millisecond
+	// reporterTTL is how long a report counts.
+	reporterTTL = time.Second
 	// leastSilence is after what time a router counts as silent, and
 	// missedMessages how many of its messages may be missing in a large fleet; it is
 	// then tried again every retryInterval only.
 	leastSilence   = 2 * time.Second
 	missedMessages = 4
 	retryInterval  = time.Second
+	// coreWeight is the weight of a router with a whole core.
+	coreWeight = 1000
 	// joinPause is the wait between two tries to join the fleet.
 	joinPause = 500 * time.Millisecond
 	// directoryTimeout bounds a call to the directory, withdrawTimeout the last
@@ -43,6 +55,8 @@
 	Address     string   `json:"address"`
 	Domain      string   `json:"domain"`
 	Incarnation uint64   `json:"incarnation"`
+	// Weight is the processor time of its VM, in thousandths of a core.
+	Weight int `json:"weight"`
 }
 
 // hostedEnvelope is one message between hosted routers. Codecs write it as an
@@ -50,6 +64,8 @@
 type hostedEnvelope struct {
 	_    struct{} `codec:",toarray"`
 	From Member
+	// Kind says what the sender wants with its load.
+	Kind messageKind
 	// Sequence numbers the sender's messages: relays may deliver them out of order.
 	Sequence uint64
 	// Relay asks the receiver to pass the message on in its failure domain.
@@ -57,17 +73,39 @@
 	// Leaving is true if the sender is about to stop, Strained if it sends its
 	// callers elsewhere, StoreLost if it cannot follow the platform's store.
 	Leaving, Strained, StoreLost bool
-	// Configuration and Registrations are the newest versions that the sender
-	// has of the two tables.
+	// StrainedRouters counts the routers in Load that send their callers elsewhere.
+	StrainedRouters uint32
+	// Configuration and Registrations are the newest versions of the two tables that
+	// the sender has, or in a digest that it heard of.
 	Configuration, Registrations uint64
-	// Load is nil in a message that only brings rows.
+	// Load is nil in a message that brings none.
 	Load *messenger.PeerLoad
 	// Rows are what the receiver lacks.
 	Rows []follower.Row
 	// Departures are the upstreams that said themselves that they leave.
 	Departures []follower.Departure
+	// Collectors are the routers that collect, as far as the sender knows.
+	Collectors []Member
 }
 
+// messageKind is what a message between routers is for.
+type messageKind uint8
+
+const (
+	// exchanged messages tell what the sender and those that report to it do.
+	exchanged messageKind = iota
+	// reported messages tell what the sender does, and ask for digests.
+	reported
+	// digested messages tell what all routers but the receiver do.
+	digested
+	// parted messages tell that the sender reports to another router now.
+	parted
+	// greeting messages only ask which routers there are.
+	greeting
+	// introduced messages answer that, or bring rows.
+	introduced
+)
+
 // hostedPeer is another router.
 type hostedPeer struct {
 	member  Member
@@ -75,9 +113,14 @@
 	tried   time.Time
 	live    bool
 	leaving bool
-	// strained is true while it sends its callers elsewhere, storeLost while it
-	// cannot follow the platform's store.
+	// collects is true if it tells this router what it and others do, reports if it
+	// reports to this router.
+	collects, reports bool
+	// strained is true while it sends its callers elsewhere, and strainedRouters
+	// counts those of which it told that do; storeLost is true while it cannot follow
+	// the platform's store.
 	strained, storeLost bool
+	strainedRouters     int
 	// incarnation and sequence are those of its last message.
 	incarnation, sequence uint64
 	// versions are the newest that it said it has.
@@ -88,20 +131,25 @@
 }
 
 // id returns how the decisions about the fleet know the router.
-func (m Member) id() gossiper.Member { return gossiper.Member{Name: m.Name, Domain: m.Domain} }
+func (m Member) id() gossiper.Member {
+	return gossiper.Member{Name: m.Name, Domain: m.Domain, Weight: m.Weight}
+}
 
 // join announces this router and learns of the others, until both succeed.
 func (h *Hosted) join() {
-	for {
-		if h.tryJoin() {
-			return
-		}
-		select {
-		case <-h.background.Done():
+	for !h.tryJoin() {
+		if h.background.Err() != nil {
 			return
-		case <-h.clock.After(joinPause):
 		}
+		h.pause(joinPause)
 	}
+	h.pause(rosterAgain)
+	if !h.collecting.Load() || h.background.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(h.background, directoryTimeout)
+	defer cancel()
+	h.readRoster(ctx)
 }
 
 func (h *Hosted) tryJoin() bool {
@@ -112,6 +160,22 @@
 		h.log.WithField(eventField, "join").WithError(err).Info("entry not written yet")
 		return false
 	}
+	if h.settings.FirstStart {
+		h.pause(gathering)
+	}
+	return h.readRoster(ctx)
+}
+
+// pause waits for a time, or until the router stops.
+func (h *Hosted) pause(d time.Duration) {
+	select {
+	case <-h.background.Done():
+	case <-h.clock.After(d):
+	}
+}
+
+// readRoster learns from the directory which routers there are.
+func (h *Hosted) readRoster(ctx context.Context) bool {
 	members, err := h.cfg.Directory.Members(ctx)
 	if err != nil {
 		h.log.WithField(eventField, "join").WithError(err).Info("routers not known yet, or not all")
@@ -131,6 +195,7 @@
 	return Member{
 		Name: string(h.self), Address: h.exchanger.Addr(),
 		Domain: h.settings.FailureDomain, Incarnation: h.incarnation,
+		Weight: int(h.settings.Processor * coreWeight),
 	}
 }
 
@@ -143,8 +208,7 @@
 	if !ok {
 		p = &hostedPeer{member: m, versions: make(map[follower.Table]uint64)}
 		h.peers[m.Name] = p
-		h.budget.SetRouters(len(h.peers) + 1)
-		h.peerCount.Store(int64(len(h.peers)))
+		h.setFleetSize(len(h.peers) + 1)
 	}
 	if m.Incarnation >= p.member.Incarnation || m.Address != p.member.Address {
 		p.member = m
@@ -169,11 +233,32 @@
 	if len(e.Rows) > 0 {
 		h.mergePeerRows(p, e.Rows)
 	}
-	if e.Load != nil && p.isNext(e) {
+	h.meetCollectors(e.Collectors)
+	switch {
+	case e.Kind == greeting:
+		h.introduce(p)
+	case e.Kind == parted:
+		h.dropReporter(p)
+	case e.Load != nil && p.isNext(e):
 		h.learnState(p, e)
 	}
 }
 
+// meetCollectors takes in which routers collect.
+func (h *Hosted) meetCollectors(members []Member) {
+	for _, m := range members {
+		if p := h.meet(m); p != nil {
+			p.collects = true
+		}
+	}
+}
+
+// introduce tells a router that knows nobody which routers collect.
+func (h *Hosted) introduce(p *hostedPeer) {
+	e := hostedEnvelope{From: h.member(), Kind: introduced, Collectors: h.collectorList()}
+	_ = h.exchanger.Send(p.member.Address, e) // it asks again if it still knows nobody
+}
+
 // isNext reports whether a message is newer than those before it.
 func (p *hostedPeer) isNext(e hostedEnvelope) bool {
 	if e.From.Incarnation == p.incarnation && e.Sequence <= p.sequence {
@@ -183,17 +268,52 @@
 	return true
 }
 
-// learnState takes in what a router says of itself.
+// learnState takes in what a router says of itself, and of others.
 func (h *Hosted) learnState(p *hostedPeer, e hostedEnvelope) {
 	p.leaving, p.strained, p.storeLost = e.Leaving, e.Strained, e.StoreLost
+	p.strainedRouters = int(e.StrainedRouters)
 	p.versions[follower.ConfigurationTable] = e.Configuration
 	p.versions[follower.RegistrationTable] = e.Registrations
 	h.hearDepartures(e)
 	load := *e.Load // the message itself may be on its way to those it is relayed to
 	load.From = messenger.RouterID(e.From.Name)
+	switch e.Kind {
+	case digested:
+		h.hearDigest(p, load)
+	case reported:
+		p.reports, p.collects = true, false
+		h.collector.Hear(h.clock.Now(), load.From, load, true)
+		h.control.handle(load)
+	default:
+		p.reports, p.collects = false, true
+		h.collector.Hear(h.clock.Now(), load.From, load, false)
+		h.control.handle(load)
+	}
+}
+
+// hearDigest takes in what all other routers do, from the one that is reported to.
+func (h *Hosted) hearDigest(p *hostedPeer, load messenger.PeerLoad) {
+	p.collects = true
+	now := h.clock.Now()
+	h.reporter.Heard(now, p.member.Name)
+	if p.leaving {
+		h.reporter.Fail(now, p.member.Name)
+	}
+	if h.collecting.Load() || p.member.Name != h.reporter.Current().Name {
+		return
+	}
+	load.From = messenger.FleetSum
+	h.setFleetSize(1 + len(load.Routers))
 	h.control.handle(load)
 }
 
+// dropReporter forgets the load of a router that reports to another one now.
+func (h *Hosted) dropReporter(p *hostedPeer) {
+	p.reports = false
+	h.collector.Drop(messenger.RouterID(p.member.Name))
+	h.control.handle(messenger.PeerLost{Router: messenger.RouterID(p.member.Name)})
+}
+
 // hearDepartures takes in which upstreams told another router that they leave.
 func (h *Hosted) hearDepartures(e hostedEnvelope) {
 	news := false
@@ -208,102 +328,19 @@
 	}
 }
 
-// tellPeers sends the others what they should know.
-func (h *Hosted) tellPeers() {
-	now := h.clock.Now()
-	if now.Sub(h.shared) < h.shareEvery() {
-		return
-	}
-	h.shared = now
-	if len(h.peers) == 0 {
-		h.trySeeds()
-		return
-	}
-	h.forgetSilentPeers(now)
-	h.assignFollowers()
-	load := h.admitter.Share(now)
-	h.sequence++
-	e := hostedEnvelope{
-		From: h.member(), Sequence: h.sequence, Leaving: h.draining.Load(), Strained: h.strained.Load(),
-		StoreLost:     h.lostTables.Load() > 0,
-		Configuration: h.follower.Version(follower.ConfigurationTable),
-		Registrations: h.follower.Version(follower.RegistrationTable),
-		Load:          &load, Departures: h.follower.Departures(),
-	}
-	near, relays := gossiper.Targets(h.member().id(), h.liveMembers(), h.sequence)
-	h.send(near, e)
-	h.trySilent(now, e)
-	e.Relay = true
-	h.send(relays, e)
-}
-
-// relay passes a message on to the routers of the own failure domain.
-func (h *Hosted) relay(e hostedEnvelope) {
-	e.Relay = false
-	h.meter.Counter("lentilwood_peer_messages_total{event=\"relayed\"}").Inc()
-	h.send(gossiper.Near(h.member().id(), h.liveMembers()), e)
-}
-
-func (h *Hosted) send(to []gossiper.Member, e hostedEnvelope) {
-	for _, m := range to {
-		if m.Name == e.From.Name {
-			continue
-		}
-		_ = h.exchanger.Send(h.peers[m.Name].member.Address, e) // a dropped message is said again with the next share
-	}
-}
-
-// liveMembers returns the routers that are heard.
-func (h *Hosted) liveMembers() []gossiper.Member {
-	members := make([]gossiper.Member, 0, len(h.peers))
-	for _, p := range h.peers {
-		if p.live {
-			members = append(members, p.member.id())
-		}
-	}
-	return members
-}
-
-// forgetSilentPeers notes which routers are no longer heard.
-func (h *Hosted) forgetSilentPeers(now time.Time) {
-	limit := h.silentAfter()
-	for _, p := range h.peers {
-		if !p.live || now.Sub(p.heard) <= limit {
-			continue
-		}
-		p.live = false
-		h.log.WithFields(logrus.Fields{eventField: "peer", "peer": p.member.Name, "live": false, "age": now.Sub(p.heard)}).Info("router silent")
-	}
-}
-
-// silentAfter returns after what time a router counts as silent. In a large fleet
-// routers speak less often.
-func (h *Hosted) silentAfter() time.Duration {
-	return max(leastSilence, missedMessages*h.shareEvery())
-}
-
-// shareEvery returns the time between two messages to the other routers.
-func (h *Hosted) shareEvery() time.Duration {
-	return shareInterval + sharePerPeer*time.Duration(len(h.peers))
-}
-
-// trySilent sends a message to the routers that are not heard, from time to time.
-func (h *Hosted) trySilent(now time.Time, e hostedEnvelope) {
-	for _, p := range h.peers {
-		if p.live || now.Sub(p.tried) < retryInterval {
-			continue
-		}
-		p.tried = now
-		_ = h.exchanger.Send(p.member.Address, e) // tried again after the interval
-	}
+// setFleetSize notes how many routers there are, at least as many as are known by name.
+func (h *Hosted) setFleetSize(n int) {
+	n = max(n, len(h.peers)+1)
+	h.budget.SetRouters(n)
+	h.peerCount.Store(int64(n - 1))
 }
 
-// trySeeds greets the routers that the settings name, in case the directory
+// greetSeeds greets the routers that the settings name, in case the directory
 // can't be reached.
-func (h *Hosted) trySeeds() {
+func (h *Hosted) greetSeeds() {
 	for _, address := range h.settings.SeedPeers {
 		if address != h.exchanger.Addr() {
-			_ = h.exchanger.Send(address, hostedEnvelope{From: h.member()}) // said again with the next share
+			_ = h.exchanger.Send(address, hostedEnvelope{From: h.member(), Kind: greeting}) // said again with the next share
 		}
 	}
 }
--- a/internal/router/hostedrows.go
+++ b/internal/router/hostedrows.go
@@ -49,14 +49,15 @@
 }
 
 // assignFollowers works out which of the routers that reach the store follow it
-// closely, and whether this one leaves it to them: only if there are enough.
+// closely, and whether this one leaves it to them: only if there are enough, or if
+// another router collects for it and tells it so.
 func (h *Hosted) assignFollowers() {
 	var candidates []gossiper.Member
-	if h.lostTables.Load() == 0 {
+	if h.lostTables.Load() == 0 && h.collecting.Load() {
 		candidates = append(candidates, h.member().id())
 	}
 	for _, p := range h.peers {
-		if p.live && !p.leaving && !p.storeLost {
+		if p.live && p.collects && !p.leaving && !p.storeLost {
 			candidates = append(candidates, p.member.id())
 		}
 	}
@@ -66,23 +67,32 @@
 	}
 	h.feeders = gossiper.Followers(candidates, n)
 	lagging := len(h.feeders) == n && !slices.Contains(h.feeders, h.member().id())
+	if !h.collecting.Load() && len(h.peers) > 0 {
+		lagging = h.reporter.InTouch(h.clock.Now())
+	}
 	if h.lagging.Swap(lagging) && !lagging {
-		for _, pull := range h.pulls {
-			pull.ask()
-		}
+		h.askStore()
 	}
 }
 
-// tellRows sends rows to the routers that lack some for a while now.
-func (h *Hosted) tellRows() {
-	if h.lagging.Load() {
-		return
+// askStore ends the rest of those that follow the tables.
+func (h *Hosted) askStore() {
+	for _, pull := range h.pulls {
+		pull.ask()
 	}
+}
+
+// tellRows sends rows to the routers that lack some: at once to those that report
+// here, and to the others that collect if they lack them for a while now.
+func (h *Hosted) tellRows() {
 	now := h.clock.Now()
 	for _, p := range h.peers {
+		if h.lagging.Load() && !p.reports {
+			continue
+		}
 		if rows := h.lacking(now, p); len(rows) > 0 {
 			p.rowsSent = now
-			_ = h.exchanger.Send(p.member.Address, hostedEnvelope{From: h.member(), Rows: rows}) // sent again if it still lacks them
+			_ = h.exchanger.Send(p.member.Address, hostedEnvelope{From: h.member(), Kind: introduced, Rows: rows}) // sent again if it still lacks them
 		}
 	}
 }
@@ -98,11 +108,14 @@
 		p.behindSince = now
 	}
 	waited := now.Sub(p.behindSince)
+	if p.reports {
+		waited = max(waited, behindBefore)
+	}
 	if waited < behindBefore || now.Sub(p.rowsSent) < max(rowsAgain, messagesBetween*h.shareEvery()) {
 		return nil
 	}
 	steps := min(mostSteps, gossiper.Rank(h.feeders, h.member().id(), p.member.id()))
-	if waited < behindBefore+behindStep*time.Duration(steps) {
+	if !p.reports && waited < behindBefore+behindStep*time.Duration(steps) {
 		return nil
 	}
 	var rows []follower.Row
--- a/internal/router/hostedrows_test.go
+++ b/internal/router/hostedrows_test.go
@@ -24,15 +24,17 @@
 	return messenger.UpstreamPolicy{}, nil
 }
 
-// largeFleet returns a router, not started, that hears n others, all at a version.
+// largeFleet returns a router, not started, that collects and hears n others that do,
+// all at a version.
 func largeFleet(t *testing.T, name string, n int, version uint64) (*Hosted, *timekeeper.Manual) {
 	t.Helper()
 	clock := timekeeper.NewManual(time.Unix(1_700_000_000, 0))
 	h := NewHosted(HostedConfig{Settings: loader.Router{Name: name, FailureDomain: "a"}, Decoder: blankDecoder{}, Clock: clock})
 	h.exchanger = exchanger.New(exchanger.Config[hostedEnvelope]{Name: name})
+	h.collecting.Store(true)
 	for i := range n {
 		p := h.meet(Member{Name: fmt.Sprint("p", i), Domain: "b"})
-		p.live = true
+		p.live, p.collects = true, true
 		p.versions[follower.RegistrationTable] = version
 	}
 	h.follower.Merge(clock.Now(), follower.Batch{
--- a/internal/router/strain.go
+++ b/internal/router/strain.go
@@ -104,13 +104,7 @@
 // watchStrain lets an overloaded router turn away callers or, while only a few
 // routers do so, leave the rotation.
 func (h *Hosted) watchStrain() {
-	others := 0
-	for _, p := range h.peers {
-		if p.live && p.strained {
-			others++
-		}
-	}
-	allowed := others < len(h.peers)/strainedShare
+	allowed := h.strainedOthers < int(h.peerCount.Load())/strainedShare
 	before := h.strain.turnedAway
 	on := h.strain.note(h.clock.Now(), allowed)
 	h.setTurnedAway(before, h.strain.turnedAway)
