Rows go on at once to routers that leave the store to others

Seen in the logs of a failure domain: rows come every 1.1 s. Change: what was sent is remembered, so that newer rows follow at once and the same ones only after a second; routers that do not follow the store themselves are not waited for. TestRowsGoOnAtOnce failed before; the check of the order of senders stays for routers that follow the store.

--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -126,8 +126,9 @@
 	// versions are the newest that it said it has.
 	versions map[follower.Table]uint64
 	// behindSince is when it was first seen to have less than this router, and
-	// rowsSent when it was last sent what it lacks.
+	// rowsSent when it was last sent what it lacks, up to the versions in sent.
 	behindSince, rowsSent time.Time
+	sent                  map[follower.Table]uint64
 }
 
 // id returns how the decisions about the fleet know the router.
--- a/internal/router/hostedrows.go
+++ b/internal/router/hostedrows.go
@@ -15,8 +15,8 @@
 	// makes several calls a second while much changes. Up to smallFleet routers all do.
 	followers  = 6
 	smallFleet = 10
-	// behindBefore is how long a router must lag behind before it is sent rows: most
-	// have them from the store by then. behindStep is how much longer each further
+	// behindBefore is how long a router that follows the store itself must lag behind
+	// before it is sent rows: most have them by then. behindStep is how much longer each further
 	// router waits that could send them, up to mostSteps.
 	behindBefore = 300 * time.Millisecond
 	behindStep   = 400 * time.Millisecond
@@ -97,34 +97,56 @@
 	}
 }
 
-// lacking returns the rows that a router lacks for a while now, if it is for this
-// one to send them.
+// lacking returns the rows that a router lacks, if it is for this one to send them now.
 func (h *Hosted) lacking(now time.Time, p *hostedPeer) []follower.Row {
 	if !h.isBehind(p) {
-		p.behindSince = time.Time{}
+		p.behindSince, p.sent = time.Time{}, nil
 		return nil
 	}
 	if p.behindSince.IsZero() {
 		p.behindSince = now
 	}
-	waited := now.Sub(p.behindSince)
-	if p.reports {
-		waited = max(waited, behindBefore)
-	}
-	if waited < behindBefore || now.Sub(p.rowsSent) < max(rowsAgain, messagesBetween*h.shareEvery()) {
+	if now.Sub(p.behindSince) < h.rowsAfter(p) {
 		return nil
 	}
-	steps := min(mostSteps, gossiper.Rank(h.feeders, h.member().id(), p.member.id()))
-	if !p.reports && waited < behindBefore+behindStep*time.Duration(steps) {
-		return nil
+	if now.Sub(p.rowsSent) >= max(rowsAgain, messagesBetween*h.shareEvery()) {
+		p.sent = nil // what was sent before got lost
 	}
 	var rows []follower.Row
 	for _, table := range rowTables {
-		rows = append(rows, h.follower.Since(table, p.versions[table])...)
+		rows = append(rows, h.follower.Since(table, max(p.versions[table], p.sent[table]))...)
+	}
+	if len(rows) > 0 {
+		p.sent = h.ownVersions()
 	}
 	return rows
 }
 
+// rowsAfter returns how long a router must lag behind before this one sends it rows.
+// One that reports here gets them at once; of the routers that follow the store one
+// after the other tries; and one that follows the store itself has them by then for
+// the most part.
+func (h *Hosted) rowsAfter(p *hostedPeer) time.Duration {
+	if p.reports {
+		return 0
+	}
+	steps := min(mostSteps, gossiper.Rank(h.feeders, h.member().id(), p.member.id()))
+	after := behindStep * time.Duration(steps)
+	if slices.Contains(h.feeders, p.member.id()) {
+		after += behindBefore
+	}
+	return after
+}
+
+// ownVersions returns the newest versions of the tables that this router has.
+func (h *Hosted) ownVersions() map[follower.Table]uint64 {
+	versions := make(map[follower.Table]uint64, len(rowTables))
+	for _, table := range rowTables {
+		versions[table] = h.follower.Version(table)
+	}
+	return versions
+}
+
 func (h *Hosted) isBehind(p *hostedPeer) bool {
 	if !p.live {
 		return false
--- a/internal/router/hostedrows_test.go
+++ b/internal/router/hostedrows_test.go
@@ -74,8 +74,9 @@
 	}
 }
 
-// TestOneRouterSendsRows has a router lag behind: of those that could send it rows
-// one does so at once, and the next only after it had time to.
+// TestOneRouterSendsRows has a router lag behind that follows the store itself: of those
+// that could send it rows one does so once it had time to read them, and the next only
+// after that one had time to send them.
 func TestOneRouterSendsRows(t *testing.T) {
 	sent := make(map[int]int)
 	const fleet = 9
@@ -83,7 +84,7 @@
 		h, clock := largeFleet(t, fmt.Sprint("self", i), 1, 1)
 		h.follower.Merge(clock.Now(), follower.Batch{Table: follower.RegistrationTable, Version: 2, Rows: []follower.Row{{Table: follower.RegistrationTable, Key: "k", Version: 2}}})
 		p := h.peers["p0"]
-		h.feeders = nil
+		h.feeders = []gossiper.Member{p.member.id()}
 		for j := range fleet {
 			h.feeders = append(h.feeders, gossiper.Member{Name: fmt.Sprint("self", j), Domain: "a"})
 		}
@@ -110,6 +111,33 @@
 	}
 }
 
+// TestRowsGoOnAtOnce has changes come one after the other to a router that others report
+// to, which leave the store to it: each must be on its way at once, and again if nothing
+// is heard of it, but not with every message.
+func TestRowsGoOnAtOnce(t *testing.T) {
+	h, clock := largeFleet(t, "self", 1, 1)
+	p := h.peers["p0"]
+	p.collects, p.reports = false, true
+	for version := uint64(2); version < 8; version++ {
+		h.follower.Merge(clock.Now(), follower.Batch{Table: follower.RegistrationTable, Version: version, Rows: []follower.Row{
+			{Table: follower.RegistrationTable, Key: fmt.Sprint("k", version), Version: version},
+		}})
+		rows := h.lacking(clock.Now(), p)
+		if len(rows) != 1 || rows[0].Version != version {
+			t.Fatalf("got rows %+v, want the one of version %d alone", rows, version)
+		}
+		p.rowsSent = clock.Now()
+		clock.Advance(100 * time.Millisecond)
+		if rows := h.lacking(clock.Now(), p); len(rows) != 0 {
+			t.Fatalf("got rows %+v sent again after 100 ms", rows)
+		}
+	}
+	clock.Advance(rowsAgain)
+	if got := len(h.lacking(clock.Now(), p)); got != 6 {
+		t.Errorf("got %d rows once nothing was heard for a second, want all 6 that it lacks again", got)
+	}
+}
+
 // TestRouterAsksTheStoreWhenNobodySendsRows has others know a newer version.
 func TestRouterAsksTheStoreWhenNobodySendsRows(t *testing.T) {
 	h, clock := largeFleet(t, "self", 40, 1)
