Who collects is settled by the roster alone, and only known after it is read

Rows went from reporters to collecting routers as well, and most routers read the store at the start all the same.

--- a/internal/admitter/engine_test.go
+++ b/internal/admitter/engine_test.go
@@ -76,7 +76,11 @@
 	shareAt       time.Time
 	// shareEvery is the time between two messages of a router to the others.
 	shareEvery time.Duration
-	policy     *messenger.Policy
+	// collected is true if some routers collect what all do; see collected_test.go.
+	collected bool
+	collects  []simCollector
+	messages  []simMessage
+	policy    *messenger.Policy
 }
 
 func newSim(t *testing.T, routers, engines, slots int, throughput float64) *sim {
@@ -227,6 +231,10 @@
 			s.tell(i, messenger.Tick{})
 		}
 	}
+	if s.collected {
+		s.collect()
+		return
+	}
 	if s.now.Sub(s.shareAt) >= s.shareEvery {
 		s.shareAt = s.now
 		s.gossip()
--- a/internal/follower/feed.go
+++ b/internal/follower/feed.go
@@ -23,9 +23,10 @@
 	answerSlack = 400 * time.Millisecond
 	// readTimeout bounds reading a whole table.
 	readTimeout = 2 * time.Second
-	// firstPause and longestPause bound the pause after a failed call.
-	firstPause   = 100 * time.Millisecond
-	longestPause = 400 * time.Millisecond
+	// firstPause is the pause after a failed call, which doubles up to DefaultRetry.
+	firstPause = 100 * time.Millisecond
+	// DefaultRetry is the longest pause after a failed call.
+	DefaultRetry = 400 * time.Millisecond
 )
 
 // Source is the platform's store as a Feed reads it.
@@ -53,6 +54,8 @@
 	Rest func() time.Duration
 	// Known returns the newest version that other routers told of; nil means none.
 	Known func() uint64
+	// Retry returns the longest pause after a failed call; nil means DefaultRetry.
+	Retry func() time.Duration
 	// Wake ends a rest and a time in which changes are gathered; nil never does.
 	Wake <-chan struct{}
 	// Batches gets what was read.
@@ -85,10 +88,17 @@
 			continue
 		}
 		f.sleep(ctx, pause, nil)
-		pause = min(2*pause, longestPause)
+		pause = min(2*pause, f.longestPause())
 	}
 }
 
+func (f *Feed) longestPause() time.Duration {
+	if f.Retry == nil {
+		return DefaultRetry
+	}
+	return f.Retry()
+}
+
 // rest leaves the table to other routers for a while and reports whether nothing asked
 // for a call meanwhile. A table that they tell of need not be read whole.
 func (f *Feed) rest(ctx context.Context) bool {
--- a/internal/gossiper/collectors.go
+++ b/internal/gossiper/collectors.go
@@ -13,10 +13,13 @@
 	// leastCollectors is how many routers of a failure domain collect at least, so that
 	// one of them can be lost.
 	leastCollectors = 2
-	// digestTimeout is after what time without a digest a router reports to another
-	// one, and failedFor how long it leaves the first alone.
+	// digestTimeout is after what time without a digest a router reports to another one.
 	digestTimeout = 300 * time.Millisecond
-	failedFor     = 3 * time.Second
+	// backAfter is how long after it failed a router must be said to collect before it
+	// is reported to again: that it failed is not known everywhere at once. Without such
+	// a word it is tried again after tryAgain.
+	backAfter = 3 * time.Second
+	tryAgain  = 30 * time.Second
 	// settledAfter is how long a router reports to one that collects before it may
 	// change to one that it would rather report to.
 	settledAfter = 4 * time.Second
@@ -81,7 +84,14 @@
 	return !r.heard.IsZero() && now.Sub(r.heard) <= digestTimeout
 }
 
-// Pick returns the router that self reports to, of those that collect and of the
+// Said notes that a router is said to collect.
+func (r *Reporter) Said(now time.Time, name string) {
+	if failed, ok := r.failed[name]; ok && now.Sub(failed) >= backAfter {
+		delete(r.failed, name)
+	}
+}
+
+// Pick returns the router that self reports to, of those that should collect and of the
 // others that could if none of these answers. It changes if the one before fell silent,
 // or if another one has been preferable for a while.
 func (r *Reporter) Pick(now time.Time, self Member, collectors, others []Member) Member {
@@ -144,7 +154,7 @@
 	if !ok {
 		return true
 	}
-	if now.Sub(failed) < failedFor {
+	if now.Sub(failed) < tryAgain {
 		return false
 	}
 	delete(r.failed, m.Name)
--- a/internal/gossiper/collectors_test.go
+++ b/internal/gossiper/collectors_test.go
@@ -1,7 +1,6 @@
 package gossiper
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -168,7 +167,36 @@
 	if to := r.Pick(epoch.Add(16*time.Second), self, []Member{near, far}, nil); to.Name == last {
 		t.Errorf("got %s again right after it said that it leaves", last)
 	}
-	if got := fmt.Sprint(r.Current().Name); got == "" {
-		t.Error("got nobody to report to")
+}
+
+// TestFailedCollectorIsTriedOnceItIsBack has the router that one reports to die and
+// start again: it must not be tried while it is dead, and be reported to once others say
+// that it collects.
+func TestFailedCollectorIsTriedOnceItIsBack(t *testing.T) {
+	var r Reporter
+	self := Member{Name: "self", Domain: "a"}
+	first, second := Member{Name: "first", Domain: "a"}, Member{Name: "second", Domain: "b"}
+	chosen := []Member{first, second}
+	died, back := 2*time.Second, 10*time.Second
+	misses := 0
+	for at := time.Duration(0); at < 20*time.Second; at += 80 * time.Millisecond {
+		now := epoch.Add(at)
+		lives := at < died || at >= back
+		if at < died+2*time.Second || at >= back {
+			r.Said(now, first.Name) // others notice its silence late
+		}
+		to := r.Pick(now, self, chosen, nil)
+		switch {
+		case to == second || lives:
+			r.Heard(now, to.Name)
+		default:
+			misses++
+		}
+	}
+	if misses > 6 {
+		t.Errorf("got %d reports to a dead router, want those until its silence counts", misses)
+	}
+	if got := r.Current(); got != first {
+		t.Errorf("got %s reported to in the end, want the one of the own domain", got.Name)
 	}
 }
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -41,6 +41,10 @@
 	// other router, up to longestFeedWait.
 	feedWaitPerPeer = 150 * time.Millisecond
 	longestFeedWait = 10 * time.Second
+	// feedRetryPerPeer is how much longer the pause after a failed call may be for each
+	// other router, up to longestFeedRetry.
+	feedRetryPerPeer = 10 * time.Millisecond
+	longestFeedRetry = time.Second
 	// gatherTime is how long a router that follows the store closely gathers changes
 	// before it asks again, and restTime how long the others leave the store alone.
 	gatherTime = 300 * time.Millisecond
@@ -157,6 +161,10 @@
 	chosen    []gossiper.Member
 	// allTellAll is true in a small fleet, where each router tells each other one.
 	allTellAll bool
+	// startedAt is when the router started, and joined is true once it has read which
+	// others there are.
+	startedAt time.Time
+	joined    bool
 	// strainedOthers counts the routers that send their callers elsewhere.
 	strainedOthers int
 	// pulls are asked for the tables that this router lacks rows of. The map itself
@@ -179,12 +187,12 @@
 	h := &Hosted{
 		cfg: cfg, settings: cfg.Settings, self: messenger.RouterID(cfg.Settings.Name),
 		clock: cfg.Clock, log: cfg.Log,
-		incarnation: uint64(cfg.Clock.Now().UnixMicro()),
-		meter:       meter.New(cfg.Clock, cfg.Settings.Metrics.Accounts),
-		follower:    follower.New(cfg.Decoder),
-		peers:       make(map[string]*hostedPeer),
-		strain:      strain{queue: &runQueue{}},
-		pulls:       newPulls(),
+		incarnation: uint64(cfg.Clock.Now().UnixMicro()), startedAt: cfg.Clock.Now(),
+		meter:    meter.New(cfg.Clock, cfg.Settings.Metrics.Accounts),
+		follower: follower.New(cfg.Decoder),
+		peers:    make(map[string]*hostedPeer),
+		strain:   strain{queue: &runQueue{}},
+		pulls:    newPulls(),
 	}
 	h.serving, h.cutRequests = context.WithCancel(context.Background())
 	h.background, h.stopAll = context.WithCancel(context.Background())
@@ -241,13 +249,13 @@
 	feed := &follower.Feed{
 		Source: h.cfg.Source, Table: table, Clock: h.clock, Log: h.log,
 		Wait: h.feedWait, Pause: func() time.Duration { return gatherTime }, Rest: h.feedRest,
-		Known: known.Load, Wake: h.pulls[table].wake,
+		Known: known.Load, Retry: h.feedRetry, Wake: h.pulls[table].wake,
 		Batches: func(b follower.Batch) { h.control.call(func() { h.merge(b) }) },
 		Noted:   h.noteStore,
 	}
 	h.goroutines.Go(func() {
 		if h.settings.FirstStart {
-			h.awaitRows(known, h.pulls[table].wake)
+			h.awaitRows(known)
 		}
 		feed.Run(h.background)
 	})
@@ -255,16 +263,14 @@
 
 // awaitRows gives the routers that follow the store closely the time to send rows, in
 // place of each router's reading them while the whole fleet starts.
-func (h *Hosted) awaitRows(known *atomic.Uint64, wake <-chan struct{}) {
+func (h *Hosted) awaitRows(known *atomic.Uint64) {
 	timeout := h.clock.After(firstRows)
-	for known.Load() == 0 {
+	for known.Load() == 0 && (!h.collecting.Load() || h.lagging.Load()) {
 		select {
 		case <-h.background.Done():
 			return
 		case <-timeout:
 			return
-		case <-wake:
-			return
 		case <-h.clock.After(gatherTime):
 		}
 	}
@@ -436,6 +442,13 @@
 	return 0
 }
 
+// feedRetry returns the longest pause after a failed call to the store. The more
+// routers there are that try, the sooner one of them meets the store's return.
+func (h *Hosted) feedRetry() time.Duration {
+	retry := follower.DefaultRetry + feedRetryPerPeer*time.Duration(h.peerCount.Load())
+	return min(retry, longestFeedRetry)
+}
+
 // tick runs on the control goroutine at every tick.
 func (h *Hosted) tick() {
 	if h.follower.Expire(h.clock.Now()) {
--- a/internal/router/hostedgossip.go
+++ b/internal/router/hostedgossip.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,6 +20,9 @@
 		return
 	}
 	h.shared = now
+	if h.settings.FirstStart && !h.joined && now.Sub(h.startedAt) < joinTime {
+		return
+	}
 	if len(h.peers) == 0 {
 		h.greetSeeds()
 		return
@@ -134,7 +136,7 @@
 // report tells the router that collects for this one what this one does.
 func (h *Hosted) report(now time.Time, load messenger.PeerLoad) {
 	before := h.reporter.Current()
-	to := h.reporter.Pick(now, h.member().id(), h.candidates(), h.roster())
+	to := h.reporter.Pick(now, h.member().id(), h.chosen, h.roster())
 	if before.Name != to.Name {
 		h.part(before)
 		h.log.WithFields(logrus.Fields{eventField: "reporting", "to": to.Name, "before": before.Name}).Info("another router collects for this one")
@@ -151,17 +153,6 @@
 	}
 }
 
-// candidates returns the routers that collect or should, without those that can't now.
-func (h *Hosted) candidates() []gossiper.Member {
-	out := slices.Clone(h.chosen)
-	for _, p := range h.peers {
-		if p.collects && !p.leaving && !slices.Contains(out, p.member.id()) {
-			out = append(out, p.member.id())
-		}
-	}
-	return out
-}
-
 // collectorList returns the routers that collect, this one included if it does.
 func (h *Hosted) collectorList() []Member {
 	var members []Member
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -38,6 +38,9 @@
 	leastSilence   = 2 * time.Second
 	missedMessages = 4
 	retryInterval  = time.Second
+	// joinTime is how long a router of a fleet that starts waits for the directory before
+	// it speaks to those that it happens to know.
+	joinTime = 1500 * time.Millisecond
 	// coreWeight is the weight of a router with a whole core.
 	coreWeight = 1000
 	// joinPause is the wait between two tries to join the fleet.
@@ -188,6 +191,7 @@
 		for _, m := range members {
 			h.meet(m)
 		}
+		h.joined = true
 	})
 	return true
 }
@@ -247,9 +251,10 @@
 
 // meetCollectors takes in which routers collect.
 func (h *Hosted) meetCollectors(members []Member) {
+	now := h.clock.Now()
 	for _, m := range members {
-		if p := h.meet(m); p != nil {
-			p.collects = true
+		if h.meet(m) != nil {
+			h.reporter.Said(now, m.Name)
 		}
 	}
 }
@@ -294,7 +299,6 @@
 
 // hearDigest takes in what all other routers do, from the one that is reported to.
 func (h *Hosted) hearDigest(p *hostedPeer, load messenger.PeerLoad) {
-	p.collects = true
 	now := h.clock.Now()
 	h.reporter.Heard(now, p.member.Name)
 	if p.leaving {
--- a/internal/router/hostedrows.go
+++ b/internal/router/hostedrows.go
@@ -85,6 +85,9 @@
 // tellRows sends rows to the routers that lack some: at once to those that report
 // here, and to the others that collect if they lack them for a while now.
 func (h *Hosted) tellRows() {
+	if !h.collecting.Load() {
+		return
+	}
 	now := h.clock.Now()
 	for _, p := range h.peers {
 		if h.lagging.Load() && !p.reports {
