--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -34,24 +34,6 @@
 	upstreamIdle = 3 * time.Second
 	// resends bounds the attempts of one request, declined ones included.
 	resends = 4
-	// cutMargin is how long before the platform ends the process requests in
-	// progress are cut off, so that their callers are told.
-	cutMargin = 400 * time.Millisecond
-	// feedWaitPerPeer is how much longer a call for changes may wait for each
-	// other router, up to longestFeedWait.
-	feedWaitPerPeer = 150 * time.Millisecond
-	longestFeedWait = 10 * time.Second
-	// feedRetryPerPeer is how much longer the pause after a failed call may be for each
-	// other router, up to longestFeedRetry.
-	feedRetryPerPeer = 10 * time.Millisecond
-	longestFeedRetry = time.Second
-	// gatherTime is how long a router that follows the store closely gathers changes
-	// before it asks again, and restTime how long the others leave the store alone.
-	gatherTime = 300 * time.Millisecond
-	restTime   = time.Minute
-	// firstRows is how long a router waits for the rows that others read while the
-	// whole fleet starts.
-	firstRows = 3 * time.Second
 	// budgetShare bounds what is held for slow callers, as a part of the memory.
 	budgetShare = 8
 	// memoryShare is the part of the VM's memory that the runtime aims to stay
@@ -128,7 +110,9 @@
 	lastRequest atomic.Uint64
 	inProgress  atomic.Int64
 	peerCount   atomic.Int64
-	strained    atomic.Bool
+	// newsAt is when another router was last heard, in Unix microseconds.
+	newsAt   atomic.Int64
+	strained atomic.Bool
 	// refusedUnread counts the connections and requests that the listeners
 	// refused since that was logged.
 	refusedUnread atomic.Int64
@@ -201,6 +185,7 @@
 	h.admitter = admitter.New(admitter.Config{Self: h.self, Domain: cfg.Settings.FailureDomain, Seed: h.incarnation})
 	h.control = newControl(cfg.Clock, h.admitter)
 	h.control.ticked = h.tick
+	h.registerGauges()
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Upstreams: h, Clock: cfg.Clock, Log: cfg.Log, Seed: h.incarnation,
 		Budget:         relayer.NewBudget(int64(cfg.Settings.Memory) << 20 / budgetShare),
@@ -244,47 +229,6 @@
 	return nil
 }
 
-// follow begins to follow a table of the platform's store.
-func (h *Hosted) follow(table follower.Table, known *atomic.Uint64) {
-	feed := &follower.Feed{
-		Source: h.cfg.Source, Table: table, Clock: h.clock, Log: h.log,
-		Wait: h.feedWait, Pause: func() time.Duration { return gatherTime }, Rest: h.feedRest,
-		Known: known.Load, Retry: h.feedRetry, Wake: h.pulls[table].wake,
-		Batches: func(b follower.Batch) { h.control.call(func() { h.merge(b) }) },
-		Noted:   h.noteStore,
-	}
-	h.goroutines.Go(func() {
-		if h.settings.FirstStart {
-			h.awaitRows(known)
-		}
-		feed.Run(h.background)
-	})
-}
-
-// awaitRows gives the routers that follow the store closely the time to send rows, in
-// place of each router's reading them while the whole fleet starts.
-func (h *Hosted) awaitRows(known *atomic.Uint64) {
-	timeout := h.clock.After(firstRows)
-	for known.Load() == 0 && (!h.collecting.Load() || h.lagging.Load()) {
-		select {
-		case <-h.background.Done():
-			return
-		case <-timeout:
-			return
-		case <-h.clock.After(gatherTime):
-		}
-	}
-}
-
-// noteStore counts the tables that cannot be followed.
-func (h *Hosted) noteStore(lost bool) {
-	if lost {
-		h.lostTables.Add(1)
-		return
-	}
-	h.lostTables.Add(-1)
-}
-
 func (h *Hosted) listen() error {
 	key, err := h.settings.ReadPeerKey()
 	if err != nil {
@@ -370,85 +314,6 @@
 	return u, ok && !u.Leaving
 }
 
-// merge takes in rows of the store or of another router. It runs on the
-// control goroutine.
-func (h *Hosted) merge(b follower.Batch) {
-	changed := h.follower.Merge(h.clock.Now(), b)
-	for i, table := range rowTables {
-		h.known[i].Store(h.follower.Version(table))
-	}
-	if changed {
-		h.publish()
-	}
-}
-
-// publish puts what the follower knows in force.
-func (h *Hosted) publish() {
-	for _, r := range h.follower.TakeRejected() {
-		h.log.WithFields(logrus.Fields{eventField: "rowRejected", "table": r.Table, "key": r.Key, "rowVersion": r.Version}).
-			WithError(r.Err).Warn("row left out")
-	}
-	s := h.follower.Snapshot()
-	if s == nil {
-		return
-	}
-	before := h.snapshot.Swap(s)
-	h.control.handle(messenger.PolicyChange{Policy: s.Policy})
-	h.logChange(before, s)
-}
-
-// logChange says what a new snapshot changes.
-func (h *Hosted) logChange(before, after *follower.Snapshot) {
-	if before == nil || before.Table.Version() != after.Table.Version() {
-		h.log.WithFields(logrus.Fields{
-			eventField: "configuration", "version": after.Table.Version(),
-			"rowVersion": h.follower.Version(follower.ConfigurationTable),
-		}).Info("configuration in force")
-	}
-	for id, u := range after.Policy.Upstreams {
-		if before != nil {
-			if old, ok := before.Policy.Upstreams[id]; ok && old == u {
-				continue
-			}
-		}
-		h.log.WithFields(logrus.Fields{
-			eventField: "upstream", "upstream": id, "pool": u.Pool, "address": u.Address, "leaving": u.Leaving,
-		}).Info("upstream known")
-	}
-	if before == nil {
-		return
-	}
-	for id := range before.Policy.Upstreams {
-		if _, ok := after.Policy.Upstreams[id]; !ok {
-			h.log.WithFields(logrus.Fields{eventField: "upstream", "upstream": id, "gone": true}).Info("upstream gone")
-		}
-	}
-}
-
-// feedWait returns how long a call for changes may wait. The more routers there
-// are, the more of them tell one whose connection fell silent, and the more
-// calls all of them make.
-func (h *Hosted) feedWait() time.Duration {
-	wait := follower.DefaultWait + feedWaitPerPeer*time.Duration(h.peerCount.Load())
-	return min(wait, longestFeedWait)
-}
-
-// feedRest returns how long this router leaves the store to others before it asks
-// again. In a large fleet a few routers follow the store closely and tell the others.
-func (h *Hosted) feedRest() time.Duration {
-	if h.lagging.Load() {
-		return restTime
-	}
-	return 0
-}
-
-// feedRetry returns the longest pause after a failed call to the store. The more
-// routers there are that try, the sooner one of them meets the store's return.
-func (h *Hosted) feedRetry() time.Duration {
-	retry := follower.DefaultRetry + feedRetryPerPeer*time.Duration(h.peerCount.Load())
-	return min(retry, longestFeedRetry)
-}
-
 // tick runs on the control goroutine at every tick.
 func (h *Hosted) tick() {
 	if h.follower.Expire(h.clock.Now()) {
@@ -458,59 +323,6 @@
 	h.tellPeers()
 }
 
-// Shutdown makes the router not ready, goes on serving until the balancer has
-// noticed, finishes every request in progress and stops. Requests that are
-// left shortly before the platform ends the process are cut off.
-func (h *Hosted) Shutdown(ctx context.Context) error {
-	began := h.clock.Now()
-	h.draining.Store(true)
-	h.callers.AnnounceClose()
-	h.log.WithField(eventField, "draining").WithField("inProgress", h.inProgress.Load()).Info("not ready; waiting for the balancer")
-	select {
-	case <-ctx.Done():
-	case <-h.clock.After(h.settings.BalancerLag):
-	}
-	left := h.settings.DrainLimit - cutMargin - h.clock.Now().Sub(began)
-	ctx, cancel := context.WithTimeout(ctx, left)
-	defer cancel()
-	err := h.finishRequests(ctx)
-	h.withdraw()
-	h.cutRequests()
-	h.dispatcher.Close()
-	h.stopAll()
-	h.exchanger.Stop()
-	h.log.WithField(eventField, "stopped").Info("router stopped")
-	return err
-}
-
-// finishRequests waits for the requests in progress. Those that are left when
-// ctx ends are told so before the process ends.
-func (h *Hosted) finishRequests(ctx context.Context) error {
-	done := make(chan error, 1)
-	go func() { done <- h.callers.Shutdown(context.WithoutCancel(ctx)) }()
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-	}
-	h.cutRequests()
-	select {
-	case err := <-done:
-		return err
-	case <-h.clock.After(cutMargin / 2):
-		return context.DeadlineExceeded
-	}
-}
-
-// withdraw removes this router's entry. The others notice its silence as well.
-func (h *Hosted) withdraw() {
-	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
-	defer cancel()
-	if err := h.cfg.Directory.Withdraw(ctx, string(h.self)); err != nil {
-		h.log.WithField(eventField, "withdraw").WithError(err).Info("own entry left behind")
-	}
-}
-
 // pathOf returns the path of a request without its query.
 func pathOf(uri string) string {
 	path, _, _ := strings.Cut(uri, "?")
--- /dev/null
+++ b/internal/router/hostedjoin.go
@@ -0,0 +1,133 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/follower"
+)
+
+// What follows finds the other routers.
+
+const (
+	// gathering is how long a fleet that starts takes to write its entries, and
+	// rosterAgain after what time a router that collects reads them once more.
+	gathering   = 600 * time.Millisecond
+	rosterAgain = 1500 * time.Millisecond
+	// joinTime is how long a router of a fleet that starts waits for the directory before
+	// it speaks to those that it happens to know.
+	joinTime = 1500 * time.Millisecond
+	// coreWeight is the weight of a router with a whole core.
+	coreWeight = 1000
+	// joinPause is the wait between two tries to join the fleet.
+	joinPause = 500 * time.Millisecond
+	// directoryTimeout bounds a call to the directory, withdrawTimeout the last
+	// one.
+	directoryTimeout = 2 * time.Second
+	withdrawTimeout  = 300 * time.Millisecond
+)
+
+// join announces this router and learns of the others, until both succeed.
+func (h *Hosted) join() {
+	for !h.tryJoin() {
+		if h.background.Err() != nil {
+			return
+		}
+		h.pause(joinPause)
+	}
+	h.pause(rosterAgain)
+	if !h.collecting.Load() || h.background.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(h.background, directoryTimeout)
+	defer cancel()
+	h.readRoster(ctx)
+}
+
+func (h *Hosted) tryJoin() bool {
+	ctx, cancel := context.WithTimeout(h.background, directoryTimeout)
+	defer cancel()
+	self := h.member()
+	if err := h.cfg.Directory.Announce(ctx, self); err != nil {
+		h.log.WithField(eventField, "join").WithError(err).Info("entry not written yet")
+		return false
+	}
+	if h.settings.FirstStart {
+		h.pause(gathering)
+	}
+	return h.readRoster(ctx)
+}
+
+// pause waits for a time, or until the router stops.
+func (h *Hosted) pause(d time.Duration) {
+	select {
+	case <-h.background.Done():
+	case <-h.clock.After(d):
+	}
+}
+
+// readRoster learns from the directory which routers there are.
+func (h *Hosted) readRoster(ctx context.Context) bool {
+	members, err := h.cfg.Directory.Members(ctx)
+	if err != nil {
+		h.log.WithField(eventField, "join").WithError(err).Info("routers not known yet, or not all")
+	}
+	if members == nil {
+		return false
+	}
+	h.control.call(func() {
+		for _, m := range members {
+			h.meet(m)
+		}
+		h.joined = true
+	})
+	return true
+}
+
+func (h *Hosted) member() Member {
+	return Member{
+		Name: string(h.self), Address: h.exchanger.Addr(),
+		Domain: h.settings.FailureDomain, Incarnation: h.incarnation,
+		Weight: int(h.settings.Processor * coreWeight),
+	}
+}
+
+// meet notes a router. It runs on the control goroutine, as all that follows.
+func (h *Hosted) meet(m Member) *hostedPeer {
+	if m.Name == string(h.self) || m.Name == "" {
+		return nil
+	}
+	p, ok := h.peers[m.Name]
+	if !ok {
+		p = &hostedPeer{member: m, versions: make(map[follower.Table]uint64)}
+		h.peers[m.Name] = p
+		h.setFleetSize(len(h.peers) + 1)
+	}
+	if m.Incarnation >= p.member.Incarnation || m.Address != p.member.Address {
+		p.member = m
+	}
+	return p
+}
+
+// setFleetSize notes how many routers there are, at least as many as are known by name.
+func (h *Hosted) setFleetSize(n int) {
+	n = max(n, len(h.peers)+1)
+	h.budget.SetRouters(n)
+	h.peerCount.Store(int64(n - 1))
+}
+
+// greetSeeds greets the routers that the settings name, in case the directory
+// can't be reached.
+func (h *Hosted) greetSeeds() {
+	for _, address := range h.settings.SeedPeers {
+		if address != h.exchanger.Addr() {
+			_ = h.exchanger.Send(address, hostedEnvelope{From: h.member(), Kind: greeting}) // said again with the next share
+		}
+	}
+}
+
+// introduce tells a router that knows nobody which routers collect.
+func (h *Hosted) introduce(p *hostedPeer) {
+	e := hostedEnvelope{From: h.member(), Kind: introduced, Collectors: h.collectorList()}
+	_ = h.exchanger.Send(p.member.Address, e) // it asks again if it still knows nobody
+}
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,10 +25,6 @@
 	// rosterEvery is how many digests bring no list of the routers that collect
 	// between two that do.
 	rosterEvery = 8
-	// gathering is how long a fleet that starts takes to write its entries, and
-	// rosterAgain after what time a router that collects reads them once more.
-	gathering   = 600 * time.Millisecond
-	rosterAgain = 1500 * time.Millisecond
 	// reporterTTL is how long a report counts.
 	reporterTTL = time.Second
 	// leastSilence is after what time a router counts as silent, and
@@ -38,17 +33,6 @@
 	leastSilence   = 2 * time.Second
 	missedMessages = 4
 	retryInterval  = time.Second
-	// joinTime is how long a router of a fleet that starts waits for the directory before
-	// it speaks to those that it happens to know.
-	joinTime = 1500 * time.Millisecond
-	// coreWeight is the weight of a router with a whole core.
-	coreWeight = 1000
-	// joinPause is the wait between two tries to join the fleet.
-	joinPause = 500 * time.Millisecond
-	// directoryTimeout bounds a call to the directory, withdrawTimeout the last
-	// one.
-	directoryTimeout = 2 * time.Second
-	withdrawTimeout  = 300 * time.Millisecond
 )
 
 // Member is one router as the others find it.
@@ -139,88 +123,6 @@
 	return gossiper.Member{Name: m.Name, Domain: m.Domain, Weight: m.Weight}
 }
 
-// join announces this router and learns of the others, until both succeed.
-func (h *Hosted) join() {
-	for !h.tryJoin() {
-		if h.background.Err() != nil {
-			return
-		}
-		h.pause(joinPause)
-	}
-	h.pause(rosterAgain)
-	if !h.collecting.Load() || h.background.Err() != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(h.background, directoryTimeout)
-	defer cancel()
-	h.readRoster(ctx)
-}
-
-func (h *Hosted) tryJoin() bool {
-	ctx, cancel := context.WithTimeout(h.background, directoryTimeout)
-	defer cancel()
-	self := h.member()
-	if err := h.cfg.Directory.Announce(ctx, self); err != nil {
-		h.log.WithField(eventField, "join").WithError(err).Info("entry not written yet")
-		return false
-	}
-	if h.settings.FirstStart {
-		h.pause(gathering)
-	}
-	return h.readRoster(ctx)
-}
-
-// pause waits for a time, or until the router stops.
-func (h *Hosted) pause(d time.Duration) {
-	select {
-	case <-h.background.Done():
-	case <-h.clock.After(d):
-	}
-}
-
-// readRoster learns from the directory which routers there are.
-func (h *Hosted) readRoster(ctx context.Context) bool {
-	members, err := h.cfg.Directory.Members(ctx)
-	if err != nil {
-		h.log.WithField(eventField, "join").WithError(err).Info("routers not known yet, or not all")
-	}
-	if members == nil {
-		return false
-	}
-	h.control.call(func() {
-		for _, m := range members {
-			h.meet(m)
-		}
-		h.joined = true
-	})
-	return true
-}
-
-func (h *Hosted) member() Member {
-	return Member{
-		Name: string(h.self), Address: h.exchanger.Addr(),
-		Domain: h.settings.FailureDomain, Incarnation: h.incarnation,
-		Weight: int(h.settings.Processor * coreWeight),
-	}
-}
-
-// meet notes a router. It runs on the control goroutine, as all that follows.
-func (h *Hosted) meet(m Member) *hostedPeer {
-	if m.Name == string(h.self) || m.Name == "" {
-		return nil
-	}
-	p, ok := h.peers[m.Name]
-	if !ok {
-		p = &hostedPeer{member: m, versions: make(map[follower.Table]uint64)}
-		h.peers[m.Name] = p
-		h.setFleetSize(len(h.peers) + 1)
-	}
-	if m.Incarnation >= p.member.Incarnation || m.Address != p.member.Address {
-		p.member = m
-	}
-	return p
-}
-
 // receive takes in a message of another router.
 func (h *Hosted) receive(e hostedEnvelope) {
 	if e.Relay {
@@ -231,6 +133,7 @@
 		return
 	}
 	p.heard = h.clock.Now()
+	h.newsAt.Store(p.heard.UnixMicro())
 	if !p.live {
 		p.live = true
 		h.log.WithFields(logrus.Fields{eventField: "peer", "peer": p.member.Name, "live": true}).Info("router heard")
@@ -259,12 +162,6 @@
 	}
 }
 
-// introduce tells a router that knows nobody which routers collect.
-func (h *Hosted) introduce(p *hostedPeer) {
-	e := hostedEnvelope{From: h.member(), Kind: introduced, Collectors: h.collectorList()}
-	_ = h.exchanger.Send(p.member.Address, e) // it asks again if it still knows nobody
-}
-
 // isNext reports whether a message is newer than those before it.
 func (p *hostedPeer) isNext(e hostedEnvelope) bool {
 	if e.From.Incarnation == p.incarnation && e.Sequence <= p.sequence {
@@ -332,20 +229,3 @@
 		h.publish()
 	}
 }
-
-// setFleetSize notes how many routers there are, at least as many as are known by name.
-func (h *Hosted) setFleetSize(n int) {
-	n = max(n, len(h.peers)+1)
-	h.budget.SetRouters(n)
-	h.peerCount.Store(int64(n - 1))
-}
-
-// greetSeeds greets the routers that the settings name, in case the directory
-// can't be reached.
-func (h *Hosted) greetSeeds() {
-	for _, address := range h.settings.SeedPeers {
-		if address != h.exchanger.Addr() {
-			_ = h.exchanger.Send(address, hostedEnvelope{From: h.member(), Kind: greeting}) // said again with the next share
-		}
-	}
-}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"lentilwood.example/lentilwood/internal/dispatcher"
 	"lentilwood.example/lentilwood/internal/exchanger"
@@ -26,6 +27,22 @@
 	h.meter.WritePrometheus(w)
 }
 
+// registerGauges registers the values that are read when metrics are.
+func (h *Hosted) registerGauges() {
+	h.meter.Gauge("lentilwood_ready", func() float64 {
+		ready, _ := h.Ready()
+		return toFloat(ready)
+	})
+	h.meter.Gauge("lentilwood_requests_in_progress", func() float64 { return float64(h.inProgress.Load()) })
+	h.meter.Gauge("lentilwood_configuration_version", func() float64 { return float64(h.version()) })
+	h.meter.Gauge("lentilwood_routers_known", func() float64 { return float64(h.peerCount.Load() + 1) })
+	h.meter.Gauge("lentilwood_collecting", func() float64 { return toFloat(h.collecting.Load()) })
+	h.meter.Gauge("lentilwood_store_left_to_others", func() float64 { return toFloat(h.lagging.Load()) })
+	h.meter.Gauge("lentilwood_news_age_seconds", func() float64 {
+		return h.clock.Now().Sub(time.UnixMicro(h.newsAt.Load())).Seconds()
+	})
+}
+
 // copyPeerCounters copies what the exchanger counted.
 func copyPeerCounters(m *meter.Meter, s exchanger.Stats) {
 	for kind, traffic := range s.Traffic {
