A router that was started again may collect again; a lost store is told to reporters

Found by reading: its reporters went on to take a restarted router for one that leaves, so that after all had been restarted others than the chosen ones would collect; and routers left the store to one that had lost it.

--- a/internal/router/doc.go
+++ b/internal/router/doc.go
@@ -14,4 +14,7 @@
 package router
 
 // eventField names the field of a log line that says what happened.
-const eventField = "event"
+const (
+	eventField    = "event"
+	upstreamField = "upstream"
+)
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -202,11 +202,11 @@
 // notice takes in what an upstream said of its wishes. It runs on the control goroutine.
 func (h *Hosted) notice(id messenger.UpstreamID, n dispatcher.Notice) {
 	if n.Pause > 0 {
-		h.log.WithFields(logrus.Fields{eventField: "pause", "upstream": id, "ms": n.Pause.Milliseconds()}).Info("upstream wants nothing for a while")
+		h.log.WithFields(logrus.Fields{eventField: "pause", upstreamField: id, "ms": n.Pause.Milliseconds()}).Info("upstream wants nothing for a while")
 		h.control.handle(messenger.Pause{Upstream: id, For: n.Pause})
 	}
 	if n.Leaving && h.follower.NoteDeparture(id) {
-		h.log.WithFields(logrus.Fields{eventField: "departure", "upstream": id}).Info("upstream says that it leaves")
+		h.log.WithFields(logrus.Fields{eventField: "departure", upstreamField: id}).Info("upstream says that it leaves")
 		h.publish()
 	}
 }
--- a/internal/router/hostedgossip.go
+++ b/internal/router/hostedgossip.go
@@ -115,6 +115,7 @@
 		return
 	}
 	e := h.message(digested, messenger.PeerLoad{})
+	e.StoreLost = len(h.feeders) == 0
 	e.StrainedRouters = uint32(h.strainedOthers) //nolint:gosec // a count of routers
 	e.Configuration = max(e.Configuration, h.newest(follower.ConfigurationTable))
 	e.Registrations = max(e.Registrations, h.newest(follower.RegistrationTable))
--- a/internal/router/hostedjoin.go
+++ b/internal/router/hostedjoin.go
@@ -103,6 +103,9 @@
 		h.peers[m.Name] = p
 		h.setFleetSize(len(h.peers) + 1)
 	}
+	if m.Incarnation > p.member.Incarnation {
+		p.leaving = false // it was started again
+	}
 	if m.Incarnation >= p.member.Incarnation || m.Address != p.member.Address {
 		p.member = m
 	}
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -221,7 +221,7 @@
 	news := false
 	for _, d := range e.Departures {
 		if h.follower.HearDeparture(d) {
-			h.log.WithFields(logrus.Fields{eventField: "departure", "upstream": d.Upstream, "peer": e.From.Name}).Info("upstream says that it leaves")
+			h.log.WithFields(logrus.Fields{eventField: "departure", upstreamField: d.Upstream, "peer": e.From.Name}).Info("upstream says that it leaves")
 			news = true
 		}
 	}
--- a/internal/router/hostedrows.go
+++ b/internal/router/hostedrows.go
@@ -68,13 +68,20 @@
 	h.feeders = gossiper.Followers(candidates, n)
 	lagging := len(h.feeders) == n && !slices.Contains(h.feeders, h.member().id())
 	if !h.collecting.Load() && len(h.peers) > 0 {
-		lagging = h.reporter.InTouch(h.clock.Now())
+		lagging = h.reporter.InTouch(h.clock.Now()) && !h.collectorLostStore()
 	}
 	if h.lagging.Swap(lagging) && !lagging {
 		h.askStore()
 	}
 }
 
+// collectorLostStore reports whether the router that this one reports to knows nobody
+// that follows the store.
+func (h *Hosted) collectorLostStore() bool {
+	p, ok := h.peers[h.reporter.Current().Name]
+	return ok && p.storeLost
+}
+
 // askStore ends the rest of those that follow the tables.
 func (h *Hosted) askStore() {
 	for _, pull := range h.pulls {
--- a/internal/router/hostedstore.go
+++ b/internal/router/hostedstore.go
@@ -114,7 +114,7 @@
 			}
 		}
 		h.log.WithFields(logrus.Fields{
-			eventField: "upstream", "upstream": id, "pool": u.Pool, "address": u.Address, "leaving": u.Leaving,
+			eventField: "upstream", upstreamField: id, "pool": u.Pool, "address": u.Address, "leaving": u.Leaving,
 		}).Info("upstream known")
 	}
 	if before == nil {
@@ -122,7 +122,7 @@
 	}
 	for id := range before.Policy.Upstreams {
 		if _, ok := after.Policy.Upstreams[id]; !ok {
-			h.log.WithFields(logrus.Fields{eventField: "upstream", "upstream": id, "gone": true}).Info("upstream gone")
+			h.log.WithFields(logrus.Fields{eventField: "upstream", upstreamField: id, "gone": true}).Info("upstream gone")
 		}
 	}
 }
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -159,7 +159,7 @@
 	}
 	h.log.WithFields(logrus.Fields{
 		eventField: "request", "request": out.WireID, "account": out.Arrive.Account, "pool": out.Arrive.Pool,
-		"upstream": result.Upstream, "status": result.Status, "run": result.Run, "problem": result.Problem,
+		upstreamField: result.Upstream, "status": result.Status, "run": result.Run, "problem": result.Problem,
 		"attempts": result.Attempts, "callerGone": result.CallerGone, "version": h.version(),
 		"ms": result.Finished.Sub(arrived).Milliseconds(),
 	}).WithFields(groundsFields(result.Grounds)).Log(level, "request ended")
