--- a/internal/router/hostedjoin.go
+++ b/internal/router/hostedjoin.go
@@ -4,19 +4,23 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lentilwood.example/lentilwood/internal/follower"
 )
 
 // What follows finds the other routers.
 
 const (
-	// gathering is how long a fleet that starts takes to write its entries, and
-	// rosterAgain after what time a router that collects reads them once more.
-	gathering   = 600 * time.Millisecond
+	// startSpread is the time over which a fleet that starts writes its entries, and
+	// rosterTime when each router has read them: all are there by then.
+	startSpread = 1500 * time.Millisecond
+	rosterTime  = 2200 * time.Millisecond
+	// rosterAgain is after what time a router that collects reads them once more.
 	rosterAgain = 1500 * time.Millisecond
 	// joinTime is how long a router of a fleet that starts waits for the directory before
 	// it speaks to those that it happens to know.
-	joinTime = 1500 * time.Millisecond
+	joinTime = 3 * time.Second
 	// coreWeight is the weight of a router with a whole core.
 	coreWeight = 1000
 	// joinPause is the wait between two tries to join the fleet.
@@ -29,7 +33,11 @@
 
 // join announces this router and learns of the others, until both succeed.
 func (h *Hosted) join() {
-	for !h.tryJoin() {
+	joined := false
+	if h.settings.FirstStart {
+		joined = h.joinFleet()
+	}
+	for !joined && !h.tryJoin() {
 		if h.background.Err() != nil {
 			return
 		}
@@ -47,14 +55,27 @@
 func (h *Hosted) tryJoin() bool {
 	ctx, cancel := context.WithTimeout(h.background, directoryTimeout)
 	defer cancel()
-	self := h.member()
-	if err := h.cfg.Directory.Announce(ctx, self); err != nil {
+	if err := h.cfg.Directory.Announce(ctx, h.member()); err != nil {
 		h.log.WithField(eventField, "join").WithError(err).Info("entry not written yet")
 		return false
 	}
-	if h.settings.FirstStart {
-		h.pause(gathering)
+	return h.readRoster(ctx)
+}
+
+// joinFleet writes this router's entry while the whole fleet starts, each at another
+// moment, and reads those of all once they are there.
+// It reports whether that succeeded.
+func (h *Hosted) joinFleet() bool {
+	h.pause(time.Duration(xxhash.Sum64String(string(h.self)) % uint64(startSpread)))
+	ctx, cancel := context.WithTimeout(h.background, directoryTimeout)
+	defer cancel()
+	if err := h.cfg.Directory.Announce(ctx, h.member()); err != nil {
+		h.log.WithField(eventField, "join").WithError(err).Info("entry not written yet")
+		return false
 	}
+	h.pause(rosterTime - h.clock.Now().Sub(h.startedAt))
+	ctx, cancelRead := context.WithTimeout(h.background, directoryTimeout)
+	defer cancelRead()
 	return h.readRoster(ctx)
 }
 
--- a/internal/router/hostedstore.go
+++ b/internal/router/hostedstore.go
@@ -28,7 +28,7 @@
 	restTime   = time.Minute
 	// firstRows is how long a router waits for the rows that others read while the
 	// whole fleet starts.
-	firstRows = 3 * time.Second
+	firstRows = 4 * time.Second
 )
 
 // follow begins to follow a table of the platform's store.
