Ticks come half as often while nothing waits for one; shares of a lone account in a fleet that collects

Change: a tick each 20 ms while no request waits, 10 ms once one does; lateness is taken from the planned moment.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -77,7 +77,9 @@
 	// the time between two such messages.
 	shared     time.Time
 	shareEvery time.Duration
-	actions    []messenger.Action
+	// ticked is when the last tick was.
+	ticked  time.Time
+	actions []messenger.Action
 }
 
 // request is one request that waits or runs.
@@ -306,13 +308,24 @@
 	})
 }
 
+// Waiting reports whether requests wait, which a tick serves or refuses.
+func (a *Admitter) Waiting() bool {
+	for _, p := range a.pools {
+		if len(p.waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // tick serves and refuses what waits, and forgets what is out of date.
 func (a *Admitter) tick() {
 	a.forgetSilent()
 	if a.shares.settle(a.now, a.throughput(), a.peers) {
 		a.divide()
 	}
-	kept := halved(messenger.TickInterval, othersHalfLife)
+	kept := halved(min(a.now.Sub(a.ticked), othersHalfLife), othersHalfLife)
+	a.ticked = a.now
 	for _, u := range a.upstreams {
 		u.noteLate(a.now)
 		u.smooth(kept)
--- a/internal/admitter/collected_test.go
+++ b/internal/admitter/collected_test.go
@@ -164,6 +164,29 @@
 	}
 }
 
+// TestFloodAtOneRouterOfAFleetThatCollects has the load of
+// TestFloodAtOneRouterOfALargeFleet: one account floods a router that reports.
+func TestFloodAtOneRouterOfAFleetThatCollects(t *testing.T) {
+	s := newSim(t, 60, 24, 24, 320*9000)
+	s.collectIn()
+	others := []messenger.AccountID{"b", "c", "d", "e", "f"}
+	offer := func(router int, account messenger.AccountID) {
+		s.offerAt(router, account, simObjective, s.session(s.rng.IntN(160), 3000, 6000), 100)
+	}
+	s.run(6*time.Second, func() {
+		s.poisson(500, func() { offer(1, "lone") })
+		for _, account := range others {
+			s.poisson(100, func() { offer(s.rng.IntN(len(s.routers)), account) })
+		}
+	})
+	begun := count(s.all[len(s.all)/4:], func(r *simRequest) bool { return !r.first.IsZero() })
+	for _, account := range others {
+		if begun["lone"] < begun[account]*3/4 {
+			t.Errorf("got %v begun, want the lone account to get at least three quarters of what each other one gets", begun)
+		}
+	}
+}
+
 // TestLostCollectorLeavesAPart has the router that collects for a group die: those that
 // reported to it must not take the whole fleet's slots for theirs.
 func TestLostCollectorLeavesAPart(t *testing.T) {
--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -180,8 +180,8 @@
 	}
 }
 
-// spread makes a number of a router's key whose bits all depend on it.
-func spread(key messenger.Key) uint64 { return mix(uint64(key) + 1) }
+// spread makes a number of a router's key that is as long as an upstream's hash.
+func spread(key messenger.Key) uint64 { return uint64(key)<<32 | uint64(key) }
 
 // fleetSize returns how many routers there are, this one included.
 func (a *Admitter) fleetSize() int {
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -20,6 +20,9 @@
 	actionBacklog = 4
 )
 
+// idleInterval is the time between two ticks while nothing waits for one.
+const idleInterval = 2 * messenger.TickInterval
+
 // decider is the decision logic about requests.
 type decider interface {
 	Handle(now time.Time, e messenger.Event) []messenger.Action
@@ -40,9 +43,14 @@
 	decider decider
 	fleet   fleet
 	// ticked, if set, is called at every tick.
-	ticked func()
-	inbox  chan any
-	done   chan struct{}
+	ticked func(beat)
+	// idle, if set, reports whether nothing waits for a tick; ticks are rarer then.
+	idle func() bool
+	// due is when the next tick is, planned the time between it and the one before.
+	due     time.Time
+	planned time.Duration
+	inbox   chan any
+	done    chan struct{}
 	// unclaimed holds dispatches that no request took up.
 	unclaimed []messenger.Finish
 	// outgoing holds what the decisions so far have to say to other routers.
@@ -74,7 +82,7 @@
 // run handles events until ctx ends.
 func (c *control) run(ctx context.Context) {
 	defer close(c.done)
-	tick := c.clock.After(messenger.TickInterval)
+	tick := c.plan()
 	for {
 		select {
 		case <-ctx.Done():
@@ -83,17 +91,37 @@
 			c.handle(messenger.Tick{})
 			c.tickFleet()
 			if c.ticked != nil {
-				c.ticked()
+				c.ticked(beat{planned: c.planned, late: max(0, c.clock.Now().Sub(c.due))})
 			}
 			c.flush()
-			tick = c.clock.After(messenger.TickInterval)
+			tick = c.plan()
 		case m := <-c.inbox:
 			c.take(m)
 			c.flush()
+			if c.planned > messenger.TickInterval && !c.idle() {
+				tick = c.plan()
+			}
 		}
 	}
 }
 
+// beat is how a tick came.
+type beat struct {
+	// planned is the time that it was to come after the one before, late how much later
+	// it came.
+	planned, late time.Duration
+}
+
+// plan sets the next tick.
+func (c *control) plan() <-chan time.Time {
+	c.planned = messenger.TickInterval
+	if c.idle != nil && c.idle() {
+		c.planned = idleInterval
+	}
+	c.due = c.clock.Now().Add(c.planned)
+	return c.clock.After(c.planned)
+}
+
 func (c *control) take(m any) {
 	switch m := m.(type) {
 	case messenger.Event:
--- a/internal/router/control_test.go
+++ b/internal/router/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,3 +115,34 @@
 		t.Error("call after the end reports success, want failure")
 	}
 }
+
+// TestTicksAreRareWhileNothingWaits has requests begin to wait between two ticks.
+func TestTicksAreRareWhileNothingWaits(t *testing.T) {
+	clock := timekeeper.NewManual(time.Unix(0, 0))
+	c := newControl(clock, &fakeDecider{})
+	var waiting atomic.Bool
+	c.idle = func() bool { return !waiting.Load() }
+	beats := make(chan beat, 100)
+	c.ticked = func(b beat) { beats <- b }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.run(ctx)
+	for !c.call(func() {}) {
+		t.Fatal("the control goroutine does not run")
+	}
+	clock.Advance(messenger.TickInterval)
+	c.call(func() {})
+	if got := len(beats); got != 0 {
+		t.Errorf("got %d ticks after %v while nothing waits, want none yet", got, messenger.TickInterval)
+	}
+	clock.Advance(messenger.TickInterval)
+	if b := <-beats; b.planned != idleInterval || b.late != 0 {
+		t.Errorf("got %+v, want a tick after %v", b, idleInterval)
+	}
+	waiting.Store(true)
+	c.call(func() {})
+	clock.Advance(messenger.TickInterval)
+	if b := <-beats; b.planned != messenger.TickInterval {
+		t.Errorf("got %+v, want a tick after %v once something waits", b, messenger.TickInterval)
+	}
+}
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -185,6 +185,7 @@
 	h.admitter = admitter.New(admitter.Config{Self: h.self, Domain: cfg.Settings.FailureDomain, Seed: h.incarnation})
 	h.control = newControl(cfg.Clock, h.admitter)
 	h.control.ticked = h.tick
+	h.control.idle = func() bool { return !h.admitter.Waiting() }
 	h.registerGauges()
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Upstreams: h, Clock: cfg.Clock, Log: cfg.Log, Seed: h.incarnation,
@@ -315,11 +316,11 @@
 }
 
 // tick runs on the control goroutine at every tick.
-func (h *Hosted) tick() {
+func (h *Hosted) tick(b beat) {
 	if h.follower.Expire(h.clock.Now()) {
 		h.publish()
 	}
-	h.watchStrain()
+	h.watchStrain(b)
 	h.tellPeers()
 }
 
--- a/internal/router/strain.go
+++ b/internal/router/strain.go
@@ -13,8 +13,8 @@
 	// before the VM counts as overloaded, easeLag when it no longer does.
 	strainLag = 30 * time.Millisecond
 	easeLag   = 10 * time.Millisecond
-	// strainWeight is the weight of one tick in the average, within a bound for
-	// a VM that was frozen.
+	// strainWeight is the weight in the average of a tick after TickInterval, within a
+	// bound for a VM that was frozen.
 	strainWeight = 0.05
 	longestLag   = 300 * time.Millisecond
 	// strainHold is how long a VM stays out of rotation at least, and
@@ -51,7 +51,6 @@
 // is read in time. At the worst the VM leaves the rotation.
 type strain struct {
 	lag     time.Duration
-	last    time.Time
 	changed time.Time
 	on      bool
 	// queue measures how long goroutines wait for the processor, and wait is the
@@ -65,12 +64,9 @@
 
 // note takes in a tick and reports whether the VM is overloaded. With allowed
 // false it does not begin to be.
-func (s *strain) note(now time.Time, allowed bool) bool {
-	if !s.last.IsZero() {
-		late := min(max(0, now.Sub(s.last)-messenger.TickInterval), longestLag)
-		s.lag += time.Duration(strainWeight * float64(late-s.lag))
-	}
-	s.last = now
+func (s *strain) note(now time.Time, b beat, allowed bool) bool {
+	weight := strainWeight * float64(b.planned) / float64(messenger.TickInterval)
+	s.lag += time.Duration(weight * float64(min(b.late, longestLag)-s.lag))
 	s.adjust(now)
 	switch {
 	case !s.on && s.lag > strainLag && allowed && now.Sub(s.changed) >= strainPause:
@@ -103,10 +99,10 @@
 
 // watchStrain lets an overloaded router turn away callers or, while only a few
 // routers do so, leave the rotation.
-func (h *Hosted) watchStrain() {
+func (h *Hosted) watchStrain(b beat) {
 	allowed := h.strainedOthers < int(h.peerCount.Load())/strainedShare
 	before := h.strain.turnedAway
-	on := h.strain.note(h.clock.Now(), allowed)
+	on := h.strain.note(h.clock.Now(), b, allowed)
 	h.setTurnedAway(before, h.strain.turnedAway)
 	if on == h.strained.Load() {
 		return
--- a/internal/router/strain_test.go
+++ b/internal/router/strain_test.go
@@ -12,7 +12,7 @@
 	on := s.on
 	for end := now.Add(d); now.Before(end); {
 		*now = now.Add(messenger.TickInterval + late)
-		on = s.note(*now, allowed)
+		on = s.note(*now, beat{planned: messenger.TickInterval, late: late}, allowed)
 	}
 	return on
 }
@@ -42,7 +42,7 @@
 	now := time.Unix(1_700_000_000, 0)
 	play(&s, &now, time.Second, 0, true)
 	now = now.Add(4 * time.Second)
-	if s.note(now, true) {
+	if s.note(now, beat{planned: messenger.TickInterval, late: 4 * time.Second}, true) {
 		t.Error("one long pause counts as overload")
 	}
 }
