The keys of a sum stand in order; comments read again

A digest's routers came in another order each time, so the order of slots was worked out anew with each.

--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -102,12 +102,14 @@
 }
 
 // forgetMembers takes out what those said by themselves that are in the sum of another.
+// The sum of the whole fleet takes the place of everything else.
 func (a *Admitter) forgetMembers(from messenger.RouterID, routers []messenger.Key) {
 	for id, p := range a.peers {
 		if id == from {
 			continue
 		}
-		if from == messenger.FleetSum || len(p.routers) == 1 && slices.Contains(routers, p.routers[0]) {
+		alone := len(p.routers) == 1
+		if from == messenger.FleetSum || alone && slices.Contains(routers, p.routers[0]) {
 			a.forgetPeer(id)
 		}
 	}
--- a/internal/collector/sum.go
+++ b/internal/collector/sum.go
@@ -103,12 +103,14 @@
 	}
 }
 
-// load returns the sum as one load, which is the caller's to change.
+// load returns the sum as one load, which is the caller's to change. The routers stand in
+// order, so that it shows when there are others.
 func (s *sum) load(from messenger.RouterID) messenger.PeerLoad {
 	out := messenger.PeerLoad{
 		From: from, Routers: slices.Clone(s.routers), Reserve: s.reserve,
 		Upstreams: slices.Clone(s.upstreams), Accounts: slices.Clone(s.accounts),
 	}
+	slices.Sort(out.Routers)
 	for pool, p := range s.pools {
 		out.Pools = append(out.Pools, messenger.PoolDemand{
 			Pool: pool, Contested: p.contested / p.weight, Base: median(p.bases), PerRead: median(p.perReads),
--- a/internal/router/doc.go
+++ b/internal/router/doc.go
@@ -13,8 +13,9 @@
 //	err = r.Shutdown(ctx) // cuts off nothing in progress
 package router
 
-// eventField names the field of a log line that says what happened.
 const (
+	// eventField names the field of a log line that says what happened, upstreamField
+	// the one that says at which upstream.
 	eventField    = "event"
 	upstreamField = "upstream"
 )
--- a/internal/router/hostedjoin.go
+++ b/internal/router/hostedjoin.go
@@ -52,6 +52,8 @@
 	h.readRoster(ctx)
 }
 
+// tryJoin writes this router's entry and reads those of all. It reports whether that
+// succeeded.
 func (h *Hosted) tryJoin() bool {
 	ctx, cancel := context.WithTimeout(h.background, directoryTimeout)
 	defer cancel()
@@ -62,9 +64,9 @@
 	return h.readRoster(ctx)
 }
 
-// joinFleet writes this router's entry while the whole fleet starts, each at another
-// moment, and reads those of all once they are there.
-// It reports whether that succeeded.
+// joinFleet writes this router's entry while the whole fleet starts, each router at
+// another moment, and reads those of all once they are there. It reports whether that
+// succeeded.
 func (h *Hosted) joinFleet() bool {
 	h.pause(time.Duration(xxhash.Sum64String(string(h.self)) % uint64(startSpread)))
 	ctx, cancel := context.WithTimeout(h.background, directoryTimeout)
@@ -105,6 +107,7 @@
 	return true
 }
 
+// member returns this router's entry.
 func (h *Hosted) member() Member {
 	return Member{
 		Name: string(h.self), Address: h.exchanger.Addr(),
