--- a/internal/gossiper/collectors.go
+++ b/internal/gossiper/collectors.go
@@ -13,8 +13,11 @@
 	// leastCollectors is how many routers of a failure domain collect at least, so that
 	// one of them can be lost.
 	leastCollectors = 2
-	// digestTimeout is after what time without a digest a router reports to another one.
-	digestTimeout = 300 * time.Millisecond
+	// digestTimeout is after what time without a digest a router reports to another one,
+	// and starvedTimeout the same of a router that is short of processor time: the delay
+	// is its own.
+	digestTimeout  = 300 * time.Millisecond
+	starvedTimeout = 1500 * time.Millisecond
 	// backAfter is how long after it failed a router must be said to collect before it
 	// is reported to again: that it failed is not known everywhere at once. Without such
 	// a word it is tried again after tryAgain.
@@ -59,6 +62,18 @@
 	since   time.Time
 	heard   time.Time
 	failed  map[string]time.Time
+	starved bool
+}
+
+// SetStarved sets whether the router itself is short of processor time.
+func (r *Reporter) SetStarved(starved bool) { r.starved = starved }
+
+// timeout returns after what time without a digest another router is reported to.
+func (r *Reporter) timeout() time.Duration {
+	if r.starved {
+		return starvedTimeout
+	}
+	return digestTimeout
 }
 
 // Current returns the router that is reported to; its name is "" if there is none.
@@ -81,7 +96,7 @@
 
 // InTouch reports whether a digest came of late.
 func (r *Reporter) InTouch(now time.Time) bool {
-	return !r.heard.IsZero() && now.Sub(r.heard) <= digestTimeout
+	return !r.heard.IsZero() && now.Sub(r.heard) <= r.timeout()
 }
 
 // Said notes that a router is said to collect.
@@ -95,7 +110,7 @@
 // others that could if none of these answers. It changes if the one before fell silent,
 // or if another one has been preferable for a while.
 func (r *Reporter) Pick(now time.Time, self Member, collectors, others []Member) Member {
-	if r.current.Name != "" && now.Sub(later(r.since, r.heard)) > digestTimeout {
+	if r.current.Name != "" && now.Sub(later(r.since, r.heard)) > r.timeout() {
 		r.Fail(now, r.current.Name)
 	}
 	best, ok := r.best(now, self, collectors, others)
--- a/internal/gossiper/collectors_test.go
+++ b/internal/gossiper/collectors_test.go
@@ -200,3 +200,27 @@
 		t.Errorf("got %s reported to in the end, want the one of the own domain", got.Name)
 	}
 }
+
+// TestStarvedReporterBlamesNobody has digests reach a router that is short of processor
+// time two thirds of a second late: it must not go from one to the next that collects.
+func TestStarvedReporterBlamesNobody(t *testing.T) {
+	self := Member{Name: "self", Domain: "a"}
+	chosen := []Member{{Name: "x", Domain: "a"}, {Name: "y", Domain: "a"}, {Name: "z", Domain: "b"}}
+	for _, starved := range []bool{true, false} {
+		var r Reporter
+		r.SetStarved(starved)
+		changes, last := 0, ""
+		for at := time.Duration(0); at < 6*time.Second; at += 80 * time.Millisecond {
+			to := r.Pick(epoch.Add(at), self, chosen, nil)
+			if to.Name != last {
+				changes, last = changes+1, to.Name
+			}
+			if at%(640*time.Millisecond) == 0 {
+				r.Heard(epoch.Add(at), to.Name)
+			}
+		}
+		if starved != (changes == 1) {
+			t.Errorf("starved %v: got %d routers reported to in turn", starved, changes)
+		}
+	}
+}
--- a/internal/router/hostedgossip.go
+++ b/internal/router/hostedgossip.go
@@ -136,6 +136,7 @@
 
 // report tells the router that collects for this one what this one does.
 func (h *Hosted) report(now time.Time, load messenger.PeerLoad) {
+	h.reporter.SetStarved(h.strain.starved())
 	before := h.reporter.Current()
 	to := h.reporter.Pick(now, h.member().id(), h.chosen, h.roster())
 	if before.Name != to.Name {
--- a/internal/router/strain.go
+++ b/internal/router/strain.go
@@ -97,6 +97,9 @@
 	s.turnedAway = 1 - takenIn
 }
 
+// starved reports whether the VM has no processor time left.
+func (s *strain) starved() bool { return s.turnedAway > 0 || s.lag > busyLag || s.wait > busyWait }
+
 // watchStrain lets an overloaded router turn away callers or, while only a few
 // routers do so, leave the rotation.
 func (h *Hosted) watchStrain(b beat) {
