A busy engine is late before it is silent

Change: before the first output an upstream may be silent for one and a half times the objective, 0.8 s at least; within a stream as before.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -87,6 +87,9 @@
 	Header http.Header
 	Body   []byte
 	Class  messenger.ClassPolicy
+	// FirstTimeout is how long an upstream may be silent before its first output; zero
+	// means as long as later.
+	FirstTimeout time.Duration
 	// Streaming is true if the answer is expected as a stream of events, so
 	// that silence before its head can be settled by a resume.
 	Streaming bool
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -233,7 +233,11 @@
 	f.d.transport.Start(at.x, out)
 }
 
+// progressTimeout returns how long an upstream may be silent now.
 func (f *flight) progressTimeout() time.Duration {
+	if f.result.FirstOutput.IsZero() && f.req.FirstTimeout > 0 {
+		return f.req.FirstTimeout
+	}
 	if f.req.Class.ProgressTimeout > 0 {
 		return f.req.Class.ProgressTimeout
 	}
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -128,7 +128,6 @@
 	s.idle += len(p)
 	if count > 0 {
 		s.idle = 0
-		at.progressed(f.now(), f.progressTimeout())
 	}
 	ok = ok && s.idle <= maxEventBytes
 	first := len(out) > 0 && f.result.FirstOutput.IsZero()
@@ -138,6 +137,9 @@
 	if first {
 		f.result.FirstOutput = f.now()
 	}
+	if count > 0 {
+		at.progressed(f.now(), f.progressTimeout())
+	}
 	if first || !s.told && len(out) > 0 {
 		s.told = true
 		f.queue.Tell(messenger.Progress{Request: f.req.ID, Tokens: float64(count), First: true})
--- a/internal/dispatcher/silence_test.go
+++ b/internal/dispatcher/silence_test.go
@@ -287,3 +287,31 @@
 		t.Errorf("problem = %+v, result %+v, want not-run for the deadline", p, res)
 	}
 }
+
+// TestBusyEngineIsLateBeforeItIsSilent has an engine take longer for its first event than
+// it may be silent later. The stream must not be cut and read anew elsewhere; a silence
+// within it still is one.
+func TestBusyEngineIsLateBeforeItIsSilent(t *testing.T) {
+	busy := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(150 * time.Millisecond)
+		beginStream(w, r)
+		writeEvent(w, numbered(1, 2))
+		<-r.Context().Done()
+	})
+	other := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		beginStream(w, r)
+		writeEvent(w, numbered(3, 4))
+	})
+	d := newTestDispatcher(t, Config{Dialect: resendDialect{}, Upstreams: fixedUpstreams{"a": {Address: busy}, "b": {Address: other}}})
+	req := stream()
+	req.Class.ProgressTimeout, req.FirstTimeout = 50*time.Millisecond, 2*time.Second
+	q, c := newFakeQueue("a", "b"), newFakeCaller()
+	began := time.Now()
+	res := d.Serve(context.Background(), req, q, c)
+	if got, want := c.text(), numbered(1, 4); got != want || res.Attempts != 2 {
+		t.Errorf("got %q in %d attempts, want the first events of the one and the rest of the other", got, res.Attempts)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("took %v, want the silence within the stream noticed at once", took)
+	}
+}
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -20,6 +20,9 @@
 	// streamSilence is how long an upstream may be silent in a stream before
 	// another one is given the rest, where that is allowed.
 	streamSilence = 800 * time.Millisecond
+	// firstPerObjective is how many times the objective an engine may take for the first
+	// output of a stream: one that is busy is late before it is silent.
+	firstPerObjective = 1.5
 	// silencePerObjective is how many times the objective an upstream may take
 	// for a request that may be repeated.
 	silencePerObjective = 2
@@ -86,7 +89,8 @@
 		Host: req.Host, Method: req.Method, URI: req.URL.RequestURI(), Header: req.Header, Body: body,
 		Streaming: route.Streaming, Resumable: route.Resumable,
 		LastEvent: in.LastEvent, HasLastEvent: in.HasLastEvent, MaxSends: route.MaxSends,
-		Class: messenger.ClassPolicy{ProgressTimeout: silenceOf(route)},
+		Class:        messenger.ClassPolicy{ProgressTimeout: silenceOf(route)},
+		FirstTimeout: firstTimeoutOf(route),
 	}
 	out.Arrive = h.arrival(out.ID, in, route)
 	if account != nil {
@@ -106,6 +110,15 @@
 	return min(streamSilence, silencePerObjective*route.Objective)
 }
 
+// firstTimeoutOf returns how long an upstream may be silent with a request before its
+// first output.
+func firstTimeoutOf(route *matcher.Route) time.Duration {
+	if !route.Streaming {
+		return silenceOf(route)
+	}
+	return max(streamSilence, time.Duration(firstPerObjective*float64(route.Objective)))
+}
+
 // arrival tells the scheduler of a request.
 func (h *Hosted) arrival(id messenger.RequestID, in *Incoming, route *matcher.Route) messenger.Arrive {
 	a := messenger.Arrive{
