--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -96,6 +96,8 @@
 	newest  map[Table]uint64
 	// configuration is the newest that could be read.
 	configuration *Configuration
+	// expires is true while a dropped registration may still be believed.
+	expires bool
 	// rejected are the rows that could not be read, since the last look.
 	rejected []Rejected
 	// wholeAt is the version at which each table was last read whole: a row that was
@@ -193,6 +195,7 @@
 	if row.Deleted {
 		if catchUp {
 			fresh.goneAt = now.Add(returnTime)
+			f.expires = true
 		}
 		return true
 	}
@@ -241,9 +244,17 @@
 // Expire reports whether a registration stopped being believed since the last
 // look.
 func (f *Follower) Expire(now time.Time) bool {
+	if !f.expires {
+		return false
+	}
 	changed := false
+	f.expires = false
 	for _, e := range f.rows[RegistrationTable] {
-		if !e.goneAt.IsZero() && !now.Before(e.goneAt) {
+		switch {
+		case e.goneAt.IsZero():
+		case now.Before(e.goneAt):
+			f.expires = true
+		default:
 			e.goneAt = time.Time{}
 			changed = true
 		}
