--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -194,7 +194,7 @@
 	return n
 }
 
-// newsAge returns how old what is known of the other routers mostly is at the most.
+// newsAge returns how old news of the other routers may be.
 func (a *Admitter) newsAge() time.Duration {
 	for _, p := range a.peers {
 		if len(p.routers) > 1 {
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -119,7 +119,8 @@
 	// lagging is true if others follow the store for this router, collecting if it
 	// collects what others do.
 	lagging, collecting atomic.Bool
-	// known are the newest versions of the tables, for the goroutines that follow them.
+	// known are the newest versions of rowTables, in their order, for the goroutines that
+	// follow them.
 	known [2]atomic.Uint64
 	// lostTables counts the tables of the store that cannot be followed now.
 	lostTables atomic.Int32
