Work out the roster when it changes, a round's sums once, and medians in one place

Read again: each router took its list of routers together and chose those that collect from it, with a hash for each comparison, every 80 ms, though it changes seldom; a collecting router sorted and copied everything anew for each digest, and added up what nobody asked for while none reported to it; medians over the fleet stood twice, once by repeating each value for each of hundreds of routers. The fleet's size comes from the round itself, also where none reports. Joining a starting fleet and a running one are one path now: a first write that is refused is tried again after joinPause instead of at once. Otherwise what is decided stays as it was; tests keep their assertions.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -355,11 +355,12 @@
 func (a *Admitter) divide() {
 	part := a.shares.part(1 / float64(a.fleetSize()))
 	reserve := a.shares.kept(a.peers)
+	newsAge := a.newsAge().Seconds()
 	for _, p := range a.pools {
 		p.part, p.reserve = part, reserve
 		p.learnFromPeers(a.peers)
 		p.learnErrors()
-		p.brief = p.model.held < a.newsAge().Seconds()
+		p.brief = p.model.held < newsAge
 	}
 }
 
--- a/internal/admitter/model.go
+++ b/internal/admitter/model.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -80,13 +79,6 @@
 	m.held += max(heldWeight, 1/float64(m.ended)) * (seconds - m.held)
 }
 
-// median returns the middle of some values, of which there is one at least. It
-// changes their order.
-func median(values []float64) float64 {
-	slices.Sort(values)
-	return values[len(values)/2]
-}
-
 func bound(v, low, high float64) float64 { return min(max(v, low), high) }
 
 // halved returns what is left of 1 after some time.
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lentilwood.example/lentilwood/internal/averager"
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
@@ -125,11 +126,10 @@
 func (p *pool) learnFromPeers(peers map[messenger.RouterID]*peer) {
 	key := messenger.KeyOf(p.id)
 	contested, n := p.learnt, 1.0
-	var bases, perReads []float64
+	var bases, perReads []averager.Value
 	learn := func(base, perRead float64, routers int) {
-		for range routers {
-			bases, perReads = append(bases, base), append(perReads, perRead)
-		}
+		bases = append(bases, averager.Value{Value: base, Weight: routers})
+		perReads = append(perReads, averager.Value{Value: perRead, Weight: routers})
 	}
 	if p.model.learnt() {
 		learn(p.model.base, p.model.perRead, 1)
@@ -149,22 +149,19 @@
 	p.contested = max(p.learnt, contested/n)
 	p.speed = speed{base: p.model.base, perRead: p.model.perRead}
 	if len(bases) > 0 {
-		p.speed.base = max(lowestBase, median(bases))
-		p.speed.perRead = bound(median(perReads), lowestPerRead, highestPerRead)
+		p.speed.base = max(lowestBase, averager.Median(bases))
+		p.speed.perRead = bound(averager.Median(perReads), lowestPerRead, highestPerRead)
 	}
 }
 
 // learnErrors works out how far off the forecasts for most upstreams are. If they
 // are late at all of them, this router is, and no engine is to be taken for slow.
 func (p *pool) learnErrors() {
-	errors := make([]float64, 0, len(p.members))
+	errors := make([]averager.Value, 0, len(p.members))
 	for _, u := range p.members {
-		errors = append(errors, u.error)
-	}
-	p.commonError = 1
-	if len(errors) > 0 {
-		p.commonError = max(1, median(errors))
+		errors = append(errors, averager.Value{Value: u.error, Weight: 1})
 	}
+	p.commonError = max(1, averager.Median(errors))
 }
 
 // pausedFor returns how long it is until the first upstream may be sent something
--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -90,55 +90,72 @@
 
 // Round is what is known at one moment.
 type Round struct {
-	own     messenger.PeerLoad
-	sources map[messenger.RouterID]messenger.PeerLoad
-	partial *sum
-	total   *sum
+	// reports are the loads of the routers that report here.
+	reports map[messenger.RouterID]messenger.PeerLoad
+	size    int
+	partial messenger.PeerLoad
+	// total is the load of all, in which upstreamAt and accountAt say what stands where.
+	total                 messenger.PeerLoad
+	upstreamAt, accountAt map[messenger.Key]int
 }
 
 // Round sums up what is known, with the load of the collecting router itself. Shared
 // parts of prompts are in one round only.
 func (c *Collector) Round(own messenger.PeerLoad) *Round {
-	r := &Round{own: own, sources: make(map[messenger.RouterID]messenger.PeerLoad), partial: newSum(), total: newSum()}
-	r.partial.add(own, nil)
-	r.total.add(own, nil)
+	r := &Round{reports: make(map[messenger.RouterID]messenger.PeerLoad), size: 1, partial: own}
 	for id, s := range c.sources {
+		r.size += max(1, len(s.load.Routers))
 		if s.reports {
-			r.partial.add(s.load, s.parts)
-			r.sources[id] = s.load
+			r.reports[id] = s.load
 		}
-		r.total.add(s.load, s.parts)
+	}
+	if len(r.reports) > 0 {
+		c.sumUp(r, own)
+	}
+	for _, s := range c.sources {
 		s.parts = make(map[messenger.Key][]messenger.PartID)
 	}
 	return r
 }
 
-// Partial returns the load of the collecting router and of those that report to it. It
-// is the router's own load if nobody does.
-func (r *Round) Partial() messenger.PeerLoad {
-	if len(r.sources) == 0 {
-		return r.own
+// sumUp adds up what is known for the routers that report here.
+func (c *Collector) sumUp(r *Round, own messenger.PeerLoad) {
+	partial, total := newSum(), newSum()
+	partial.add(own, nil)
+	total.add(own, nil)
+	for _, s := range c.sources {
+		if s.reports {
+			partial.add(s.load, s.parts)
+		}
+		total.add(s.load, s.parts)
 	}
-	return r.partial.load(r.own.From)
+	r.partial, r.total = partial.load(own.From), total.load(own.From)
+	r.upstreamAt, r.accountAt = total.upstreamAt, total.accountAt
 }
 
+// Size returns how many routers are known, the collecting one included.
+func (r *Round) Size() int { return r.size }
+
+// Partial returns the load of the collecting router and of those that report to it. It
+// is the router's own load if nobody does.
+func (r *Round) Partial() messenger.PeerLoad { return r.partial }
+
 // Without returns the load of all routers but one that reports here.
 func (r *Round) Without(id messenger.RouterID) messenger.PeerLoad {
-	out := r.total.load(r.own.From)
-	load := r.sources[id]
+	out := r.total
+	out.Upstreams, out.Accounts = slices.Clone(out.Upstreams), slices.Clone(out.Accounts)
+	load := r.reports[id]
 	for _, u := range load.Upstreams {
-		if i, ok := r.total.upstreamAt[u.Upstream]; ok {
-			out.Upstreams[i].Running -= u.Running
-			out.Upstreams[i].Reading -= u.Reading
-		}
+		to := &out.Upstreams[r.upstreamAt[u.Upstream]]
+		to.Running -= u.Running
+		to.Reading -= u.Reading
 	}
 	for _, a := range load.Accounts {
-		if i, ok := r.total.accountAt[a.Account]; ok {
-			out.Accounts[i].Rate -= a.Rate
-			out.Accounts[i].Served -= a.Served
-		}
+		to := &out.Accounts[r.accountAt[a.Account]]
+		to.Rate -= a.Rate
+		to.Served -= a.Served
 	}
 	self := messenger.KeyOf(id)
-	out.Routers = slices.DeleteFunc(out.Routers, func(k messenger.Key) bool { return k == self })
+	out.Routers = slices.DeleteFunc(slices.Clone(out.Routers), func(k messenger.Key) bool { return k == self })
 	return out
 }
--- a/internal/collector/sum.go
+++ b/internal/collector/sum.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"lentilwood.example/lentilwood/internal/averager"
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
@@ -21,13 +22,7 @@
 type poolSum struct {
 	contested, weight float32
 	// bases and perReads are what those learnt that have seen enough.
-	bases, perReads []weighted
-}
-
-// weighted is a value that counts for some routers.
-type weighted struct {
-	value float32
-	n     int
+	bases, perReads []averager.Value
 }
 
 func newSum() *sum {
@@ -98,50 +93,21 @@
 	p.contested += d.Contested * float32(routers)
 	p.weight += float32(routers)
 	if d.PerRead > 0 {
-		p.bases = append(p.bases, weighted{value: d.Base, n: routers})
-		p.perReads = append(p.perReads, weighted{value: d.PerRead, n: routers})
+		p.bases = append(p.bases, averager.Value{Value: float64(d.Base), Weight: routers})
+		p.perReads = append(p.perReads, averager.Value{Value: float64(d.PerRead), Weight: routers})
 	}
 }
 
-// load returns the sum as one load, which is the caller's to change. The routers stand in
-// order, so that it shows when there are others.
+// load returns the sum as one load. The routers stand in order, so that it shows when
+// there are others.
 func (s *sum) load(from messenger.RouterID) messenger.PeerLoad {
-	out := messenger.PeerLoad{
-		From: from, Routers: slices.Clone(s.routers), Reserve: s.reserve,
-		Upstreams: slices.Clone(s.upstreams), Accounts: slices.Clone(s.accounts),
-	}
-	slices.Sort(out.Routers)
+	slices.Sort(s.routers)
+	out := messenger.PeerLoad{From: from, Routers: s.routers, Reserve: s.reserve, Upstreams: s.upstreams, Accounts: s.accounts}
 	for pool, p := range s.pools {
 		out.Pools = append(out.Pools, messenger.PoolDemand{
-			Pool: pool, Contested: p.contested / p.weight, Base: median(p.bases), PerRead: median(p.perReads),
+			Pool: pool, Contested: p.contested / p.weight,
+			Base: float32(averager.Median(p.bases)), PerRead: float32(averager.Median(p.perReads)),
 		})
 	}
 	return out
 }
-
-// median returns the value that half of the routers are at or below, or 0 if there is
-// none.
-func median(values []weighted) float32 {
-	values = slices.Clone(values)
-	slices.SortFunc(values, func(a, b weighted) int {
-		switch {
-		case a.value < b.value:
-			return -1
-		case a.value > b.value:
-			return 1
-		}
-		return 0
-	})
-	all := 0
-	for _, v := range values {
-		all += v.n
-	}
-	seen := 0
-	for _, v := range values {
-		seen += v.n
-		if 2*seen > all {
-			return v.value
-		}
-	}
-	return 0
-}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -329,7 +329,8 @@
 // themselves that they leave.
 func (f *Follower) Departures() []Departure {
 	var out []Departure
-	for key, e := range f.rows[RegistrationTable] {
+	for key := range f.departing {
+		e := f.rows[RegistrationTable][key]
 		if !e.row.Deleted && e.readable && !e.upstream.Leaving && f.departs(key, e.upstream) {
 			out = append(out, Departure{Upstream: messenger.UpstreamID(key), Started: startedMS(e.upstream.Started)})
 		}
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -144,6 +144,10 @@
 	collector collector.Collector
 	reporter  gossiper.Reporter
 	chosen    []gossiper.Member
+	// roster is the routers that chosen were taken from, this one included; isChosen is
+	// true if it should collect itself. Both are worked out once rosterChanged is true.
+	roster                  []gossiper.Member
+	isChosen, rosterChanged bool
 	// allTellAll is true in a small fleet, where each router tells each other one.
 	allTellAll bool
 	// startedAt is when the router started, and joined is true once it has read which
@@ -176,8 +180,8 @@
 		meter:    meter.New(cfg.Clock, cfg.Settings.Metrics.Accounts),
 		follower: follower.New(cfg.Decoder),
 		peers:    make(map[string]*hostedPeer),
-		strain:   strain{queue: &runQueue{}},
-		pulls:    newPulls(),
+		strain:   strain{queue: &runQueue{}}, rosterChanged: true,
+		pulls: newPulls(),
 	}
 	h.serving, h.cutRequests = context.WithCancel(context.Background())
 	h.background, h.stopAll = context.WithCancel(context.Background())
--- a/internal/router/hostedgossip.go
+++ b/internal/router/hostedgossip.go
@@ -1,10 +1,12 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"lentilwood.example/lentilwood/internal/collector"
 	"lentilwood.example/lentilwood/internal/follower"
 	"lentilwood.example/lentilwood/internal/gossiper"
 	"lentilwood.example/lentilwood/internal/messenger"
@@ -28,7 +30,7 @@
 		return
 	}
 	h.forgetSilentPeers(now)
-	h.assignCollectors(now)
+	h.assignCollectors()
 	h.assignFollowers()
 	h.strainedOthers = h.countStrained()
 	load := h.admitter.Share(now)
@@ -55,47 +57,51 @@
 
 // assignCollectors works out whether this router collects: if it is one of those that
 // should, or if others report to it.
-func (h *Hosted) assignCollectors(now time.Time) {
-	roster := h.roster()
-	chosen := gossiper.Collectors(roster)
-	h.allTellAll = len(chosen) == len(roster)
-	h.chosen = h.chosen[:0]
-	self := false
-	for _, m := range chosen {
-		if m.Name == string(h.self) {
-			self = true
-			continue
-		}
-		h.chosen = append(h.chosen, m)
+func (h *Hosted) assignCollectors() {
+	if h.rosterChanged {
+		h.chooseCollectors()
 	}
-	collecting := self && !h.draining.Load() || len(h.collector.Reporters()) > 0
+	collecting := h.isChosen && !h.draining.Load() || len(h.collector.Reporters()) > 0
 	if h.collecting.Swap(collecting) == collecting {
 		return
 	}
 	h.log.WithFields(logrus.Fields{
-		eventField: "collecting", "on": collecting, "chosen": self, "routers": len(h.peers) + 1,
+		eventField: "collecting", "on": collecting, "chosen": h.isChosen, "routers": len(h.peers) + 1,
 	}).Info("whether this router collects what others do changed")
 	if collecting {
 		h.control.handle(messenger.PeerLost{Router: messenger.FleetSum})
 	}
 }
 
-// roster returns the routers that are known and not about to stop, this one included.
-func (h *Hosted) roster() []gossiper.Member {
-	members := make([]gossiper.Member, 0, len(h.peers)+1)
-	members = append(members, h.member().id())
+// chooseCollectors works out anew which routers there are, this one included but none
+// that is about to stop, and which of them should collect.
+func (h *Hosted) chooseCollectors() {
+	h.rosterChanged = false
+	self := h.member().id()
+	h.roster = append(h.roster[:0], self)
 	for _, p := range h.peers {
 		if !p.leaving {
-			members = append(members, p.member.id())
+			h.roster = append(h.roster, p.member.id())
 		}
 	}
-	return members
+	h.chosen = gossiper.Collectors(h.roster)
+	h.allTellAll = len(h.chosen) == len(h.roster)
+	n := len(h.chosen)
+	h.chosen = slices.DeleteFunc(h.chosen, func(m gossiper.Member) bool { return m.Name == self.Name })
+	h.isChosen = len(h.chosen) < n
+}
+
+// setLeaving notes whether a router is about to stop.
+func (h *Hosted) setLeaving(p *hostedPeer, leaving bool) {
+	h.rosterChanged = h.rosterChanged || p.leaving != leaving
+	p.leaving = leaving
 }
 
 // tellCollected exchanges what is collected with the other routers that collect, and
 // tells those that report here.
 func (h *Hosted) tellCollected(now time.Time, load messenger.PeerLoad) {
 	round := h.collector.Round(load)
+	h.setFleetSize(round.Size())
 	e := h.message(exchanged, round.Partial())
 	e.StrainedRouters = uint32(h.strainedReporters()) //nolint:gosec // a count of routers
 	near, relays := gossiper.Targets(h.member().id(), h.liveCollectors(), h.sequence)
@@ -107,9 +113,7 @@
 }
 
 // digest tells each router that reports here what all others do.
-func (h *Hosted) digest(round interface {
-	Without(messenger.RouterID) messenger.PeerLoad
-}) {
+func (h *Hosted) digest(round *collector.Round) {
 	reporters := h.collector.Reporters()
 	if len(reporters) == 0 {
 		return
@@ -122,11 +126,8 @@
 	if h.sequence%rosterEvery == 0 {
 		e.Collectors = h.collectorList()
 	}
-	for i, id := range reporters {
+	for _, id := range reporters {
 		load := round.Without(id)
-		if i == 0 {
-			h.setFleetSize(1 + len(load.Routers))
-		}
 		e.Load = &load
 		if p, ok := h.peers[string(id)]; ok {
 			_ = h.exchanger.Send(p.member.Address, e) // a dropped message is said again with the next round
@@ -138,7 +139,7 @@
 func (h *Hosted) report(now time.Time, load messenger.PeerLoad) {
 	h.reporter.SetStarved(h.strain.starved())
 	before := h.reporter.Current()
-	to := h.reporter.Pick(now, h.member().id(), h.chosen, h.roster())
+	to := h.reporter.Pick(now, h.member().id(), h.chosen, h.roster)
 	if before.Name != to.Name {
 		h.part(before)
 		h.log.WithFields(logrus.Fields{eventField: "reporting", "to": to.Name, "before": before.Name}).Info("another router collects for this one")
--- a/internal/router/hostedgossip_test.go
+++ b/internal/router/hostedgossip_test.go
@@ -22,7 +22,7 @@
 	for _, name := range []string{"near1", "near2", "near3", "near4"} {
 		h.meet(Member{Name: name, Domain: "a", Weight: 800, Incarnation: 1})
 	}
-	h.assignCollectors(clock.Now())
+	h.assignCollectors()
 	sequence := uint64(0)
 	tell = func(e hostedEnvelope) {
 		sequence++
@@ -42,7 +42,8 @@
 }
 
 func knows(h *Hosted, name string) bool {
-	return slices.ContainsFunc(h.roster(), func(m gossiper.Member) bool { return m.Name == name })
+	h.assignCollectors()
+	return slices.ContainsFunc(h.roster, func(m gossiper.Member) bool { return m.Name == name })
 }
 
 // TestRestartedRouterMayCollectAgain has the router that collects leave, and others say
--- a/internal/router/hostedjoin.go
+++ b/internal/router/hostedjoin.go
@@ -31,29 +31,26 @@
 	withdrawTimeout  = 300 * time.Millisecond
 )
 
-// join announces this router and learns of the others, until both succeed.
+// join announces this router and learns of the others, until both succeed. While the
+// whole fleet starts each router writes its entry at another moment.
 func (h *Hosted) join() {
-	joined := false
 	if h.settings.FirstStart {
-		joined = h.joinFleet()
+		h.pause(time.Duration(xxhash.Sum64String(string(h.self)) % uint64(startSpread)))
 	}
-	for !joined && !h.tryJoin() {
+	for !h.tryJoin() {
 		if h.background.Err() != nil {
 			return
 		}
 		h.pause(joinPause)
 	}
 	h.pause(rosterAgain)
-	if !h.collecting.Load() || h.background.Err() != nil {
-		return
+	if h.collecting.Load() && h.background.Err() == nil {
+		h.readRoster()
 	}
-	ctx, cancel := context.WithTimeout(h.background, directoryTimeout)
-	defer cancel()
-	h.readRoster(ctx)
 }
 
-// tryJoin writes this router's entry and reads those of all. It reports whether that
-// succeeded.
+// tryJoin writes this router's entry and reads those of all, while the whole fleet
+// starts once they are there. It reports whether that succeeded.
 func (h *Hosted) tryJoin() bool {
 	ctx, cancel := context.WithTimeout(h.background, directoryTimeout)
 	defer cancel()
@@ -61,24 +58,10 @@
 		h.log.WithField(eventField, "join").WithError(err).Info("entry not written yet")
 		return false
 	}
-	return h.readRoster(ctx)
-}
-
-// joinFleet writes this router's entry while the whole fleet starts, each router at
-// another moment, and reads those of all once they are there. It reports whether that
-// succeeded.
-func (h *Hosted) joinFleet() bool {
-	h.pause(time.Duration(xxhash.Sum64String(string(h.self)) % uint64(startSpread)))
-	ctx, cancel := context.WithTimeout(h.background, directoryTimeout)
-	defer cancel()
-	if err := h.cfg.Directory.Announce(ctx, h.member()); err != nil {
-		h.log.WithField(eventField, "join").WithError(err).Info("entry not written yet")
-		return false
+	if h.settings.FirstStart {
+		h.pause(rosterTime - h.clock.Now().Sub(h.startedAt))
 	}
-	h.pause(rosterTime - h.clock.Now().Sub(h.startedAt))
-	ctx, cancelRead := context.WithTimeout(h.background, directoryTimeout)
-	defer cancelRead()
-	return h.readRoster(ctx)
+	return h.readRoster()
 }
 
 // pause waits for a time, or until the router stops.
@@ -89,8 +72,11 @@
 	}
 }
 
-// readRoster learns from the directory which routers there are.
-func (h *Hosted) readRoster(ctx context.Context) bool {
+// readRoster learns from the directory which routers there are. It reports whether that
+// succeeded.
+func (h *Hosted) readRoster() bool {
+	ctx, cancel := context.WithTimeout(h.background, directoryTimeout)
+	defer cancel()
 	members, err := h.cfg.Directory.Members(ctx)
 	if err != nil {
 		h.log.WithField(eventField, "join").WithError(err).Info("routers not known yet, or not all")
@@ -125,12 +111,14 @@
 	if !ok {
 		p = &hostedPeer{member: m, versions: make(map[follower.Table]uint64)}
 		h.peers[m.Name] = p
+		h.rosterChanged = true
 		h.setFleetSize(len(h.peers) + 1)
 	}
 	if m.Incarnation > p.member.Incarnation {
-		p.leaving = false // it was started again
+		h.setLeaving(p, false) // it was started again
 	}
 	if m.Incarnation >= p.member.Incarnation || m.Address != p.member.Address {
+		h.rosterChanged = h.rosterChanged || m.id() != p.member.id()
 		p.member = m
 	}
 	return p
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -173,7 +173,8 @@
 
 // learnState takes in what a router says of itself, and of others.
 func (h *Hosted) learnState(p *hostedPeer, e hostedEnvelope) {
-	p.leaving, p.strained, p.storeLost = e.Leaving, e.Strained, e.StoreLost
+	h.setLeaving(p, e.Leaving)
+	p.strained, p.storeLost = e.Strained, e.StoreLost
 	p.strainedRouters = int(e.StrainedRouters)
 	p.versions[follower.ConfigurationTable] = e.Configuration
 	p.versions[follower.RegistrationTable] = e.Registrations
