One way to rest a feed, to post to the control goroutine, to reach the port, to pass on a notice

Read again: the wait for rows at a fleet's start was a loop of its own beside the rest of a feed, with an array of versions beside what is kept for each table; two functions passed on notices; messages for the control goroutine were put together in two places, the port's descriptor taken in two; two constants of the same name meant different sizes of fleet.

--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -53,25 +53,15 @@
 		if id == "" || id == f.req.WireID {
 			return true
 		}
-		f.d.noteLeaving(upstream, status, h)
+		f.d.notify(upstream, Notice{Leaving: f.d.dialect.Notice(status, h).Leaving})
 		return false
 	}
 }
 
-// noteLeaving passes on that an upstream leaves.
-func (d *Dispatcher) noteLeaving(upstream messenger.UpstreamID, status int, h http.Header) {
-	if d.cfg.Notices != nil && d.dialect.Notice(status, h).Leaving {
-		d.cfg.Notices(upstream, Notice{Leaving: true})
-	}
-}
-
-// learnNotice passes on what an answer says of its upstream's wishes.
-func (f *flight) learnNotice(at *attempt, p progress) {
-	if f.d.cfg.Notices == nil {
-		return
-	}
-	if n := f.d.dialect.Notice(p.status, p.header); n != (Notice{}) {
-		f.d.cfg.Notices(at.upstream, n)
+// notify passes on what an answer says of its upstream's wishes, if it says anything.
+func (d *Dispatcher) notify(upstream messenger.UpstreamID, n Notice) {
+	if d.cfg.Notices != nil && n != (Notice{}) {
+		d.cfg.Notices(upstream, n)
 	}
 }
 
--- a/internal/listener/acceptor.go
+++ b/internal/listener/acceptor.go
@@ -137,17 +137,9 @@
 // turnAwayOne answers and closes one connection that waits to be accepted. It
 // returns false if there is none, or if only Accept can tell.
 func (a *acceptor) turnAwayOne() bool {
-	listener, ok := a.Listener.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := listener.SyscallConn()
-	if err != nil {
-		return false // Accept meets the same error and reports it
-	}
 	done := false
-	err = raw.Control(func(fd uintptr) { done = rejectRaw(int(fd), problemOverload.answer()) })
-	if err != nil || !done {
+	a.withPort(func(fd int) { done = rejectRaw(fd, problemOverload.answer()) })
+	if !done {
 		return false
 	}
 	a.refused(problemOverload.kind)
@@ -194,18 +186,10 @@
 
 // takeQueue accepts the connections that wait.
 func (a *acceptor) takeQueue() []net.Conn {
-	listener, ok := a.Listener.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := listener.SyscallConn()
-	if err != nil {
-		return nil // the port is closed already
-	}
 	var conns []net.Conn
-	_ = raw.Control(func(fd uintptr) { // fails only if the port is closed already
+	a.withPort(func(fd int) {
 		for {
-			conn, ok := acceptRaw(int(fd))
+			conn, ok := acceptRaw(fd)
 			if !ok {
 				return
 			}
@@ -217,6 +201,20 @@
 	return conns
 }
 
+// withPort calls f with the descriptor of the port, unless the port is closed or is no
+// socket of the system; Accept meets the same error and reports it.
+func (a *acceptor) withPort(f func(fd int)) {
+	listener, ok := a.Listener.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { f(int(fd)) })
+}
+
 // acceptRaw accepts one connection without waiting for it. It returns false if
 // there is none.
 func acceptRaw(listener int) (fd int, ok bool) {
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -217,16 +217,21 @@
 // call runs f on the control goroutine and waits for it. It returns false if
 // the control goroutine has ended.
 func (c *control) call(f func()) bool {
-	i := inspection{run: f, done: make(chan struct{})}
-	c.submit(i)
 	select {
-	case <-i.done:
+	case <-c.post(f):
 		return true
 	case <-c.done:
 		return false
 	}
 }
 
+// post runs f on the control goroutine, later; the channel is closed once it was run.
+func (c *control) post(f func()) <-chan struct{} {
+	done := make(chan struct{})
+	c.submit(inspection{run: f, done: done})
+	return done
+}
+
 // requestQueue is the scheduler as one request sees it.
 type requestQueue struct {
 	control *control
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -119,9 +119,6 @@
 	// lagging is true if others follow the store for this router, collecting if it
 	// collects what others do.
 	lagging, collecting atomic.Bool
-	// known are the newest versions of rowTables, in their order, for the goroutines that
-	// follow them.
-	known [2]atomic.Uint64
 	// lostTables counts the tables of the store that cannot be followed now.
 	lostTables atomic.Int32
 
@@ -199,7 +196,7 @@
 		MaxAttempts: resends, Retries: h.budget, Dialect: cfg.Dialect,
 		Loads: func(report messenger.LoadReport) { h.control.submit(report) },
 		Notices: func(id messenger.UpstreamID, n dispatcher.Notice) {
-			h.control.submit(inspection{run: func() { h.notice(id, n) }, done: make(chan struct{})})
+			h.control.post(func() { h.notice(id, n) })
 		},
 	})
 	return h
@@ -225,8 +222,8 @@
 		return err
 	}
 	h.goroutines.Go(func() { h.control.run(h.background) })
-	for i, table := range rowTables {
-		h.follow(table, &h.known[i])
+	for _, table := range rowTables {
+		h.follow(table)
 	}
 	h.goroutines.Go(h.join)
 	h.log.WithFields(logrus.Fields{
@@ -243,7 +240,7 @@
 	h.exchanger = exchanger.New(exchanger.Config[hostedEnvelope]{
 		Name: string(h.self), Address: h.settings.Listeners.Peers.Address, Key: key,
 		Handler: func(_ string, e hostedEnvelope) {
-			h.control.submit(inspection{run: func() { h.receive(e) }, done: make(chan struct{})})
+			h.control.post(func() { h.receive(e) })
 		},
 		Clock: h.clock, Log: h.log, QueueLength: peerQueue, CallTimeout: peerTimeout,
 	})
--- a/internal/router/hostedrows.go
+++ b/internal/router/hostedrows.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,9 +13,9 @@
 
 const (
 	// followers is how many routers of a large fleet follow the store closely: each
-	// makes several calls a second while much changes. Up to smallFleet routers all do.
-	followers  = 6
-	smallFleet = 10
+	// makes several calls a second while much changes. Up to allFollow routers all do.
+	followers = 6
+	allFollow = 10
 	// behindBefore is how long a router that follows the store itself must lag behind
 	// before it is sent rows: most have them by then. behindStep is how much longer each further
 	// router waits that could send them, up to mostSteps.
@@ -33,6 +34,8 @@
 // pull asks for the changes of a table before it is time.
 type pull struct {
 	wake chan struct{}
+	// known is the newest version of the table that this router has.
+	known atomic.Uint64
 	// behindSince is when another router was first heard to have newer rows.
 	behindSince time.Time
 }
@@ -62,8 +65,8 @@
 		}
 	}
 	n := followers
-	if len(h.peers) < smallFleet {
-		n = smallFleet
+	if len(h.peers) < allFollow {
+		n = allFollow
 	}
 	h.feeders = gossiper.Followers(candidates, n)
 	lagging := len(h.feeders) == n && !slices.Contains(h.feeders, h.member().id())
--- a/internal/router/hostedstore.go
+++ b/internal/router/hostedstore.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -32,35 +31,17 @@
 )
 
 // follow begins to follow a table of the platform's store.
-func (h *Hosted) follow(table follower.Table, known *atomic.Uint64) {
+func (h *Hosted) follow(table follower.Table) {
+	pull := h.pulls[table]
 	feed := &follower.Feed{
 		Source: h.cfg.Source, Table: table, Clock: h.clock, Log: h.log,
-		Wait: h.feedWait, Pause: func() time.Duration { return gatherTime }, Rest: h.feedRest,
-		Known: known.Load, Retry: h.feedRetry, Wake: h.pulls[table].wake,
+		Wait: h.feedWait, Pause: func() time.Duration { return gatherTime },
+		Rest:  func() time.Duration { return h.feedRest(pull) },
+		Known: pull.known.Load, Retry: h.feedRetry, Wake: pull.wake,
 		Batches: func(b follower.Batch) { h.control.call(func() { h.merge(b) }) },
 		Noted:   h.noteStore,
 	}
-	h.goroutines.Go(func() {
-		if h.settings.FirstStart {
-			h.awaitRows(known)
-		}
-		feed.Run(h.background)
-	})
-}
-
-// awaitRows gives the routers that follow the store closely the time to send rows, in
-// place of each router's reading them while the whole fleet starts.
-func (h *Hosted) awaitRows(known *atomic.Uint64) {
-	timeout := h.clock.After(firstRows)
-	for known.Load() == 0 && (!h.collecting.Load() || h.lagging.Load()) {
-		select {
-		case <-h.background.Done():
-			return
-		case <-timeout:
-			return
-		case <-h.clock.After(gatherTime):
-		}
-	}
+	h.goroutines.Go(func() { feed.Run(h.background) })
 }
 
 // noteStore counts the tables that cannot be followed.
@@ -76,9 +57,7 @@
 // control goroutine.
 func (h *Hosted) merge(b follower.Batch) {
 	changed := h.follower.Merge(h.clock.Now(), b)
-	for i, table := range rowTables {
-		h.known[i].Store(h.follower.Version(table))
-	}
+	h.pulls[b.Table].known.Store(h.follower.Version(b.Table))
 	if changed {
 		h.publish()
 	}
@@ -136,10 +115,14 @@
 }
 
 // feedRest returns how long this router leaves the store to others before it asks
-// again. In a large fleet a few routers follow the store closely and tell the others.
-func (h *Hosted) feedRest() time.Duration {
-	if h.lagging.Load() {
+// again. In a large fleet a few routers follow the store closely and tell the others,
+// and while the whole fleet starts they have some time to read it for all.
+func (h *Hosted) feedRest(pull *pull) time.Duration {
+	switch {
+	case h.lagging.Load():
 		return restTime
+	case h.settings.FirstStart && !h.collecting.Load() && pull.known.Load() == 0 && h.clock.Now().Sub(h.startedAt) < firstRows:
+		return gatherTime
 	}
 	return 0
 }
