--- a/internal/admitter/collected_test.go
+++ b/internal/admitter/collected_test.go
@@ -128,12 +128,7 @@
 	s.run(6*time.Second, func() {
 		s.poisson(330, func() { s.offer("a", simObjective, s.session(s.rng.IntN(400), 4800, 1500), 200) })
 	})
-	if got := s.again / s.shared; got > 0.1 {
-		t.Errorf("%.3f of the shared tokens read again, want at most a tenth", got)
-	}
-	if got := share(s.all, (*simRequest).onTime); got < 0.85 {
-		t.Errorf("%.2f in time, want at least 0.85: the engines have room", got)
-	}
+	s.checkReadOnce(0.85)
 }
 
 // TestFloodInAFleetThatCollects has one account flood one router with several times what
@@ -152,13 +147,7 @@
 		}
 	})
 	late := s.all[len(s.all)/3:]
-	offered := count(late, func(*simRequest) bool { return true })
-	inTime := count(late, (*simRequest).onTime)
-	for _, account := range others {
-		if got := float64(inTime[account]) / float64(offered[account]); got < 0.8 {
-			t.Errorf("account %s: %.2f in time while another floods, want at least 0.8", account, got)
-		}
-	}
+	s.checkInTime(late, others)
 	if sent := count(late, func(r *simRequest) bool { return !r.refused }); sent["a"] < sent["b"] {
 		t.Errorf("got %v sent, want the account that floods to get no less than those that ask for little", sent)
 	}
@@ -169,18 +158,8 @@
 func TestFloodAtOneRouterOfAFleetThatCollects(t *testing.T) {
 	s := newSim(t, 60, 24, 24, 320*9000)
 	s.collectIn()
-	others := []messenger.AccountID{"b", "c", "d", "e", "f"}
-	offer := func(router int, account messenger.AccountID) {
-		s.offerAt(router, account, simObjective, s.session(s.rng.IntN(160), 3000, 6000), 100)
-	}
-	s.run(6*time.Second, func() {
-		s.poisson(500, func() { offer(1, "lone") })
-		for _, account := range others {
-			s.poisson(100, func() { offer(s.rng.IntN(len(s.routers)), account) })
-		}
-	})
-	begun := count(s.all[len(s.all)/4:], func(r *simRequest) bool { return !r.first.IsZero() })
-	for _, account := range others {
+	begun := s.floodFrom(1, 6*time.Second)
+	for _, account := range floodedAccounts {
 		if begun["lone"] < begun[account]*3/4 {
 			t.Errorf("got %v begun, want the lone account to get at least three quarters of what each other one gets", begun)
 		}
--- a/internal/admitter/load_test.go
+++ b/internal/admitter/load_test.go
@@ -46,6 +46,49 @@
 	}
 }
 
+// checkReadOnce looks whether shared parts that some engine has read were read again, and
+// whether at least a part of all requests was in time: the engines have room.
+func (s *sim) checkReadOnce(least float64) {
+	s.t.Helper()
+	if got := s.again / s.shared; got > 0.1 {
+		s.t.Errorf("%.3f of the shared tokens read again, want at most a tenth", got)
+	}
+	if got := share(s.all, (*simRequest).onTime); got < least {
+		s.t.Errorf("%.2f in time, want at least %.2f: the engines have room", got, least)
+	}
+}
+
+// checkInTime looks whether most requests of each account were in time.
+func (s *sim) checkInTime(requests []*simRequest, accounts []messenger.AccountID) {
+	s.t.Helper()
+	offered := count(requests, func(*simRequest) bool { return true })
+	inTime := count(requests, (*simRequest).onTime)
+	for _, account := range accounts {
+		if got := float64(inTime[account]) / float64(max(1, offered[account])); got < 0.8 {
+			s.t.Errorf("account %s: %.2f in time while another floods, want at least 0.8", account, got)
+		}
+	}
+}
+
+// floodFrom has engines that are busy reading long prompts, and one account flood a
+// single router while others come through all. It returns how many requests of each
+// account were begun after the first quarter.
+func (s *sim) floodFrom(router int, d time.Duration) map[messenger.AccountID]int {
+	offer := func(router int, account messenger.AccountID) {
+		s.offerAt(router, account, simObjective, s.session(s.rng.IntN(160), 3000, 6000), 100)
+	}
+	s.run(d, func() {
+		s.poisson(500, func() { offer(router, "lone") })
+		for _, account := range floodedAccounts {
+			s.poisson(100, func() { offer(s.rng.IntN(len(s.routers)), account) })
+		}
+	})
+	return count(s.all[len(s.all)/4:], func(r *simRequest) bool { return !r.first.IsZero() })
+}
+
+// floodedAccounts are those that share the fleet with the one that floods a router.
+var floodedAccounts = []messenger.AccountID{"b", "c", "d", "e", "f"}
+
 // TestCrestServesInTimeWhatFits has a crest of twice what the engines can do.
 // What is sent must be in time for the most part, and the engines must be full.
 func TestCrestServesInTimeWhatFits(t *testing.T) {
@@ -126,12 +169,7 @@
 	s.run(10*time.Second, func() {
 		s.poisson(150, func() { s.offer("a", simObjective, s.session(s.rng.IntN(80), 4800, 1500), 150) })
 	})
-	if got := s.again / s.shared; got > 0.1 {
-		t.Errorf("%.3f of the shared tokens read again, want at most a tenth", got)
-	}
-	if got := share(s.all, (*simRequest).onTime); got < 0.9 {
-		t.Errorf("%.2f in time, want at least 0.9: the engines have room", got)
-	}
+	s.checkReadOnce(0.9)
 }
 
 // TestLargeFleetReadsSharedPartsOnce has so many routers that each meets a
@@ -144,12 +182,7 @@
 	s.run(8*time.Second, func() {
 		s.poisson(320, func() { s.offer("a", simObjective, s.session(s.rng.IntN(240), 4800, 1500), 200) })
 	})
-	if got := s.again / s.shared; got > 0.1 {
-		t.Errorf("%.3f of the shared tokens read again, want at most a tenth", got)
-	}
-	if got := share(s.all, (*simRequest).onTime); got < 0.85 {
-		t.Errorf("%.2f in time, want at least 0.85: the engines have room", got)
-	}
+	s.checkReadOnce(0.85)
 }
 
 // TestFloodCostsOthersNothing has one account ask for eight times what it did.
@@ -166,18 +199,7 @@
 			s.poisson(25, func() { offer(account) })
 		}
 	})
-	late := s.all[len(s.all)/3:]
-	for _, account := range others {
-		var own []*simRequest
-		for _, r := range late {
-			if r.arrive.Account == account {
-				own = append(own, r)
-			}
-		}
-		if got := share(own, (*simRequest).onTime); got < 0.8 {
-			t.Errorf("account %s: %.2f in time while another floods, want at least 0.8", account, got)
-		}
-	}
+	s.checkInTime(s.all[len(s.all)/3:], others)
 }
 
 // TestFloodsShareAlike has two accounts ask for more than their share, one for
@@ -222,19 +244,9 @@
 	// Reading takes 74 ms, so 24 engines begin 320 of these a second.
 	s := newSim(t, 60, 24, 24, 320*9000)
 	s.shareEvery = 430 * time.Millisecond
-	others := []messenger.AccountID{"b", "c", "d", "e", "f"}
-	offer := func(router int, account messenger.AccountID) {
-		s.offerAt(router, account, simObjective, s.session(s.rng.IntN(160), 3000, 6000), 100)
-	}
-	s.run(8*time.Second, func() {
-		s.poisson(500, func() { offer(0, "lone") })
-		for _, account := range others {
-			s.poisson(100, func() { offer(s.rng.IntN(len(s.routers)), account) })
-		}
-	})
-	begun := count(s.all[len(s.all)/4:], func(r *simRequest) bool { return !r.first.IsZero() })
+	begun := s.floodFrom(0, 8*time.Second)
 	most := 0
-	for _, account := range others {
+	for _, account := range floodedAccounts {
 		most = max(most, begun[account])
 	}
 	if begun["lone"] < most/2 {
