Say what a VM short of processor time spends it on, and what an account gets there

One line a second while a router is short of processor time (event=workload); refused requests state servedHere, shareHere, the correction of forecasts and the reserve.

--- a/internal/admitter/refuse.go
+++ b/internal/admitter/refuse.go
@@ -50,11 +50,14 @@
 		return nil
 	}
 	asked, share := a.shares.standing(r.arrive.Account)
+	servedHere, shareHere := a.shares.standingHere(r.arrive.Account)
 	return &messenger.Grounds{
 		Upstream: t.at.id, Ahead: t.forecast.ahead(), Own: t.forecast.own,
 		Waited: t.on.Sub(r.arrived), Limit: t.limit,
 		ReportAge: a.age(t.at.reported), PeerAge: a.age(a.longestSilent()),
-		Asked: asked, Share: share, SlotsKept: r.beyond && t.forecast.roomless,
+		Asked: asked, Share: share, ServedHere: servedHere, ShareHere: shareHere,
+		Correction: t.at.error / r.pool.commonError, SlotsReserved: r.pool.reserve,
+		SlotsKept: r.beyond && t.forecast.roomless,
 	}
 }
 
--- a/internal/admitter/refuse_test.go
+++ b/internal/admitter/refuse_test.go
@@ -42,6 +42,12 @@
 	if g.Asked <= 0 || g.Share <= 0 {
 		t.Errorf("got %v asked and a share of %v, want the account's", g.Asked, g.Share)
 	}
+	if g.ServedHere != 0 || g.ShareHere <= 0 {
+		t.Errorf("got %v served here of %v, want nothing of its share", g.ServedHere, g.ShareHere)
+	}
+	if g.Correction != 1 || g.SlotsReserved != 0 {
+		t.Errorf("got a correction of %v and %v of the slots reserved, want 1 and none", g.Correction, g.SlotsReserved)
+	}
 }
 
 // TestRefusalWithoutUpstreamHasNoGrounds has nothing to forecast.
--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -118,6 +118,16 @@
 	return a.all, s.entitled(a.all)
 }
 
+// standingHere returns what an account gets at this router and what it is entitled to
+// here, in cost a second.
+func (s *shares) standingHere(id messenger.AccountID) (served, share float64) {
+	a := s.of(id)
+	if a.all <= 0 {
+		return a.served, 0
+	}
+	return a.served, s.entitled(a.all) * a.asked / a.all
+}
+
 // shortfall returns how much of its share an account does not get here, 0 to 1.
 // One that asks for no more than its share has none.
 func (s *shares) shortfall(id messenger.AccountID) float64 {
--- a/internal/listener/acceptor.go
+++ b/internal/listener/acceptor.go
@@ -27,9 +27,11 @@
 	// turnedAway is the share of new connections to turn away, 0 to 1, as the
 	// bits of a float64.
 	turnedAway atomic.Uint64
-	once       sync.Once
-	stopping   chan struct{}
-	closed     chan struct{}
+	// taken counts the connections that were taken in.
+	taken    atomic.Uint64
+	once     sync.Once
+	stopping chan struct{}
+	closed   chan struct{}
 	// running is closed once nbio's loop asks for its first connection. Like a
 	// poller, a loop that is told to stop before never ends.
 	running     chan struct{}
@@ -65,6 +67,7 @@
 		if err == nil {
 			p := a.check(next)
 			if p == nil {
+				a.taken.Add(1)
 				return conn, nil
 			}
 			a.refused(p.kind)
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -222,6 +222,9 @@
 // 503 before anything is read of them.
 func (l *Listener) TurnAway(share float64) { l.acceptor.turnAway(share) }
 
+// Taken returns how many connections were taken in since the start.
+func (l *Listener) Taken() uint64 { return l.acceptor.taken.Load() }
+
 // StopAccepting closes the port. Open connections live on; each is told with
 // its next answer that it will be closed.
 func (l *Listener) StopAccepting() {
--- a/internal/messenger/action.go
+++ b/internal/messenger/action.go
@@ -43,6 +43,15 @@
 	// Asked and Share are the account's demand in the whole fleet and what it is
 	// entitled to of it, in cost a second.
 	Asked, Share float64
+	// ServedHere and ShareHere are what the account gets at this router and what it is
+	// entitled to here, in cost a second.
+	ServedHere, ShareHere float64
+	// Correction is the factor by which forecasts at the upstream are corrected for
+	// how far off earlier ones were.
+	Correction float64
+	// SlotsReserved is the part of the slots, 0 to 1, that is kept for accounts that
+	// have not used up their share.
+	SlotsReserved float64
 	// SlotsKept is true if the slots that were left are kept for accounts that
 	// have not used up their share.
 	SlotsKept bool
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -116,6 +116,8 @@
 	// refusedUnread counts the connections and requests that the listeners
 	// refused since that was logged.
 	refusedUnread atomic.Int64
+	// workload counts what the router spends its processor time on.
+	workload workload
 	// lagging is true if others follow the store for this router, collecting if it
 	// collects what others do.
 	lagging, collecting atomic.Bool
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -144,6 +145,7 @@
 	queue := h.control.open(out.ID)
 	result := h.dispatcher.Serve(h.serving, out, queue, c)
 	h.control.closeQueue(out.ID)
+	h.workload.note(result)
 	h.observe(out, arrived, result)
 	if result.Aborted {
 		panic(http.ErrAbortHandler)
@@ -187,10 +189,14 @@
 		"best": g.Upstream, "aheadMs": g.Ahead.Milliseconds(), "ownMs": g.Own.Milliseconds(),
 		"waitedMs": g.Waited.Milliseconds(), "limitMs": g.Limit.Milliseconds(),
 		"reportAgeMs": g.ReportAge.Milliseconds(), "peerAgeMs": g.PeerAge.Milliseconds(),
-		"asked": int(g.Asked), "share": int(g.Share), "slotsKept": g.SlotsKept,
+		"asked": int(g.Asked), "share": int(g.Share), "servedHere": int(g.ServedHere), "shareHere": int(g.ShareHere),
+		"correction": rounded(g.Correction), "slotsReserved": rounded(g.SlotsReserved), "slotsKept": g.SlotsKept,
 	}
 }
 
+// rounded returns a figure with as many digits as a log line needs.
+func rounded(v float64) float64 { return math.Round(v*100) / 100 }
+
 // limitMemory lets the runtime collect garbage before it passes a bound, in
 // MB; zero leaves the runtime alone.
 func limitMemory(mb int) {
--- a/internal/router/strain.go
+++ b/internal/router/strain.go
@@ -107,6 +107,7 @@
 	before := h.strain.turnedAway
 	on := h.strain.note(h.clock.Now(), b, allowed)
 	h.setTurnedAway(before, h.strain.turnedAway)
+	h.logWorkload()
 	if on == h.strained.Load() {
 		return
 	}
--- /dev/null
+++ b/internal/router/workload.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/dispatcher"
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// workloadInterval is the time between two lines about the workload of a router that
+// is short of processor time.
+const workloadInterval = time.Second
+
+// workload counts how requests end at this router, so that a line can tell what it
+// spends its processor time on. The zero value is ready to use; the counts are safe for
+// concurrent use.
+type workload struct {
+	// sent counts requests that an upstream was given.
+	sent atomic.Int64
+	// beyondShare and late count those refused because their account had used up its
+	// share, and because they would have been late; otherwise counts the rest.
+	beyondShare, late, otherwise atomic.Int64
+
+	// The control goroutine owns the rest: the time of the last line, and the
+	// connections taken in until then.
+	logged time.Time
+	taken  uint64
+}
+
+// note counts a request that has ended.
+func (w *workload) note(result dispatcher.Result) {
+	switch {
+	case !result.Dispatched.IsZero():
+		w.sent.Add(1)
+	case result.Problem == string(messenger.RefuseTokens):
+		w.beyondShare.Add(1)
+	case result.Problem == string(messenger.RefuseDeadline):
+		w.late.Add(1)
+	default:
+		w.otherwise.Add(1)
+	}
+}
+
+// logWorkload writes from time to time what the router did since the last such line,
+// while it is short of processor time.
+func (h *Hosted) logWorkload() {
+	now := h.clock.Now()
+	w := &h.workload
+	if now.Sub(w.logged) < workloadInterval {
+		return
+	}
+	fields := logrus.Fields{
+		eventField: "workload", "ms": now.Sub(w.logged).Milliseconds(),
+		"takenIn": rounded(1 - h.strain.turnedAway), "connectionsTaken": h.callers.Taken() - w.taken,
+		"connectionsOpen": h.callers.Conns(), "refusedUnread": h.refusedUnread.Load(),
+		"sent": w.sent.Swap(0), "refusedBeyondShare": w.beyondShare.Swap(0), "refusedLate": w.late.Swap(0),
+		"endedOtherwise": w.otherwise.Swap(0), "inProgress": h.inProgress.Load(),
+		"lag": h.strain.lag, "wait": h.strain.wait,
+	}
+	w.logged, w.taken = now, h.callers.Taken()
+	if h.strain.starved() {
+		h.log.WithFields(fields).Warn("short of processor time: what it went to")
+	}
+}
