--- /dev/null
+++ b/internal/admitter/hopeless_test.go
@@ -0,0 +1,65 @@
+//go:build red
+
+package admitter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// floodedAdmitter is an Admitter that one account asks for far more than its share,
+// while others of the fleet are turned away for want of slots.
+func floodedAdmitter(t *testing.T) (*Admitter, time.Time) {
+	t.Helper()
+	a := New(Config{Self: "r"})
+	policy := &messenger.Policy{
+		Throughput: 1e6,
+		Pools:      map[messenger.PoolID]messenger.PoolPolicy{simPool: {Engine: &messenger.EnginePolicy{Memory: 600_000}}},
+		Upstreams:  make(map[messenger.UpstreamID]messenger.UpstreamPolicy),
+	}
+	for i := range 8 {
+		policy.Upstreams[messenger.UpstreamID(fmt.Sprint("u", i))] = messenger.UpstreamPolicy{Pool: simPool, Window: 24}
+	}
+	now := epoch
+	a.Handle(now, messenger.PolicyChange{Policy: policy})
+	for range 100 {
+		now = now.Add(messenger.TickInterval)
+		a.Handle(now, messenger.PeerLoad{
+			From: "p", Reserve: mostReserve,
+			Accounts: []messenger.AccountDemand{{Account: messenger.KeyOf("other"), Rate: 1e6, Served: 8e5}},
+		})
+		a.Handle(now, floodRequest(now, messenger.RequestID(now.UnixNano())))
+		a.Handle(now, messenger.Tick{})
+	}
+	return a, now
+}
+
+// floodRequest is one of a hundred a second that cost three times the account's share.
+func floodRequest(now time.Time, id messenger.RequestID) messenger.Arrive {
+	return messenger.Arrive{
+		Request: id, Pool: simPool, Account: "flood", Objective: 400 * time.Millisecond, Deadline: now.Add(10 * time.Second),
+		Work: messenger.Work{Prompt: []messenger.PromptPart{{Chain: uint64(id), Tokens: 15000}}, Output: 100},
+	}
+}
+
+// TestFloodBeyondItsShareIsRefusedAtOnce offers a hundred requests at one moment. Those that
+// the account's share will not reach while they may wait are known to be refused: they
+// are to be told at once, and not to be looked at again with each tick.
+func TestFloodBeyondItsShareIsRefusedAtOnce(t *testing.T) {
+	a, now := floodedAdmitter(t)
+	const burst = 100
+	refused := 0
+	for i := range burst {
+		for _, action := range a.Handle(now, floodRequest(now, messenger.RequestID(i+1))) {
+			if r, ok := action.(messenger.Refuse); ok && r.Reason == messenger.RefuseTokens {
+				refused++
+			}
+		}
+	}
+	if refused < burst*9/10 {
+		t.Errorf("got %d of %d requests beyond the share refused at once, want nine tenths", refused, burst)
+	}
+}
