A flood is turned away by the address that it comes from, not every caller alike

Cause, suspected: a router short of processor time draws the same lot for each new connection, so an account that asks for little is turned away as often as the one that floods.

Change: package screener counts connections by address and shares out what can be taken in, the smallest first (max-min, divider.Level, which was admitter's waterLevel). Connections are accepted and looked at before the runtime sets them up.

Callers behind one common address are told apart no better than before.

seam_test.go passes a clock to newAcceptor, nothing else changed there.

--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -2,9 +2,9 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
+	"lentilwood.example/lentilwood/internal/divider"
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
@@ -193,7 +193,7 @@
 	}
 	strangers := s.strangers(peers)
 	demands = append(demands, strangers...)
-	s.level = waterLevel(demands, capacity(demands, throughput, served))
+	s.level = divider.Level(demands, capacity(demands, throughput, served))
 	s.foreign = 0
 	for _, d := range strangers {
 		s.foreign += s.entitled(d)
@@ -218,9 +218,9 @@
 		return found
 	}
 	due := 0.0
-	level := waterLevel(demands, throughput)
+	level := divider.Level(demands, throughput)
 	for _, d := range demands {
-		due += entitled(d, level)
+		due += divider.Part(d, level)
 	}
 	if due <= 0 {
 		return throughput
@@ -249,16 +249,7 @@
 }
 
 // entitled returns what an account may have that asks for a demand.
-func (s *shares) entitled(demand float64) float64 { return entitled(demand, s.level) }
-
-// entitled returns what a demand may have at a level, of which zero means that there
-// is enough for all.
-func entitled(demand, level float64) float64 {
-	if level > 0 {
-		return min(demand, level)
-	}
-	return demand
-}
+func (s *shares) entitled(demand float64) float64 { return divider.Part(demand, s.level) }
 
 // strangers returns the demands of accounts that only other routers know.
 func (s *shares) strangers(peers map[messenger.RouterID]*peer) []float64 {
@@ -309,21 +300,3 @@
 	}
 	a.credit = min(a.credit+rate*passed.Seconds(), rate*burstTime.Seconds())
 }
-
-// waterLevel returns the most that an account may have so that all together
-// have no more than capacity, or zero if there is enough for all.
-func waterLevel(demands []float64, capacity float64) float64 {
-	if capacity <= 0 {
-		return 0
-	}
-	slices.Sort(demands)
-	left := capacity
-	for i, d := range demands {
-		even := left / float64(len(demands)-i)
-		if d > even {
-			return even
-		}
-		left -= d
-	}
-	return 0
-}
--- /dev/null
+++ b/internal/divider/divider_test.go
@@ -0,0 +1,33 @@
+package divider
+
+import "testing"
+
+func TestLevelFillsTheSmallDemandsFirst(t *testing.T) {
+	for _, c := range []struct {
+		demands        []float64
+		capacity, want float64
+	}{
+		{[]float64{9, 1, 5}, 10, 4.5},
+		{[]float64{9, 1, 5}, 3, 1},
+		{[]float64{9, 1, 5}, 2.25, 0.75},
+		{[]float64{9, 1, 5}, 15, 0},
+		{[]float64{9, 1, 5}, 0, 0},
+		{nil, 10, 0},
+	} {
+		if got := Level(c.demands, c.capacity); got != c.want {
+			t.Errorf("got a level of %v for %v of %v, want %v", got, c.demands, c.capacity, c.want)
+		}
+	}
+}
+
+func TestPartIsBoundByTheLevel(t *testing.T) {
+	if got := Part(9, 4.5); got != 4.5 {
+		t.Errorf("got %v above the level, want 4.5", got)
+	}
+	if got := Part(1, 4.5); got != 1 {
+		t.Errorf("got %v below the level, want 1", got)
+	}
+	if got := Part(9, 0); got != 9 {
+		t.Errorf("got %v without a level, want 9", got)
+	}
+}
--- a/internal/listener/acceptor.go
+++ b/internal/listener/acceptor.go
@@ -2,14 +2,16 @@
 
 import (
 	"errors"
-	"math"
-	"math/rand/v2"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"lentilwood.example/lentilwood/internal/screener"
+	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
 const (
@@ -24,9 +26,11 @@
 	net.Listener
 	full    func() bool
 	refused func(problem string)
-	// turnedAway is the share of new connections to turn away, 0 to 1, as the
-	// bits of a float64.
-	turnedAway atomic.Uint64
+	clock   timekeeper.Clock
+	// screener decides which connections to turn away, and screening is true while it
+	// is to turn away some.
+	screener  screener.Screener
+	screening atomic.Bool
 	// taken counts the connections that were taken in.
 	taken    atomic.Uint64
 	once     sync.Once
@@ -45,9 +49,10 @@
 	queued []net.Conn
 }
 
-func newAcceptor(ln net.Listener, full func() bool, refused func(problem string)) *acceptor {
+func newAcceptor(ln net.Listener, clock timekeeper.Clock, full func() bool, refused func(problem string)) *acceptor {
 	return &acceptor{
 		Listener: ln,
+		clock:    clock,
 		full:     full,
 		refused:  refused,
 		stopping: make(chan struct{}),
@@ -62,10 +67,15 @@
 func (a *acceptor) Accept() (net.Conn, error) {
 	a.runningOnce.Do(func() { close(a.running) })
 	for {
-		next := a.turnAwayQueued()
+		if a.screening.Load() {
+			if conn := a.takeScreened(); conn != nil {
+				a.taken.Add(1)
+				return conn, nil
+			}
+		}
 		conn, err := a.Listener.Accept()
 		if err == nil {
-			p := a.check(next)
+			p := a.refusalOf(addressOf(conn.RemoteAddr()))
 			if p == nil {
 				a.taken.Add(1)
 				return conn, nil
@@ -99,70 +109,51 @@
 	return conn
 }
 
-// lot is the decision about one connection, drawn at some share.
-type lot struct {
-	turnAway bool
-	share    float64
-}
-
-func (a *acceptor) draw() lot {
-	share := math.Float64frombits(a.turnedAway.Load())
-	return lot{turnAway: share > 0 && rand.Float64() < share, share: share}
-}
-
-// check returns why a new connection is turned away, or nil. The lot was drawn
-// before it came, and is drawn again if the share has changed since.
-func (a *acceptor) check(l lot) *problem {
+// refusalOf returns why a new connection from an address is turned away, or nil.
+func (a *acceptor) refusalOf(from netip.Addr) *problem {
 	if a.full() {
 		return &problemFull
 	}
-	if again := a.draw(); again.share != l.share {
-		l = again
-	}
-	if l.turnAway {
+	if !a.screener.Take(a.clock.Now(), from) {
 		return &problemOverload
 	}
 	return nil
 }
 
-// turnAwayQueued answers connections that wait to be accepted until one is to be
-// served or none waits, and returns the lot of the next one. Setting up a
-// connection as the runtime does costs several times what this does, which counts
-// for a router that is asked for many times what it can do.
-func (a *acceptor) turnAwayQueued() lot {
-	next := a.draw()
-	for next.turnAway && a.turnAwayOne() {
-		next = a.draw()
-	}
-	return next
-}
-
-// turnAwayOne answers and closes one connection that waits to be accepted. It
-// returns false if there is none, or if only Accept can tell.
-func (a *acceptor) turnAwayOne() bool {
-	done := false
-	a.withPort(func(fd int) { done = rejectRaw(fd, problemOverload.answer()) })
-	if !done {
-		return false
-	}
-	a.refused(problemOverload.kind)
-	return true
+// takeScreened answers connections that wait to be accepted until one is to be served,
+// which it returns, or none waits. Setting up a connection as the runtime does costs
+// several times what turning one away here does, which counts for a router that is
+// asked for many times what it can do.
+func (a *acceptor) takeScreened() net.Conn {
+	var conn net.Conn
+	a.withPort(func(fd int) {
+		for conn == nil {
+			next, from, ok := acceptRaw(fd)
+			if !ok {
+				return
+			}
+			if p := a.refusalOf(from); p != nil {
+				a.refused(p.kind)
+				rejectRaw(next, p.answer())
+				continue
+			}
+			conn = toConn(next)
+		}
+	})
+	return conn
 }
 
-// rejectRaw accepts a connection, writes an answer, which a new connection has
-// room for, and closes it. It returns false if there is no connection.
-func rejectRaw(listener int, answer []byte) bool {
-	conn, ok := acceptRaw(listener)
-	if !ok {
-		return false
-	}
+// rejectRaw writes an answer, which a new connection has room for, and closes it.
+func rejectRaw(conn int, answer []byte) {
 	_, _ = syscall.Write(conn, answer) // the caller may have left; it is refused either way
 	_ = syscall.Close(conn)
-	return true
 }
 
 // turnAway sets the share of new connections that are turned away.
-func (a *acceptor) turnAway(share float64) { a.turnedAway.Store(math.Float64bits(share)) }
+func (a *acceptor) turnAway(share float64) {
+	a.screening.Store(share > 0)
+	a.screener.SetShare(a.clock.Now(), 1-share)
+}
 
 // Close ends Accept for good.
 func (a *acceptor) Close() error {
@@ -192,7 +183,7 @@
 	var conns []net.Conn
 	a.withPort(func(fd int) {
 		for {
-			conn, ok := acceptRaw(fd)
+			conn, _, ok := acceptRaw(fd)
 			if !ok {
 				return
 			}
@@ -218,16 +209,38 @@
 	_ = raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
-// acceptRaw accepts one connection without waiting for it. It returns false if
-// there is none.
-func acceptRaw(listener int) (fd int, ok bool) {
+// acceptRaw accepts one connection without waiting for it, and returns the address that
+// it comes from. It returns false if there is none.
+func acceptRaw(listener int) (fd int, from netip.Addr, ok bool) {
 	for {
-		fd, _, err := syscall.Accept4(listener, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		fd, peer, err := syscall.Accept4(listener, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 		if errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED) {
 			continue
 		}
-		return fd, err == nil
+		return fd, addressOfPeer(peer), err == nil
+	}
+}
+
+// addressOfPeer returns the address of a peer as the system gives it, or the zero address
+// if it has none.
+func addressOfPeer(peer syscall.Sockaddr) netip.Addr {
+	switch peer := peer.(type) {
+	case *syscall.SockaddrInet4:
+		return netip.AddrFrom4(peer.Addr)
+	case *syscall.SockaddrInet6:
+		return netip.AddrFrom16(peer.Addr)
+	}
+	return netip.Addr{}
+}
+
+// addressOf returns the address of a peer as the runtime gives it, or the zero address if
+// it has none.
+func addressOf(peer net.Addr) netip.Addr {
+	tcp, ok := peer.(*net.TCPAddr)
+	if !ok {
+		return netip.Addr{}
 	}
+	return tcp.AddrPort().Addr()
 }
 
 // toConn makes a connection of a descriptor, which it takes over. It returns nil
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -190,7 +190,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.acceptor = newAcceptor(ln, l.full, l.cfg.Refused)
+	l.acceptor = newAcceptor(ln, l.cfg.Clock, l.full, l.cfg.Refused)
 	return l.acceptor, nil
 }
 
@@ -219,12 +219,18 @@
 func (l *Listener) SetClosing(closing bool) { l.draining.Store(closing) }
 
 // TurnAway sets the share, 0 to 1, of new connections that are answered with
-// 503 before anything is read of them.
+// 503 before anything is read of them. Addresses that open most are turned away most.
 func (l *Listener) TurnAway(share float64) { l.acceptor.turnAway(share) }
 
 // Taken returns how many connections were taken in since the start.
 func (l *Listener) Taken() uint64 { return l.acceptor.taken.Load() }
 
+// LargestCaller returns from how many addresses connections came of late, and which part
+// of them, 0 to 1, from the address that opened most.
+func (l *Listener) LargestCaller() (addresses int, part float64) {
+	return l.acceptor.screener.Largest()
+}
+
 // StopAccepting closes the port. Open connections live on; each is told with
 // its next answer that it will be closed.
 func (l *Listener) StopAccepting() {
--- a/internal/listener/seam_test.go
+++ b/internal/listener/seam_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
 // boundaryOf returns the boundary of the only connection of l.
@@ -108,7 +110,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := newAcceptor(ln, func() bool { return false }, func(string) {})
+	a := newAcceptor(ln, timekeeper.System{}, func() bool { return false }, func(string) {})
 	const waiting = 3
 	for range waiting {
 		conn, err := net.Dial("tcp", ln.Addr().String())
