A router without processor time keeps no connection of a caller that it refuses

Change: while a share of new connections is turned away, a refusal (429 or 503, not run) ends its connection, so that the caller's next request is taken in or turned away like any other. Served requests keep theirs.

--- a/internal/listener/caller.go
+++ b/internal/listener/caller.go
@@ -141,6 +141,15 @@
 	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
 }
 
+// CloseAfter ends the connection once the answer is sent. It has an effect only before the
+// answer has begun.
+func (c *Caller) CloseAfter() {
+	c.close = true
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	c.b.closeAfter = true
+}
+
 // Opened returns when the connection was opened.
 func (c *Caller) Opened() time.Time { return c.b.openedAt }
 
@@ -158,9 +167,7 @@
 	c.close = c.http10 || wantsClose(r.Header) || l.draining.Load() || l.crowded()
 	r.Close = false
 	if c.close {
-		g.b.mu.Lock()
-		g.b.closeAfter = true
-		g.b.mu.Unlock()
+		c.CloseAfter()
 	}
 	l.cfg.Handler(c, detach(r, g.b))
 	c.finish()
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -113,6 +113,8 @@
 	// newsAt is when another router was last heard, in Unix microseconds.
 	newsAt   atomic.Int64
 	strained atomic.Bool
+	// turningAway is true while a share of the new connections is turned away.
+	turningAway atomic.Bool
 	// refusedUnread counts the connections and requests that the listeners
 	// refused since that was logged.
 	refusedUnread atomic.Int64
@@ -182,6 +184,9 @@
 		strain:   strain{queue: &runQueue{}}, rosterChanged: true,
 		pulls: newPulls(),
 	}
+	if cfg.Dialect != nil {
+		h.cfg.Dialect = closingDialect{Dialect: cfg.Dialect, closing: h.turningAway.Load}
+	}
 	h.serving, h.cutRequests = context.WithCancel(context.Background())
 	h.background, h.stopAll = context.WithCancel(context.Background())
 	retries := cfg.Settings.Retries
@@ -195,7 +200,7 @@
 		Upstreams: h, Clock: cfg.Clock, Log: cfg.Log, Seed: h.incarnation,
 		Budget:         relayer.NewBudget(int64(cfg.Settings.Memory) << 20 / budgetShare),
 		ConnectTimeout: connectTimeout, IdleTimeout: upstreamIdle,
-		MaxAttempts: resends, Retries: h.budget, Dialect: cfg.Dialect,
+		MaxAttempts: resends, Retries: h.budget, Dialect: h.cfg.Dialect,
 		Loads: func(report messenger.LoadReport) { h.control.submit(report) },
 		Notices: func(id messenger.UpstreamID, n dispatcher.Notice) {
 			h.control.post(func() { h.notice(id, n) })
--- a/internal/router/strain.go
+++ b/internal/router/strain.go
@@ -127,6 +127,7 @@
 		return
 	}
 	h.callers.TurnAway(share)
+	h.turningAway.Store(share > 0)
 	if before > 0 && share > 0 {
 		return
 	}
