A request beyond its share that the share will not reach in time is refused at once

Callers saw: requests that could only be refused were refused after an eighth of their objective.

Change: a request beyond its share is refused at its arrival if next to all slots are kept for others and the account's requests that wait already take all of the share that comes in before it would be refused.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -175,7 +175,7 @@
 	if a.place(r) {
 		return
 	}
-	if p.pausedFor(a.now) > r.holdUntil.Sub(a.now) {
+	if p.pausedFor(a.now) > r.holdUntil.Sub(a.now) || a.hopeless(r) {
 		delete(a.requests, e.Request)
 		a.refuse(r)
 		return
--- a/internal/admitter/refuse.go
+++ b/internal/admitter/refuse.go
@@ -32,6 +32,24 @@
 	})
 }
 
+// hopeless reports whether a request that was not sent can't be before it is refused: it is
+// beyond its account's share, next to all slots are kept for those within theirs, and
+// requests of the account that wait already take what comes in of the share meanwhile.
+// It answers a flood of one account, of which thousands would wait to be looked at again
+// with each tick.
+func (a *Admitter) hopeless(r *request) bool {
+	if !r.beyond || r.tried.at == nil || r.tried.limit >= 0 {
+		return false
+	}
+	before := 0.0
+	for _, other := range r.pool.waiting {
+		if other.beyond && other.arrive.Account == r.arrive.Account {
+			before += other.cost
+		}
+	}
+	return !a.shares.reaches(r.arrive.Account, before, r.holdUntil.Sub(a.now))
+}
+
 // trial is what was expected of a request at the upstream that looked best when
 // it was not sent.
 type trial struct {
--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -62,6 +62,8 @@
 	updated time.Time
 	// credit is what it may still use at once, in cost.
 	credit float64
+	// rate is what comes in of the credit, in cost a second.
+	rate   float64
 	capped bool
 }
 
@@ -149,6 +151,13 @@
 	a.served += rateOf(cost)
 }
 
+// reaches reports whether an account's credit will have come to a request within a time,
+// if requests of some cost go before it.
+func (s *shares) reaches(id messenger.AccountID, before float64, within time.Duration) bool {
+	a := s.of(id)
+	return before < a.credit+a.rate*(within+settleInterval).Seconds()
+}
+
 // admit reports whether a request that was beyond its account's share has come
 // within it.
 func (s *shares) admit(id messenger.AccountID, cost float64) bool {
@@ -290,13 +299,13 @@
 func (a *account) refill(level float64, passed time.Duration) {
 	if level <= 0 || a.all <= level || a.all <= 0 {
 		a.capped = false
-		a.credit = 0
+		a.credit, a.rate = 0, 0
 		return
 	}
-	rate := shareSlack * level * a.asked / a.all
+	a.rate = shareSlack * level * a.asked / a.all
 	if !a.capped {
 		a.capped = true
 		a.credit = 0
 	}
-	a.credit = min(a.credit+rate*passed.Seconds(), rate*burstTime.Seconds())
+	a.credit = min(a.credit+a.rate*passed.Seconds(), a.rate*burstTime.Seconds())
 }
