--- a/internal/admitter/engine_test.go
+++ b/internal/admitter/engine_test.go
@@ -20,6 +20,8 @@
 	readSeconds = 9e-6
 	stepSeconds = 0.005
 	simBase     = 20 * time.Millisecond
+	// simAttempts is how often a request is tried whose attempts fail.
+	simAttempts = 4
 )
 
 // simEngine is one engine.
@@ -33,6 +35,8 @@
 	capacity time.Duration
 	slow     float64
 	dead     bool
+	// refuses is true if connections to it are refused.
+	refuses bool
 	// plain servers begin what they are sent at once.
 	plain bool
 }
@@ -44,6 +48,8 @@
 	arrived time.Time
 	large   bool
 	home    messenger.UpstreamID
+	// failures is how many of its attempts failed.
+	failures int
 
 	reads    int
 	readDone time.Time
@@ -174,6 +180,10 @@
 func (s *sim) send(r *simRequest, d messenger.Dispatch) {
 	e := s.engines[d.Upstream]
 	r.home = e.id
+	if e.refuses {
+		s.later(func() { s.failed(r, e) })
+		return
+	}
 	if src, ok := s.engines[d.FetchFrom]; ok && d.FetchFrom != "" {
 		for _, p := range r.arrive.Work.Prompt[:len(r.arrive.Work.Prompt)-1] {
 			if s.now.Sub(src.kept[p.Chain]) < src.capacity {
@@ -184,6 +194,23 @@
 	e.waiting = append(e.waiting, r)
 }
 
+// failed tells a router that an engine refused the connection for a request, which is
+// tried anew a few times.
+func (s *sim) failed(r *simRequest, e *simEngine) {
+	r.failures++
+	s.tell(r.router, messenger.Finish{Request: r.arrive.Request, Upstream: e.id, Failed: true, Retry: r.failures < simAttempts})
+}
+
+// crash ends what an engine has and lets it refuse connections.
+func (s *sim) crash(e *simEngine) {
+	e.refuses = true
+	lost := append(e.running, e.waiting...)
+	e.running, e.waiting = nil, nil
+	for _, r := range lost {
+		s.failed(r, e)
+	}
+}
+
 // admit moves what waits into free slots and begins to read it.
 func (s *sim) admit(e *simEngine) {
 	for len(e.running) < e.slots && len(e.waiting) > 0 && !e.dead {
