An attempt without an output is no service: lost engines lift no shares

Cause: what accounts get was noted at each send. Engines that refuse connections fail an attempt within milliseconds, the request is sent to the next one, and each attempt counts as served. What is shared out follows what is served if that is more than the stated throughput, so shares grow to several times what the engines do just as engines are lost: nobody is beyond its share any more, and whoever asks most through most routers gets most.

Change: what was noted with an attempt is taken back when it ends without an output. The reserve of slots counts a request once, not each of its attempts.

The same looked for elsewhere: scheduler settles failed attempts; budgeter counts requests.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -224,13 +224,14 @@
 }
 
 func (a *Admitter) send(r *request, u *upstream, f forecast) {
+	first := r.sent.IsZero()
 	r.at, r.sent, r.started, r.late = u, a.now, time.Time{}, false
 	r.reads, r.clear = f.reads, f.clear
 	r.expected = time.Duration(float64(f.first) * r.pool.commonError)
 	u.start(a.now, r)
 	if r.pool.engine && r.arrive.Work.Output > 0 {
 		a.shares.serve(a.now, r.arrive.Account, r.cost)
-		if !r.beyond {
+		if first && !r.beyond {
 			a.shares.tookIn()
 		}
 		r.pool.keep(a.now, u, r, f)
@@ -260,6 +261,7 @@
 	}
 	u := r.at
 	u.end(a.now, r, e)
+	a.settleService(r)
 	r.at = nil
 	if !e.Retry {
 		delete(a.requests, e.Request)
@@ -273,6 +275,16 @@
 	}
 }
 
+// settleService takes back what was noted as served with an attempt that has ended without
+// an output. It answers the loss of engines that refuse connections: attempts at them
+// take no time, and many of them would pass for engines that do more than before.
+func (a *Admitter) settleService(r *request) {
+	if !r.pool.engine || r.arrive.Work.Output <= 0 || !r.started.IsZero() {
+		return
+	}
+	a.shares.takeBack(a.now, r.sent, r.arrive.Account, r.cost)
+}
+
 // placeAgain sends a request that failed at an upstream to another. What was
 // begun for a caller is not given up for a forecast.
 func (a *Admitter) placeAgain(r *request) bool {
--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -158,6 +158,14 @@
 	return before < a.credit+a.rate*(within+settleInterval).Seconds()
 }
 
+// takeBack notes that an attempt gave an account nothing, which was noted as served when
+// it was sent.
+func (s *shares) takeBack(now, sent time.Time, id messenger.AccountID, cost float64) {
+	a := s.of(id)
+	a.fade(now)
+	a.served = max(0, a.served-rateOf(cost)*halved(now.Sub(sent), rateHalfLife))
+}
+
 // admit reports whether a request that was beyond its account's share has come
 // within it.
 func (s *shares) admit(id messenger.AccountID, cost float64) bool {
