A VM that stood still turns nobody away when it goes on

Cause: one tick that is seconds late enters the mean of ticks' lateness as a tenth of 300 ms, which is above what counts as short of processor time.

Change: a single tick more than 300 ms late is a pause and does not count; the next one does.

TestStandingStillTimeAndAgainIsOverload: a VM whose ticks are all late is still overloaded.

--- a/internal/router/strain.go
+++ b/internal/router/strain.go
@@ -53,6 +53,8 @@
 	lag     time.Duration
 	changed time.Time
 	on      bool
+	// stoodStill is true if the last tick came so late that the VM stood still before.
+	stoodStill bool
 	// queue measures how long goroutines wait for the processor, and wait is the
 	// mean of that.
 	queue interface{ wait() time.Duration }
@@ -65,8 +67,7 @@
 // note takes in a tick and reports whether the VM is overloaded. With allowed
 // false it does not begin to be.
 func (s *strain) note(now time.Time, b beat, allowed bool) bool {
-	weight := strainWeight * float64(b.planned) / float64(messenger.TickInterval)
-	s.lag += time.Duration(weight * float64(min(b.late, longestLag)-s.lag))
+	s.measure(b)
 	s.adjust(now)
 	switch {
 	case !s.on && s.lag > strainLag && allowed && now.Sub(s.changed) >= strainPause:
@@ -77,6 +78,19 @@
 	return s.on
 }
 
+// measure enters a tick into the average. A single tick that comes very late says that the
+// VM stood still, not that it has too much to do.
+func (s *strain) measure(b beat) {
+	stoodStill := b.late > longestLag
+	pause := stoodStill && !s.stoodStill
+	s.stoodStill = stoodStill
+	if pause {
+		return
+	}
+	weight := strainWeight * float64(b.planned) / float64(messenger.TickInterval)
+	s.lag += time.Duration(weight * float64(min(b.late, longestLag)-s.lag))
+}
+
 // adjust moves the share of new connections to turn away towards the one at
 // which nothing waits long for the processor.
 func (s *strain) adjust(now time.Time) {
--- a/internal/router/strain_test.go
+++ b/internal/router/strain_test.go
@@ -71,3 +71,28 @@
 		t.Errorf("got a share of %v turned away after the load, want none", s.turnedAway)
 	}
 }
+
+// TestFreezeTurnsNobodyAway has a VM stand still for seconds and go on without any load.
+func TestFreezeTurnsNobodyAway(t *testing.T) {
+	var s strain
+	now := time.Unix(1_700_000_000, 0)
+	play(&s, &now, time.Second, 0, true)
+	now = now.Add(4 * time.Second)
+	s.note(now, beat{planned: idleInterval, late: 4 * time.Second}, true)
+	for range 50 {
+		now = now.Add(messenger.TickInterval)
+		s.note(now, beat{planned: messenger.TickInterval}, true)
+		if s.turnedAway > 0 {
+			t.Fatalf("got a share of %v turned away after a pause of 4 s, want none", s.turnedAway)
+		}
+	}
+}
+
+// TestStandingStillTimeAndAgainIsOverload has each tick of a VM come very late.
+func TestStandingStillTimeAndAgainIsOverload(t *testing.T) {
+	var s strain
+	now := time.Unix(1_700_000_000, 0)
+	if !play(&s, &now, 6*time.Second, 2*longestLag, true) || s.turnedAway == 0 {
+		t.Errorf("got overload %v and a share of %v turned away, want both of a VM whose ticks are all late", s.on, s.turnedAway)
+	}
+}
