A flood at a VM without processor time is turned away by account

Cause: connections of all accounts come from the same hundred addresses (callers=113, largestCaller=0.04 in event=workload), so turning away by address tells nobody apart. And the flood's open connections take all of the processor time, whatever is turned away.

Change: while a share of new connections is turned away, the head of the request that has come in is looked at (a peek, 2 ms at most) and counts for the account that it names. If hardly any connection is taken in and others are still turned away, the account that opens most keeps no open connection. What is taken in grows by 1.3 instead of 1.1 in 100 ms while hardly anything waits, and is 0.05 at least instead of 0.02, so that there is something to share out.

TestFloodOfOneAccountLeavesOthersTheirConnections: two accounts at one address.

--- a/internal/admitter/engine_test.go
+++ b/internal/admitter/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -204,7 +205,7 @@
 // crash ends what an engine has and lets it refuse connections.
 func (s *sim) crash(e *simEngine) {
 	e.refuses = true
-	lost := append(e.running, e.waiting...)
+	lost := slices.Concat(e.running, e.waiting)
 	e.running, e.waiting = nil, nil
 	for _, r := range lost {
 		s.failed(r, e)
--- a/internal/listener/acceptor.go
+++ b/internal/listener/acceptor.go
@@ -11,12 +11,16 @@
 	"time"
 
 	"lentilwood.example/lentilwood/internal/screener"
-	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
 const (
 	acceptRetry  = 50 * time.Millisecond
 	rejectWithin = 100 * time.Millisecond
+	// peekBytes is how much of a request is looked at before its connection is taken in.
+	peekBytes = 2 << 10
+	// headTime is how long a new connection may take to send the head of its request before
+	// it is decided, while some are turned away.
+	headTime = 2 * time.Millisecond
 )
 
 // acceptor keeps nbhttp's accept loop from spinning: it waits out errors of
@@ -24,13 +28,14 @@
 // told to, and once told to stop it holds the loop until the engine stops.
 type acceptor struct {
 	net.Listener
-	full    func() bool
-	refused func(problem string)
-	clock   timekeeper.Clock
+	cfg  *Config
+	full func() bool
 	// screener decides which connections to turn away, and screening is true while it
 	// is to turn away some.
 	screener  screener.Screener
 	screening atomic.Bool
+	// peeked is room for a head, which one goroutine uses.
+	peeked [peekBytes]byte
 	// taken counts the connections that were taken in.
 	taken    atomic.Uint64
 	once     sync.Once
@@ -49,12 +54,11 @@
 	queued []net.Conn
 }
 
-func newAcceptor(ln net.Listener, clock timekeeper.Clock, full func() bool, refused func(problem string)) *acceptor {
+func newAcceptor(ln net.Listener, cfg *Config, full func() bool) *acceptor {
 	return &acceptor{
 		Listener: ln,
-		clock:    clock,
+		cfg:      cfg,
 		full:     full,
-		refused:  refused,
 		stopping: make(chan struct{}),
 		closed:   make(chan struct{}),
 		running:  make(chan struct{}),
@@ -75,12 +79,12 @@
 		}
 		conn, err := a.Listener.Accept()
 		if err == nil {
-			p := a.refusalOf(addressOf(conn.RemoteAddr()))
+			p := a.refusalOf(a.callerOnConn(conn))
 			if p == nil {
 				a.taken.Add(1)
 				return conn, nil
 			}
-			a.refused(p.kind)
+			a.cfg.Refused(p.kind)
 			reject(conn, p)
 			continue
 		}
@@ -109,17 +113,51 @@
 	return conn
 }
 
-// refusalOf returns why a new connection from an address is turned away, or nil.
-func (a *acceptor) refusalOf(from netip.Addr) *problem {
+// refusalOf returns why a new connection of a caller is turned away, or nil.
+func (a *acceptor) refusalOf(caller string) *problem {
 	if a.full() {
 		return &problemFull
 	}
-	if !a.screener.Take(a.clock.Now(), from) {
+	if !a.screener.Take(a.cfg.Clock.Now(), caller) {
 		return &problemOverload
 	}
 	return nil
 }
 
+// callerOn returns who sent what has come in on a new connection, or the address that it
+// comes from if accounts are not told apart.
+func (a *acceptor) callerOn(fd int, from netip.Addr) string {
+	if a.cfg.CallerOf == nil {
+		return from.String()
+	}
+	n, _, err := syscall.Recvfrom(fd, a.peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	if err != nil {
+		n = 0 // nothing has come in yet
+	}
+	if caller, ok := a.cfg.CallerOf(parseHeader(a.peeked[:max(n, 0)])); ok {
+		return caller
+	}
+	return from.String()
+}
+
+// callerOnConn is callerOn for a connection that the runtime has set up. While some are
+// turned away, it gives the request time to come in.
+func (a *acceptor) callerOnConn(conn net.Conn) string {
+	from := addressOf(conn.RemoteAddr())
+	raw, ok := conn.(syscall.Conn)
+	if !ok || !a.screening.Load() {
+		return from.String()
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return from.String()
+	}
+	<-a.cfg.Clock.After(headTime)
+	caller := from.String()
+	_ = rc.Control(func(fd uintptr) { caller = a.callerOn(int(fd), from) }) // a closed connection has no caller
+	return caller
+}
+
 // takeScreened answers connections that wait to be accepted until one is to be served,
 // which it returns, or none waits. Setting up a connection as the runtime does costs
 // several times what turning one away here does, which counts for a router that is
@@ -132,8 +170,8 @@
 			if !ok {
 				return
 			}
-			if p := a.refusalOf(from); p != nil {
-				a.refused(p.kind)
+			if p := a.refusalOf(a.callerOn(next, from)); p != nil {
+				a.cfg.Refused(p.kind)
 				rejectRaw(next, p.answer())
 				continue
 			}
@@ -152,7 +190,7 @@
 // turnAway sets the share of new connections that are turned away.
 func (a *acceptor) turnAway(share float64) {
 	a.screening.Store(share > 0)
-	a.screener.SetShare(a.clock.Now(), 1-share)
+	a.screener.SetShare(a.cfg.Clock.Now(), 1-share)
 }
 
 // Close ends Accept for good.
@@ -228,7 +266,7 @@
 	case *syscall.SockaddrInet4:
 		return netip.AddrFrom4(peer.Addr)
 	case *syscall.SockaddrInet6:
-		return netip.AddrFrom16(peer.Addr)
+		return netip.AddrFrom16(peer.Addr).Unmap()
 	}
 	return netip.Addr{}
 }
@@ -240,7 +278,7 @@
 	if !ok {
 		return netip.Addr{}
 	}
-	return tcp.AddrPort().Addr()
+	return tcp.AddrPort().Addr().Unmap()
 }
 
 // toConn makes a connection of a descriptor, which it takes over. It returns nil
--- a/internal/listener/head.go
+++ b/internal/listener/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strconv"
 	"strings"
 )
@@ -200,3 +201,20 @@
 	}
 	return true
 }
+
+// parseHeader reads the header lines of a request that have come in whole, unchecked, for
+// a look at who sends it.
+func parseHeader(raw []byte) http.Header {
+	h := make(http.Header)
+	_, rest, _ := bytes.Cut(raw, []byte(crlf))
+	for {
+		line, more, whole := bytes.Cut(rest, []byte(crlf))
+		if !whole || len(line) == 0 {
+			return h
+		}
+		if name, value, ok := bytes.Cut(line, []byte(":")); ok {
+			h.Add(string(name), strings.Trim(string(value), " \t"))
+		}
+		rest = more
+	}
+}
--- a/internal/listener/intake_test.go
+++ b/internal/listener/intake_test.go
@@ -1,10 +1,13 @@
 package listener
 
 import (
+	"bufio"
 	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
 // dialFrom opens a connection to l from an address of this machine.
@@ -55,3 +58,63 @@
 		t.Errorf("got %d connections taken in, want at most %v, twice the share", few+many, most)
 	}
 }
+
+// TestFloodOfOneAccountLeavesOthersTheirConnections has two accounts ask from the same
+// address, one of them for twenty times what the other asks for. Their requests have
+// come in when the router looks at the connections, as on a VM that is busy.
+func TestFloodOfOneAccountLeavesOthersTheirConnections(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	cfg := &Config{Clock: timekeeper.System{}, Refused: func(string) {}, CallerOf: func(h http.Header) (string, bool) {
+		return h.Get("Account"), h.Get("Account") != ""
+	}}
+	a := newAcceptor(ln, cfg, func() bool { return false })
+	const rounds, flood, share = 30, 20, 0.1
+	a.turnAway(1 - share)
+	taken := make(map[string]int)
+	for range rounds {
+		for i := range flood + 1 {
+			account := "large"
+			if i == flood {
+				account = "small"
+			}
+			conn, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			send(t, conn, "GET / HTTP/1.1\r\nHost: h\r\nAccount: "+account+"\r\n\r\n")
+		}
+		for conn := a.takeScreened(); conn != nil; conn = a.takeScreened() {
+			req, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				t.Fatal(err)
+			}
+			taken[req.Header.Get("Account")]++
+			_ = conn.Close()
+		}
+	}
+	if taken["small"] < rounds*4/5 {
+		t.Errorf("got %v connections taken in, want four fifths of %d of the small account", taken, rounds)
+	}
+	if most := 2 * share * rounds * (flood + 1); float64(taken["small"]+taken["large"]) > most {
+		t.Errorf("got %v connections taken in, want at most %v, twice the share", taken, most)
+	}
+}
+
+// TestHeaderIsReadAsFarAsItHasCome looks at the first bytes of a request.
+func TestHeaderIsReadAsFarAsItHasCome(t *testing.T) {
+	h := parseHeader([]byte("POST /a HTTP/1.1\r\nHost: h\r\nauthorization: Token x \r\nLong: cut of"))
+	if got := h.Get("Authorization"); got != "Token x" {
+		t.Errorf("got %q, want the key", got)
+	}
+	if got := h.Get("Long"); got != "" {
+		t.Errorf("got %q of a line that has not come in whole, want nothing", got)
+	}
+	if got := parseHeader([]byte("GE")); len(got) != 0 {
+		t.Errorf("got %v of half a request line, want nothing", got)
+	}
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -92,6 +92,11 @@
 	// Refused, if set, is called with the name of the problem for each request
 	// that is refused before any handler sees it. It must not block.
 	Refused func(problem string)
+	// CallerOf, if set, names who sends a request, "" if that is not known, by as much of
+	// its header as has come in. While a share of the connections is turned away, it tells
+	// callers apart that come from the same address. Without it, or if it returns false,
+	// each address is a caller. It must not block.
+	CallerOf func(h http.Header) (caller string, ok bool)
 	// Log gets one line for each event; nil means logrus's standard logger.
 	Log *logrus.Logger
 	// Clock measures the timeouts; nil means the system's clock.
@@ -190,7 +195,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.acceptor = newAcceptor(ln, l.cfg.Clock, l.full, l.cfg.Refused)
+	l.acceptor = newAcceptor(ln, &l.cfg, l.full)
 	return l.acceptor, nil
 }
 
@@ -219,15 +224,19 @@
 func (l *Listener) SetClosing(closing bool) { l.draining.Store(closing) }
 
 // TurnAway sets the share, 0 to 1, of new connections that are answered with
-// 503 before anything is read of them. Addresses that open most are turned away most.
+// 503 before anything is read of them. Callers that open most are turned away most.
 func (l *Listener) TurnAway(share float64) { l.acceptor.turnAway(share) }
 
 // Taken returns how many connections were taken in since the start.
 func (l *Listener) Taken() uint64 { return l.acceptor.taken.Load() }
 
-// LargestCaller returns from how many addresses connections came of late, and which part
-// of them, 0 to 1, from the address that opened most.
-func (l *Listener) LargestCaller() (addresses int, part float64) {
+// Crowds reports whether a caller, as Config.CallerOf names it, takes the place of others
+// that are turned away.
+func (l *Listener) Crowds(caller string) bool { return l.acceptor.screener.Crowds(caller) }
+
+// LargestCaller returns how many callers opened connections of late, and which part of
+// them, 0 to 1, is of the caller that opened most.
+func (l *Listener) LargestCaller() (callers int, part float64) {
 	return l.acceptor.screener.Largest()
 }
 
--- a/internal/listener/seam_test.go
+++ b/internal/listener/seam_test.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := newAcceptor(ln, timekeeper.System{}, func() bool { return false }, func(string) {})
+	a := newAcceptor(ln, &Config{Clock: timekeeper.System{}, Refused: func(string) {}}, func() bool { return false })
 	const waiting = 3
 	for range waiting {
 		conn, err := net.Dial("tcp", ln.Addr().String())
--- a/internal/router/closing_test.go
+++ b/internal/router/closing_test.go
@@ -22,6 +22,8 @@
 
 func (blankEntrance) Read(http.Header) Incoming { return Incoming{} }
 
+func (blankEntrance) Key(http.Header) string { return "" }
+
 // plainDialect writes problem documents as they are.
 type plainDialect struct{ dispatcher.Dialect }
 
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -55,6 +55,8 @@
 // Entrance reads what callers' headers say.
 type Entrance interface {
 	Read(h http.Header) Incoming
+	// Key returns the key that names the client account, or "" if there is none.
+	Key(h http.Header) string
 }
 
 // Incoming is what a caller's header says of its request.
@@ -115,6 +117,8 @@
 	strained atomic.Bool
 	// turningAway is true while a share of the new connections is turned away.
 	turningAway atomic.Bool
+	// shut is true while hardly any of them is taken in.
+	shut atomic.Bool
 	// refusedUnread counts the connections and requests that the listeners
 	// refused since that was logged.
 	refusedUnread atomic.Int64
@@ -254,7 +258,9 @@
 	if err := h.exchanger.Start(); err != nil {
 		return err
 	}
-	h.callers, err = listener.Start(h.listenerConfig("callers", h.settings.Listeners.Callers, h.serveCaller))
+	callers := h.listenerConfig("callers", h.settings.Listeners.Callers, h.serveCaller)
+	callers.CallerOf = h.accountOf
+	h.callers, err = listener.Start(callers)
 	if err != nil {
 		return err
 	}
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -45,6 +45,20 @@
 	h.carry(c, out)
 }
 
+// accountOf returns the client account that a request comes from by its header, "" if
+// that is not known, and false if there are no accounts.
+func (h *Hosted) accountOf(header http.Header) (string, bool) {
+	s := h.snapshot.Load()
+	if s == nil || !s.Table.Keyed() {
+		return "", false
+	}
+	account, ok := s.Table.Account(h.cfg.Entrance.Key(header))
+	if !ok {
+		return "", true
+	}
+	return string(account.Name), true
+}
+
 // refuseAtEntry answers a request that was not even queued.
 func (h *Hosted) refuseAtEntry(c *listener.Caller, p *refusal, id string) {
 	d := explainer.New(p.name, p.title, p.status, messenger.NotRun)
@@ -142,6 +156,9 @@
 // carry serves an accepted request to its end.
 func (h *Hosted) carry(c *listener.Caller, out *dispatcher.Request) {
 	arrived := h.clock.Now()
+	if h.shut.Load() && h.callers.Crowds(string(out.Arrive.Account)) {
+		c.CloseAfter()
+	}
 	queue := h.control.open(out.ID)
 	result := h.dispatcher.Serve(h.serving, out, queue, c)
 	h.control.closeQueue(out.ID)
--- a/internal/router/strain.go
+++ b/internal/router/strain.go
@@ -32,13 +32,15 @@
 	// waitWeight is the weight of one measurement of these waits in their mean.
 	waitWeight = 0.5
 	// intakeEvery is the time between two changes of the share of connections
-	// taken in, which shrinks by the factor intakeCut and grows by intakeGrowth.
+	// taken in, which shrinks by the factor intakeCut and grows by intakeGrowth, or by
+	// intakeLeap if hardly anything waits.
 	intakeEvery  = 100 * time.Millisecond
 	intakeCut    = 0.75
 	intakeGrowth = 1.1
+	intakeLeap   = 1.3
 	// leastTakenIn leaves some new connections, by whose load the router notices
 	// that it may take more: callers may ask for fifty times what a VM can do.
-	leastTakenIn = 0.02
+	leastTakenIn = 0.05
 	// strainedShare is the part of the fleet, as a divisor, that may send its
 	// callers elsewhere at a time.
 	strainedShare = 8
@@ -105,12 +107,18 @@
 	switch {
 	case s.lag > busyLag || s.wait > busyWait:
 		takenIn = max(leastTakenIn, takenIn*intakeCut)
+	case s.lag < calmLag && s.wait < calmWait/2:
+		takenIn = min(1, takenIn*intakeLeap)
 	case s.lag < calmLag && s.wait < calmWait:
 		takenIn = min(1, takenIn*intakeGrowth)
 	}
 	s.turnedAway = 1 - takenIn
 }
 
+// shut reports whether hardly any new connection is taken in: if that is not enough, what
+// comes on open ones is too much.
+func (s *strain) shut() bool { return s.turnedAway >= 1-leastTakenIn }
+
 // starved reports whether the VM has no processor time left.
 func (s *strain) starved() bool { return s.turnedAway > 0 || s.lag > busyLag || s.wait > busyWait }
 
@@ -142,6 +150,7 @@
 	}
 	h.callers.TurnAway(share)
 	h.turningAway.Store(share > 0)
+	h.shut.Store(h.strain.shut())
 	if before > 0 && share > 0 {
 		return
 	}
--- a/internal/router/workload.go
+++ b/internal/router/workload.go
@@ -52,14 +52,14 @@
 	if now.Sub(w.logged) < workloadInterval {
 		return
 	}
-	addresses, largest := h.callers.LargestCaller()
+	callers, largest := h.callers.LargestCaller()
 	fields := logrus.Fields{
 		eventField: "workload", "ms": now.Sub(w.logged).Milliseconds(),
 		"takenIn": rounded(1 - h.strain.turnedAway), "connectionsTaken": h.callers.Taken() - w.taken,
 		"connectionsOpen": h.callers.Conns(), "refusedUnread": h.refusedUnread.Load(),
 		"sent": w.sent.Swap(0), "refusedBeyondShare": w.beyondShare.Swap(0), "refusedLate": w.late.Swap(0),
 		"endedOtherwise": w.otherwise.Swap(0), "inProgress": h.inProgress.Load(),
-		"addresses": addresses, "largestAddress": rounded(largest),
+		"callers": callers, "largestCaller": rounded(largest),
 		"lag": h.strain.lag, "wait": h.strain.wait,
 	}
 	w.logged, w.taken = now, h.callers.Taken()
--- a/internal/screener/screener.go
+++ b/internal/screener/screener.go
@@ -2,22 +2,21 @@
 // in all.
 //
 // It answers the load of a small VM that a balancer by client leads all callers of one
-// busy client account to, beside callers that ask for little. Before anything is read a
-// connection says nothing but the address that it comes from, so each address counts as
-// a caller: what can be taken in is shared out among the addresses, the smallest first,
-// and the ones that ask for most are turned away most.
+// busy client account to, beside callers that ask for little. What can be taken in is
+// shared out among the callers, the smallest first, so that the ones that ask for most
+// are turned away most. Who a caller is, an account or an address, is for the user of
+// the package to say.
 //
 // # Usage
 //
 //	var s screener.Screener
 //	s.SetShare(now, 0.2)
-//	if !s.Take(now, address) { ... }
+//	if !s.Take(now, "clinic") { ... }
 package screener
 
 import (
 	"math"
 	"math/rand/v2"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -25,7 +24,7 @@
 )
 
 const (
-	// countHalfLife is the time in which the count of an address halves that opens no
+	// countHalfLife is the time in which the count of a caller halves that opens no
 	// more connections.
 	countHalfLife = 2 * time.Second
 	// settleInterval is the longest time between two looks at who asks for how much.
@@ -34,10 +33,12 @@
 	// before the next look, and leastGrowth how many they may grow by in any case.
 	settleGrowth = 8
 	leastGrowth  = 8
-	// leastCount is the count below which an address is forgotten.
+	// leastCount is the count below which a caller is forgotten.
 	leastCount = 0.05
-	// mostAddresses bounds the addresses that are told apart; further ones count as one.
-	mostAddresses = 4096
+	// mostCallers bounds the callers that are told apart; further ones count as one.
+	mostCallers = 4096
+	// others is that one, and whoever is not known.
+	others = ""
 )
 
 // Screener decides about new connections. The zero value takes in all. It is safe for
@@ -46,12 +47,15 @@
 	mu sync.Mutex
 	// refused is the share, 0 to 1, of connections that is to be turned away.
 	refused float64
-	// counts holds how many connections each address opened of late; they fade.
-	counts map[netip.Addr]float64
-	// level is how many of its connections an address may have taken in, by its count;
+	// counts holds how many connections each caller opened of late; they fade.
+	counts map[string]float64
+	// level is how many of its connections a caller may have taken in, by its count;
 	// zero means all.
 	level   float64
 	settled time.Time
+	// crowding is the caller that opens most while another known one is turned away as
+	// well; "" if there is none.
+	crowding string
 	// known is the sum of the counts when the level was worked out, and opened how many
 	// connections came since.
 	known, opened float64
@@ -65,11 +69,20 @@
 	s.settle(now)
 }
 
-// Take reports whether to take in a new connection from an address.
-func (s *Screener) Take(now time.Time, from netip.Addr) bool {
+// Crowds reports whether a caller takes the place of others: it opens most connections, and
+// another one that asks for less is turned away too. Its open connections are not to be
+// kept, since what comes on them is not shared out.
+func (s *Screener) Crowds(caller string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	count := s.note(from)
+	return caller != others && caller == s.crowding
+}
+
+// Take reports whether to take in a new connection of a caller, "" if it is not known.
+func (s *Screener) Take(now time.Time, caller string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := s.note(caller)
 	s.opened++
 	if now.Sub(s.settled) >= settleInterval || s.opened >= max(leastGrowth, s.known/settleGrowth) {
 		s.settle(now)
@@ -85,9 +98,9 @@
 	return rand.Float64()*count < s.level
 }
 
-// Largest returns how many addresses opened connections of late, and which part of these,
-// 0 to 1, is of the address that opened most.
-func (s *Screener) Largest() (addresses int, part float64) {
+// Largest returns how many callers opened connections of late, and which part of these,
+// 0 to 1, is of the caller that opened most.
+func (s *Screener) Largest() (callers int, part float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all, most := 0.0, 0.0
@@ -101,38 +114,66 @@
 	return len(s.counts), most / all
 }
 
-// note counts a connection and returns the count of its address.
-func (s *Screener) note(from netip.Addr) float64 {
+// note counts a connection and returns the count of its caller.
+func (s *Screener) note(caller string) float64 {
 	if s.counts == nil {
-		s.counts = make(map[netip.Addr]float64)
+		s.counts = make(map[string]float64)
 	}
-	from = from.Unmap()
-	if _, known := s.counts[from]; !known && len(s.counts) >= mostAddresses {
-		from = netip.Addr{}
+	if _, known := s.counts[caller]; !known && len(s.counts) >= mostCallers {
+		caller = others
 	}
-	s.counts[from]++
-	return s.counts[from]
+	s.counts[caller]++
+	return s.counts[caller]
 }
 
-// settle fades the counts and works out the level anew.
+// settle fades the counts and works out anew who is turned away.
 func (s *Screener) settle(now time.Time) {
+	s.fade(now)
+	demands := make([]float64, 0, len(s.counts))
+	s.known, s.opened = 0, 0
+	for _, n := range s.counts {
+		s.known += n
+		demands = append(demands, n)
+	}
+	s.level = divider.Level(demands, s.known*(1-s.refused))
+	s.crowding = s.findCrowding()
+}
+
+// fade brings the counts up to date.
+func (s *Screener) fade(now time.Time) {
 	left := 1.0
 	if !s.settled.IsZero() {
 		left = math.Exp2(-float64(now.Sub(s.settled)) / float64(countHalfLife))
 	}
 	s.settled = now
-	all := 0.0
-	demands := make([]float64, 0, len(s.counts))
-	for from, n := range s.counts {
+	for caller, n := range s.counts {
 		n *= left
 		if n < leastCount {
-			delete(s.counts, from)
+			delete(s.counts, caller)
 			continue
 		}
-		s.counts[from] = n
-		all += n
-		demands = append(demands, n)
+		s.counts[caller] = n
+	}
+}
+
+// findCrowding returns the known caller with the highest count, or none if no other is
+// above the level.
+func (s *Screener) findCrowding() string {
+	if s.level <= 0 {
+		return others
+	}
+	largest, most, above := others, 0.0, 0
+	for caller, n := range s.counts {
+		if caller == others || n <= s.level {
+			continue
+		}
+		above++
+		if n > most {
+			largest, most = caller, n
+		}
+	}
+	if above < 2 {
+		return others
 	}
-	s.known, s.opened = all, 0
-	s.level = divider.Level(demands, all*(1-s.refused))
+	return largest
 }
--- a/internal/screener/screener_test.go
+++ b/internal/screener/screener_test.go
@@ -1,7 +1,7 @@
 package screener
 
 import (
-	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -10,15 +10,15 @@
 
 // caller opens connections at a steady rate.
 type caller struct {
-	address         netip.Addr
+	name            string
 	perSecond       int
 	opened, takenIn int
 	// owed is the part of a connection that is due.
 	owed float64
 }
 
-func newCaller(address string, perSecond int) *caller {
-	return &caller{address: netip.MustParseAddr(address), perSecond: perSecond}
+func newCaller(name string, perSecond int) *caller {
+	return &caller{name: name, perSecond: perSecond}
 }
 
 // play has callers open connections for some seconds, of which the first does not count.
@@ -29,7 +29,7 @@
 		now = now.Add(step)
 		for _, c := range callers {
 			for c.owed += float64(c.perSecond) * step.Seconds(); c.owed >= 1; c.owed-- {
-				taken := s.Take(now, c.address)
+				taken := s.Take(now, c.name)
 				if i < int(time.Second/step) {
 					continue
 				}
@@ -44,12 +44,12 @@
 
 func (c *caller) part() float64 { return float64(c.takenIn) / float64(c.opened) }
 
-// TestFloodPaysForItself has one address open two thousand connections a second, and two
+// TestFloodPaysForItself has one caller open two thousand connections a second, and two
 // others few, at a router that can take in a tenth.
 func TestFloodPaysForItself(t *testing.T) {
 	var s Screener
 	s.SetShare(epoch, 0.1)
-	flood, few, fewer := newCaller("10.0.0.1", 2000), newCaller("10.0.0.2", 40), newCaller("10.0.0.3", 3)
+	flood, few, fewer := newCaller("a", 2000), newCaller("b", 40), newCaller("c", 3)
 	play(&s, 6, flood, few, fewer)
 	for _, c := range []*caller{few, fewer} {
 		if got := c.part(); got < 0.9 {
@@ -63,56 +63,65 @@
 	}
 }
 
-// TestEqualCallersAreTurnedAwayAlike has twenty addresses ask for the same.
+// TestEqualCallersAreTurnedAwayAlike has twenty callers ask for the same.
 func TestEqualCallersAreTurnedAwayAlike(t *testing.T) {
 	var s Screener
 	s.SetShare(epoch, 0.25)
 	var callers []*caller
 	for i := range 20 {
-		c := newCaller("10.0.0.1", 50)
-		for range i {
-			c.address = c.address.Next()
-		}
-		callers = append(callers, c)
+		callers = append(callers, newCaller(strconv.Itoa(i), 50))
 	}
 	play(&s, 11, callers...)
 	for _, c := range callers {
 		if got := c.part(); got < 0.15 || got > 0.35 {
-			t.Errorf("got %.2f of the connections of %v taken in, want about a quarter", got, c.address)
+			t.Errorf("got %.2f of the connections of %v taken in, want about a quarter", got, c.name)
 		}
 	}
 }
 
 func TestAllAreTakenInAgain(t *testing.T) {
 	var s Screener
-	c := newCaller("10.0.0.1", 500)
+	c := newCaller("a", 500)
 	play(&s, 2, c)
 	if c.takenIn != c.opened {
 		t.Errorf("got %d of %d taken in without a bound, want all", c.takenIn, c.opened)
 	}
 	s.SetShare(epoch, 0)
-	if s.Take(epoch, c.address) {
+	if s.Take(epoch, c.name) {
 		t.Error("got a connection taken in at a share of nothing")
 	}
 	s.SetShare(epoch, 1)
-	if !s.Take(epoch, c.address) {
+	if !s.Take(epoch, c.name) {
 		t.Error("got a connection turned away at a share of all")
 	}
 }
 
-// TestAddressesAreForgotten has more addresses than are told apart, once.
-func TestAddressesAreForgotten(t *testing.T) {
+// TestCallersAreForgotten has more callers than are told apart, once.
+func TestCallersAreForgotten(t *testing.T) {
 	var s Screener
-	address := netip.MustParseAddr("10.0.0.1")
-	for range 2 * mostAddresses {
-		s.Take(epoch, address)
-		address = address.Next()
+	for i := range 2 * mostCallers {
+		s.Take(epoch, strconv.Itoa(i))
 	}
-	if got, _ := s.Largest(); got > mostAddresses+1 {
-		t.Errorf("got %d addresses told apart, want at most %d", got, mostAddresses+1)
+	if got, _ := s.Largest(); got > mostCallers+1 {
+		t.Errorf("got %d callers told apart, want at most %d", got, mostCallers+1)
 	}
 	s.SetShare(epoch.Add(time.Minute), 1)
 	if got, _ := s.Largest(); got != 0 {
-		t.Errorf("got %d addresses known after a minute, want none", got)
+		t.Errorf("got %d callers known after a minute, want none", got)
+	}
+}
+
+// TestWhoeverCrowdsOutOthersIsKnown has a flood take the place of a caller that asks for
+// less, and then alone be turned away.
+func TestWhoeverCrowdsOutOthersIsKnown(t *testing.T) {
+	var s Screener
+	s.SetShare(epoch, 0.01)
+	play(&s, 3, newCaller("flood", 1000), newCaller("few", 50), newCaller("", 200))
+	if !s.Crowds("flood") || s.Crowds("few") || s.Crowds("") {
+		t.Errorf("got crowding %v, %v, %v, want that of the flood alone", s.Crowds("flood"), s.Crowds("few"), s.Crowds(""))
+	}
+	s.SetShare(epoch.Add(3*time.Second), 0.3)
+	if s.Crowds("flood") {
+		t.Error("got a flood that crowds out others while these are taken in")
 	}
 }
