--- a/internal/router/closing_test.go
+++ b/internal/router/closing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"lentilwood.example/lentilwood/internal/explainer"
 	"lentilwood.example/lentilwood/internal/listener"
 	"lentilwood.example/lentilwood/internal/loader"
+	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
@@ -57,7 +59,13 @@
 // askOn sends a request on an open connection and reports whether the answer closes it.
 func askOn(t *testing.T, conn net.Conn) (status int, closed bool) {
 	t.Helper()
-	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+	return askAs(t, conn, "")
+}
+
+// askAs is askOn for an account.
+func askAs(t *testing.T, conn net.Conn, account string) (status int, closed bool) {
+	t.Helper()
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nAccount: "+account+"\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -91,3 +99,66 @@
 		t.Errorf("got %d, closed %v, from a router without processor time, want 503 and the end of the connection", status, closed)
 	}
 }
+
+// floodedListener turns away nearly all connections, of which most come from one account
+// and some from another that asks for less. It names accounts by a header.
+func floodedListener(t *testing.T, l *listener.Listener) {
+	t.Helper()
+	l.TurnAway(0.99)
+	for i := 0; !l.Crowds("flood"); i++ {
+		if i == 1000 {
+			t.Fatal("got no account that crowds out others after 1000 connections")
+		}
+		account := "flood"
+		if i%10 == 0 {
+			account = "few"
+		}
+		conn, err := net.Dial("tcp", l.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nAccount: "+account+"\r\nConnection: close\r\n\r\n") // it may be closed already
+		_, _ = io.ReadAll(conn)
+		_ = conn.Close()
+	}
+}
+
+// TestAccountThatCrowdsOutOthersKeepsNoConnection has one account flood a router that takes
+// in hardly any new connection, and ask on an open one, as another account does.
+func TestAccountThatCrowdsOutOthersKeepsNoConnection(t *testing.T) {
+	h, _, _ := refusingRouter(t, &fixedWait{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go h.control.run(ctx)
+	var err error
+	h.callers, err = listener.Start(listener.Config{
+		Name: t.Name(), Address: "127.0.0.1:0", Log: h.log,
+		CallerOf: func(header http.Header) (string, bool) { return header.Get("Account"), true },
+		Handler: func(c *listener.Caller, req *http.Request) {
+			out := &dispatcher.Request{ID: messenger.RequestID(h.lastRequest.Add(1)), Header: req.Header}
+			out.Arrive = messenger.Arrive{Request: out.ID, Account: messenger.AccountID(req.Header.Get("Account"))}
+			h.carry(c, out)
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = h.callers.Shutdown(t.Context()) }()
+	conns := make(map[string]net.Conn)
+	for _, account := range []string{"flood", "few"} {
+		if conns[account], err = net.Dial("tcp", h.callers.Addr()); err != nil {
+			t.Fatal(err)
+		}
+		if _, closed := askAs(t, conns[account], account); closed {
+			t.Fatalf("got the connection of %q closed by a router that takes in all", account)
+		}
+	}
+	floodedListener(t, h.callers)
+	h.shut.Store(true)
+	for account, want := range map[string]bool{"flood": true, "few": false} {
+		if _, closed := askAs(t, conns[account], account); closed != want {
+			t.Errorf("got the connection of %q closed %v, want %v", account, closed, want)
+		}
+	}
+}
