A hangup during a graceful shutdown ends no process

Cause: SIGHUP, which says that the settings file changed, was handled until the shutdown began, and not after: its default ends the process at once, without a line.

Evidence: edge-kecs-a-8 gets SIGTERM at 31.49 s, its connections close at 32.00 s and it starts again at 32.58 s, without the line of a router that stopped and without a panic.

Change: hangups are handled until the process ends.

TestHangupDuringAShutdownEndsNothing: no line of the hangup before, one now.

--- a/internal/cli/daemons.go
+++ b/internal/cli/daemons.go
@@ -98,26 +98,22 @@
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	go noteReloads(ctx, reloads, log)
+	go noteReloads(reloads, log)
 	go watchSignals(ctx, signals, cancel, log, os.Exit)
 	return ctx, func() {
 		signal.Stop(signals)
 		close(signals)
+		signal.Stop(reloads)
+		close(reloads)
 		cancel()
 	}
 }
 
-// noteReloads keeps a hangup from ending the process. Settings are read at the
-// start; what changes while a router runs stands in the configuration.
-func noteReloads(ctx context.Context, reloads chan os.Signal, log *logrus.Logger) {
-	defer signal.Stop(reloads)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-reloads:
-			log.WithField("event", "reload").Info("settings changed; they are read at the next start")
-		}
+// noteReloads keeps a hangup from ending the process, also while it shuts down. Settings
+// are read at the start; what changes while a router runs stands in the configuration.
+func noteReloads(reloads <-chan os.Signal, log *logrus.Logger) {
+	for range reloads {
+		log.WithField("event", "reload").Info("settings changed; they are read at the next start")
 	}
 }
 
--- a/internal/cli/daemons_test.go
+++ b/internal/cli/daemons_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"context"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -92,3 +95,49 @@
 		t.Errorf("log = %s, want a line on the second signal", text.String())
 	}
 }
+
+// lines is a log's output that can be read while it is written.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) contain(what string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), what)
+}
+
+// TestHangupDuringAShutdownEndsNothing has the settings change while a process finishes what
+// it has in progress. A hangup that nobody handles ends a process.
+func TestHangupDuringAShutdownEndsNothing(t *testing.T) {
+	spare := make(chan os.Signal, 1)
+	signal.Notify(spare, syscall.SIGHUP) // so that the test lives on in any case
+	defer signal.Stop(spare)
+	var out lines
+	ctx, stop := untilSignal(newLog(&out, loader.Log{}))
+	defer stop()
+	self := os.Getpid()
+	if err := syscall.Kill(self, syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	<-ctx.Done()
+	time.Sleep(20 * time.Millisecond) // what ends with the context has ended
+	if err := syscall.Kill(self, syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	<-spare
+	for range 200 {
+		if out.contain("event=reload") {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("got no line on a hangup during a shutdown, want it handled as before")
+}
