--- a/internal/listener/acceptor.go
+++ b/internal/listener/acceptor.go
@@ -1,10 +1,7 @@
 package listener
 
 import (
-	"errors"
 	"net"
-	"net/netip"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,11 +13,6 @@
 const (
 	acceptRetry  = 50 * time.Millisecond
 	rejectWithin = 100 * time.Millisecond
-	// peekBytes is how much of a request is looked at before its connection is taken in.
-	peekBytes = 2 << 10
-	// headTime is how long a new connection may take to send the head of its request before
-	// it is decided, while some are turned away.
-	headTime = 2 * time.Millisecond
 )
 
 // acceptor keeps nbhttp's accept loop from spinning: it waits out errors of
@@ -124,40 +116,6 @@
 	return nil
 }
 
-// callerOn returns who sent what has come in on a new connection, or the address that it
-// comes from if accounts are not told apart.
-func (a *acceptor) callerOn(fd int, from netip.Addr) string {
-	if a.cfg.CallerOf == nil {
-		return from.String()
-	}
-	n, _, err := syscall.Recvfrom(fd, a.peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	if err != nil {
-		n = 0 // nothing has come in yet
-	}
-	if caller, ok := a.cfg.CallerOf(parseHeader(a.peeked[:max(n, 0)])); ok {
-		return caller
-	}
-	return from.String()
-}
-
-// callerOnConn is callerOn for a connection that the runtime has set up. While some are
-// turned away, it gives the request time to come in.
-func (a *acceptor) callerOnConn(conn net.Conn) string {
-	from := addressOf(conn.RemoteAddr())
-	raw, ok := conn.(syscall.Conn)
-	if !ok || !a.screening.Load() {
-		return from.String()
-	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return from.String()
-	}
-	<-a.cfg.Clock.After(headTime)
-	caller := from.String()
-	_ = rc.Control(func(fd uintptr) { caller = a.callerOn(int(fd), from) }) // a closed connection has no caller
-	return caller
-}
-
 // takeScreened answers connections that wait to be accepted until one is to be served,
 // which it returns, or none waits. Setting up a connection as the runtime does costs
 // several times what turning one away here does, which counts for a router that is
@@ -181,12 +139,6 @@
 	return conn
 }
 
-// rejectRaw writes an answer, which a new connection has room for, and closes it.
-func rejectRaw(conn int, answer []byte) {
-	_, _ = syscall.Write(conn, answer) // the caller may have left; it is refused either way
-	_ = syscall.Close(conn)
-}
-
 // turnAway sets the share of new connections that are turned away.
 func (a *acceptor) turnAway(share float64) {
 	a.screening.Store(share > 0)
@@ -247,52 +199,6 @@
 	_ = raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
-// acceptRaw accepts one connection without waiting for it, and returns the address that
-// it comes from. It returns false if there is none.
-func acceptRaw(listener int) (fd int, from netip.Addr, ok bool) {
-	for {
-		fd, peer, err := syscall.Accept4(listener, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-		if errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED) {
-			continue
-		}
-		return fd, addressOfPeer(peer), err == nil
-	}
-}
-
-// addressOfPeer returns the address of a peer as the system gives it, or the zero address
-// if it has none.
-func addressOfPeer(peer syscall.Sockaddr) netip.Addr {
-	switch peer := peer.(type) {
-	case *syscall.SockaddrInet4:
-		return netip.AddrFrom4(peer.Addr)
-	case *syscall.SockaddrInet6:
-		return netip.AddrFrom16(peer.Addr).Unmap()
-	}
-	return netip.Addr{}
-}
-
-// addressOf returns the address of a peer as the runtime gives it, or the zero address if
-// it has none.
-func addressOf(peer net.Addr) netip.Addr {
-	tcp, ok := peer.(*net.TCPAddr)
-	if !ok {
-		return netip.Addr{}
-	}
-	return tcp.AddrPort().Addr().Unmap()
-}
-
-// toConn makes a connection of a descriptor, which it takes over. It returns nil
-// if the system has no descriptor left to do so.
-func toConn(fd int) net.Conn {
-	file := os.NewFile(uintptr(fd), "queued connection")
-	defer func() { _ = file.Close() }()
-	conn, err := net.FileConn(file)
-	if err != nil {
-		return nil
-	}
-	return conn
-}
-
 // reject answers before anything was read: it costs little beside a request.
 func reject(conn net.Conn, p *problem) {
 	_ = conn.SetWriteDeadline(time.Now().Add(rejectWithin))
