Say from whom and at which version a change was learnt, and what processor time goes to decisions

What could not be told apart: whether news of a leaving upstream have a hole or are late, and from whom they came; whether a VM that sends on few requests has processor time left, and how much of it decisions take. No change of logic.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -140,6 +140,14 @@
 // Version returns the highest version known of a table.
 func (f *Follower) Version(t Table) uint64 { return f.newest[t] }
 
+// RowVersion returns the version of the newest row known of a key, or zero.
+func (f *Follower) RowVersion(t Table, key string) uint64 {
+	if e, ok := f.rows[t][key]; ok {
+		return e.row.Version
+	}
+	return 0
+}
+
 // Merge takes in rows and reports whether that changed what requests are
 // served by.
 func (f *Follower) Merge(now time.Time, b Batch) bool {
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -44,6 +44,8 @@
 	fleet   fleet
 	// ticked, if set, is called at every tick.
 	ticked func(beat)
+	// decided, if set, is told of each decision how long it took.
+	decided func(took time.Duration)
 	// idle, if set, reports whether nothing waits for a tick; ticks are rarer then.
 	idle func() bool
 	// due is when the next tick is, planned the time between it and the one before.
@@ -169,7 +171,12 @@
 }
 
 func (c *control) decide(e messenger.Event) {
-	for _, a := range c.decider.Handle(c.clock.Now(), e) {
+	began := c.clock.Now()
+	actions := c.decider.Handle(began, e)
+	if c.decided != nil {
+		c.decided(c.clock.Now().Sub(began))
+	}
+	for _, a := range actions {
 		c.carryOut(a)
 	}
 }
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -198,6 +198,7 @@
 	h.admitter = admitter.New(admitter.Config{Self: h.self, Domain: cfg.Settings.FailureDomain, Seed: h.incarnation})
 	h.control = newControl(cfg.Clock, h.admitter)
 	h.control.ticked = h.tick
+	h.control.decided = h.workload.noteDecision
 	h.control.idle = func() bool { return !h.admitter.Waiting() }
 	h.registerGauges()
 	h.dispatcher = dispatcher.New(dispatcher.Config{
@@ -221,7 +222,7 @@
 	}
 	if n.Leaving && h.follower.NoteDeparture(id) {
 		h.log.WithFields(logrus.Fields{eventField: "departure", upstreamField: id}).Info("upstream says that it leaves")
-		h.publish()
+		h.publish(fromUpstream)
 	}
 }
 
@@ -333,7 +334,7 @@
 // tick runs on the control goroutine at every tick.
 func (h *Hosted) tick(b beat) {
 	if h.follower.Expire(h.clock.Now()) {
-		h.publish()
+		h.publish(fromExpiry)
 	}
 	h.watchStrain(b)
 	h.tellPeers()
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -227,6 +227,6 @@
 		}
 	}
 	if news {
-		h.publish()
+		h.publish(e.From.Name)
 	}
 }
--- a/internal/router/hostedrows.go
+++ b/internal/router/hostedrows.go
@@ -219,7 +219,7 @@
 				b.Rows = append(b.Rows, row)
 			}
 		}
-		h.merge(b)
+		h.merge(b, p.member.Name)
 	}
 	h.log.WithFields(logrus.Fields{eventField: "rowsFromPeer", "peer": p.member.Name, "rows": len(rows)}).Info("rows taken from a router")
 }
--- a/internal/router/hostedstore.go
+++ b/internal/router/hostedstore.go
@@ -12,6 +12,14 @@
 // What follows takes in what the platform's store and other routers say of the
 // configuration and the upstreams.
 
+// Who else than a router may tell of a change of what requests are served by.
+const (
+	fromStore    = "store"
+	fromUpstream = "upstream"
+	// fromExpiry is the end of the time in which a dropped registration is believed.
+	fromExpiry = "expiry"
+)
+
 const (
 	// feedWaitPerPeer is how much longer a call for changes may wait for each
 	// other router, up to longestFeedWait.
@@ -38,7 +46,7 @@
 		Wait: h.feedWait, Pause: func() time.Duration { return gatherTime },
 		Rest:  func() time.Duration { return h.feedRest(pull) },
 		Known: pull.known.Load, Retry: h.feedRetry, Wake: pull.wake,
-		Batches: func(b follower.Batch) { h.control.call(func() { h.merge(b) }) },
+		Batches: func(b follower.Batch) { h.control.call(func() { h.merge(b, fromStore) }) },
 		Noted:   h.noteStore,
 	}
 	h.goroutines.Go(func() { feed.Run(h.background) })
@@ -53,18 +61,19 @@
 	h.lostTables.Add(-1)
 }
 
-// merge takes in rows of the store or of another router. It runs on the
-// control goroutine.
-func (h *Hosted) merge(b follower.Batch) {
+// merge takes in rows of the store or of another router; from says of which. It runs on
+// the control goroutine.
+func (h *Hosted) merge(b follower.Batch, from string) {
 	changed := h.follower.Merge(h.clock.Now(), b)
 	h.pulls[b.Table].known.Store(h.follower.Version(b.Table))
 	if changed {
-		h.publish()
+		h.publish(from)
 	}
 }
 
-// publish puts what the follower knows in force.
-func (h *Hosted) publish() {
+// publish puts what the follower knows in force; from says who told of the change: a
+// router, or one of the constants.
+func (h *Hosted) publish(from string) {
 	for _, r := range h.follower.TakeRejected() {
 		h.log.WithFields(logrus.Fields{eventField: "rowRejected", "table": r.Table, "key": r.Key, "rowVersion": r.Version}).
 			WithError(r.Err).Warn("row left out")
@@ -75,15 +84,15 @@
 	}
 	before := h.snapshot.Swap(s)
 	h.control.handle(messenger.PolicyChange{Policy: s.Policy})
-	h.logChange(before, s)
+	h.logChange(before, s, from)
 }
 
 // logChange says what a new snapshot changes.
-func (h *Hosted) logChange(before, after *follower.Snapshot) {
+func (h *Hosted) logChange(before, after *follower.Snapshot, from string) {
 	if before == nil || before.Table.Version() != after.Table.Version() {
 		h.log.WithFields(logrus.Fields{
 			eventField: "configuration", "version": after.Table.Version(),
-			"rowVersion": h.follower.Version(follower.ConfigurationTable),
+			"rowVersion": h.follower.Version(follower.ConfigurationTable), "from": from,
 		}).Info("configuration in force")
 	}
 	for id, u := range after.Policy.Upstreams {
@@ -94,6 +103,7 @@
 		}
 		h.log.WithFields(logrus.Fields{
 			eventField: "upstream", upstreamField: id, "pool": u.Pool, "address": u.Address, "leaving": u.Leaving,
+			"rowVersion": h.registrationVersion(id), "from": from,
 		}).Info("upstream known")
 	}
 	if before == nil {
@@ -101,11 +111,18 @@
 	}
 	for id := range before.Policy.Upstreams {
 		if _, ok := after.Policy.Upstreams[id]; !ok {
-			h.log.WithFields(logrus.Fields{eventField: "upstream", upstreamField: id, "gone": true}).Info("upstream gone")
+			h.log.WithFields(logrus.Fields{
+				eventField: "upstream", upstreamField: id, "gone": true, "rowVersion": h.registrationVersion(id), "from": from,
+			}).Info("upstream gone")
 		}
 	}
 }
 
+// registrationVersion returns the version of the newest row known of an upstream.
+func (h *Hosted) registrationVersion(id messenger.UpstreamID) uint64 {
+	return h.follower.RowVersion(follower.RegistrationTable, string(id))
+}
+
 // feedWait returns how long a call for changes may wait. The more routers there
 // are, the more of them tell one whose connection fell silent, and the more
 // calls all of them make.
--- a/internal/router/workload.go
+++ b/internal/router/workload.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"lentilwood.example/lentilwood/internal/dispatcher"
 	"lentilwood.example/lentilwood/internal/messenger"
@@ -25,9 +26,14 @@
 	beyondShare, late, otherwise atomic.Int64
 
 	// The control goroutine owns the rest: the time of the last line, and the
-	// connections taken in until then.
-	logged time.Time
-	taken  uint64
+	// connections taken in and the processor time used until then.
+	logged    time.Time
+	taken     uint64
+	processor time.Duration
+	// deciding is the time that went to decisions about requests since the last line,
+	// and decisions how many there were.
+	deciding  time.Duration
+	decisions int
 }
 
 // note counts a request that has ended.
@@ -44,6 +50,22 @@
 	}
 }
 
+// noteDecision counts a decision about a request.
+func (w *workload) noteDecision(took time.Duration) {
+	w.deciding += took
+	w.decisions++
+}
+
+// processorTime returns the processor time that this process has used, or zero if the
+// system does not say.
+func processorTime() time.Duration {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 // logWorkload writes from time to time what the router did since the last such line,
 // while it is short of processor time.
 func (h *Hosted) logWorkload() {
@@ -53,6 +75,7 @@
 		return
 	}
 	callers, largest := h.callers.LargestCaller()
+	used := processorTime()
 	fields := logrus.Fields{
 		eventField: "workload", "ms": now.Sub(w.logged).Milliseconds(),
 		"takenIn": rounded(1 - h.strain.turnedAway), "connectionsTaken": h.callers.Taken() - w.taken,
@@ -61,8 +84,10 @@
 		"endedOtherwise": w.otherwise.Swap(0), "inProgress": h.inProgress.Load(),
 		"callers": callers, "largestCaller": rounded(largest),
 		"lag": h.strain.lag, "wait": h.strain.wait,
+		"processorMs": (used - w.processor).Milliseconds(), "decidingMs": w.deciding.Milliseconds(), "decisions": w.decisions,
 	}
-	w.logged, w.taken = now, h.callers.Taken()
+	w.logged, w.taken, w.processor = now, h.callers.Taken(), used
+	w.deciding, w.decisions = 0, 0
 	if h.strain.starved() {
 		h.log.WithFields(fields).Warn("short of processor time: what it went to")
 	}
