--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -60,8 +60,10 @@
 	Rows  []Row
 	// Whole is true if Rows is all of the table as of Version, so that what is
 	// missing is gone.
-	Whole   bool
-	Version uint64
+	Whole bool
+	// Since is the version up to which a difference takes all rows for known: Rows are
+	// all that changed after it, up to Version.
+	Since, Version uint64
 	// CatchUp is true for the first read after a time without the store: what
 	// it dropped meanwhile may live.
 	CatchUp bool
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -333,11 +333,16 @@
 
 // tick runs on the control goroutine at every tick.
 func (h *Hosted) tick(b beat) {
+	h.expire()
+	h.watchStrain(b)
+	h.tellPeers()
+}
+
+// expire takes dropped registrations out that are believed no longer.
+func (h *Hosted) expire() {
 	if h.follower.Expire(h.clock.Now()) {
 		h.publish(fromExpiry)
 	}
-	h.watchStrain(b)
-	h.tellPeers()
 }
 
 // pathOf returns the path of a request without its query.
