A difference of rows counts as all that is new only if it begins where the receiver's end

A router that does not follow the store is told rows by others as what is newer than a version, and took the newest version that it had seen for all up to it. Three holes, each for good, as nobody was ahead any more: a lost message that newer ones follow (what was sent counted as known for as long as something new was sent each second); a registration held back for 2.2 s after the store's absence, left out of what was sent while newer rows raised the version past it; and a router that had read the table whole, which has nothing to say of an upstream that came and went before it ever knew it.

Change: rows go with the version from which on they are all that changed. A receiver takes rows after a gap in, but goes on saying the version up to which it has all, so that it is told again; what is held back holds back the version; who lacks something from before a whole read is told the whole table, with what it has as it is only named. Teller decides what one router is sent: it waits for an answer to the first of what was sent, not to the last.

Ruled out: departures that upstreams tell in answers (they go as a state, not as differences).

Messages between routers change their format.

--- /dev/null
+++ b/internal/follower/departure.go
@@ -0,0 +1,66 @@
+package follower
+
+import (
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// Departure is an upstream that said itself that it leaves.
+type Departure struct {
+	_        struct{} `codec:",toarray"`
+	Upstream messenger.UpstreamID
+	// Started is when the process started that said so, in Unix milliseconds; zero if
+	// its row does not say.
+	Started int64
+}
+
+// NoteDeparture notes that an upstream said itself that it leaves, and reports whether
+// that is news. It holds until its row names another process.
+func (f *Follower) NoteDeparture(id messenger.UpstreamID) bool {
+	e, ok := f.rows[RegistrationTable][string(id)]
+	if !ok {
+		return false
+	}
+	if started, ok := f.departing[string(id)]; ok && started.Equal(e.last.Started) {
+		return false
+	}
+	f.departing[string(id)] = e.last.Started
+	return true
+}
+
+// HearDeparture takes in a departure that another router knows of, and reports whether
+// that is news. One of another process than the row names is of no use.
+func (f *Follower) HearDeparture(d Departure) bool {
+	e, ok := f.rows[RegistrationTable][string(d.Upstream)]
+	if !ok || startedMS(e.last.Started) != d.Started {
+		return false
+	}
+	return f.NoteDeparture(d.Upstream)
+}
+
+// Departures returns the upstreams that are registered as if they stayed and said
+// themselves that they leave.
+func (f *Follower) Departures() []Departure {
+	var out []Departure
+	for key := range f.departing {
+		e := f.rows[RegistrationTable][key]
+		if !e.row.Deleted && e.readable && !e.upstream.Leaving && f.departs(key, e.upstream) {
+			out = append(out, Departure{Upstream: messenger.UpstreamID(key), Started: startedMS(e.upstream.Started)})
+		}
+	}
+	return out
+}
+
+// departs reports whether the process of a row said itself that it leaves.
+func (f *Follower) departs(key string, u messenger.UpstreamPolicy) bool {
+	started, ok := f.departing[key]
+	return ok && started.Equal(u.Started)
+}
+
+func startedMS(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
--- a/internal/follower/feed.go
+++ b/internal/follower/feed.go
@@ -63,9 +63,11 @@
 	// Noted is told when the store is lost and when it is regained; nil is not.
 	Noted func(lost bool)
 
-	since   uint64
-	started bool
-	failing bool
+	since uint64
+	// delivered is the version up to which rows were passed on.
+	delivered uint64
+	started   bool
+	failing   bool
 }
 
 // Run follows the table until ctx ends.
@@ -112,7 +114,7 @@
 	woken := f.sleep(ctx, d, f.Wake)
 	if f.Known != nil {
 		if known := f.Known(); known > 0 {
-			f.since, f.started = max(f.since, known), true
+			f.since, f.delivered, f.started = max(f.since, known), max(f.delivered, known), true
 		}
 	}
 	return !woken
@@ -172,9 +174,11 @@
 func (f *Feed) take(b Batch) {
 	f.since = max(f.since, b.Version)
 	b.CatchUp = f.failing
-	if len(b.Rows) > 0 || b.Whole {
-		f.Batches(b)
+	if len(b.Rows) == 0 && !b.Whole {
+		return
 	}
+	b.Since, f.delivered = f.delivered, max(f.delivered, b.Version)
+	f.Batches(b)
 }
 
 // note tells of a lost and of a regained store, once each.
--- a/internal/follower/feed_test.go
+++ b/internal/follower/feed_test.go
@@ -81,3 +81,41 @@
 	cancel()
 	<-done
 }
+
+// quietSource answers calls for changes with versions of other tables, and with a row each
+// third time.
+type quietSource struct{ calls uint64 }
+
+func (s *quietSource) Read(context.Context, Table) (Batch, error) {
+	return Batch{Version: 1, Whole: true}, nil
+}
+
+func (s *quietSource) Changes(_ context.Context, t Table, since uint64, _ time.Duration) (Batch, error) {
+	s.calls++
+	b := Batch{Table: t, Version: since + 5}
+	if s.calls%3 == 0 {
+		b.Rows = []Row{{Table: t, Key: "k", Version: b.Version}}
+	}
+	return b, nil
+}
+
+// TestFeedPassesOnDifferencesWithoutGaps has most of what is new at the store be of other
+// tables: each difference begins where the one before ended.
+func TestFeedPassesOnDifferencesWithoutGaps(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	var got []Batch
+	f := &Feed{Source: &quietSource{}, Table: RegistrationTable, Clock: timekeeper.System{}, Log: log}
+	f.Batches = func(b Batch) {
+		if got = append(got, b); len(got) == 4 {
+			cancel()
+		}
+	}
+	f.Run(ctx)
+	for i, b := range got[1:] {
+		if b.Since != got[i].Version {
+			t.Errorf("difference %d begins at %d, want %d where the one before ended", i, b.Since, got[i].Version)
+		}
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -5,6 +5,9 @@
 //
 // Rows come from the store and from other routers, in any order and more than
 // once; for each row the highest version wins, so that no router goes back.
+// The version of a table is the one up to which all its rows are known: rows that
+// come after a gap count, but don't raise it, so that what is missing is told again.
+//
 // While a router cannot reach the store it goes on with what it knows and what
 // its peers tell it. Registrations that the store dropped while it was away
 // are believed for a short while after its return, in which upstreams that
@@ -54,12 +57,13 @@
 	Deleted bool
 }
 
-// Batch is rows that were read together.
+// Batch is rows that were read together, or that one router tells another.
 type Batch struct {
+	_     struct{} `codec:",toarray"`
 	Table Table
 	Rows  []Row
-	// Whole is true if Rows is all of the table as of Version, so that what is
-	// missing is gone.
+	// Whole is true if Rows, and those named in Kept, are all of the table as of
+	// Version, so that what is missing is gone.
 	Whole bool
 	// Since is the version up to which a difference takes all rows for known: Rows are
 	// all that changed after it, up to Version.
@@ -67,6 +71,8 @@
 	// CatchUp is true for the first read after a time without the store: what
 	// it dropped meanwhile may live.
 	CatchUp bool
+	// Kept names rows that the receiver has as they are.
+	Kept []string
 }
 
 // Configuration is one version of the fleet's configuration.
@@ -95,7 +101,8 @@
 type Follower struct {
 	decoder Decoder
 	rows    map[Table]map[string]*entry
-	newest  map[Table]uint64
+	// complete is the version up to which all rows of a table are known.
+	complete map[Table]uint64
 	// configuration is the newest that could be read.
 	configuration *Configuration
 	// expires is true while a dropped registration may still be believed.
@@ -103,7 +110,7 @@
 	// rejected are the rows that could not be read, since the last look.
 	rejected []Rejected
 	// wholeAt is the version at which each table was last read whole: a row that was
-	// not there and is no newer is gone.
+	// not there and is no newer is gone, also one that never was known here.
 	wholeAt map[Table]uint64
 	// departing holds the upstreams that said themselves that they leave, whatever
 	// their rows say, with the start of the process that said so.
@@ -118,6 +125,8 @@
 	// goneAt is when a dropped row stops being believed; zero means at once.
 	goneAt time.Time
 	last   messenger.UpstreamPolicy
+	// before is the row that was dropped, while it is still believed.
+	before Row
 }
 
 // Rejected is a row that could not be read.
@@ -131,7 +140,7 @@
 // New returns a Follower that knows nothing.
 func New(decoder Decoder) *Follower {
 	f := &Follower{
-		decoder: decoder, rows: make(map[Table]map[string]*entry), newest: make(map[Table]uint64),
+		decoder: decoder, rows: make(map[Table]map[string]*entry), complete: make(map[Table]uint64),
 		wholeAt: make(map[Table]uint64), departing: make(map[string]time.Time),
 	}
 	f.rows[ConfigurationTable] = make(map[string]*entry)
@@ -139,8 +148,20 @@
 	return f
 }
 
-// Version returns the highest version known of a table.
-func (f *Follower) Version(t Table) uint64 { return f.newest[t] }
+// Version returns the version up to which all rows of a table are known and in force:
+// others may be told that much of it.
+func (f *Follower) Version(t Table) uint64 {
+	version := f.complete[t]
+	if !f.expires || t != RegistrationTable {
+		return version
+	}
+	for _, e := range f.rows[t] {
+		if !e.goneAt.IsZero() {
+			version = min(version, e.row.Version-1)
+		}
+	}
+	return version
+}
 
 // RowVersion returns the version of the newest row known of a key, or zero.
 func (f *Follower) RowVersion(t Table, key string) uint64 {
@@ -164,11 +185,16 @@
 		seen[row.Key] = true
 		changed = f.mergeRow(now, known, row, b.CatchUp) || changed
 	}
+	for _, key := range b.Kept {
+		seen[key] = true
+	}
 	if b.Whole {
 		changed = f.dropMissing(now, b, seen) || changed
 		f.wholeAt[b.Table] = max(f.wholeAt[b.Table], b.Version)
 	}
-	f.newest[b.Table] = max(f.newest[b.Table], b.Version)
+	if b.Whole || b.Since <= f.complete[b.Table] {
+		f.complete[b.Table] = max(f.complete[b.Table], b.Version)
+	}
 	return changed
 }
 
@@ -193,7 +219,6 @@
 	if !ok && row.Version <= f.wholeAt[row.Table] {
 		return false
 	}
-	f.newest[row.Table] = max(f.newest[row.Table], row.Version)
 	fresh := &entry{row: row}
 	if ok {
 		fresh.last = e.last
@@ -205,6 +230,7 @@
 	if row.Deleted {
 		if catchUp {
 			fresh.goneAt = now.Add(returnTime)
+			fresh.before = previous(e)
 			f.expires = true
 		}
 		return true
@@ -213,6 +239,17 @@
 	return true
 }
 
+// previous returns the row that an entry stands for, or an empty one.
+func previous(e *entry) Row {
+	switch {
+	case e == nil:
+		return Row{}
+	case e.row.Deleted:
+		return e.before
+	}
+	return e.row
+}
+
 // configure puts a configuration in force, unless it is older than the one
 // that is.
 func (f *Follower) configure(row Row) bool {
@@ -301,74 +338,3 @@
 	}
 	return &Snapshot{Table: f.configuration.Table, Policy: policy}
 }
-
-// Departure is an upstream that said itself that it leaves.
-type Departure struct {
-	_        struct{} `codec:",toarray"`
-	Upstream messenger.UpstreamID
-	// Started is when the process started that said so, in Unix milliseconds; zero if
-	// its row does not say.
-	Started int64
-}
-
-// NoteDeparture notes that an upstream said itself that it leaves, and reports whether
-// that is news. It holds until its row names another process.
-func (f *Follower) NoteDeparture(id messenger.UpstreamID) bool {
-	e, ok := f.rows[RegistrationTable][string(id)]
-	if !ok {
-		return false
-	}
-	if started, ok := f.departing[string(id)]; ok && started.Equal(e.last.Started) {
-		return false
-	}
-	f.departing[string(id)] = e.last.Started
-	return true
-}
-
-// HearDeparture takes in a departure that another router knows of, and reports whether
-// that is news. One of another process than the row names is of no use.
-func (f *Follower) HearDeparture(d Departure) bool {
-	e, ok := f.rows[RegistrationTable][string(d.Upstream)]
-	if !ok || startedMS(e.last.Started) != d.Started {
-		return false
-	}
-	return f.NoteDeparture(d.Upstream)
-}
-
-// Departures returns the upstreams that are registered as if they stayed and said
-// themselves that they leave.
-func (f *Follower) Departures() []Departure {
-	var out []Departure
-	for key := range f.departing {
-		e := f.rows[RegistrationTable][key]
-		if !e.row.Deleted && e.readable && !e.upstream.Leaving && f.departs(key, e.upstream) {
-			out = append(out, Departure{Upstream: messenger.UpstreamID(key), Started: startedMS(e.upstream.Started)})
-		}
-	}
-	return out
-}
-
-// departs reports whether the process of a row said itself that it leaves.
-func (f *Follower) departs(key string, u messenger.UpstreamPolicy) bool {
-	started, ok := f.departing[key]
-	return ok && started.Equal(u.Started)
-}
-
-func startedMS(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixMilli()
-}
-
-// Since returns the rows of a table that are newer than a version, for a
-// router that lags. Registrations that may come back are not among them.
-func (f *Follower) Since(t Table, version uint64) []Row {
-	var rows []Row
-	for _, e := range f.rows[t] {
-		if e.row.Version > version && e.goneAt.IsZero() {
-			rows = append(rows, e.row)
-		}
-	}
-	return rows
-}
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -68,7 +68,7 @@
 	// Load is nil in a message that brings none.
 	Load *messenger.PeerLoad
 	// Rows are what the receiver lacks.
-	Rows []follower.Row
+	Rows []follower.Batch
 	// Departures are the upstreams that said themselves that they leave.
 	Departures []follower.Departure
 	// Collectors are the routers that collect, as far as the sender knows.
@@ -112,10 +112,10 @@
 	incarnation, sequence uint64
 	// versions are the newest that it said it has.
 	versions map[follower.Table]uint64
-	// behindSince is when it was first seen to have less than this router, and
-	// rowsSent when it was last sent what it lacks, up to the versions in sent.
-	behindSince, rowsSent time.Time
-	sent                  map[follower.Table]uint64
+	// behindSince is when it was first seen to have less than this router, and teller
+	// decides what it is sent.
+	behindSince time.Time
+	teller      follower.Teller
 }
 
 // id returns how the decisions about the fleet know the router.
--- a/internal/router/hostedrows.go
+++ b/internal/router/hostedrows.go
@@ -104,16 +104,16 @@
 			continue
 		}
 		if rows := h.lacking(now, p); len(rows) > 0 {
-			p.rowsSent = now
 			_ = h.exchanger.Send(p.member.Address, hostedEnvelope{From: h.member(), Kind: introduced, Rows: rows}) // sent again if it still lacks them
 		}
 	}
 }
 
 // lacking returns the rows that a router lacks, if it is for this one to send them now.
-func (h *Hosted) lacking(now time.Time, p *hostedPeer) []follower.Row {
+func (h *Hosted) lacking(now time.Time, p *hostedPeer) []follower.Batch {
 	if !h.isBehind(p) {
-		p.behindSince, p.sent = time.Time{}, nil
+		p.behindSince = time.Time{}
+		p.teller.Forget()
 		return nil
 	}
 	if p.behindSince.IsZero() {
@@ -122,17 +122,7 @@
 	if now.Sub(p.behindSince) < h.rowsAfter(p) {
 		return nil
 	}
-	if now.Sub(p.rowsSent) >= max(rowsAgain, messagesBetween*h.shareEvery()) {
-		p.sent = nil // what was sent before got lost
-	}
-	var rows []follower.Row
-	for _, table := range rowTables {
-		rows = append(rows, h.follower.Since(table, max(p.versions[table], p.sent[table]))...)
-	}
-	if len(rows) > 0 {
-		p.sent = h.ownVersions()
-	}
-	return rows
+	return p.teller.Lacking(h.follower, now, p.versions, max(rowsAgain, messagesBetween*h.shareEvery()))
 }
 
 // rowsAfter returns how long a router must lag behind before this one sends it rows.
@@ -151,15 +141,6 @@
 	return after
 }
 
-// ownVersions returns the newest versions of the tables that this router has.
-func (h *Hosted) ownVersions() map[follower.Table]uint64 {
-	versions := make(map[follower.Table]uint64, len(rowTables))
-	for _, table := range rowTables {
-		versions[table] = h.follower.Version(table)
-	}
-	return versions
-}
-
 func (h *Hosted) isBehind(p *hostedPeer) bool {
 	if !p.live {
 		return false
@@ -211,15 +192,16 @@
 }
 
 // mergePeerRows takes in rows that this router lacks.
-func (h *Hosted) mergePeerRows(p *hostedPeer, rows []follower.Row) {
-	for _, table := range rowTables {
-		b := follower.Batch{Table: table}
-		for _, row := range rows {
-			if row.Table == table {
-				b.Rows = append(b.Rows, row)
-			}
+func (h *Hosted) mergePeerRows(p *hostedPeer, batches []follower.Batch) {
+	for _, b := range batches {
+		if h.pulls[b.Table] == nil {
+			continue // a table that this router does not know
 		}
+		known := h.follower.Version(b.Table)
 		h.merge(b, p.member.Name)
+		h.log.WithFields(logrus.Fields{
+			eventField: "rowsFromPeer", "peer": p.member.Name, "table": b.Table, "rows": len(b.Rows), "whole": b.Whole,
+			"since": b.Since, "upTo": b.Version, "known": known, "version": h.follower.Version(b.Table),
+		}).Info("rows taken from a router")
 	}
-	h.log.WithFields(logrus.Fields{eventField: "rowsFromPeer", "peer": p.member.Name, "rows": len(rows)}).Info("rows taken from a router")
 }
