A router that was started again has nothing of what was sent to it before

What a router was sent counts as known for a second. One that ended and started again within it was sent only what came later, and took that for all: it lacked upstreams, or the leaving of one, until something else made others send it all. Started again, it is taken to have nothing.

Before: TestRestartedRouterIsToldAll fails. After: it has all with the next message.

--- a/internal/router/hostedjoin.go
+++ b/internal/router/hostedjoin.go
@@ -115,7 +115,9 @@
 		h.setFleetSize(len(h.peers) + 1)
 	}
 	if m.Incarnation > p.member.Incarnation {
-		h.setLeaving(p, false) // it was started again
+		h.setLeaving(p, false) // it was started again, and has nothing
+		p.teller.Forget()
+		clear(p.versions)
 	}
 	if m.Incarnation >= p.member.Incarnation || m.Address != p.member.Address {
 		h.rosterChanged = h.rosterChanged || m.id() != p.member.id()
