A call for changes waits 2.4 s at most, however large the fleet is

A call for changes waited 1.5 s and 0.15 s more for each other router, up to 10 s. That comes from a time when all routers followed the store and told one another; since a few collect, six follow for all. Class of fault: a bound that grows with the fleet while what it relies on does not.

Before: TestFollowersHearOfASilentConnectionInTime fails, 10.4 s at 62 and at 295 routers. After: 2.8 s. It costs some four calls a second in a large fleet.

--- a/internal/router/hostedstore.go
+++ b/internal/router/hostedstore.go
@@ -22,9 +22,10 @@
 
 const (
 	// feedWaitPerPeer is how much longer a call for changes may wait for each
-	// other router, up to longestFeedWait.
+	// other router, up to longestFeedWait: of a large fleet only a few routers follow
+	// the store, and nobody tells them what they miss.
 	feedWaitPerPeer = 150 * time.Millisecond
-	longestFeedWait = 10 * time.Second
+	longestFeedWait = 2400 * time.Millisecond
 	// feedRetryPerPeer is how much longer the pause after a failed call may be for each
 	// other router, up to longestFeedRetry.
 	feedRetryPerPeer = 10 * time.Millisecond
@@ -123,9 +124,9 @@
 	return h.follower.RowVersion(follower.RegistrationTable, string(id))
 }
 
-// feedWait returns how long a call for changes may wait. The more routers there
-// are, the more of them tell one whose connection fell silent, and the more
-// calls all of them make.
+// feedWait returns how long a call for changes may wait. The more routers follow the
+// store, the more of them tell one whose connection fell silent, and the more calls all of
+// them make.
 func (h *Hosted) feedWait() time.Duration {
 	wait := follower.DefaultWait + feedWaitPerPeer*time.Duration(h.peerCount.Load())
 	return min(wait, longestFeedWait)
