Lines on what a router believes are the last to be left out of its log; count weighed upstreams

Lines of events that change what a router believes now draw on a quarter of the burst that no other line may use. The workload line says how many upstreams were weighed for requests.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -80,6 +80,8 @@
 	// ticked is when the last tick was.
 	ticked  time.Time
 	actions []messenger.Action
+	// weighed counts the forecasts that were made.
+	weighed uint64
 }
 
 // request is one request that waits or runs.
@@ -154,6 +156,10 @@
 	return a.actions
 }
 
+// Weighed returns how many upstreams were weighed for requests since the start: most of
+// what decisions cost.
+func (a *Admitter) Weighed() uint64 { return a.weighed }
+
 func (a *Admitter) act(action messenger.Action) { a.actions = append(a.actions, action) }
 
 // arrive sends a request, lets it wait, or refuses it.
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -211,6 +211,7 @@
 // forecast expects the first output of a request from what is ahead of it:
 // prompts to be read and, once all slots are taken, requests that must end.
 func (u *upstream) forecast(a *Admitter, r *request, home bool, src source) forecast {
+	a.weighed++
 	speed := u.pool.speed
 	off := u.error / u.pool.commonError
 	var f forecast
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -20,10 +20,12 @@
 	longestLine = 1 << 20
 )
 
-// beliefs are the events that change what a router believes.
+// beliefs are the events that change what a router believes. Their lines are the last
+// that a router short of time leaves out of its log.
 var beliefs = map[string]bool{
 	"configuration": true, "upstream": true, "store": true, "peer": true, "overload": true,
 	"historyGone": true, "rowsFromPeer": true, "draining": true, "logLeftOut": true,
+	"departure": true, "rowRejected": true, "collecting": true, "reporting": true, "workload": true, "turnAway": true,
 }
 
 var (
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -3,9 +3,10 @@
 //
 // Lines go through a bounded queue to the output; what finds it full is left
 // out. A budget of lines a second bounds the volume under load. Lines about
-// failures draw on a part of the budget that others may not use, so they are
-// the last to be left out. What was left out is counted by event and said once
-// a second.
+// failures draw on a part of the budget that others may not use, and lines about
+// the events that a Budget keeps on one that nothing else may use: these are few, and
+// say what a process believes while all else fails. What was left out is counted by
+// event and said once a second.
 //
 // # Usage
 //
@@ -16,6 +17,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -36,8 +38,9 @@
 	// DefaultQueue is how many lines wait for an output that is slow.
 	DefaultQueue = 1024
 	// importantShare is the part of the burst that is kept for lines about
-	// failures.
+	// failures and those that follow, and keptShare the part for kept events alone.
 	importantShare = 0.5
+	keptShare      = 0.25
 	// flushTimeout bounds the wait for the output at the end of the process, and
 	// flushPoll is how often it is looked at.
 	flushTimeout = 200 * time.Millisecond
@@ -51,6 +54,8 @@
 	// Lines is how many lines a second are written on average, Burst how many
 	// may come at once, and Queue how many wait for the output.
 	Lines, Burst, Queue int
+	// Kept are the events whose lines are left out last.
+	Kept []string
 }
 
 func (b *Budget) setDefaults() {
@@ -161,12 +166,8 @@
 	now := l.clock.Now()
 	l.tokens = min(float64(l.budget.Burst), l.tokens+now.Sub(l.filled).Seconds()*float64(l.budget.Lines))
 	l.filled = now
-	least := 1.0
-	if !important(e) {
-		least += importantShare * float64(l.budget.Burst)
-	}
-	if l.tokens < least {
-		event, _ := e.Data["event"].(string)
+	event, _ := e.Data["event"].(string)
+	if l.tokens < 1+l.reserved(e, event)*float64(l.budget.Burst) {
 		l.leaveOut(event)
 		return false
 	}
@@ -174,6 +175,17 @@
 	return true
 }
 
+// reserved returns the part of the burst that a line may not use.
+func (l *limiter) reserved(e *logrus.Entry, event string) float64 {
+	switch {
+	case slices.Contains(l.budget.Kept, event):
+		return 0
+	case important(e):
+		return keptShare
+	}
+	return importantShare
+}
+
 // important reports whether a line is about something that failed.
 func important(e *logrus.Entry) bool {
 	if e.Level <= logrus.WarnLevel {
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -83,3 +83,21 @@
 		t.Error("what was left out is not said by event")
 	}
 }
+
+// TestFailuresLeaveOutNoChangeOfBelief has hundreds of requests a second fail for longer than
+// the burst lasts, as at a router short of processor time, while upstreams come and go.
+func TestFailuresLeaveOutNoChangeOfBelief(t *testing.T) {
+	o := &output{}
+	clock := timekeeper.NewManual(time.Unix(1000, 0))
+	log := New(o, logrus.InfoLevel, clock, Budget{Lines: 50, Burst: 100, Queue: 2000, Kept: []string{"upstream"}})
+	for range 20 {
+		for range 300 {
+			log.WithField("event", "request").WithField("problem", "deadline").Info("request ended")
+		}
+		for range 10 {
+			log.WithField("event", "upstream").Info("upstream gone")
+		}
+		clock.Advance(time.Second)
+	}
+	awaitLines(t, o, "upstream gone", 200)
+}
--- a/internal/router/workload.go
+++ b/internal/router/workload.go
@@ -34,6 +34,8 @@
 	// and decisions how many there were.
 	deciding  time.Duration
 	decisions int
+	// weighed is how many upstreams were weighed until the last line.
+	weighed uint64
 }
 
 // note counts a request that has ended.
@@ -85,9 +87,10 @@
 		"callers": callers, "largestCaller": rounded(largest),
 		"lag": h.strain.lag, "wait": h.strain.wait,
 		"processorMs": (used - w.processor).Milliseconds(), "decidingMs": w.deciding.Milliseconds(), "decisions": w.decisions,
+		"weighed": h.admitter.Weighed() - w.weighed,
 	}
 	w.logged, w.taken, w.processor = now, h.callers.Taken(), used
-	w.deciding, w.decisions = 0, 0
+	w.deciding, w.decisions, w.weighed = 0, 0, h.admitter.Weighed()
 	if h.strain.starved() {
 		h.log.WithFields(fields).Warn("short of processor time: what it went to")
 	}
