A request is weighed against a shortlist of upstreams, not against each of hundreds

Class of fault: work for each request that grows with the fleet.

Change: a pool of up to 16 upstreams is weighed whole, as before. Of a larger one a request is weighed against the home and the holders of its shared part, and the twelve upstreams with the least ahead, which are ranked anew every 10 ms or after six sends; if none of them may be used, against all. The homes of shared parts are remembered until the members change.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -235,6 +235,7 @@
 	r.reads, r.clear = f.reads, f.clear
 	r.expected = time.Duration(float64(f.first) * r.pool.commonError)
 	u.start(a.now, r)
+	r.pool.shortlist.sends++
 	if r.pool.engine && r.arrive.Work.Output > 0 {
 		a.shares.serve(a.now, r.arrive.Account, r.cost)
 		if first && !r.beyond {
@@ -420,6 +421,7 @@
 
 func (a *Admitter) changeUpstreams(policy *messenger.Policy) {
 	for _, p := range a.pools {
+		clear(p.members)
 		p.members = p.members[:0]
 	}
 	for id, up := range policy.Upstreams {
@@ -447,7 +449,7 @@
 		}
 	}
 	for _, p := range a.pools {
-		p.sortMembers()
+		p.changed()
 	}
 	a.orderRouters()
 }
--- a/internal/admitter/cost_test.go
+++ b/internal/admitter/cost_test.go
@@ -1,5 +1,3 @@
-//go:build red
-
 package admitter
 
 import (
@@ -28,3 +26,13 @@
 		t.Errorf("%.0f engines weighed for a request before 320 engines, %.0f before 20: want at most twice as many", many, few)
 	}
 }
+
+// TestCostOfADecisionStaysAsAFloodGrows has callers ask for two and for eight times what
+// engines can do: what waits is not to be weighed again for each request that ends or comes.
+func TestCostOfADecisionStaysAsAFloodGrows(t *testing.T) {
+	crest, flood := crestCost(t, 20, 600), crestCost(t, 20, 2400)
+	t.Logf("weighed for a request: %.0f in a crest, %.0f in a flood", crest, flood)
+	if flood > 2*crest {
+		t.Errorf("%.0f engines weighed for a request in a flood, %.0f in a crest: want at most twice as many", flood, crest)
+	}
+}
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -27,6 +27,8 @@
 	// homeCached is how much of a shared prompt is expected at the upstream
 	// that all routers prefer for it, though this one has not sent it there.
 	homeCached = 0.8
+	// mostHomes is how many homes of shared parts are remembered.
+	mostHomes = 4096
 	// noUpstreamDelay is when a caller may come back that met a pool without
 	// any upstream.
 	noUpstreamDelay = time.Second
@@ -59,6 +61,11 @@
 	reserve float64
 	// holders knows where shared parts were last sent.
 	holders holders
+	// homes are the homes of shared parts, if nothing speaks against them.
+	homes map[messenger.PartID]*upstream
+	// shortlist is used if there are many members; worth is room for what is weighed.
+	shortlist shortlist
+	worth     []*upstream
 }
 
 func newPool(id messenger.PoolID) *pool {
@@ -234,11 +241,20 @@
 func (p *pool) pick(a *Admitter, r *request) (*upstream, forecast) {
 	home := p.home(a, r)
 	src := p.source(a, r, home)
+	best, f := p.pickOf(a, r, p.candidates(a, home, src), home, src)
+	if best == nil && len(p.members) > weighedWhole {
+		return p.pickOf(a, r, p.members, home, src)
+	}
+	return best, f
+}
+
+// pickOf returns the one of some upstreams where a request costs least, or nil.
+func (p *pool) pickOf(a *Admitter, r *request, from []*upstream, home *upstream, src source) (*upstream, forecast) {
 	var best *upstream
 	var bestForecast forecast
 	var least time.Duration
 	for pass := 0; pass < 2 && best == nil; pass++ {
-		for _, u := range p.members {
+		for _, u := range from {
 			if !u.usable(a.now, pass > 0) || u.id == r.avoid && pass == 0 {
 				continue
 			}
@@ -267,38 +283,66 @@
 
 // cost is what a request at u takes from its caller and from everyone else.
 func (p *pool) cost(u *upstream, f forecast) time.Duration {
-	cost := f.first + time.Duration(u.failures*float64(failurePenalty))
+	cost := f.first + u.aversion()
 	cost += time.Duration(readPenalty * float64(f.again) * p.speed.perRead * float64(time.Second))
 	if f.source != nil {
 		cost += fetchPenalty + time.Duration(fetchShare*float64(f.fetched)*p.speed.perRead*float64(time.Second))
 	}
-	if u.far {
-		cost += farPenalty
-	}
 	return cost
 }
 
 // home returns the upstream that every router prefers for the shared part of a
 // prompt, by rendezvous hashing; nil if nothing is shared.
 func (p *pool) home(a *Admitter, r *request) *upstream {
-	prompt := r.arrive.Work.Prompt
-	if len(prompt) < 2 {
+	shared, ok := sharedPart(r.arrive.Work.Prompt)
+	if !ok {
 		return nil
 	}
-	shared := prompt[len(prompt)-2].Chain
+	home, known := p.homes[shared]
+	if !known {
+		home = p.preferred(shared, func(*upstream) bool { return true })
+		p.noteHome(shared, home)
+	}
+	if home != nil && home.sound(a.now) {
+		return home
+	}
+	return p.preferred(shared, func(u *upstream) bool { return u.sound(a.now) })
+}
+
+// preferred returns the first of those upstreams, in the order that is the same at every
+// router, that may be taken; nil if none may.
+func (p *pool) preferred(shared messenger.PartID, may func(*upstream) bool) *upstream {
 	var home *upstream
 	var highest uint64
 	for _, u := range p.members {
-		if !u.sound(a.now) {
+		if !may(u) {
 			continue
 		}
-		if score := mix(shared ^ u.hash); home == nil || score > highest {
+		if score := mix(uint64(shared) ^ u.hash); home == nil || score > highest {
 			home, highest = u, score
 		}
 	}
 	return home
 }
 
+// noteHome remembers the home of a shared part, of so many at a time.
+func (p *pool) noteHome(shared messenger.PartID, home *upstream) {
+	if len(p.homes) >= mostHomes {
+		clear(p.homes)
+	}
+	if p.homes == nil {
+		p.homes = make(map[messenger.PartID]*upstream)
+	}
+	p.homes[shared] = home
+}
+
+// changed forgets what was worked out from the members that a pool had.
+func (p *pool) changed() {
+	p.sortMembers()
+	p.shortlist = shortlist{}
+	clear(p.homes)
+}
+
 // mix spreads the bits of a number.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
--- /dev/null
+++ b/internal/admitter/shortlist_test.go
@@ -0,0 +1,107 @@
+package admitter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// TestCrestBeforeHundredsOfEngines has a crest of twice what the engines can do before so
+// many of them that a router weighs only some for each request.
+func TestCrestBeforeHundredsOfEngines(t *testing.T) {
+	s := newSim(t, 100, 150, 16, 0)
+	s.collectIn()
+	// A request holds a slot for about 1.1 s, so 150 engines do about 2100 a second.
+	const rate, fits = 3700.0, 2100.0
+	s.run(4*time.Second, func() {
+		s.poisson(rate, func() { s.offer("a", simObjective, s.session(s.rng.IntN(1100), 3000, 800), 200) })
+	})
+	s.checkCrest(fits / rate)
+}
+
+// TestSharedPartsAreReadOnceBeforeHundredsOfEngines has sessions with room for all.
+func TestSharedPartsAreReadOnceBeforeHundredsOfEngines(t *testing.T) {
+	s := newSim(t, 100, 150, 16, 0)
+	s.collectIn()
+	s.shrink(200_000, 3*time.Second)
+	s.run(4*time.Second, func() {
+		s.poisson(1200, func() { s.offer("a", simObjective, s.session(s.rng.IntN(1500), 4800, 1500), 200) })
+	})
+	s.checkReadOnce(0.85)
+}
+
+// rankedPool returns a router before a large pool, of which one engine has nothing to do
+// and the others run a request each.
+func rankedPool(t *testing.T, engines int) (*Admitter, messenger.UpstreamID) {
+	t.Helper()
+	a := New(Config{Self: "r"})
+	policy := &messenger.Policy{
+		Pools:     map[messenger.PoolID]messenger.PoolPolicy{simPool: {Engine: &messenger.EnginePolicy{Memory: 1000}}},
+		Upstreams: make(map[messenger.UpstreamID]messenger.UpstreamPolicy),
+	}
+	for i := range engines {
+		policy.Upstreams[messenger.UpstreamID(fmt.Sprint("u", i))] = messenger.UpstreamPolicy{Pool: simPool, Window: 1}
+	}
+	a.Handle(epoch, messenger.PolicyChange{Policy: policy})
+	free := messenger.UpstreamID(fmt.Sprint("u", engines/2))
+	for id, u := range a.upstreams {
+		if id != free {
+			u.others.running = 1
+		}
+	}
+	return a, free
+}
+
+// TestTheFreeEngineOfHundredsIsFound has one engine of hundreds be free, and then another.
+func TestTheFreeEngineOfHundredsIsFound(t *testing.T) {
+	a, free := rankedPool(t, 300)
+	arrive := func(now time.Time, id messenger.RequestID) messenger.UpstreamID {
+		for _, action := range a.Handle(now, messenger.Arrive{
+			Request: id, Pool: simPool, Objective: simObjective,
+			Work: messenger.Work{Prompt: []messenger.PromptPart{{Chain: uint64(id), Tokens: 10}}, Output: 10},
+		}) {
+			if d, ok := action.(messenger.Dispatch); ok {
+				return d.Upstream
+			}
+		}
+		return ""
+	}
+	if got := arrive(epoch.Add(time.Second), 1); got != free {
+		t.Errorf("got the request sent to %q, want %q, the only free engine of 300", got, free)
+	}
+	a.upstreams["u7"].others.running = 0
+	if got := arrive(epoch.Add(time.Second+listTTL), 2); got != "u7" {
+		t.Errorf("got the request sent to %q, want u7, which became free", got)
+	}
+}
+
+// BenchmarkArrival has requests arrive at a router before a few and before many engines.
+func BenchmarkArrival(b *testing.B) {
+	for _, engines := range []int{16, 60, 153, 600} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			a := New(Config{Self: "r"})
+			policy := &messenger.Policy{
+				Pools:     map[messenger.PoolID]messenger.PoolPolicy{simPool: {Engine: &messenger.EnginePolicy{Memory: 600_000}}},
+				Upstreams: make(map[messenger.UpstreamID]messenger.UpstreamPolicy),
+			}
+			for i := range engines {
+				policy.Upstreams[messenger.UpstreamID(fmt.Sprint("u", i))] = messenger.UpstreamPolicy{Pool: simPool, Window: 16}
+			}
+			now := epoch
+			a.Handle(now, messenger.PolicyChange{Policy: policy})
+			for n := range b.N {
+				now = now.Add(2 * time.Millisecond)
+				id := messenger.RequestID(n + 1)
+				prompt := []messenger.PromptPart{{Chain: 1, Tokens: 500}, {Chain: uint64(1000 + n%400), Tokens: 3000}, {Chain: uint64(1_000_000 + n), Tokens: 800}}
+				for _, action := range a.Handle(now, messenger.Arrive{Request: id, Pool: simPool, Objective: simObjective, Work: messenger.Work{Prompt: prompt, Output: 200}}) {
+					if d, ok := action.(messenger.Dispatch); ok {
+						a.Handle(now, messenger.Progress{Request: id, First: true})
+						a.Handle(now, messenger.Finish{Request: id, Upstream: d.Upstream})
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -228,8 +228,28 @@
 		f.again -= f.fetched
 		fetch = fetchTime.Seconds()
 	}
-	inside := u.inside(a.now)
-	f.roomless = u.nearlyFull(inside, u.pool.reserve)
+	q := u.queue(a.now)
+	f.roomless, f.clear = q.roomless, q.empty
+	own := (fetch + speed.base + float64(f.reads)*speed.perRead) * off * u.slowdown(a.now)
+	f.own = time.Duration(own * float64(time.Second))
+	f.first = max(f.own+q.before, u.overdue(a.now))
+	return f
+}
+
+// queue is what is ahead of a request that is sent to an upstream now, whatever it asks.
+type queue struct {
+	// before is the time that it waits for others.
+	before time.Duration
+	// empty is true if nothing is ahead, roomless if the slots that are left are kept
+	// for accounts that have not used up their share.
+	empty, roomless bool
+}
+
+// queue expects what is ahead of a request: prompts to be read and, once all slots are
+// taken, requests that must end.
+func (u *upstream) queue(now time.Time) queue {
+	inside := u.inside(now)
+	q := queue{roomless: u.nearlyFull(inside, u.pool.reserve)}
 	if u.pool.engine {
 		inside = u.contested(inside)
 	}
@@ -238,12 +258,26 @@
 	if over := inside + 1 - u.slots(); over > 0 {
 		wait = slotCaution * float64(over) * u.pool.model.held / float64(u.slots())
 	}
-	f.clear = ahead == 0 && wait == 0
-	own := (fetch + speed.base + float64(f.reads)*speed.perRead) * off * u.slowdown(a.now)
-	f.own = time.Duration(own * float64(time.Second))
-	before := (ahead*speed.perRead*off + wait) * u.slowdown(a.now)
-	f.first = max(f.own+time.Duration(before*float64(time.Second)), u.overdue(a.now))
-	return f
+	q.empty = ahead == 0 && wait == 0
+	before := (ahead*u.pool.speed.perRead*u.error/u.pool.commonError + wait) * u.slowdown(now)
+	q.before = time.Duration(before * float64(time.Second))
+	return q
+}
+
+// rankCost is what counts against an upstream whatever is asked of it.
+func (u *upstream) rankCost(now time.Time) time.Duration {
+	own := u.pool.speed.base * u.error / u.pool.commonError * u.slowdown(now)
+	first := max(time.Duration(own*float64(time.Second))+u.queue(now).before, u.overdue(now))
+	return first + u.aversion()
+}
+
+// aversion is what counts against an upstream beside the time that it takes.
+func (u *upstream) aversion() time.Duration {
+	cost := time.Duration(u.failures * float64(failurePenalty))
+	if u.far {
+		cost += farPenalty
+	}
+	return cost
 }
 
 // overdue returns how long the oldest request without an output has waited
