A request that ends lets what waits look at its slot, not at every upstream

What has changed is one slot: the first of those that wait that can be served there in time is sent there; the rest is for the next tick, 10 ms later at most.

Before: 135 and 158 upstreams weighed for a request in a crest (TestCostOfADecision...). After: 53 and 63.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -196,6 +196,11 @@
 		r.tried = trial{}
 		return false
 	}
+	return a.placeAt(r, u, f)
+}
+
+// placeAt sends a request to an upstream if what is expected of it there is in time.
+func (a *Admitter) placeAt(r *request, u *upstream, f forecast) bool {
 	limit := a.limit(r, f)
 	if r.beyond && f.roomless || a.now.Sub(r.arrived)+f.ahead() > limit {
 		r.tried = trial{at: u, forecast: f, limit: limit, on: a.now}
@@ -272,7 +277,7 @@
 	r.at = nil
 	if !e.Retry {
 		delete(a.requests, e.Request)
-		a.serveWaiting(r.pool)
+		a.offerFreed(r.pool, u)
 		return
 	}
 	r.avoid = e.Upstream
@@ -327,6 +332,29 @@
 	})
 }
 
+// offerFreed sends the first of what waits that can be served in time where a request has
+// ended. What can be sent elsewhere is for the next tick to find: little else has changed.
+func (a *Admitter) offerFreed(p *pool, u *upstream) {
+	if len(p.waiting) == 0 || !u.usable(a.now, false) {
+		return
+	}
+	p.order(a)
+	for i, r := range p.waiting {
+		if r.avoid == u.id {
+			continue
+		}
+		home := p.home(a, r)
+		f := u.forecast(a, r, u == home, p.source(a, r, home))
+		if r.avoid != "" {
+			a.send(r, u, f) // what was begun for a caller is not given up for a forecast
+		} else if !a.placeAt(r, u, f) {
+			continue
+		}
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		return
+	}
+}
+
 // Waiting reports whether requests wait, which a tick serves or refuses.
 func (a *Admitter) Waiting() bool {
 	for _, p := range a.pools {
