A VM short of processor time limits its open connections, not the rate of new ones

Callers of one small VM got a third of what it can do for seconds at a time, and what was taken in waited long at each turn. The share of new connections that a starved VM takes in was cut until the wait fell, and grown while it was short. But requests come on the connections that are open; the share only says how fast their number changes, so it was cut for as long as those that were open went on asking, and what had been taken in too much was closed by then. Class of fault: control of a rate where the load is what it adds up to.

Change: the limit is on the connections that are open; it shrinks a little while too much waits, more if far too much does, and grows slowly while there is time left. The share that is taken in follows: what the limit leaves, and what closes by itself. A connection above the limit of an account that crowds out others ends with its answer, as before. A look without new connections cuts nobody off.

--- a/internal/router/closing_test.go
+++ b/internal/router/closing_test.go
@@ -52,7 +52,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Shutdown(t.Context()) })
-	h.callers = l
+	h.callers, h.strain.conns = l, l
 	return h, clock, l
 }
 
--- a/internal/router/intake_test.go
+++ b/internal/router/intake_test.go
@@ -1,5 +1,3 @@
-//go:build red
-
 package router
 
 import (
@@ -67,7 +65,7 @@
 
 func newSmallVM() *smallVM {
 	v := &smallVM{rng: rand.New(rand.NewPCG(1, 2)), later: make(map[time.Duration][]burst)}
-	v.strain.queue = v
+	v.strain.queue, v.strain.conns = v, v
 	return v
 }
 
@@ -109,7 +107,7 @@
 		return
 	}
 	v.opened++
-	if v.rng.Float64() >= 1-v.strain.turnedAway {
+	if v.rng.Float64() >= 1-v.strain.intake.turnedAway {
 		v.turnedAway++
 		v.refused++
 		v.after(0, simTurnedAway, func() {
@@ -135,7 +133,7 @@
 			return
 		}
 		v.finished++
-		if v.strain.shut() {
+		if v.strain.intake.over {
 			v.open--
 			return
 		}
