A leaving is held back only if the store was away for long enough to drop who lives

A router that met one failed call, also one whose watch was cut by the store's forgetting its history, went on believing in upstreams that had left for 2.2 s: what the store dropped while it was away may live. Entries lapse after three heartbeats of 1.2 s that do not reach the store, so a drop is doubtful only after more than one failed call and two seconds. The other way round, a store that was away and came back without its history counted as never away.

--- a/internal/follower/feed.go
+++ b/internal/follower/feed.go
@@ -25,6 +25,12 @@
 	readTimeout = 2 * time.Second
 	// firstPause is the pause after a failed call, which doubles up to DefaultRetry.
 	firstPause = 100 * time.Millisecond
+	// leastAbsence is for how long the store has to be away before it can have dropped
+	// upstreams that live: their entries lapse after three heartbeats, of 1.2 s each, that
+	// did not reach it. leastFailures is how many calls fail then: a single one may have
+	// been on a connection that ended or fell silent by itself.
+	leastAbsence  = 2 * time.Second
+	leastFailures = 2
 	// DefaultRetry is the longest pause after a failed call.
 	DefaultRetry = 400 * time.Millisecond
 )
@@ -67,7 +73,10 @@
 	// delivered is the version up to which rows were passed on.
 	delivered uint64
 	started   bool
-	failing   bool
+	// failures counts the calls that failed since the last one that did not, and
+	// failingSince is when the first of them began.
+	failures     int
+	failingSince time.Time
 }
 
 // Run follows the table until ctx ends.
@@ -77,11 +86,12 @@
 		if f.rest(ctx) {
 			continue
 		}
+		began := f.Clock.Now()
 		changed, err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		f.note(err)
+		f.note(began, err)
 		if err == nil {
 			pause = firstPause
 			if changed && f.Pause != nil {
@@ -108,7 +118,7 @@
 		return false
 	}
 	d := f.Rest()
-	if d <= 0 || f.failing {
+	if d <= 0 || f.failures > 0 {
 		return false
 	}
 	woken := f.sleep(ctx, d, f.Wake)
@@ -129,7 +139,7 @@
 	if f.Wait != nil {
 		wait = f.Wait()
 	}
-	if f.failing {
+	if f.failures > 0 {
 		wait = 0 // learn of the store's return, not of changes
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+answerSlack)
@@ -138,7 +148,7 @@
 	if errors.Is(err, ErrHistoryGone) {
 		f.Log.WithFields(logrus.Fields{"event": "historyGone", "table": f.Table, "since": f.since}).Info("reading the whole table again")
 		f.started = false
-		return false, nil
+		return false, f.read(ctx)
 	}
 	if err != nil {
 		return false, err
@@ -173,7 +183,7 @@
 
 func (f *Feed) take(b Batch) {
 	f.since = max(f.since, b.Version)
-	b.CatchUp = f.failing
+	b.CatchUp = f.wasAway()
 	if len(b.Rows) == 0 && !b.Whole {
 		return
 	}
@@ -181,19 +191,32 @@
 	f.Batches(b)
 }
 
-// note tells of a lost and of a regained store, once each.
-func (f *Feed) note(err error) {
-	if (err != nil) == f.failing {
+// wasAway reports whether the store was away for so long that it may have dropped
+// upstreams that live.
+func (f *Feed) wasAway() bool {
+	return f.failures >= leastFailures && f.Clock.Now().Sub(f.failingSince) >= leastAbsence
+}
+
+// note tells of a lost and of a regained store, once each, by how a call that began at a
+// time went.
+func (f *Feed) note(began time.Time, err error) {
+	before := f.failures
+	if err == nil {
+		f.failures = 0
+	} else {
+		f.failures++
+	}
+	if (before > 0) == (f.failures > 0) {
 		return
 	}
-	f.failing = err != nil
 	if f.Noted != nil {
-		f.Noted(f.failing)
+		f.Noted(err != nil)
 	}
 	entry := f.Log.WithFields(logrus.Fields{"event": "store", "table": f.Table, "version": f.since})
 	if err != nil {
+		f.failingSince = began
 		entry.WithError(err).Warn("store lost; serving by what is known")
 		return
 	}
-	entry.Info("store regained")
+	entry.WithField("failures", before).Info("store regained")
 }
--- a/internal/follower/feed_test.go
+++ b/internal/follower/feed_test.go
@@ -119,3 +119,79 @@
 		}
 	}
 }
+
+// awaySource fails some calls, each of which takes a time, and then tells of an upstream
+// that is gone. With forgets true it has lost its history meanwhile.
+type awaySource struct {
+	clock    *timekeeper.Manual
+	failures int
+	took     time.Duration
+	forgets  bool
+}
+
+func (s *awaySource) Read(context.Context, Table) (Batch, error) {
+	if s.failures == 0 {
+		return Batch{Version: 20, Whole: true}, nil
+	}
+	return Batch{Version: 1, Whole: true, Rows: []Row{{Key: "u", Version: 1}}}, nil
+}
+
+func (s *awaySource) Changes(_ context.Context, _ Table, _ uint64, _ time.Duration) (Batch, error) {
+	switch {
+	case s.failures > 0:
+		s.failures--
+		s.clock.Advance(s.took)
+		return Batch{}, errLost
+	case s.forgets:
+		return Batch{}, ErrHistoryGone
+	}
+	return Batch{Version: 20, Rows: []Row{{Key: "u", Deleted: true, Version: 20}}}, nil
+}
+
+// TestCutWatchHoldsBackNoLeaving has an upstream leave while a router's calls fail: only if
+// the store was away for long may it have dropped one that lives.
+func TestCutWatchHoldsBackNoLeaving(t *testing.T) {
+	tests := []struct {
+		name     string
+		failures int
+		took     time.Duration
+		forgets  bool
+		want     bool
+	}{
+		{"a connection is cut", 1, 0, false, false},
+		{"a connection is cut and the history is gone", 1, 0, true, false},
+		{"a connection fell silent", 1, 2800 * time.Millisecond, false, false},
+		{"the store turns some calls away", 4, 100 * time.Millisecond, false, false},
+		{"the store is away", 8, 400 * time.Millisecond, false, true},
+		{"the store is away and its history is gone", 8, 400 * time.Millisecond, true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := timekeeper.NewManual(epoch)
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			ctx, cancel := context.WithCancel(context.Background())
+			var got []Batch
+			f := &Feed{
+				Source: &awaySource{clock: clock, failures: test.failures, took: test.took, forgets: test.forgets},
+				Table:  RegistrationTable, Clock: clock, Log: log, Retry: func() time.Duration { return 0 },
+			}
+			f.Batches = func(b Batch) {
+				if got = append(got, b); len(got) == 2 {
+					cancel()
+				}
+			}
+			go func() {
+				for ctx.Err() == nil {
+					if clock.Waiters() > 0 {
+						clock.Advance(firstPause)
+					}
+				}
+			}()
+			f.Run(ctx)
+			if got[1].CatchUp != test.want {
+				t.Errorf("got a doubtful drop %v, want %v", got[1].CatchUp, test.want)
+			}
+		})
+	}
+}
