--- a/internal/listener/acceptor.go
+++ b/internal/listener/acceptor.go
@@ -29,9 +29,7 @@
 	// peeked is room for a head, which one goroutine uses.
 	peeked [peekBytes]byte
 	// taken counts the connections that were taken in.
-	taken atomic.Uint64
-	// opened counts those that came.
-	opened   atomic.Uint64
+	taken    atomic.Uint64
 	once     sync.Once
 	stopping chan struct{}
 	closed   chan struct{}
@@ -109,7 +107,6 @@
 
 // refusalOf returns why a new connection of a caller is turned away, or nil.
 func (a *acceptor) refusalOf(caller string) *problem {
-	a.opened.Add(1)
 	if a.full() {
 		return &problemFull
 	}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -230,9 +230,6 @@
 // Taken returns how many connections were taken in since the start.
 func (l *Listener) Taken() uint64 { return l.acceptor.taken.Load() }
 
-// Opened returns how many connections callers opened since the start, taken in or not.
-func (l *Listener) Opened() uint64 { return l.acceptor.opened.Load() }
-
 // Crowds reports whether a caller, as Config.CallerOf names it, takes the place of others
 // that are turned away.
 func (l *Listener) Crowds(caller string) bool { return l.acceptor.screener.Crowds(caller) }
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -115,9 +115,9 @@
 	// newsAt is when another router was last heard, in Unix microseconds.
 	newsAt   atomic.Int64
 	strained atomic.Bool
-	// turningAway is true while it is limited how many connections may be open.
+	// turningAway is true while a share of the new connections is turned away.
 	turningAway atomic.Bool
-	// shut is true while more connections are open than may be.
+	// shut is true while hardly any of them is taken in.
 	shut atomic.Bool
 	// refusedUnread counts the connections and requests that the listeners
 	// refused since that was logged.
@@ -265,7 +265,6 @@
 	if err != nil {
 		return err
 	}
-	h.strain.conns = h.callers
 	h.operators, err = listener.Start(h.listenerConfig("operators", h.settings.Listeners.Operators, h.serveOperator))
 	return err
 }
--- a/internal/router/strain.go
+++ b/internal/router/strain.go
@@ -29,12 +29,18 @@
 	// processor. A request waits for it a dozen times on its way, ticks go before.
 	busyWait = 8 * time.Millisecond
 	calmWait = 4 * time.Millisecond
-	// swampedTimes is how many times longer these are once far too much waits.
-	swampedTimes = 3
 	// waitWeight is the weight of one measurement of these waits in their mean.
 	waitWeight = 0.5
-	// intakeEvery is the time between two looks at how many connections may be open.
-	intakeEvery = 100 * time.Millisecond
+	// intakeEvery is the time between two changes of the share of connections
+	// taken in, which shrinks by the factor intakeCut and grows by intakeGrowth, or by
+	// intakeLeap if hardly anything waits.
+	intakeEvery  = 100 * time.Millisecond
+	intakeCut    = 0.75
+	intakeGrowth = 1.1
+	intakeLeap   = 1.3
+	// leastTakenIn leaves some new connections, by whose load the router notices
+	// that it may take more: callers may ask for fifty times what a VM can do.
+	leastTakenIn = 0.05
 	// strainedShare is the part of the fleet, as a divisor, that may send its
 	// callers elsewhere at a time.
 	strainedShare = 8
@@ -55,15 +61,9 @@
 	// mean of that.
 	queue interface{ wait() time.Duration }
 	wait  time.Duration
-	// conns knows the connections of callers, of which intake decides how many may be
-	// open.
-	conns interface {
-		Conns() int
-		Opened() uint64
-		Taken() uint64
-	}
-	intake   intake
-	adjusted time.Time
+	// turnedAway is the share of new connections to turn away, 0 to 1.
+	turnedAway float64
+	adjusted   time.Time
 }
 
 // note takes in a tick and reports whether the VM is overloaded. With allowed
@@ -93,8 +93,8 @@
 	s.lag += time.Duration(weight * float64(min(b.late, longestLag)-s.lag))
 }
 
-// adjust moves the number of open connections towards the one at which nothing waits long
-// for the processor.
+// adjust moves the share of new connections to turn away towards the one at
+// which nothing waits long for the processor.
 func (s *strain) adjust(now time.Time) {
 	if now.Sub(s.adjusted) < intakeEvery {
 		return
@@ -103,36 +103,32 @@
 	if s.queue != nil {
 		s.wait += time.Duration(waitWeight * float64(s.queue.wait()-s.wait))
 	}
-	if s.conns != nil {
-		s.intake.adjust(s.pressure(), connections{open: s.conns.Conns(), opened: s.conns.Opened(), taken: s.conns.Taken()})
-	}
-}
-
-// pressure returns how short the VM is of processor time.
-func (s *strain) pressure() pressure {
+	takenIn := 1 - s.turnedAway
 	switch {
-	case s.lag > swampedTimes*busyLag || s.wait > swampedTimes*busyWait:
-		return swamped
 	case s.lag > busyLag || s.wait > busyWait:
-		return pressed
+		takenIn = max(leastTakenIn, takenIn*intakeCut)
 	case s.lag < calmLag && s.wait < calmWait/2:
-		return easy
+		takenIn = min(1, takenIn*intakeLeap)
 	case s.lag < calmLag && s.wait < calmWait:
-		return calm
+		takenIn = min(1, takenIn*intakeGrowth)
 	}
-	return steady
+	s.turnedAway = 1 - takenIn
 }
 
+// shut reports whether hardly any new connection is taken in: if that is not enough, what
+// comes on open ones is too much.
+func (s *strain) shut() bool { return s.turnedAway >= 1-leastTakenIn }
+
 // starved reports whether the VM has no processor time left.
-func (s *strain) starved() bool { return s.intake.limited() || s.pressure() >= pressed }
+func (s *strain) starved() bool { return s.turnedAway > 0 || s.lag > busyLag || s.wait > busyWait }
 
 // watchStrain lets an overloaded router turn away callers or, while only a few
 // routers do so, leave the rotation.
 func (h *Hosted) watchStrain(b beat) {
 	allowed := h.strainedOthers < int(h.peerCount.Load())/strainedShare
-	before := h.strain.intake
+	before := h.strain.turnedAway
 	on := h.strain.note(h.clock.Now(), b, allowed)
-	h.limitIntake(before, h.strain.intake)
+	h.setTurnedAway(before, h.strain.turnedAway)
 	h.logWorkload()
 	if on == h.strained.Load() {
 		return
@@ -146,19 +142,20 @@
 	}).Warn("overload changed: callers are sent elsewhere while it is on")
 }
 
-// limitIntake tells the listener which share of new connections to turn away, and logs when
-// it begins to be limited and when that ends.
-func (h *Hosted) limitIntake(before, now intake) {
-	h.shut.Store(now.over)
-	h.turningAway.Store(now.limited())
-	if before.turnedAway != now.turnedAway {
-		h.callers.TurnAway(now.turnedAway)
+// setTurnedAway tells the listener which share of new connections to turn away,
+// and logs when it begins and ends.
+func (h *Hosted) setTurnedAway(before, share float64) {
+	if before == share {
+		return
 	}
-	if before.limited() == now.limited() {
+	h.callers.TurnAway(share)
+	h.turningAway.Store(share > 0)
+	h.shut.Store(h.strain.shut())
+	if before > 0 && share > 0 {
 		return
 	}
 	h.log.WithFields(logrus.Fields{
-		eventField: "turnAway", "on": now.limited(), "lag": h.strain.lag, "wait": h.strain.wait, "inProgress": h.inProgress.Load(),
+		eventField: "turnAway", "on": share > 0, "lag": h.strain.lag, "wait": h.strain.wait, "inProgress": h.inProgress.Load(),
 		"refusedUnread": h.refusedUnread.Swap(0),
-	}).Warn("short of processor time: the connections that may be open are limited while it is on")
+	}).Warn("short of processor time: a share of new connections is turned away while it is on")
 }
--- a/internal/router/workload.go
+++ b/internal/router/workload.go
@@ -80,7 +80,7 @@
 	used := processorTime()
 	fields := logrus.Fields{
 		eventField: "workload", "ms": now.Sub(w.logged).Milliseconds(),
-		"takenIn": rounded(1 - h.strain.intake.turnedAway), "connectionsLimit": int(h.strain.intake.limit), "connectionsTaken": h.callers.Taken() - w.taken,
+		"takenIn": rounded(1 - h.strain.turnedAway), "connectionsTaken": h.callers.Taken() - w.taken,
 		"connectionsOpen": h.callers.Conns(), "refusedUnread": h.refusedUnread.Load(),
 		"sent": w.sent.Swap(0), "refusedBeyondShare": w.beyondShare.Swap(0), "refusedLate": w.late.Swap(0),
 		"endedOtherwise": w.otherwise.Swap(0), "inProgress": h.inProgress.Load(),
