An upstream that comes new holds nothing that would have to be forgotten

For each upstream that came new all shared parts that are known of were written anew, to drop what it holds of them: it was taken for one that started again, its start being another than none. Class of fault: work for each change that grows with the fleet and with what its callers ask.

Now only an upstream that was known and started again is dropped, and only where it stands.

--- a/internal/admitter/holders.go
+++ b/internal/admitter/holders.go
@@ -85,6 +85,16 @@
 	h.last[part] = after
 }
 
+// has reports whether an upstream is among them.
+func (h held) has(u *upstream) bool {
+	for _, holder := range h {
+		if holder.at == u {
+			return true
+		}
+	}
+	return false
+}
+
 // without returns what is left, closed up, if an upstream no longer counts.
 func (h held) without(u *upstream) held {
 	var left held
@@ -101,7 +111,9 @@
 // drop forgets an upstream that kept nothing.
 func (h *holders) drop(u *upstream) {
 	for part, at := range h.last {
-		h.last[part] = at.without(u)
+		if at.has(u) {
+			h.last[part] = at.without(u)
+		}
 	}
 }
 
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -228,12 +228,7 @@
 
 // holds reports whether u is expected to keep all of them.
 func (s source) holds(u *upstream) bool {
-	for _, h := range s.holders {
-		if h.at == u {
-			return true
-		}
-	}
-	return false
+	return s.holders.has(u)
 }
 
 // pick returns the upstream where a request costs least, all told, or nil if
--- /dev/null
+++ b/internal/admitter/release_test.go
@@ -0,0 +1,66 @@
+package admitter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// releasePolicy has some upstreams, of which those from first on are new.
+func releasePolicy(first, n int) *messenger.Policy {
+	policy := &messenger.Policy{
+		Pools:     map[messenger.PoolID]messenger.PoolPolicy{simPool: {Engine: &messenger.EnginePolicy{Memory: 600_000}}},
+		Upstreams: make(map[messenger.UpstreamID]messenger.UpstreamPolicy, n),
+	}
+	for i := first; i < first+n; i++ {
+		policy.Upstreams[messenger.UpstreamID(fmt.Sprint("u", i))] = messenger.UpstreamPolicy{Pool: simPool, Window: 16, Started: epoch}
+	}
+	return policy
+}
+
+// remember has a router know where many shared parts are.
+func remember(a *Admitter, parts int) {
+	p := a.pools[simPool]
+	p.holders.horizon = time.Hour
+	for part := range parts {
+		p.holders.note(messenger.PartID(part), holder{at: p.members[part%len(p.members)], on: epoch})
+	}
+}
+
+// TestRestartedUpstreamHoldsNothing has one upstream start again and another one come new:
+// what the others hold stays known.
+func TestRestartedUpstreamHoldsNothing(t *testing.T) {
+	a := New(Config{Self: "r"})
+	a.Handle(epoch, messenger.PolicyChange{Policy: releasePolicy(0, 3)})
+	remember(a, 300)
+	next := releasePolicy(0, 4)
+	again := next.Upstreams["u1"]
+	again.Started = epoch.Add(time.Second)
+	next.Upstreams["u1"] = again
+	a.Handle(epoch, messenger.PolicyChange{Policy: next})
+	found := make(map[messenger.UpstreamID]int)
+	for _, at := range a.pools[simPool].holders.last {
+		for _, h := range at {
+			if h.at != nil {
+				found[h.at.id]++
+			}
+		}
+	}
+	if len(found) != 2 || found["u0"] != 100 || found["u2"] != 100 {
+		t.Errorf("got parts %v, want 100 each at u0 and u2", found)
+	}
+}
+
+// BenchmarkRelease has a batch of upstreams take the place of others at a router that knows
+// where many shared parts are.
+func BenchmarkRelease(b *testing.B) {
+	a := New(Config{Self: "r"})
+	const upstreams, batch = 165, 35
+	a.Handle(epoch, messenger.PolicyChange{Policy: releasePolicy(0, upstreams)})
+	remember(a, 6000)
+	for n := range b.N {
+		a.Handle(epoch, messenger.PolicyChange{Policy: releasePolicy((n+1)*batch, upstreams)})
+	}
+}
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -58,8 +58,10 @@
 	before float64
 	pool   *pool
 	policy messenger.UpstreamPolicy
-	open   bool
-	far    bool
+	// known is true once its policy was set.
+	known bool
+	open  bool
+	far   bool
 
 	// running counts the own requests, reading is what the engine has to read for
 	// those of them that have no output yet, in tokens.
@@ -101,10 +103,10 @@
 }
 
 func (u *upstream) set(policy messenger.UpstreamPolicy, p *pool, domain string) {
-	if !policy.Started.Equal(u.policy.Started) {
+	if u.known && !policy.Started.Equal(u.policy.Started) {
 		u.restart()
 	}
-	u.policy, u.pool = policy, p
+	u.policy, u.pool, u.known = policy, p, true
 	u.open = !policy.Leaving
 	u.far = policy.Domain != domain
 	if p.policy.Engine != nil {
