A VM that is full leaves the rotation and keeps its connections: a flood spreads

What the VM could not take in it turned away, up to 1,000 connections a second, and who was turned away came back to the same VM. Class of fault: a share of the fleet bound by one member of it.

Change: once more than half of the new connections are turned away for 0.3 s, the router is not ready for 3 s at least, until it has processor time left; no more than an eighth of the fleet at a time, as before. Its open connections stay and are served.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -25,7 +25,7 @@
 var beliefs = map[string]bool{
 	"configuration": true, "upstream": true, "store": true, "peer": true, "overload": true,
 	"historyGone": true, "rowsFromPeer": true, "draining": true, "logLeftOut": true,
-	"departure": true, "rowRejected": true, "collecting": true, "reporting": true, "workload": true, "turnAway": true,
+	"departure": true, "rowRejected": true, "collecting": true, "reporting": true, "workload": true, "turnAway": true, "rotation": true,
 }
 
 var (
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -113,7 +113,8 @@
 	inProgress  atomic.Int64
 	peerCount   atomic.Int64
 	// newsAt is when another router was last heard, in Unix microseconds.
-	newsAt   atomic.Int64
+	newsAt atomic.Int64
+	// strained is true while new callers are sent elsewhere.
 	strained atomic.Bool
 	// turningAway is true while a share of the new connections is turned away.
 	turningAway atomic.Bool
@@ -137,9 +138,11 @@
 	goroutines  sync.WaitGroup
 
 	// The control goroutine owns the rest.
-	strain   strain
-	follower *follower.Follower
-	peers    map[string]*hostedPeer
+	strain strain
+	// overloaded is true while callers are to leave their connections as well.
+	overloaded bool
+	follower   *follower.Follower
+	peers      map[string]*hostedPeer
 	// feeders are the routers that follow the store closely, and send the others
 	// what they lack.
 	feeders []gossiper.Member
--- a/internal/router/strain.go
+++ b/internal/router/strain.go
@@ -41,6 +41,12 @@
 	// leastTakenIn leaves some new connections, by whose load the router notices
 	// that it may take more: callers may ask for fifty times what a VM can do.
 	leastTakenIn = 0.05
+	// fullShare is the share of new connections turned away from which on, for fullAfter, a VM
+	// has as many callers as it can serve, and fullHold how long new ones go elsewhere at
+	// least.
+	fullShare = 0.5
+	fullAfter = 300 * time.Millisecond
+	fullHold  = 3 * time.Second
 	// strainedShare is the part of the fleet, as a divisor, that may send its
 	// callers elsewhere at a time.
 	strainedShare = 8
@@ -64,6 +70,11 @@
 	// turnedAway is the share of new connections to turn away, 0 to 1.
 	turnedAway float64
 	adjusted   time.Time
+	// full is true while new callers are to go elsewhere, as those that are here are
+	// enough, since fullSince; binding is since when most new connections are turned
+	// away, or zero.
+	full               bool
+	fullSince, binding time.Time
 }
 
 // note takes in a tick and reports whether the VM is overloaded. With allowed
@@ -71,6 +82,7 @@
 func (s *strain) note(now time.Time, b beat, allowed bool) bool {
 	s.measure(b)
 	s.adjust(now)
+	s.fill(now, allowed)
 	switch {
 	case !s.on && s.lag > strainLag && allowed && now.Sub(s.changed) >= strainPause:
 		s.on, s.changed = true, now
@@ -115,6 +127,24 @@
 	s.turnedAway = 1 - takenIn
 }
 
+// fill decides whether new callers go elsewhere. It answers a flood that a balancer leads to
+// one VM for as long as it is in the rotation: what it carries stays with it, and the rest of
+// the flood spreads over the next ones.
+func (s *strain) fill(now time.Time, allowed bool) {
+	switch {
+	case s.turnedAway < fullShare:
+		s.binding = time.Time{}
+	case s.binding.IsZero():
+		s.binding = now
+	}
+	switch {
+	case !s.full && allowed && !s.binding.IsZero() && now.Sub(s.binding) >= fullAfter:
+		s.full, s.fullSince = true, now
+	case s.full && now.Sub(s.fullSince) >= fullHold && !s.starved():
+		s.full = false
+	}
+}
+
 // shut reports whether hardly any new connection is taken in: if that is not enough, what
 // comes on open ones is too much.
 func (s *strain) shut() bool { return s.turnedAway >= 1-leastTakenIn }
@@ -130,16 +160,28 @@
 	on := h.strain.note(h.clock.Now(), b, allowed)
 	h.setTurnedAway(before, h.strain.turnedAway)
 	h.logWorkload()
-	if on == h.strained.Load() {
+	h.sendElsewhere(on || h.strain.full)
+	if on == h.overloaded {
 		return
 	}
-	h.strained.Store(on)
+	h.overloaded = on
 	if !h.draining.Load() {
 		h.callers.SetClosing(on)
 	}
 	h.log.WithFields(logrus.Fields{
 		eventField: "overload", "on": on, "lag": h.strain.lag, "inProgress": h.inProgress.Load(),
-	}).Warn("overload changed: callers are sent elsewhere while it is on")
+	}).Warn("overload changed: connections are closed while it is on, so that callers go elsewhere")
+}
+
+// sendElsewhere takes the router out of the rotation, or back into it.
+func (h *Hosted) sendElsewhere(on bool) {
+	if h.strained.Swap(on) == on {
+		return
+	}
+	h.log.WithFields(logrus.Fields{
+		eventField: "rotation", "out": on, "lag": h.strain.lag, "wait": h.strain.wait, "inProgress": h.inProgress.Load(),
+		"connectionsOpen": h.callers.Conns(), "takenIn": rounded(1 - h.strain.turnedAway), "othersOut": h.strainedOthers,
+	}).Warn("whether new callers are sent elsewhere changed")
 }
 
 // setTurnedAway tells the listener which share of new connections to turn away,
