--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -41,6 +41,9 @@
 	RegistrationTable Table = "registration"
 )
 
+// Tables are all tables that are followed.
+var Tables = []Table{ConfigurationTable, RegistrationTable}
+
 // returnTime is how long after the store's return a registration that it
 // dropped meanwhile is still believed: upstreams that live are registered
 // again about two seconds after it.
--- a/internal/follower/teller.go
+++ b/internal/follower/teller.go
@@ -2,9 +2,6 @@
 
 import "time"
 
-// tables are all tables that are followed.
-var tables = []Table{ConfigurationTable, RegistrationTable}
-
 // Teller decides what one other router is sent of the tables. What was sent counts as
 // known there until the router should have said so and did not: messages may get lost, and
 // newer ones go on meanwhile. The zero value has sent nothing.
@@ -26,7 +23,7 @@
 // Patience is how long it has to say that it has what it was sent.
 func (t *Teller) Lacking(f *Follower, now time.Time, has map[Table]uint64, patience time.Duration) []Batch {
 	var batches []Batch
-	for _, table := range tables {
+	for _, table := range Tables {
 		c := t.of(table)
 		known := c.known(now, has[table], patience)
 		if known >= f.Version(table) {
@@ -44,7 +41,7 @@
 
 func (t *Teller) of(table Table) *claim {
 	if t.claims == nil {
-		t.claims = make(map[Table]*claim, len(tables))
+		t.claims = make(map[Table]*claim, len(Tables))
 	}
 	c, ok := t.claims[table]
 	if !ok {
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -237,7 +237,7 @@
 		return err
 	}
 	h.goroutines.Go(func() { h.control.run(h.background) })
-	for _, table := range rowTables {
+	for _, table := range follower.Tables {
 		h.follow(table)
 	}
 	h.goroutines.Go(h.join)
--- a/internal/router/hostedrows.go
+++ b/internal/router/hostedrows.go
@@ -40,12 +40,9 @@
 	behindSince time.Time
 }
 
-// rowTables are the tables that routers tell each other of.
-var rowTables = []follower.Table{follower.ConfigurationTable, follower.RegistrationTable}
-
 func newPulls() map[follower.Table]*pull {
-	pulls := make(map[follower.Table]*pull, len(rowTables))
-	for _, table := range rowTables {
+	pulls := make(map[follower.Table]*pull, len(follower.Tables))
+	for _, table := range follower.Tables {
 		pulls[table] = &pull{wake: make(chan struct{}, 1)}
 	}
 	return pulls
@@ -145,7 +142,7 @@
 	if !p.live {
 		return false
 	}
-	for _, table := range rowTables {
+	for _, table := range follower.Tables {
 		if p.versions[table] < h.follower.Version(table) {
 			return true
 		}
--- a/internal/router/leavingnews_test.go
+++ b/internal/router/leavingnews_test.go
@@ -95,7 +95,7 @@
 // is lacking.
 func (n *newsFleet) exchange() {
 	p := n.teller.peers["told"]
-	for _, table := range rowTables {
+	for _, table := range follower.Tables {
 		p.versions[table] = n.told.follower.Version(table)
 	}
 	if news := n.teller.lacking(n.clock.Now(), p); len(news) > 0 {
