--- a/internal/router/intake_test.go
+++ b/internal/router/intake_test.go
@@ -8,6 +8,14 @@
 	"time"
 )
 
+// run plays a time with so many requests a second.
+func (v *smallVM) run(d time.Duration, rate float64) {
+	for end := v.now + d; v.now < end; {
+		v.poisson(rate, func() { v.request(v.rng.IntN(simClients), false) })
+		v.step(false)
+	}
+}
+
 // TestFloodedRouterAnswersWhatItTakesIn has an account flood a small VM for seconds, after a
 // calm time in which its callers opened many connections: most of what the VM can do is done
 // in each second, and what is taken in gets its turns within an objective.
--- a/internal/router/smallvm_test.go
+++ b/internal/router/smallvm_test.go
@@ -141,14 +141,6 @@
 	v.after(0, step, next)
 }
 
-// run plays a time with so many requests a second.
-func (v *smallVM) run(d time.Duration, rate float64) {
-	for end := v.now + d; v.now < end; {
-		v.poisson(rate, func() { v.request(v.rng.IntN(simClients), false) })
-		v.step(false)
-	}
-}
-
 // poisson calls f in a millisecond so that it happens rate times a second on average.
 func (v *smallVM) poisson(rate float64, f func()) {
 	for p := rate * simTurn.Seconds(); p > 0; p-- {
