An upstream that serves another pool by now gets nothing of the one that it served

Found by reading the change once more: a slot that becomes free is offered to the requests that wait in the pool of the one that ended, and those that keep parts of a prompt are weighed beside the shortlist; neither asked whether the upstream is still of that pool. A request could have gone to another service. With it: a pool none of whose shortlist may be used is weighed whole before one that failed of late is taken.

Before: TestUpstreamOfAnotherPoolGetsNothing fails for the slot that becomes free.

--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -232,31 +232,33 @@
 }
 
 // pick returns the upstream where a request costs least, all told, or nil if
-// there is none.
+// there is none. One that failed of late is taken only if there is no other.
 func (p *pool) pick(a *Admitter, r *request) (*upstream, forecast) {
 	home := p.home(a, r)
 	src := p.source(a, r, home)
-	best, f := p.pickOf(a, r, p.candidates(a, home, src), home, src)
-	if best == nil && len(p.members) > weighedWhole {
-		return p.pickOf(a, r, p.members, home, src)
+	best, f := p.cheapest(a, r, p.candidates(a, home, src), src, home, false)
+	if best == nil {
+		best, f = p.cheapest(a, r, p.members, src, home, false)
+	}
+	if best == nil {
+		best, f = p.cheapest(a, r, p.members, src, home, true)
 	}
 	return best, f
 }
 
-// pickOf returns the one of some upstreams where a request costs least, or nil.
-func (p *pool) pickOf(a *Admitter, r *request, from []*upstream, home *upstream, src source) (*upstream, forecast) {
+// cheapest returns the one of some upstreams where a request costs least, or nil. With
+// desperate, those that failed of late may be taken as well.
+func (p *pool) cheapest(a *Admitter, r *request, from []*upstream, src source, home *upstream, desperate bool) (*upstream, forecast) {
 	var best *upstream
 	var bestForecast forecast
 	var least time.Duration
-	for pass := 0; pass < 2 && best == nil; pass++ {
-		for _, u := range from {
-			if !u.usable(a.now, pass > 0) || u.id == r.avoid && pass == 0 {
-				continue
-			}
-			f := u.forecast(a, r, u == home, src)
-			if cost := p.cost(u, f); best == nil || cost < least {
-				best, bestForecast, least = u, f, cost
-			}
+	for _, u := range from {
+		if !u.usable(a.now, desperate) || u.id == r.avoid && !desperate {
+			continue
+		}
+		f := u.forecast(a, r, u == home, src)
+		if cost := p.cost(u, f); best == nil || cost < least {
+			best, bestForecast, least = u, f, cost
 		}
 	}
 	return best, bestForecast
@@ -267,7 +269,7 @@
 func (p *pool) source(a *Admitter, r *request, home *upstream) source {
 	s := source{holders: p.holders.find(a.now, r.arrive.Work.Prompt)}
 	for _, h := range s.holders {
-		if h.at != nil && h.at.sound(a.now) {
+		if h.at != nil && h.at.pool == p && h.at.sound(a.now) {
 			s.at, s.kept = h.at, 1
 			return s
 		}
--- a/internal/admitter/shortlist.go
+++ b/internal/admitter/shortlist.go
@@ -91,9 +91,10 @@
 	return p.worth
 }
 
-// consider adds an upstream to those that are worth weighing, once.
+// consider adds an upstream to those that are worth weighing, once. One that keeps parts of
+// a prompt may serve another pool by now.
 func (p *pool) consider(u *upstream) {
-	if u == nil {
+	if u == nil || u.pool != p {
 		return
 	}
 	for _, other := range p.worth {
--- a/internal/admitter/shortlist_test.go
+++ b/internal/admitter/shortlist_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -77,6 +78,38 @@
 	}
 }
 
+// TestUpstreamOfAnotherPoolGetsNothing has an upstream that holds a shared part, and that runs
+// a request, serve another pool from now on: nothing of the first one goes there, however
+// good it looks.
+func TestUpstreamOfAnotherPoolGetsNothing(t *testing.T) {
+	a, _ := rankedPool(t, 40)
+	const other = messenger.PoolID("other")
+	arrive := func(id messenger.RequestID) {
+		for _, action := range a.Handle(epoch, messenger.Arrive{
+			Request: id, Pool: simPool, Objective: simObjective,
+			Work: messenger.Work{Prompt: []messenger.PromptPart{{Chain: 7, Tokens: 3000}, {Chain: 100 + uint64(id), Tokens: 10}}, Output: 10},
+		}) {
+			if d, ok := action.(messenger.Dispatch); ok && a.upstreams[d.Upstream].pool.id != simPool {
+				t.Errorf("request %d of %q went to %q, which serves %q", id, simPool, d.Upstream, other)
+			}
+		}
+	}
+	arrive(1)
+	ran := a.requests[1].at
+	policy := *a.policy
+	policy.Pools = map[messenger.PoolID]messenger.PoolPolicy{simPool: policy.Pools[simPool], other: policy.Pools[simPool]}
+	policy.Upstreams = maps.Clone(policy.Upstreams)
+	policy.Upstreams[ran.id] = messenger.UpstreamPolicy{Pool: other, Window: 1}
+	a.Handle(epoch, messenger.PolicyChange{Policy: &policy})
+	arrive(2)
+	arrive(3)
+	for _, action := range a.Handle(epoch, messenger.Finish{Request: 1, Upstream: ran.id}) {
+		if d, ok := action.(messenger.Dispatch); ok && d.Upstream == ran.id {
+			t.Errorf("request %d of %q went to %q, where a slot became free that serves %q", d.Request, simPool, ran.id, other)
+		}
+	}
+}
+
 // BenchmarkArrival has requests arrive at a router before a few and before many engines.
 func BenchmarkArrival(b *testing.B) {
 	for _, engines := range []int{16, 60, 153, 600} {
--- a/internal/admitter/waiting.go
+++ b/internal/admitter/waiting.go
@@ -21,7 +21,7 @@
 // offerFreed sends the first of what waits that can be served in time where a request has
 // ended. What can be sent elsewhere is for the next tick to find: little else has changed.
 func (a *Admitter) offerFreed(p *pool, u *upstream) {
-	if len(p.waiting) == 0 || !u.usable(a.now, false) {
+	if len(p.waiting) == 0 || u.pool != p || !u.usable(a.now, false) {
 		return
 	}
 	p.order(a)
