What only a reporting router knows sends nobody to the store

A router that starts again reads the table whole and says the version of the store at that moment, which no row has. The one that it reports to took that for newer rows, and so did all that report to that one: each asked the store after a second and again until a row passed that version. Reporting routers tell no rows, so their versions don't count for that.

Before: TestStartedReporterSendsNobodyToTheStore fails.

--- a/internal/router/hostedrows.go
+++ b/internal/router/hostedrows.go
@@ -170,11 +170,12 @@
 	}
 }
 
-// newest returns the newest version of a table that another router has.
+// newest returns the newest version of a table that another router has and may tell of. One
+// that reports here tells nobody: started again, it knows a version of its own.
 func (h *Hosted) newest(table follower.Table) uint64 {
 	var newest uint64
 	for _, p := range h.peers {
-		if p.live {
+		if p.live && !p.reports {
 			newest = max(newest, p.versions[table])
 		}
 	}
--- a/internal/router/hostedrows_test.go
+++ b/internal/router/hostedrows_test.go
@@ -157,3 +157,22 @@
 		clock.Advance(100 * time.Millisecond)
 	}
 }
+
+// TestStartedReporterSendsNobodyToTheStore has a router that reports start again and read
+// the whole table at a version which no row has: the others lack nothing.
+func TestStartedReporterSendsNobodyToTheStore(t *testing.T) {
+	h, clock := largeFleet(t, "self", 40, 1)
+	h.lagging.Store(true)
+	wake := make(chan struct{}, 1)
+	h.pulls[follower.RegistrationTable] = &pull{wake: wake}
+	p := h.peers["p3"]
+	p.reports, p.collects = true, false
+	p.versions[follower.RegistrationTable] = 5
+	for range 30 {
+		h.pullRows()
+		clock.Advance(100 * time.Millisecond)
+	}
+	if len(wake) > 0 {
+		t.Error("asked the store for a version that only a router has which tells nobody")
+	}
+}
