--- a/internal/router/hostedstore.go
+++ b/internal/router/hostedstore.go
@@ -26,6 +26,9 @@
 	// the store, and nobody tells them what they miss.
 	feedWaitPerPeer = 150 * time.Millisecond
 	longestFeedWait = 1900 * time.Millisecond
+	// laggingWait is the wait of a router that leaves the store to others and only asks for
+	// what they did not tell it.
+	laggingWait = 10 * time.Second
 	// feedRetryPerPeer is how much longer the pause after a failed call may be for each
 	// other router, up to longestFeedRetry.
 	feedRetryPerPeer = 10 * time.Millisecond
@@ -128,6 +131,9 @@
 // store, the more of them tell one whose connection fell silent, and the more calls all of
 // them make.
 func (h *Hosted) feedWait() time.Duration {
+	if h.lagging.Load() {
+		return laggingWait
+	}
 	wait := follower.DefaultWait + feedWaitPerPeer*time.Duration(h.peerCount.Load())
 	return min(wait, longestFeedWait)
 }
--- a/internal/router/silentstore_test.go
+++ b/internal/router/silentstore_test.go
@@ -25,3 +25,15 @@
 		}
 	}
 }
+
+// TestRouterThatLeavesTheStoreToOthersAsksSeldom has one that others tell of changes ask for
+// what they did not tell it.
+func TestRouterThatLeavesTheStoreToOthersAsksSeldom(t *testing.T) {
+	h := newNewsFleet(t).told
+	h.peerCount.Store(294)
+	following := h.feedWait()
+	h.lagging.Store(true)
+	if got := h.feedWait(); got < 5*following {
+		t.Errorf("a call waits %v, want at least five times the %v of one that follows for all: there are fifty times as many", got, following)
+	}
+}
