The log says who ended a connection without an answer

event=connectionEnded and event=requestDropped name side and cause of a connection that ends with requests that were read whole and not answered; event=request says for such a request whether the router broke it off, how many upstreams may have been sent it, and whether the answer had begun. The volume is bounded by the logger as for any other line.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -117,7 +117,9 @@
 	// Tokens is what the upstream produced, as far as it is known.
 	Tokens   float64
 	Attempts int
-	Resumes  int
+	// Sends counts the upstreams that may have been given the request.
+	Sends   int
+	Resumes int
 	// Grounds is what a refusal was decided on, where that is known.
 	Grounds *messenger.Grounds
 	// CallerGone is true if the caller left before its answer was whole.
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -111,6 +111,7 @@
 // end fills in the result and answers what crossed the end of the request.
 func (f *flight) end(actions <-chan messenger.Action) {
 	f.result.Run = f.outcome.Run()
+	f.result.Sends = f.sends
 	f.result.Finished = f.now()
 	if f.result.Run == messenger.Unknown {
 		f.d.counters.Unknown.Add(1)
--- a/internal/listener/boundary.go
+++ b/internal/listener/boundary.go
@@ -51,6 +51,10 @@
 	opened atomic.Bool
 	// endWhenSent asks for the end once everything written was sent.
 	endWhenSent atomic.Bool
+	// ended says who decided to end the connection; unanswered counts the requests that
+	// were read whole and have no whole answer, answers those that have one.
+	ended               atomic.Pointer[ending]
+	unanswered, answers atomic.Int32
 
 	// These belong to the poller's goroutine.
 	phase phase
@@ -96,6 +100,7 @@
 	if !b.opened.Load() {
 		return
 	}
+	b.noteGone(err)
 	b.cancel()
 	b.l.forget(b)
 	b.parser.CloseAndClean(err)
@@ -297,9 +302,7 @@
 		"port": b.l.cfg.Name, "remote": b.nbc.RemoteAddr().String(), "status": p.status, "problem": p.kind,
 	}).Debug("request refused")
 	b.execute(func() {
-		b.mu.Lock()
-		b.closeAfter = true
-		b.mu.Unlock()
+		b.closeAfterAnswer(causeRefused)
 		_, _ = b.parser.Conn.Write(p.answer())
 	})
 }
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -27,7 +27,10 @@
 
 func start(t *testing.T, cfg Config) *Listener {
 	t.Helper()
-	cfg.Name, cfg.Log = t.Name(), quiet()
+	cfg.Name = t.Name()
+	if cfg.Log == nil {
+		cfg.Log = quiet()
+	}
 	cfg.Address = "127.0.0.1:0"
 	l, err := Start(cfg)
 	if err != nil {
--- a/internal/listener/sweeper.go
+++ b/internal/listener/sweeper.go
@@ -41,14 +41,14 @@
 	idle := !b.running && b.readingSince.IsZero() && !b.ending
 	switch {
 	case expired(b.lingerSince, now, lingerTimeout):
-		go b.closeNow("the other end did not close")
+		go b.closeNow(causeLingered)
 	case expired(b.stalledSince, now, b.l.cfg.IdleTimeout):
-		go b.closeNow("the other end takes nothing")
+		go b.closeNow(causeStalled)
 	case expired(b.readingSince, now, b.l.cfg.ReadTimeout):
 		b.readingSince = time.Time{}
 		go b.timeOutRequest()
 	case idle && expired(b.idleSince, now, b.l.cfg.IdleTimeout):
-		b.end()
+		b.end(causeIdle)
 	}
 }
 
@@ -56,9 +56,7 @@
 func (b *boundary) timeOutRequest() {
 	b.l.cfg.Refused(problemTimeout.kind)
 	b.execute(func() {
-		b.mu.Lock()
-		b.closeAfter = true
-		b.mu.Unlock()
+		b.closeAfterAnswer(causeTimeout)
 		_, _ = b.parser.Conn.Write(problemTimeout.answer())
 	})
 }
--- a/internal/listener/turns.go
+++ b/internal/listener/turns.go
@@ -22,8 +22,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.ending || b.ctx.Err() != nil {
+		b.noteDropped(1)
 		return false
 	}
+	b.unanswered.Add(1)
 	b.jobs = append(b.jobs, job)
 	b.readingSince = time.Time{}
 	b.served = true
@@ -49,6 +51,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.closeAfter {
+		b.noteEnding(SideRouter, causeAnswered)
+		b.noteDropped(len(b.jobs))
 		b.jobs = nil
 	}
 	if len(b.jobs) > 0 {
@@ -60,7 +64,7 @@
 	b.running = false
 	b.idleSince = b.l.cfg.Clock.Now()
 	if b.closeAfter {
-		b.end()
+		b.end(causeAnswered)
 	}
 	return nil
 }
@@ -77,19 +81,28 @@
 				WithField("stack", string(debug.Stack())).
 				Error("handler failed")
 		}
-		b.mu.Lock()
-		b.closeAfter = true
-		b.mu.Unlock()
+		b.closeAfterAnswer(causeAborted)
 	}()
 	job()
+	b.unanswered.Add(-1)
+	b.answers.Add(1)
+}
+
+// closeAfterAnswer asks for the end of the connection after the answer at hand.
+func (b *boundary) closeAfterAnswer(cause string) {
+	b.noteEnding(SideRouter, cause)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closeAfter = true
 }
 
 // end closes the connection once everything written was sent. The caller
 // holds b.mu.
-func (b *boundary) end() {
+func (b *boundary) end(cause string) {
 	if b.ending {
 		return
 	}
+	b.noteEnding(SideRouter, cause)
 	b.ending = true
 	b.endWhenSent.Store(true)
 	if b.pending() == 0 {
@@ -142,7 +155,7 @@
 	if n, err := b.peek(); err == nil && n > 0 {
 		return
 	}
-	b.end()
+	b.end(causeShutdown)
 }
 
 // peek returns how many bytes wait to be read, one at most. It is 0 once the other
@@ -171,6 +184,7 @@
 		WithField("remote", b.nbc.RemoteAddr().String()).
 		WithField("cause", cause).
 		Debug("connection closed")
+	b.noteEnding(SideRouter, cause)
 	_ = b.nbc.Close()
 }
 
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -163,14 +163,14 @@
 	result := h.dispatcher.Serve(h.serving, out, queue, c)
 	h.control.closeQueue(out.ID)
 	h.workload.note(result)
-	h.observe(out, arrived, result)
+	h.observe(out, c, arrived, result)
 	if result.Aborted {
 		panic(http.ErrAbortHandler)
 	}
 }
 
 // observe counts and logs an ended request.
-func (h *Hosted) observe(out *dispatcher.Request, arrived time.Time, result dispatcher.Result) {
+func (h *Hosted) observe(out *dispatcher.Request, c *listener.Caller, arrived time.Time, result dispatcher.Result) {
 	series := h.meter.Series(out.Arrive.Account, out.Arrive.Class)
 	series.Accept()
 	if result.Dispatched.IsZero() {
@@ -194,7 +194,20 @@
 		upstreamField: result.Upstream, "status": result.Status, "run": result.Run, "problem": result.Problem,
 		"attempts": result.Attempts, "callerGone": result.CallerGone, "version": h.version(),
 		"ms": result.Finished.Sub(arrived).Milliseconds(),
-	}).WithFields(groundsFields(result.Grounds)).Log(level, "request ended")
+	}).WithFields(groundsFields(result.Grounds)).WithFields(endingFields(c, result)).Log(level, "request ended")
+}
+
+// endingFields returns, for a request whose caller has no whole answer, how far it had come
+// and who ended the connection, for the log.
+func endingFields(c *listener.Caller, result dispatcher.Result) logrus.Fields {
+	if !result.Aborted && !result.CallerGone {
+		return nil
+	}
+	fields := logrus.Fields{"aborted": result.Aborted, "sends": result.Sends, "begun": result.Status != 0}
+	if side, cause, ok := c.Ended(); ok {
+		fields["endedBy"], fields["endCause"] = side, cause
+	}
+	return fields
 }
 
 // groundsFields returns what a refusal was decided on, for the log.
