--- a/internal/listener/ending.go
+++ b/internal/listener/ending.go
@@ -1,6 +1,12 @@
 package listener
 
-import "github.com/sirupsen/logrus"
+import (
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+)
+
+// tcpEstablished is the system's state of a connection that neither end has closed.
+const tcpEstablished = 1
 
 // Side says which end of a connection ended it.
 type Side string
@@ -72,10 +78,17 @@
 	b.l.cfg.Log.WithFields(logrus.Fields{
 		"event": event, "port": b.l.cfg.Name, "remote": b.nbc.RemoteAddr().String(), "side": e.side, "cause": e.cause,
 		"requests": requests, "openMs": b.l.cfg.Clock.Now().Sub(b.openedAt).Milliseconds(),
-		"unsentBytes": b.pending(), "answers": b.answers.Load(),
+		"unsentBytes": b.pending(), "answers": b.answers.Load(), "otherEndOpen": b.otherEndOpen(),
 	}).Log(level, message)
 }
 
+// otherEndOpen reports whether the system knows the other end to be open: a connection that
+// it ended is not.
+func (b *boundary) otherEndOpen() bool {
+	info, err := unix.GetsockoptTCPInfo(b.nbc.Hash(), unix.IPPROTO_TCP, unix.TCP_INFO)
+	return err == nil && info.State == tcpEstablished
+}
+
 // Ended returns who decided to end the connection and why, or false if nobody has yet.
 // A caller that closed its side may not be noticed at once: see Left.
 func (c *Caller) Ended() (side Side, cause string, ok bool) {
