An event of a closed connection no longer ends the next one on its descriptor

Callers saw a connection that was just opened end without an answer, after its request had been passed on. Cause: pollers know connections by descriptor alone, and hold up to 1,024 events at a time; a connection closed by a handler (failed write) or the sweeper leaves its event behind, which the next connection on the descriptor gets. Class: an identity that is used again while messages about its former owner are under way.

A connection is taken in only once its poller is through with the events that it held when an earlier connection on the descriptor was closed by somebody else: a byte on the poller's probe, which now stays for the life of the listener, says when. Connections that the poller itself ended, nearly all of them, need no wait.

--- a/internal/listener/boundary.go
+++ b/internal/listener/boundary.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"runtime"
 	"strings"
@@ -102,7 +104,7 @@
 	}
 	b.noteGone(err)
 	b.cancel()
-	b.l.forget(b)
+	b.l.forget(b, errors.Is(err, io.EOF)) // handlers and the sweeper end a connection otherwise
 	b.parser.CloseAndClean(err)
 }
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -146,15 +146,19 @@
 	stopOnce sync.Once
 	stopped  chan struct{}
 
-	mu    sync.Mutex
-	conns map[*boundary]struct{}
+	mu     sync.Mutex
+	conns  map[*boundary]struct{}
+	probes probes
+	// unsettled are the descriptors of closed connections of which a poller may still
+	// hold an event.
+	unsettled map[int]struct{}
 }
 
 // Start opens the port and serves it.
 func Start(cfg Config) (*Listener, error) {
 	cfg.setDefaults()
 	setLogger(cfg.Log)
-	l := &Listener{cfg: cfg, stopped: make(chan struct{}), conns: map[*boundary]struct{}{}}
+	l := &Listener{cfg: cfg, stopped: make(chan struct{}), conns: map[*boundary]struct{}{}, unsettled: map[int]struct{}{}}
 	l.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:               cfg.Name,
 		Network:            "tcp",
@@ -182,7 +186,10 @@
 		return nil, merry.Prependf(err, "listen on %s for %s", cfg.Address, cfg.Name)
 	}
 	<-l.acceptor.running
-	if err := awaitPollers(l.engine); err != nil {
+	found, err := awaitPollers(l.engine)
+	l.setProbes(found)
+	if err != nil {
+		found.close()
 		l.acceptor.stopAccepting()
 		return nil, merry.Prependf(err, "start the pollers of %s", cfg.Name)
 	}
@@ -280,6 +287,7 @@
 	l.stopOnce.Do(func() {
 		close(l.stopped)
 		l.engine.Stop()
+		l.setProbes(probes{}).close()
 	})
 }
 
@@ -299,6 +307,7 @@
 	if !ok {
 		return
 	}
+	l.settle(c.Hash())
 	b := newBoundary(l, c, parser)
 	parser.Conn = b.wire
 	if tlsConfig != nil {
@@ -314,8 +323,38 @@
 	c.SetSession(b)
 }
 
-func (l *Listener) forget(b *boundary) {
+// setProbes replaces the probes of the pollers and returns those before.
+func (l *Listener) setProbes(ps probes) *probes {
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := l.probes
+	l.probes = ps
+	return &before
+}
+
+// forget notes that a connection is gone, before its descriptor is free.
+func (l *Listener) forget(b *boundary, byPoller bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	delete(l.conns, b)
+	if !byPoller {
+		l.unsettled[b.nbc.Hash()] = struct{}{}
+	}
+}
+
+// settle waits, before a connection is read from, until no poller holds an event of an earlier
+// one with the same descriptor: pollers know connections by these alone, and would take
+// the end of the earlier connection for that of this one.
+func (l *Listener) settle(descriptor int) {
+	l.mu.Lock()
+	_, unsettled := l.unsettled[descriptor]
+	delete(l.unsettled, descriptor)
+	p := l.probes[descriptor%pollers]
 	l.mu.Unlock()
+	if !unsettled || p == nil {
+		return
+	}
+	if err := p.pass(l.stopped); err != nil {
+		l.cfg.Log.WithField("port", l.cfg.Name).WithError(err).Warn("poller not asked whether it holds an event of an earlier connection")
+	}
 }
--- a/internal/listener/prober.go
+++ b/internal/listener/prober.go
@@ -17,47 +17,60 @@
 // errNoPoller means that no connection reached one of the pollers.
 var errNoPoller = merry.New("no connection reached one of the pollers")
 
-// awaitPollers returns once each poller of engine reads its connections. A
-// poller of nbio clears the request to stop when it begins to run: one that is
+// probes are connections inside the process, one for each poller.
+type probes [pollers]*probe
+
+// awaitPollers returns once each poller of engine reads its connections, with a probe of
+// each. A poller of nbio clears the request to stop when it begins to run: one that is
 // told to stop before that never ends, and neither does engine.Stop.
-func awaitPollers(engine *nbhttp.Engine) error {
-	waiting := make(map[int]bool, pollers)
-	for i := range pollers {
-		waiting[i] = true
-	}
-	var held []*probe
+func awaitPollers(engine *nbhttp.Engine) (probes, error) {
+	var found probes
+	var surplus []*probe
 	defer func() {
-		for _, p := range held {
+		for _, p := range surplus {
 			p.close()
 		}
 	}()
+	missing := pollers
 	for range mostProbes {
 		p, err := newProbe()
 		if err != nil {
-			return err
+			return found, err
 		}
-		held = append(held, p)
 		poller := p.conn.Hash() % pollers
-		if !waiting[poller] {
+		if found[poller] != nil {
+			surplus = append(surplus, p)
 			p.occupyDescriptor()
 			continue
 		}
-		if err := p.run(engine); err != nil {
-			return err
+		found[poller] = p
+		if err := p.start(engine); err != nil {
+			return found, err
+		}
+		if missing--; missing == 0 {
+			return found, nil
 		}
-		delete(waiting, poller)
-		if len(waiting) == 0 {
-			return nil
+	}
+	return found, errNoPoller
+}
+
+// close ends the probes.
+func (ps *probes) close() {
+	for _, p := range ps {
+		if p != nil {
+			p.close()
 		}
 	}
-	return errNoPoller
 }
 
 // probe is a connection inside the process: a byte written to its peer's file
-// descriptors shows that the poller of conn runs.
+// descriptors shows that the poller of conn runs, and that it is through with all events
+// that it had taken from the system before.
 type probe struct {
 	conn *nbio.Conn
 	peer []int
+	// read gets a token for what the poller has read.
+	read chan struct{}
 }
 
 func newProbe() (*probe, error) {
@@ -78,20 +91,28 @@
 		_ = syscall.Close(ends[1])
 		return nil, merry.Prepend(err, "hand a socket to nbio")
 	}
-	return &probe{conn: nbc, peer: []int{ends[1]}}, nil
+	return &probe{conn: nbc, peer: []int{ends[1]}, read: make(chan struct{}, 1)}, nil
 }
 
-// run returns once the poller has read a byte.
-func (p *probe) run(engine *nbhttp.Engine) error {
-	read := make(chan struct{})
-	p.conn.OnData(func(*nbio.Conn, []byte) { close(read) })
+// start adds the probe to its poller and returns once that has read a byte.
+func (p *probe) start(engine *nbhttp.Engine) error {
+	p.conn.OnData(func(*nbio.Conn, []byte) { p.read <- struct{}{} })
 	if _, err := engine.AddConn(p.conn); err != nil {
 		return merry.Prepend(err, "add a connection to a poller")
 	}
+	return p.pass(nil)
+}
+
+// pass returns once the poller is through with all events that it had taken from the system
+// before, or stopped is closed. It is for one goroutine at a time.
+func (p *probe) pass(stopped <-chan struct{}) error {
 	if _, err := syscall.Write(p.peer[0], []byte{0}); err != nil {
 		return merry.Prepend(err, "write to a poller's connection")
 	}
-	<-read
+	select {
+	case <-p.read:
+	case <-stopped:
+	}
 	return nil
 }
 
