Logs say how long requests are held before they are written, and what waits for decisions

Nothing said when a request was written to the upstream that was chosen for it, so news of a leaving upstream that came in between could not be seen, nor told from news that come late. event=request has heldMs, and a line from 250 ms on; event=workload has the longest hold and the longest backlog of the control goroutine, whose ticks don't wait in its inbox.

The test upstreams on raw connections share one listener.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -32,6 +32,8 @@
 	fetchFrom messenger.UpstreamID
 
 	x *exchange
+	// chosen is when the upstream was looked up for the exchange.
+	chosen time.Time
 	// sent is true once the outcome knows that bytes may have left.
 	sent bool
 	// won is true for the attempt whose answer is relayed.
@@ -101,6 +103,9 @@
 	if p.sent && !at.sent {
 		f.noteSent(at)
 	}
+	if p.sent {
+		f.result.Held = max(f.result.Held, p.writtenAt.Sub(at.chosen))
+	}
 	if p.suspect {
 		at.deadline = earlier(at.deadline, at.last.Add(f.progressTimeout()/suspectShare))
 	}
--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -174,7 +174,7 @@
 		_ = conn.Close()
 		return nil, errUnwanted
 	}
-	if !x.setControl(r.control()) || !x.markSent() {
+	if !x.setControl(r.control()) || !x.markSent(t.pool.clock.Now()) {
 		_ = conn.Close()
 		return nil, errCanceled
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -118,6 +118,9 @@
 	Tokens   float64
 	Attempts int
 	Resumes  int
+	// Held is the longest time from the choice of an upstream to the writing of the
+	// request to it, also where it was written once more on another connection.
+	Held time.Duration
 	// Grounds is what a refusal was decided on, where that is known.
 	Grounds *messenger.Grounds
 	// CallerGone is true if the caller left before its answer was whole.
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -54,15 +55,17 @@
 	// limit is the most body bytes to hold before the transport pauses.
 	limit int
 
-	mu       sync.Mutex
-	sent     bool
-	canceled bool
-	done     bool
-	err      error
-	status   int
-	header   http.Header
-	body     []byte
-	paused   bool
+	mu   sync.Mutex
+	sent bool
+	// writtenAt is when the request was last begun to be written.
+	writtenAt time.Time
+	canceled  bool
+	done      bool
+	err       error
+	status    int
+	header    http.Header
+	body      []byte
+	paused    bool
 	// suspect is true if another connection to the same upstream was found
 	// dead.
 	suspect bool
@@ -82,6 +85,7 @@
 // progress is what an exchange brought since the last look.
 type progress struct {
 	sent, done, suspect, unframed bool
+	writtenAt                     time.Time
 	err                           error
 	status                        int
 	header                        http.Header
@@ -92,7 +96,7 @@
 // the last call. With room false the body stays where it is.
 func (x *exchange) take(room bool) progress {
 	x.mu.Lock()
-	p := progress{sent: x.sent, status: x.status, header: x.header, err: x.err, suspect: x.suspect, unframed: x.unframed}
+	p := progress{sent: x.sent, writtenAt: x.writtenAt, status: x.status, header: x.header, err: x.err, suspect: x.suspect, unframed: x.unframed}
 	x.suspect = false
 	var resume func()
 	if room {
@@ -112,13 +116,13 @@
 
 // markSent notes that bytes of the request may leave from now on. It returns
 // false if the exchange was canceled, and then none may.
-func (x *exchange) markSent() bool {
+func (x *exchange) markSent(now time.Time) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.canceled {
 		return false
 	}
-	x.sent = true
+	x.sent, x.writtenAt = true, now
 	return true
 }
 
--- a/internal/dispatcher/fakes_test.go
+++ b/internal/dispatcher/fakes_test.go
@@ -188,9 +188,9 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-// serveRaw starts an upstream on loopback that reads requests and lets h write
-// whatever it likes, on a connection that is closed after it.
-func serveRaw(t *testing.T, h func(conn net.Conn, r *http.Request)) string {
+// serveConns starts an upstream on loopback that handles each connection, which is
+// closed after it.
+func serveConns(t *testing.T, handle func(conn net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -205,51 +205,45 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, r.Body); err != nil {
-					return
-				}
-				h(conn, r)
+				handle(conn)
 			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// serveRaw starts an upstream on loopback that reads requests and lets h write
+// whatever it likes, on a connection that is closed after it.
+func serveRaw(t *testing.T, h func(conn net.Conn, r *http.Request)) string {
+	t.Helper()
+	return serveConns(t, func(conn net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		h(conn, r)
+	})
+}
+
 // serveKeepAlive starts an upstream that answers each request on a connection
 // with raw, and tells accepted of each connection.
 func serveKeepAlive(t *testing.T, accepted chan<- struct{}, raw string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatalf("listen: %v", err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
+	return serveConns(t, func(conn net.Conn) {
+		accepted <- struct{}{}
+		br := bufio.NewReader(conn)
 		for {
-			conn, err := l.Accept()
+			r, err := http.ReadRequest(br)
 			if err != nil {
 				return
 			}
-			accepted <- struct{}{}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				br := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(conn, raw)
-				}
-			}()
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, raw)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 func quietLog() *logrus.Logger {
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -228,7 +228,8 @@
 // start begins an exchange of an attempt.
 func (f *flight) start(at *attempt, out *outgoing) {
 	at.x = &exchange{ready: f.ready, limit: exchangeBytes}
-	at.progressed(f.now(), f.progressTimeout())
+	at.chosen = f.now()
+	at.progressed(at.chosen, f.progressTimeout())
 	f.d.live.add(out.address, at.x)
 	f.d.transport.Start(at.x, out)
 }
--- a/internal/dispatcher/httptransport_test.go
+++ b/internal/dispatcher/httptransport_test.go
@@ -51,7 +51,7 @@
 		return
 	}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { once.Do(func() { x.markSent() }) },
+		GotConn: func(httptrace.GotConnInfo) { once.Do(func() { x.markSent(time.Now()) }) },
 	})
 	req, err := http.NewRequestWithContext(ctx, out.method, "http://"+out.address+out.uri, bytes.NewReader(out.body))
 	if err != nil {
--- a/internal/dispatcher/nbiotransport_test.go
+++ b/internal/dispatcher/nbiotransport_test.go
@@ -58,7 +58,7 @@
 			return
 		}
 		conn.Session().(*nbhttp.Parser).Processor.(*nbioProcessor).begin(x)
-		if !x.setControl(control{stop: func() { _ = conn.Close() }}) || !x.markSent() {
+		if !x.setControl(control{stop: func() { _ = conn.Close() }}) || !x.markSent(time.Now()) {
 			_ = conn.Close()
 			return
 		}
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -53,6 +53,8 @@
 	planned time.Duration
 	inbox   chan any
 	done    chan struct{}
+	// backlog is the most events that waited in the inbox since that was last asked for.
+	backlog int
 	// unclaimed holds dispatches that no request took up.
 	unclaimed []messenger.Finish
 	// outgoing holds what the decisions so far have to say to other routers.
@@ -98,6 +100,7 @@
 			c.flush()
 			tick = c.plan()
 		case m := <-c.inbox:
+			c.backlog = max(c.backlog, len(c.inbox)+1)
 			c.take(m)
 			c.flush()
 			if c.planned > messenger.TickInterval && !c.idle() {
@@ -107,6 +110,13 @@
 	}
 }
 
+// takeBacklog returns the most events that waited in the inbox since the last call.
+func (c *control) takeBacklog() int {
+	n := c.backlog
+	c.backlog = 0
+	return n
+}
+
 // beat is how a tick came.
 type beat struct {
 	// planned is the time that it was to come after the one before, late how much later
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -27,6 +27,9 @@
 	// silencePerObjective is how many times the objective an upstream may take
 	// for a request that may be repeated.
 	silencePerObjective = 2
+	// longHeld is from which time on it is logged how long a request was held between the
+	// choice of its upstream and its writing.
+	longHeld = 250 * time.Millisecond
 	// streamClass and callClass name the series of requests.
 	streamClass messenger.ClassID = "stream"
 	callClass   messenger.ClassID = "call"
@@ -183,7 +186,7 @@
 	}
 	series.Total(result.Finished.Sub(arrived))
 	level := logrus.DebugLevel
-	if result.Problem != "" || result.Attempts > 1 || result.CallerGone {
+	if result.Problem != "" || result.Attempts > 1 || result.CallerGone || result.Held >= longHeld {
 		level = logrus.InfoLevel
 	}
 	if !h.log.IsLevelEnabled(level) {
@@ -193,7 +196,7 @@
 		eventField: "request", "request": out.WireID, "account": out.Arrive.Account, "pool": out.Arrive.Pool,
 		upstreamField: result.Upstream, "status": result.Status, "run": result.Run, "problem": result.Problem,
 		"attempts": result.Attempts, "callerGone": result.CallerGone, "version": h.version(),
-		"ms": result.Finished.Sub(arrived).Milliseconds(),
+		"ms": result.Finished.Sub(arrived).Milliseconds(), "heldMs": result.Held.Milliseconds(),
 	}).WithFields(groundsFields(result.Grounds)).Log(level, "request ended")
 }
 
--- a/internal/router/workload.go
+++ b/internal/router/workload.go
@@ -24,6 +24,9 @@
 	// beyondShare and late count those refused because their account had used up its
 	// share, and because they would have been late; otherwise counts the rest.
 	beyondShare, late, otherwise atomic.Int64
+	// held is the longest time, since the last line, for which a request was held between
+	// the choice of its upstream and its writing.
+	held atomic.Int64
 
 	// The control goroutine owns the rest: the time of the last line, and the
 	// connections taken in and the processor time used until then.
@@ -40,6 +43,7 @@
 
 // note counts a request that has ended.
 func (w *workload) note(result dispatcher.Result) {
+	w.noteHeld(result.Held)
 	switch {
 	case !result.Dispatched.IsZero():
 		w.sent.Add(1)
@@ -52,6 +56,15 @@
 	}
 }
 
+func (w *workload) noteHeld(held time.Duration) {
+	for {
+		longest := w.held.Load()
+		if int64(held) <= longest || w.held.CompareAndSwap(longest, int64(held)) {
+			return
+		}
+	}
+}
+
 // noteDecision counts a decision about a request.
 func (w *workload) noteDecision(took time.Duration) {
 	w.deciding += took
@@ -87,7 +100,8 @@
 		"callers": callers, "largestCaller": rounded(largest),
 		"lag": h.strain.lag, "wait": h.strain.wait,
 		"processorMs": (used - w.processor).Milliseconds(), "decidingMs": w.deciding.Milliseconds(), "decisions": w.decisions,
-		"weighed": h.admitter.Weighed() - w.weighed,
+		"weighed": h.admitter.Weighed() - w.weighed, "backlog": h.control.takeBacklog(),
+		"longestHeldMs": time.Duration(w.held.Swap(0)).Milliseconds(),
 	}
 	w.logged, w.taken, w.processor = now, h.callers.Taken(), used
 	w.deciding, w.decisions, w.weighed = 0, 0, h.admitter.Weighed()
--- a/internal/router/workload_test.go
+++ b/internal/router/workload_test.go
@@ -1,11 +1,13 @@
 package router
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"lentilwood.example/lentilwood/internal/dispatcher"
 	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
 func TestWorkloadCountsHowRequestsEnd(t *testing.T) {
@@ -21,3 +23,32 @@
 		}
 	}
 }
+
+// TestLongestHoldIsTold has requests wait for different times between the choice of their
+// upstream and their writing.
+func TestLongestHoldIsTold(t *testing.T) {
+	var w workload
+	for _, held := range []time.Duration{0, 30 * time.Millisecond, 20 * time.Millisecond} {
+		w.note(dispatcher.Result{Dispatched: time.Unix(1, 0), Held: held})
+	}
+	if got, want := time.Duration(w.held.Load()), 30*time.Millisecond; got != want {
+		t.Errorf("got %v for the longest hold, want %v", got, want)
+	}
+}
+
+// TestBacklogIsTheMostThatWaited has events come in while the control goroutine is busy.
+func TestBacklogIsTheMostThatWaited(t *testing.T) {
+	c := newControl(timekeeper.System{}, &fakeDecider{})
+	for range 5 {
+		c.submit(messenger.LoadReport{})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go c.run(ctx)
+	var got, then int
+	c.call(func() { got, then = c.takeBacklog(), c.takeBacklog() })
+	cancel()
+	<-c.done
+	if got < 5 || then != 0 {
+		t.Errorf("got a backlog of %d and then %d, want at least 5 and then none", got, then)
+	}
+}
