A request is not written to an upstream that left after it was chosen

Callers saw nothing: the request ran at an upstream that was to get nothing more (DRAIN). An upstream was looked up once, when its request was given to it. What followed asked no more: a connection that is dialed for up to 450 ms, a wait for the processor, and, without a bound on time, a kept connection that ends before an answer, after which the request was written once more to the same address. The same held for an upstream that serves another pool, or stands at another address, by then.

Ruled out as the way: late news.

Whether a request may still be written is asked in one place, right before each writing, where it was asked already whether its caller is still there.

--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -170,9 +170,9 @@
 		conn: conn, address: req.URL.Host,
 		wake: make(chan struct{}, 1), stopped: make(chan struct{}),
 	}
-	if out.unwanted != nil && out.unwanted() {
+	if err := out.reasonToWithhold(); err != nil {
 		_ = conn.Close()
-		return nil, errUnwanted
+		return nil, err
 	}
 	if !x.setControl(r.control()) || !x.markSent(t.pool.clock.Now()) {
 		_ = conn.Close()
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -11,7 +11,7 @@
 // Errors of an exchange.
 var (
 	errCanceled    = merry.Sentinel("exchange canceled")
-	errNoUpstream  = merry.Sentinel("upstream not known")
+	errNoUpstream  = merry.Sentinel("upstream not known, or not to be used any more")
 	errStrayAnswer = merry.Sentinel("upstream answered another request and closed")
 	errSwitched    = merry.Sentinel("upstream switched protocols")
 	errNoRecorder  = merry.Sentinel("no store for idempotency keys")
@@ -32,10 +32,18 @@
 	// answers, if set, reports by status and header whether an answer belongs to the
 	// request; others that come before it are skipped.
 	answers func(int, http.Header) bool
-	// unwanted, if set, reports whether nobody waits for the answer any more. It is
-	// asked right before the request is written, on another goroutine than that of
-	// the request.
-	unwanted func() bool
+	// withheld, if set, returns why the request is not to be written any more, or nil. It
+	// is asked right before each time that it is written, on another goroutine than that
+	// of the request.
+	withheld func() error
+}
+
+// reasonToWithhold returns why a request is not to be written any more, or nil.
+func (o *outgoing) reasonToWithhold() error {
+	if o.withheld == nil {
+		return nil
+	}
+	return o.withheld()
 }
 
 // transport carries exchanges to upstreams. Start does not block; what comes
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -221,10 +221,25 @@
 		address: policy.Address, method: f.req.Method, uri: f.req.URI,
 		header: f.requestHeader(at), body: f.req.Body,
 		fresh: f.retries > 0 || !f.req.Arrive.Idempotent && !f.d.traits.ReusesConnections,
-		once:  !f.req.Arrive.Idempotent, answers: f.answersTo(a.Upstream), unwanted: f.c.Left,
+		once:  !f.req.Arrive.Idempotent, answers: f.answersTo(a.Upstream), withheld: f.withheld(a.Upstream, policy),
 	})
 }
 
+// withheld returns what tells whether a request is still to be written: news of its upstream
+// may come while a connection is opened, or while the one that it was written to ends.
+func (f *flight) withheld(id messenger.UpstreamID, chosen messenger.UpstreamPolicy) func() error {
+	return func() error {
+		if f.c.Left() {
+			return errUnwanted
+		}
+		now, known := f.d.cfg.Upstreams.Upstream(id)
+		if !known || now.Address != chosen.Address || now.Pool != chosen.Pool {
+			return errNoUpstream
+		}
+		return nil
+	}
+}
+
 // start begins an exchange of an attempt.
 func (f *flight) start(at *attempt, out *outgoing) {
 	at.x = &exchange{ready: f.ready, limit: exchangeBytes}
