A drop that one router doubts counts once another one is sure of it

A router that could not ask the store for two seconds doubts what it then finds dropped, and believes in it for 2.2 s more, as the store may have lost it while it was away. If a router that followed the store all the while told it the same drop, that was taken for known, as its version is no newer: the doubt went on. With two seconds or more in which its own calls failed this passes the two to four seconds that the platform allows; calls fail also at a VM without processor time, and where the store turns one router away.

The same drop without doubt, in rows or as what a whole table lacks, ends the doubt.

Both tests failed before: the upstream in use, the version held back.

--- a/internal/follower/difference.go
+++ b/internal/follower/difference.go
@@ -9,7 +9,7 @@
 	}
 	b := Batch{Table: t, Since: version, Version: f.Version(t)}
 	for _, e := range f.rows[t] {
-		if e.row.Version > version && e.goneAt.IsZero() {
+		if e.row.Version > version && !e.doubted() {
 			b.Rows = append(b.Rows, e.row)
 		}
 	}
@@ -22,7 +22,7 @@
 	b := Batch{Table: t, Whole: true, Version: f.Version(t)}
 	for _, e := range f.rows[t] {
 		row := e.row
-		if !e.goneAt.IsZero() {
+		if e.doubted() {
 			row = e.before
 		}
 		switch {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -159,7 +159,7 @@
 		return version
 	}
 	for _, e := range f.rows[t] {
-		if !e.goneAt.IsZero() {
+		if e.doubted() {
 			version = min(version, e.row.Version-1)
 		}
 	}
@@ -205,7 +205,7 @@
 func (f *Follower) dropMissing(now time.Time, b Batch, seen map[string]bool) bool {
 	changed := false
 	for key, e := range f.rows[b.Table] {
-		if seen[key] || e.row.Deleted || e.row.Version > b.Version {
+		if seen[key] || e.row.Version > b.Version || e.row.Deleted && (b.CatchUp || !e.doubted()) {
 			continue
 		}
 		row := Row{Table: b.Table, Key: key, Version: b.Version, Deleted: true}
@@ -217,7 +217,7 @@
 func (f *Follower) mergeRow(now time.Time, known map[string]*entry, row Row, catchUp bool) bool {
 	e, ok := known[row.Key]
 	if ok && e.row.Version >= row.Version {
-		return false
+		return !catchUp && e.confirmDrop(row)
 	}
 	if !ok && row.Version <= f.wholeAt[row.Table] {
 		return false
@@ -242,6 +242,19 @@
 	return true
 }
 
+// doubted reports whether a row was dropped and is still believed.
+func (e *entry) doubted() bool { return !e.goneAt.IsZero() }
+
+// confirmDrop ends the doubt about the drop of a row that was told once more, by a router
+// that does not doubt it. It reports whether there was one.
+func (e *entry) confirmDrop(row Row) bool {
+	if !e.doubted() || !row.Deleted || row.Version != e.row.Version {
+		return false
+	}
+	e.goneAt = time.Time{}
+	return true
+}
+
 // previous returns the row that an entry stands for, or an empty one.
 func previous(e *entry) Row {
 	switch {
@@ -301,7 +314,7 @@
 	f.expires = false
 	for _, e := range f.rows[RegistrationTable] {
 		switch {
-		case e.goneAt.IsZero():
+		case !e.doubted():
 		case now.Before(e.goneAt):
 			f.expires = true
 		default:
@@ -326,7 +339,7 @@
 	}
 	for key, e := range f.rows[RegistrationTable] {
 		u := e.upstream
-		if e.row.Deleted && !e.goneAt.IsZero() {
+		if e.doubted() {
 			u = e.last
 		} else if !e.readable {
 			continue
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -146,3 +146,32 @@
 		t.Error("the same rows again changed something")
 	}
 }
+
+// TestDoubtedDropThatAnotherRouterIsSureOfCountsAtOnce has a router doubt that an upstream
+// is gone, as it could not ask the store for a while, and another one tell it that it is.
+func TestDoubtedDropThatAnotherRouterIsSureOfCountsAtOnce(t *testing.T) {
+	f, sure := configured(t), configured(t)
+	drop := Row{Key: "u1", Deleted: true, Version: 12}
+	f.Merge(epoch, Batch{Table: RegistrationTable, Rows: []Row{drop}, Since: 9, Version: 12, CatchUp: true})
+	sure.Merge(epoch, Batch{Table: RegistrationTable, Rows: []Row{drop}, Since: 9, Version: 12})
+	if !f.Merge(epoch, sure.Since(RegistrationTable, f.Version(RegistrationTable))) {
+		t.Error("got no change by a drop that is doubted no more")
+	}
+	if _, ok := f.Snapshot().Policy.Upstreams["u1"]; ok {
+		t.Error("an upstream is in use that another router is sure has left")
+	}
+	if got, want := f.Version(RegistrationTable), uint64(12); got != want {
+		t.Errorf("got version %d, want %d: nothing is doubted any more", got, want)
+	}
+}
+
+// TestDoubtedDropInAWholeTableOfAnotherRouterCountsAtOnce has the same said by a table in
+// which the upstream is missing.
+func TestDoubtedDropInAWholeTableOfAnotherRouterCountsAtOnce(t *testing.T) {
+	f := configured(t)
+	f.Merge(epoch, Batch{Table: RegistrationTable, Rows: []Row{{Key: "u1", Deleted: true, Version: 12}}, Since: 9, Version: 12, CatchUp: true})
+	f.Merge(epoch, Batch{Table: RegistrationTable, Kept: []string{"u2"}, Whole: true, Version: 13})
+	if _, ok := f.Snapshot().Policy.Upstreams["u1"]; ok {
+		t.Error("an upstream is in use that is missing in the whole table of another router")
+	}
+}
