A row that can't be read names no upstream after its drop either

A row that can't be read names no upstream.

What is doubted is the drop of what was believed, so nothing else comes back by it. The test failed before. Otherwise a known upstream whose row can't be read any more is out of use at once (TestUnreadableRegistrationNamesNoUpstream, which passed before).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -231,7 +231,7 @@
 		return f.configure(row)
 	}
 	if row.Deleted {
-		if catchUp {
+		if catchUp && e.believed() {
 			fresh.goneAt = now.Add(returnTime)
 			fresh.before = previous(e)
 			f.expires = true
@@ -242,6 +242,9 @@
 	return true
 }
 
+// believed reports whether an entry, which may be nil, names an upstream.
+func (e *entry) believed() bool { return e != nil && (e.readable || e.doubted()) }
+
 // doubted reports whether a row was dropped and is still believed.
 func (e *entry) doubted() bool { return !e.goneAt.IsZero() }
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -175,3 +175,14 @@
 		t.Error("an upstream is in use that is missing in the whole table of another router")
 	}
 }
+
+// TestUnreadableRowIsNoUpstreamAfterItsDropEither has a row that can't be read follow a
+// sound one, and be dropped while the store is away.
+func TestUnreadableRowIsNoUpstreamAfterItsDropEither(t *testing.T) {
+	f := configured(t)
+	f.Merge(epoch, Batch{Table: RegistrationTable, Rows: []Row{{Key: "u1", Value: []byte("?"), Version: 12}}, Since: 9, Version: 12})
+	f.Merge(epoch, Batch{Table: RegistrationTable, Rows: []Row{{Key: "u1", Deleted: true, Version: 13}}, Since: 12, Version: 13, CatchUp: true})
+	if _, ok := f.Snapshot().Policy.Upstreams["u1"]; ok {
+		t.Error("an upstream is in use again after the drop of a row that named none")
+	}
+}
