A pause that an upstream asks for holds for what was decided before it

An upstream that answers 503 with Retry-After wants nothing for that long.

A pause is noted by the goroutine that reads the answer, for the process that is registered then, and Upstream, which is asked right before a request is written, knows it. What is not written for that reason is no failure of its upstream.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -69,6 +69,10 @@
 // tokens returns what the upstream produced, as far as it is known.
 func (at *attempt) tokens() float64 { return max(at.counted, at.reported) }
 
+// withheld reports whether the attempt ended because its upstream was not to be used: that is
+// no failure of the upstream.
+func (at *attempt) withheld() bool { return errors.Is(at.x.failure(), errNoUpstream) }
+
 // progressed notes a sign of life.
 func (at *attempt) progressed(now time.Time, timeout time.Duration) {
 	at.last, at.deadline = now, now.Add(timeout)
@@ -262,7 +266,7 @@
 		f.scheduleRetry(at)
 		return
 	}
-	f.finish(at.upstream, at.tokens(), true, false)
+	f.finish(at.upstream, at.tokens(), !at.withheld(), false)
 	if len(f.attempts) == 0 {
 		f.fail(problem)
 	}
@@ -300,7 +304,7 @@
 	}
 	at := f.retry
 	f.retry = nil
-	f.finish(at.upstream, at.tokens(), true, true)
+	f.finish(at.upstream, at.tokens(), !at.withheld(), true)
 }
 
 // drop ends an attempt whose answer is not wanted and frees its slot.
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -329,7 +329,7 @@
 // another runs or none is wanted.
 func (f *flight) dropRetry() {
 	if f.retry != nil {
-		f.finish(f.retry.upstream, f.retry.tokens(), true, false)
+		f.finish(f.retry.upstream, f.retry.tokens(), !f.retry.withheld(), false)
 		f.retry = nil
 	}
 }
--- a/internal/dispatcher/withdrawn_test.go
+++ b/internal/dispatcher/withdrawn_test.go
@@ -55,6 +55,9 @@
 	if got, want := c.text(), "other"; got != want || res.Upstream != "b" {
 		t.Errorf("got answer %q of %q, want %q of the other upstream", got, res.Upstream, want)
 	}
+	if first := q.finishes()[0]; first.Failed || !first.Retry {
+		t.Errorf("got %+v for the first attempt, want no failure and another try", first)
+	}
 }
 
 // TestEndOfAKeptConnectionBringsNothingToALeavingUpstream has an upstream leave while it
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -123,6 +123,8 @@
 	// refusedUnread counts the connections and requests that the listeners
 	// refused since that was logged.
 	refusedUnread atomic.Int64
+	// pauses are the upstreams that want nothing for a while.
+	pauses pauses
 	// workload counts what the router spends its processor time on.
 	workload workload
 	// lagging is true if others follow the store for this router, collecting if it
@@ -209,16 +211,35 @@
 		Budget:         relayer.NewBudget(int64(cfg.Settings.Memory) << 20 / budgetShare),
 		ConnectTimeout: connectTimeout, IdleTimeout: upstreamIdle,
 		MaxAttempts: resends, Retries: h.budget, Dialect: h.cfg.Dialect,
-		Loads: func(report messenger.LoadReport) { h.control.submit(report) },
-		Notices: func(id messenger.UpstreamID, n dispatcher.Notice) {
-			h.control.post(func() { h.notice(id, n) })
-		},
+		Loads:   func(report messenger.LoadReport) { h.control.submit(report) },
+		Notices: h.notice,
 	})
 	return h
 }
 
-// notice takes in what an upstream said of its wishes. It runs on the control goroutine.
+// notice takes in what an upstream said of its wishes. A pause holds at once, also for
+// requests that the upstream was chosen for before.
 func (h *Hosted) notice(id messenger.UpstreamID, n dispatcher.Notice) {
+	if n.Pause > 0 {
+		h.notePause(id, n.Pause)
+	}
+	h.control.post(func() { h.decideByNotice(id, n) })
+}
+
+// notePause notes that the process of an upstream that is registered now wants nothing.
+func (h *Hosted) notePause(id messenger.UpstreamID, d time.Duration) {
+	s := h.snapshot.Load()
+	if s == nil {
+		return
+	}
+	if u, ok := s.Policy.Upstreams[id]; ok {
+		h.pauses.note(id, u.Started, h.clock.Now().Add(d))
+	}
+}
+
+// decideByNotice takes in what an upstream said of its wishes for later decisions. It runs on
+// the control goroutine.
+func (h *Hosted) decideByNotice(id messenger.UpstreamID, n dispatcher.Notice) {
 	if n.Pause > 0 {
 		h.log.WithFields(logrus.Fields{eventField: "pause", upstreamField: id, "ms": n.Pause.Milliseconds()}).Info("upstream wants nothing for a while")
 		h.control.handle(messenger.Pause{Upstream: id, For: n.Pause})
@@ -324,14 +345,14 @@
 	return true, ""
 }
 
-// Upstream returns the settings of an upstream.
+// Upstream returns the settings of an upstream, and whether it may be used.
 func (h *Hosted) Upstream(id messenger.UpstreamID) (messenger.UpstreamPolicy, bool) {
 	s := h.snapshot.Load()
 	if s == nil {
 		return messenger.UpstreamPolicy{}, false
 	}
 	u, ok := s.Policy.Upstreams[id]
-	return u, ok && !u.Leaving
+	return u, ok && !u.Leaving && !h.pauses.holds(id, u.Started, h.clock.Now())
 }
 
 // tick runs on the control goroutine at every tick.
