--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -10,7 +11,7 @@
 // Errors of an exchange.
 var (
 	errCanceled    = merry.Sentinel("exchange canceled")
-	errNoUpstream  = merry.Sentinel("upstream not known")
+	errNoUpstream  = merry.Sentinel("upstream not known, or not to be used any more")
 	errStrayAnswer = merry.Sentinel("upstream answered another request and closed")
 	errSwitched    = merry.Sentinel("upstream switched protocols")
 	errNoRecorder  = merry.Sentinel("no store for idempotency keys")
@@ -31,10 +32,18 @@
 	// answers, if set, reports by status and header whether an answer belongs to the
 	// request; others that come before it are skipped.
 	answers func(int, http.Header) bool
-	// unwanted, if set, reports whether nobody waits for the answer any more. It is
-	// asked right before the request is written, on another goroutine than that of
-	// the request.
-	unwanted func() bool
+	// withheld, if set, returns why the request is not to be written any more, or nil. It
+	// is asked right before each time that it is written, on another goroutine than that
+	// of the request.
+	withheld func() error
+}
+
+// reasonToWithhold returns why a request is not to be written any more, or nil.
+func (o *outgoing) reasonToWithhold() error {
+	if o.withheld == nil {
+		return nil
+	}
+	return o.withheld()
 }
 
 // transport carries exchanges to upstreams. Start does not block; what comes
@@ -54,15 +63,17 @@
 	// limit is the most body bytes to hold before the transport pauses.
 	limit int
 
-	mu       sync.Mutex
-	sent     bool
-	canceled bool
-	done     bool
-	err      error
-	status   int
-	header   http.Header
-	body     []byte
-	paused   bool
+	mu   sync.Mutex
+	sent bool
+	// writtenAt is when the request was last begun to be written.
+	writtenAt time.Time
+	canceled  bool
+	done      bool
+	err       error
+	status    int
+	header    http.Header
+	body      []byte
+	paused    bool
 	// suspect is true if another connection to the same upstream was found
 	// dead.
 	suspect bool
@@ -82,6 +93,7 @@
 // progress is what an exchange brought since the last look.
 type progress struct {
 	sent, done, suspect, unframed bool
+	writtenAt                     time.Time
 	err                           error
 	status                        int
 	header                        http.Header
@@ -92,7 +104,7 @@
 // the last call. With room false the body stays where it is.
 func (x *exchange) take(room bool) progress {
 	x.mu.Lock()
-	p := progress{sent: x.sent, status: x.status, header: x.header, err: x.err, suspect: x.suspect, unframed: x.unframed}
+	p := progress{sent: x.sent, writtenAt: x.writtenAt, status: x.status, header: x.header, err: x.err, suspect: x.suspect, unframed: x.unframed}
 	x.suspect = false
 	var resume func()
 	if room {
@@ -112,13 +124,13 @@
 
 // markSent notes that bytes of the request may leave from now on. It returns
 // false if the exchange was canceled, and then none may.
-func (x *exchange) markSent() bool {
+func (x *exchange) markSent(now time.Time) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.canceled {
 		return false
 	}
-	x.sent = true
+	x.sent, x.writtenAt = true, now
 	return true
 }
 
