A refusal counts only for the request that it names

What callers saw: a faulty upstream wrote an earlier refusal once more on a kept connection, without an id. A request that this upstream ran was answered 503 "not run", or was sent to a second upstream, which ran it too; the pause and the load that the old refusal told of were believed as well.

Cause: `head` asked what an answer says before it asked whose it is, and an answer without an id passed for anybody's.

Ruled out: refusals with another request's id were skipped already, and refusals that wait on an idle connection before the request is written (a test for each).

Change: an answer belongs to the request that it names. One without an id is skipped where other answers may be due, that is on a kept connection; on a new one a refusal without an id is believed, any other answer is not. Requests without an id go over new connections. Load and pause are learnt from the request's own answer only; that an upstream leaves holds from any.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -130,18 +130,17 @@
 
 // head checks the head of an answer. It returns false if the attempt ended.
 func (f *flight) head(at *attempt, p progress) bool {
+	if !f.mine(p) {
+		f.strayed(at.upstream, p.status, p.header)
+		f.attemptFailed(at, ProblemWrongAnswer, false)
+		return false
+	}
 	f.learnLoad(at, p.header)
 	f.d.notify(at.upstream, f.d.dialect.Notice(p.status, p.header))
 	if f.d.dialect.Declined(p.status, p.header) {
 		f.declined(at)
 		return false
 	}
-	if f.d.dialect.AnswersTo(p.header) != f.req.WireID {
-		f.d.counters.WrongAnswers.Add(1)
-		f.log("wrongAnswer").WithField("upstream", at.upstream).Warn("answer to another request")
-		f.attemptFailed(at, ProblemWrongAnswer, false)
-		return false
-	}
 	at.status, at.header = p.status, p.header
 	at.progressed(f.now(), f.progressTimeout())
 	f.dropProbe(at)
--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -179,6 +179,7 @@
 		return nil, errCanceled
 	}
 	conn.limit.N = maxHeadBytes
+	x.noteKept(conn.reused)
 	resp, err := roundTrip(conn, req, out.answers) //nolint:bodyclose // the connection itself is closed or kept
 	if err != nil {
 		_ = conn.Close()
@@ -226,7 +227,7 @@
 }
 
 // roundTrip writes a request and reads the head of its answer.
-func roundTrip(conn *upstreamConn, req *http.Request, answers func(int, http.Header) bool) (*http.Response, error) {
+func roundTrip(conn *upstreamConn, req *http.Request, answers func(int, http.Header, bool) bool) (*http.Response, error) {
 	var head bytes.Buffer
 	if err := req.Write(&head); err != nil {
 		return nil, err
@@ -245,7 +246,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if answers == nil || answers(resp.StatusCode, resp.Header) {
+		if answers == nil || answers(resp.StatusCode, resp.Header, conn.reused) {
 			return resp, nil
 		}
 		if err := skipAnswer(resp); err != nil {
--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -5,7 +5,7 @@
 // Counters are what a Dispatcher counts since its start. They are safe for
 // concurrent use.
 type Counters struct {
-	// WrongAnswers counts answers with another request's id.
+	// WrongAnswers counts answers that belong to another request, or to none.
 	WrongAnswers atomic.Uint64
 	// Retries counts attempts after the first; RetriesDenied those that the
 	// retry budget did not allow.
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -29,8 +29,9 @@
 	// connection turns out to be dead.
 	once bool
 	// answers, if set, reports by status and header whether an answer belongs to the
-	// request; others that come before it are skipped.
-	answers func(int, http.Header) bool
+	// request; others that come before it are skipped. Kept is true if the connection
+	// carried other requests before.
+	answers func(status int, h http.Header, kept bool) bool
 	// unwanted, if set, reports whether nobody waits for the answer any more. It is
 	// asked right before the request is written, on another goroutine than that of
 	// the request.
@@ -68,7 +69,9 @@
 	suspect bool
 	// unframed is true if only the end of the connection ends the body.
 	unframed bool
-	control  control
+	// kept is true if the connection carried other requests before.
+	kept    bool
+	control control
 }
 
 // control is how an exchange steers the transport's work; each may be nil.
@@ -81,18 +84,21 @@
 
 // progress is what an exchange brought since the last look.
 type progress struct {
-	sent, done, suspect, unframed bool
-	err                           error
-	status                        int
-	header                        http.Header
-	body                          []byte
+	sent, done, suspect, unframed, kept bool
+	err                                 error
+	status                              int
+	header                              http.Header
+	body                                []byte
 }
 
 // take returns the state of the exchange and the body bytes that came since
 // the last call. With room false the body stays where it is.
 func (x *exchange) take(room bool) progress {
 	x.mu.Lock()
-	p := progress{sent: x.sent, status: x.status, header: x.header, err: x.err, suspect: x.suspect, unframed: x.unframed}
+	p := progress{
+		sent: x.sent, status: x.status, header: x.header, err: x.err,
+		suspect: x.suspect, unframed: x.unframed, kept: x.kept,
+	}
 	x.suspect = false
 	var resume func()
 	if room {
@@ -147,6 +153,13 @@
 	}
 }
 
+// noteKept notes whether the connection carried other requests before.
+func (x *exchange) noteKept(kept bool) {
+	x.mu.Lock()
+	x.kept = kept
+	x.mu.Unlock()
+}
+
 // setHead notes the status line and header of the answer, and whether only the
 // end of the connection will end its body.
 func (x *exchange) setHead(status int, header http.Header, unframed bool) {
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -220,11 +220,17 @@
 	f.start(at, &outgoing{
 		address: policy.Address, method: f.req.Method, uri: f.req.URI,
 		header: f.requestHeader(at), body: f.req.Body,
-		fresh: f.retries > 0 || !f.req.Arrive.Idempotent && !f.d.traits.ReusesConnections,
+		fresh: f.needsNewConnection(),
 		once:  !f.req.Arrive.Idempotent, answers: f.answersTo(a.Upstream), unwanted: f.c.Left,
 	})
 }
 
+// needsNewConnection reports whether the request may not go over a kept connection. If
+// it has no id, only its connection tells its answer from others.
+func (f *flight) needsNewConnection() bool {
+	return f.retries > 0 || f.req.WireID == "" || !f.req.Arrive.Idempotent && !f.d.traits.ReusesConnections
+}
+
 // start begins an exchange of an attempt.
 func (f *flight) start(at *attempt, out *outgoing) {
 	at.x = &exchange{ready: f.ready, limit: exchangeBytes}
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/sirupsen/logrus"
+
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/tracker"
 )
@@ -42,22 +44,39 @@
 }
 
 // answersTo returns what tells the request's answers from others, or nil if
-// the dialect has no use for it. An answer to another request may come late, but that
-// its upstream leaves holds all the same.
-func (f *flight) answersTo(upstream messenger.UpstreamID) func(int, http.Header) bool {
+// the dialect has no use for it. One without an id is another's too if others may be due
+// on its connection.
+func (f *flight) answersTo(upstream messenger.UpstreamID) func(int, http.Header, bool) bool {
 	if !f.d.traits.ReusesConnections {
 		return nil
 	}
-	return func(status int, h http.Header) bool {
+	return func(status int, h http.Header, kept bool) bool {
 		id := f.d.dialect.AnswersTo(h)
-		if id == "" || id == f.req.WireID {
+		if id == f.req.WireID || id == "" && !kept {
 			return true
 		}
-		f.d.notify(upstream, Notice{Leaving: f.d.dialect.Notice(status, h).Leaving})
+		f.strayed(upstream, status, h)
 		return false
 	}
 }
 
+// strayed notes an answer to another request. That its upstream leaves holds all the
+// same; what else it says may be long past.
+func (f *flight) strayed(upstream messenger.UpstreamID, status int, h http.Header) {
+	f.d.counters.WrongAnswers.Add(1)
+	f.log("wrongAnswer").WithFields(logrus.Fields{
+		"upstream": upstream, "status": status, "answersTo": f.d.dialect.AnswersTo(h),
+	}).Warn("answer to another request")
+	f.d.notify(upstream, Notice{Leaving: f.d.dialect.Notice(status, h).Leaving})
+}
+
+// mine reports whether the head of an answer belongs to the request: by its id, or, for a
+// refusal without one, as the first answer on a connection on which nothing else was due.
+func (f *flight) mine(p progress) bool {
+	id := f.d.dialect.AnswersTo(p.header)
+	return id == f.req.WireID || id == "" && !p.kept && f.d.dialect.Declined(p.status, p.header)
+}
+
 // notify passes on what an answer says of its upstream's wishes, if it says anything.
 func (d *Dispatcher) notify(upstream messenger.UpstreamID, n Notice) {
 	if d.cfg.Notices != nil && n != (Notice{}) {
