A connection that speaks before it is asked gets no request

What callers saw: an upstream that writes a refusal as soon as a connection is open has the request told "not run" though it then reads and runs it, or has it run at a second upstream too.

Cause: only connections from the pool were looked at before a request was written; on a new one the first answer was taken for the request's.

Change: a new connection is looked at too. If something came in, or its end, nothing is written and the attempt counts as not sent, which it was not; so a connection that an upstream resets at once costs no unknown outcome either.

Before: TestRefusalBeforeTheRequestIsNoAnswer had the request run at both upstreams.

--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -164,7 +164,8 @@
 }
 
 // exchange sends req over conn and reads the head of the answer. A connection
-// that fails is closed.
+// that fails is closed; one on which something came in before gets no request, since that
+// answers none.
 func (t *connTransport) exchange(x *exchange, conn *upstreamConn, req *http.Request, out *outgoing) (*bodyReader, error) {
 	r := &bodyReader{
 		conn: conn, address: req.URL.Host,
@@ -174,6 +175,10 @@
 		_ = conn.Close()
 		return nil, errUnwanted
 	}
+	if !conn.reused && !quiet(conn) {
+		_ = conn.Close()
+		return nil, errUnasked
+	}
 	if !x.setControl(r.control()) || !x.markSent() {
 		_ = conn.Close()
 		return nil, errCanceled
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -12,6 +12,7 @@
 	errCanceled    = merry.Sentinel("exchange canceled")
 	errNoUpstream  = merry.Sentinel("upstream not known")
 	errStrayAnswer = merry.Sentinel("upstream answered another request and closed")
+	errUnasked     = merry.Sentinel("upstream closed or answered before it was asked")
 	errSwitched    = merry.Sentinel("upstream switched protocols")
 	errNoRecorder  = merry.Sentinel("no store for idempotency keys")
 	errUnwanted    = merry.Sentinel("caller left before the request was written")
--- a/internal/dispatcher/refusal_test.go
+++ b/internal/dispatcher/refusal_test.go
@@ -148,6 +148,52 @@
 	}
 }
 
+// TestRefusalBeforeTheRequestIsNoAnswer has an upstream refuse each new connection, without
+// an id, before anything was written to it, and serve on a later one.
+func TestRefusalBeforeTheRequestIsNoAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var ran atomic.Int64
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				_, _ = io.WriteString(conn, refusal("503 Service Unavailable", ""))
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					ran.Add(1)
+				}
+			}()
+		}
+	}()
+	var asked atomic.Int64
+	works := serveInTurn(t, &asked, own)
+	d := newTestDispatcher(t, Config{
+		Dialect: resendDialect{}, Upstreams: fixedUpstreams{"a": {Address: l.Addr().String()}, "b": {Address: works}},
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			for range strayWaits {
+				if err != nil || address == works || !quiet(newUpstreamConn(conn)) {
+					break
+				}
+				time.Sleep(strayPause)
+			}
+			return conn, err
+		},
+	})
+	res := d.Serve(context.Background(), reservation(), newFakeQueue("a", "b"), newFakeCaller())
+	if res.Status != http.StatusOK || ran.Load() != 0 || asked.Load() != 1 {
+		t.Errorf("got status %d, %d and %d runs, want one, at the upstream that waited for the request", res.Status, ran.Load(), asked.Load())
+	}
+}
+
 // awaitBytes waits until something has come in on an idle connection.
 func awaitBytes(t *testing.T, tr *connTransport, address string) {
 	t.Helper()
