An error's text is no part of a stream

What callers saw: a stream had begun and broke off; the next upstream answered with a stream that held an error in place of the rest. Callers found the text of the error in the middle of their stream, or its whole head where another answer came behind events without a length, and the stream ended as if it were complete.

Cause: what had no event number was relayed as it came. Only numbers were checked, so text between blank lines passed for an event.

Ruled out, each through a whole router and real sockets, with first answers in chunks, with a length and without one, cut, reset or broken inside an event: 500, 503 with and without "not run", 421, 504, 404, 204, 200 of another type, heads cut in two, answers to other requests, gaps, repeated events, a second break. Of those the caller saw nothing but a cut.

Change: once a stream has numbers, what has none breaks it, other than comments and the time after which to come back. A stream that may be resumed goes on elsewhere; any other is cut.

--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -162,7 +162,8 @@
 
 // takeFramed returns the bytes of the whole events that p completes, without
 // those that the caller has, and the number of those that bring something new. It
-// returns false if an event is missing before one of them.
+// returns false if an event is missing before one of them, or if what follows numbered
+// events has no number: text of another kind is no part of the stream.
 func (s *streamAnswer) takeFramed(p []byte) (out []byte, count int, ok bool) {
 	s.split.rest = append(s.split.rest, p...)
 	rest := s.split.rest
@@ -172,6 +173,9 @@
 			break
 		}
 		id, has := eventID(rest[:n])
+		if !has && s.numbered && !aside(rest[:n]) {
+			return out, count, false
+		}
 		keep := !has || !s.numbered || id > s.lastID
 		if has && s.numbered && id > s.lastID+1 {
 			return out, count, false
@@ -191,6 +195,21 @@
 	return out, count, len(rest) <= maxEventBytes
 }
 
+// aside reports whether an event says nothing of the stream: it is made up of comments
+// and of the time after which to come back.
+func aside(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, retryField) {
+			return false
+		}
+	}
+	return true
+}
+
+// retryField begins a line with the time after which a caller is to come back.
+var retryField = []byte("retry:")
+
 // dataField begins a line with the content of an event.
 var dataField = []byte("data:")
 
