--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -164,7 +164,8 @@
 }
 
 // exchange sends req over conn and reads the head of the answer. A connection
-// that fails is closed.
+// that fails is closed; one on which something came in before gets no request, since that
+// answers none.
 func (t *connTransport) exchange(x *exchange, conn *upstreamConn, req *http.Request, out *outgoing) (*bodyReader, error) {
 	r := &bodyReader{
 		conn: conn, address: req.URL.Host,
@@ -174,11 +175,16 @@
 		_ = conn.Close()
 		return nil, err
 	}
+	if !conn.reused && !quiet(conn) {
+		_ = conn.Close()
+		return nil, errUnasked
+	}
 	if !x.setControl(r.control()) || !x.markSent(t.pool.clock.Now()) {
 		_ = conn.Close()
 		return nil, errCanceled
 	}
 	conn.limit.N = maxHeadBytes
+	x.noteKept(conn.reused)
 	resp, err := roundTrip(conn, req, out.answers) //nolint:bodyclose // the connection itself is closed or kept
 	if err != nil {
 		_ = conn.Close()
@@ -226,7 +232,7 @@
 }
 
 // roundTrip writes a request and reads the head of its answer.
-func roundTrip(conn *upstreamConn, req *http.Request, answers func(int, http.Header) bool) (*http.Response, error) {
+func roundTrip(conn *upstreamConn, req *http.Request, answers func(int, http.Header, bool) bool) (*http.Response, error) {
 	var head bytes.Buffer
 	if err := req.Write(&head); err != nil {
 		return nil, err
@@ -245,7 +251,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if answers == nil || answers(resp.StatusCode, resp.Header) {
+		if answers == nil || answers(resp.StatusCode, resp.Header, conn.reused) {
 			return resp, nil
 		}
 		if err := skipAnswer(resp); err != nil {
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -221,11 +221,17 @@
 	f.start(at, &outgoing{
 		address: policy.Address, method: f.req.Method, uri: f.req.URI,
 		header: f.requestHeader(at), body: f.req.Body,
-		fresh: f.retries > 0 || !f.req.Arrive.Idempotent && !f.d.traits.ReusesConnections,
+		fresh: f.needsNewConnection(),
 		once:  !f.req.Arrive.Idempotent, answers: f.answersTo(a.Upstream), withheld: f.withheld(a.Upstream, policy),
 	})
 }
 
+// needsNewConnection reports whether the request may not go over a kept connection. If
+// it has no id, only its connection tells its answer from others.
+func (f *flight) needsNewConnection() bool {
+	return f.retries > 0 || f.req.WireID == "" || !f.req.Arrive.Idempotent && !f.d.traits.ReusesConnections
+}
+
 // withheld returns what tells whether a request is still to be written: news of its upstream
 // may come while a connection is opened, or while the one that it was written to ends.
 func (f *flight) withheld(id messenger.UpstreamID, chosen messenger.UpstreamPolicy) func() error {
