Failing tests: a silent upstream is given up though nothing else can go on

What callers see: a stream is cut in its middle, or its request is answered 504, while the upstream is at work and only says nothing for 0.8 s.

--- /dev/null
+++ b/internal/dispatcher/relocate_test.go
@@ -0,0 +1,85 @@
+//go:build red
+
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// noRetries is a budget of second sends that is used up.
+type noRetries struct{}
+
+func (noRetries) Earn(messenger.PoolID) {}
+
+func (noRetries) Spend(messenger.PoolID) bool { return false }
+
+// quietFor is how long the upstreams of these tests are silent, several times the time
+// after which quietStream has them count as silent.
+const quietFor = 150 * time.Millisecond
+
+// quietStream is a stream that may go on elsewhere.
+func quietStream() *Request {
+	req := stream()
+	req.Class.ProgressTimeout = quietFor / 5
+	return req
+}
+
+// quietInTheMiddle answers with a stream that is silent for a while in its middle.
+func quietInTheMiddle(t *testing.T) string {
+	return serve(t, func(w http.ResponseWriter, r *http.Request) {
+		beginStream(w, r)
+		writeEvent(w, numbered(1, 3))
+		time.Sleep(quietFor)
+		writeEvent(w, numbered(4, 6))
+	})
+}
+
+// TestSilentUpstreamGoesOnWhileNothingElseCan has an upstream be silent in the middle of a
+// stream that no other upstream may or can go on with.
+func TestSilentUpstreamGoesOnWhileNothingElseCan(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		retries Retries
+		turns   []messenger.UpstreamID
+	}{
+		{"no second send is left", noRetries{}, []messenger.UpstreamID{"a", "b"}},
+		{"no other upstream has room", nil, []messenger.UpstreamID{"a"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ran := make(chan struct{}, 1)
+			other := serve(t, func(http.ResponseWriter, *http.Request) { ran <- struct{}{} })
+			d := newTestDispatcher(t, Config{
+				Dialect: resendDialect{}, Retries: tc.retries,
+				Upstreams: fixedUpstreams{"a": {Address: quietInTheMiddle(t)}, "b": {Address: other}},
+			})
+			q, c := newFakeQueue(tc.turns...), newFakeCaller()
+			res := d.Serve(context.Background(), quietStream(), q, c)
+			if got, want := c.text(), numbered(1, 6); got != want || res.Aborted {
+				t.Errorf("answer = %q, aborted %v, want %q whole", got, res.Aborted, want)
+			}
+			if len(ran) != 0 || len(q.finishes()) != 1 {
+				t.Errorf("got %d requests elsewhere, %d slots back, want none and one", len(ran), len(q.finishes()))
+			}
+		})
+	}
+}
+
+// TestSilentUpstreamIsAnsweredForBeforeItsHead is the same before the answer has begun.
+func TestSilentUpstreamIsAnsweredForBeforeItsHead(t *testing.T) {
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(quietFor)
+		beginStream(w, r)
+		writeEvent(w, numbered(1, 2))
+	})
+	d := newTestDispatcher(t, Config{Dialect: resendDialect{}, Retries: noRetries{}, Upstreams: fixedUpstreams{"a": {Address: addr}}})
+	q, c := newFakeQueue("a"), newFakeCaller()
+	res := d.Serve(context.Background(), quietStream(), q, c)
+	if got, want := c.text(), numbered(1, 2); res.Status != http.StatusOK || got != want {
+		t.Errorf("answer = %d %q, want 200 %q", res.Status, got, want)
+	}
+}
