A silent upstream keeps its request until another one goes on with it

Callers saw streams cut in their middle, and requests answered 504, while the upstream was at work and only said nothing for the time that its route allows. Class: giving up what is promised before what replaces it is had.

The dispatcher now tells the admitter of the silence (messenger.Silent) and leaves the attempt open; a Dispatch that names it in Instead ends it as the new one begins, and frees its slot. Without a second send, or a usable upstream, the request stays where it runs and asks again after the next silent period. A silence counts once against its upstream, as before. A stream that no other upstream may go on with (delivered, not resumable) is not ended by silence either.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -110,6 +110,8 @@
 	clear bool
 	// late is true once the first output has taken longer than the objective.
 	late bool
+	// silent is true once the upstream was silent for as long as the route allows.
+	silent bool
 }
 
 // New returns an Admitter without a policy.
@@ -136,6 +138,8 @@
 		a.progress(e)
 	case messenger.Finish:
 		a.finish(e)
+	case messenger.Silent:
+		a.silent(e)
 	case messenger.Abandon:
 		a.abandon(e)
 	case messenger.LoadReport:
@@ -233,9 +237,13 @@
 	return a.now.Sub(r.arrived) + time.Duration(lateShare*float64(left)) - f.own
 }
 
-func (a *Admitter) send(r *request, u *upstream, f forecast) {
+func (a *Admitter) send(r *request, u *upstream, f forecast) { a.sendInstead(r, u, f, "") }
+
+// sendInstead sends a request to u, whose attempt takes the place of that at another
+// upstream if instead names one.
+func (a *Admitter) sendInstead(r *request, u *upstream, f forecast, instead messenger.UpstreamID) {
 	first := r.sent.IsZero()
-	r.at, r.sent, r.started, r.late = u, a.now, time.Time{}, false
+	r.at, r.sent, r.started, r.late, r.silent = u, a.now, time.Time{}, false, false
 	r.reads, r.clear = f.reads, f.clear
 	r.expected = time.Duration(float64(f.first) * r.pool.commonError)
 	u.start(a.now, r)
@@ -247,7 +255,7 @@
 		}
 		r.pool.keep(a.now, u, r, f)
 	}
-	d := messenger.Dispatch{Request: r.arrive.Request, Upstream: u.id}
+	d := messenger.Dispatch{Request: r.arrive.Request, Upstream: u.id, Instead: instead}
 	if f.source != nil {
 		d.FetchFrom = f.source.id
 	}
@@ -286,6 +294,36 @@
 	}
 }
 
+// silent notes that an upstream is silent with a request, which it keeps unless another one
+// can go on with it.
+func (a *Admitter) silent(e messenger.Silent) {
+	r, ok := a.requests[e.Request]
+	if !ok || r.at == nil || r.at.id != e.Upstream {
+		return
+	}
+	if !r.silent {
+		r.silent = true
+		r.at.note(a.now, true)
+	}
+	if e.Elsewhere {
+		a.relocate(r)
+	}
+}
+
+// relocate sends a request that runs to another upstream, if one is usable.
+func (a *Admitter) relocate(r *request) {
+	before, avoided := r.at, r.avoid
+	r.avoid = before.id
+	u, f := r.pool.pickUsable(a, r)
+	if u == nil {
+		r.avoid = avoided
+		return
+	}
+	before.release(r)
+	a.settleService(r)
+	a.sendInstead(r, u, f, before.id)
+}
+
 // settleService takes back what was noted as served with an attempt that has ended without
 // an output. It answers the loss of engines that refuse connections: attempts at them
 // take no time, and many of them would pass for engines that do more than before.
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -234,15 +234,22 @@
 // pick returns the upstream where a request costs least, all told, or nil if
 // there is none. One that failed of late is taken only if there is no other.
 func (p *pool) pick(a *Admitter, r *request) (*upstream, forecast) {
+	best, f := p.pickUsable(a, r)
+	if best == nil {
+		home := p.home(a, r)
+		best, f = p.cheapest(a, r, p.members, p.source(a, r, home), home, true)
+	}
+	return best, f
+}
+
+// pickUsable is pick without the upstreams that failed of late and the one to avoid.
+func (p *pool) pickUsable(a *Admitter, r *request) (*upstream, forecast) {
 	home := p.home(a, r)
 	src := p.source(a, r, home)
 	best, f := p.cheapest(a, r, p.candidates(a, home, src), src, home, false)
 	if best == nil {
 		best, f = p.cheapest(a, r, p.members, src, home, false)
 	}
-	if best == nil {
-		best, f = p.cheapest(a, r, p.members, src, home, true)
-	}
 	return best, f
 }
 
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -340,10 +340,15 @@
 	}
 }
 
-// end learns from the end of an attempt.
-func (u *upstream) end(now time.Time, r *request, e messenger.Finish) {
+// release gives back the slot of a request.
+func (u *upstream) release(r *request) {
 	u.running--
 	u.settle(r)
+}
+
+// end learns from the end of an attempt.
+func (u *upstream) end(now time.Time, r *request, e messenger.Finish) {
+	u.release(r)
 	u.note(now, e.Failed)
 	if e.Failed || r.started.IsZero() {
 		return
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -253,7 +253,7 @@
 		return
 	}
 	f.close(at, true)
-	if len(f.attempts) == 0 && f.mayRetry() && (!at.sent && f.d.traits.ResendsStreams || f.d.spendRetry(f.req.Arrive.Pool)) {
+	if len(f.attempts) == 0 && f.mayRetry() && (!at.sent && f.d.traits.ResendsStreams || f.takeRetry()) {
 		f.scheduleRetry(at)
 		return
 	}
@@ -277,9 +277,7 @@
 // scheduleRetry asks for another upstream than at after a short wait.
 func (f *flight) scheduleRetry(at *attempt) {
 	f.retries++
-	f.log("resend").WithFields(logrus.Fields{
-		"avoid": at.upstream, "sends": f.sends, "lastEvent": f.lastEvent, "run": f.outcome.Run(),
-	}).Info("asking for another upstream")
+	f.logResend(at)
 	f.retry = at
 	f.retryAt = f.now()
 	if f.retries > 1 {
@@ -288,6 +286,14 @@
 	f.giveBack()
 }
 
+// logResend logs that another upstream than that of an attempt is to be given the request.
+func (f *flight) logResend(at *attempt) {
+	f.log("resend").WithFields(logrus.Fields{
+		"avoid": at.upstream, "sends": f.sends, "lastEvent": f.lastEvent, "run": f.outcome.Run(),
+		"silentMs": f.now().Sub(at.last).Milliseconds(),
+	}).Info("asking for another upstream")
+}
+
 // giveBack asks the scheduler for another upstream once the wait is over.
 func (f *flight) giveBack() {
 	if f.retry == nil || f.now().Before(f.retryAt) {
--- a/internal/dispatcher/dialect.go
+++ b/internal/dispatcher/dialect.go
@@ -74,8 +74,8 @@
 	// ReusesConnections is true if requests that must not be repeated may use
 	// a kept connection.
 	ReusesConnections bool
-	// SilenceIsNoEnd is true if a request that cannot be sent again outwaits
-	// an upstream's silence.
+	// SilenceIsNoEnd is true if an upstream's silence ends no attempt before another
+	// upstream goes on with the request.
 	SilenceIsNoEnd bool
 }
 
--- a/internal/dispatcher/fakes_test.go
+++ b/internal/dispatcher/fakes_test.go
@@ -127,6 +127,11 @@
 		if e.Retry {
 			q.next()
 		}
+	case messenger.Silent:
+		if e.Elsewhere && q.turn < len(q.turns) {
+			q.actions <- messenger.Dispatch{Request: q.id, Upstream: q.turns[q.turn], Instead: e.Upstream}
+			q.turn++
+		}
 	}
 }
 
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -40,6 +40,9 @@
 	retryAt time.Time
 	retry   *attempt
 	retries int
+	// asked is true while another upstream than a silent one is asked for, with a retry
+	// taken from the budget.
+	asked bool
 	// sends counts the upstreams that may have been given the request.
 	sends int
 	// lastEvent is the last event of the stream that the caller has.
@@ -170,6 +173,9 @@
 		f.leave()
 		return
 	}
+	if a.Instead != "" {
+		f.makeWay(a)
+	}
 	late := f.late()
 	if f.over || f.gone || late || f.pending != nil || !f.outcome.MaySend() {
 		f.finish(a.Upstream, 0, false, false)
--- a/internal/dispatcher/relocate_test.go
+++ b/internal/dispatcher/relocate_test.go
@@ -1,9 +1,8 @@
-//go:build red
-
 package dispatcher
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -83,3 +82,64 @@
 		t.Errorf("answer = %d %q, want 200 %q", res.Status, got, want)
 	}
 }
+
+// TestSilentStreamGoesOnElsewhere has another upstream take over a stream whose own one is
+// silent, which must end by then.
+func TestSilentStreamGoesOnElsewhere(t *testing.T) {
+	ended := make(chan struct{})
+	first := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the server notices a closed connection only then
+		beginStream(w, r)
+		writeEvent(w, numbered(1, 3))
+		<-r.Context().Done()
+		close(ended)
+	})
+	second := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		<-ended
+		beginStream(w, r)
+		writeEvent(w, numbered(4, 6))
+	})
+	d := newTestDispatcher(t, Config{Dialect: resendDialect{}, Upstreams: fixedUpstreams{"a": {Address: first}, "b": {Address: second}}})
+	q, c := newFakeQueue("a", "b"), newFakeCaller()
+	res := d.Serve(context.Background(), quietStream(), q, c)
+	if got, want := c.text(), numbered(1, 6); got != want || res.Aborted || res.Attempts != 2 {
+		t.Errorf("answer = %q, result %+v, want %q after two attempts", got, res, want)
+	}
+	if got := q.finishes(); len(got) != 1 || got[0].Upstream != "b" {
+		t.Errorf("got slots back %+v, want that of b: a's was freed when b was chosen", got)
+	}
+}
+
+// TestSilentUpstreamBreaksWhileAnotherIsAskedFor has the silent upstream fail before the
+// one in its place is known.
+func TestSilentUpstreamBreaksWhileAnotherIsAskedFor(t *testing.T) {
+	broken := make(chan struct{})
+	first := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		beginStream(w, r)
+		writeEvent(w, numbered(1, 3))
+		<-broken
+		panic(http.ErrAbortHandler)
+	})
+	second := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		beginStream(w, r)
+		writeEvent(w, numbered(4, 6))
+	})
+	d := newTestDispatcher(t, Config{Dialect: resendDialect{}, Upstreams: fixedUpstreams{"a": {Address: first}, "b": {Address: second}}})
+	q, c := newFakeQueue("a"), newFakeCaller()
+	done := make(chan Result, 1)
+	go func() { done <- d.Serve(context.Background(), quietStream(), q, c) }()
+	for d.Counters().Silences.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	q.mu.Lock()
+	q.turns = append(q.turns, "b")
+	q.mu.Unlock()
+	close(broken)
+	res := <-done
+	if got, want := c.text(), numbered(1, 6); got != want || res.Aborted {
+		t.Errorf("answer = %q, result %+v, want %q", got, res, want)
+	}
+	if got := d.Counters().Retries.Load(); got != 1 {
+		t.Errorf("got %d retries taken from the budget, want 1", got)
+	}
+}
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -87,7 +87,7 @@
 		f.finish(at.upstream, 0, true, false)
 		return
 	}
-	if f.mayRetry() && f.d.spendRetry(f.req.Arrive.Pool) {
+	if f.mayRetry() && f.takeRetry() {
 		f.scheduleRetry(at)
 		return
 	}
@@ -105,10 +105,46 @@
 // one that has it is silent.
 func (f *flight) mayFailOver() bool {
 	return (f.req.Arrive.Idempotent || f.req.Resumable) && len(f.attempts) == 1 &&
-		!f.gone && !f.late() && f.retries+1 < f.d.cfg.MaxAttempts &&
+		(f.req.Resumable || !f.outcome.Delivered()) && !f.gone && !f.late() && f.retries+1 < f.d.cfg.MaxAttempts &&
 		(f.req.MaxSends == 0 || f.sends < f.req.MaxSends)
 }
 
+// askElsewhere asks for another upstream than one that is silent. What runs goes on until
+// there is one: silence alone ends no answer.
+func (f *flight) askElsewhere(at *attempt) {
+	if !f.mayFailOver() {
+		return
+	}
+	f.asked = f.asked || f.d.spendRetry(f.req.Arrive.Pool)
+	f.queue.Tell(messenger.Silent{Request: f.req.ID, Upstream: at.upstream, Elsewhere: f.asked})
+}
+
+// takeRetry takes one retry from the budget, unless one was taken for a silent upstream.
+func (f *flight) takeRetry() bool {
+	if f.asked {
+		f.asked = false
+		return true
+	}
+	return f.d.spendRetry(f.req.Arrive.Pool)
+}
+
+// makeWay ends the attempt in whose place a is to begin.
+func (f *flight) makeWay(a messenger.Dispatch) {
+	f.asked = false
+	for _, at := range f.attempts {
+		if at.upstream != a.Instead || f.over || f.gone || f.late() {
+			continue
+		}
+		f.logResend(at)
+		f.retries++
+		if at.won && f.outcome.State() == tracker.Answered {
+			f.note(tracker.Break)
+		}
+		f.close(at, true)
+		return
+	}
+}
+
 // framedEvents relays the whole events of a stream that ends with its message. Bytes
 // that complete no new event are no sign of life: an upstream that stalled may still
 // send some now and then, or without end.
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -87,12 +87,9 @@
 	if f.resume(at) {
 		return
 	}
-	if f.d.traits.SilenceIsNoEnd && !f.mayFailOver() {
-		at.progressed(f.now(), f.progressTimeout())
-		return
-	}
 	if f.d.traits.SilenceIsNoEnd {
-		f.attemptFailed(at, ProblemUpstreamSilent, false)
+		f.askElsewhere(at)
+		at.deadline = f.now().Add(f.progressTimeout())
 		return
 	}
 	if at.stream == nil && at.sent && at.periods < maxSilentPeriods {
--- a/internal/messenger/action.go
+++ b/internal/messenger/action.go
@@ -15,6 +15,8 @@
 	// FetchFrom names an engine that is expected to keep parts of the prompt
 	// which Upstream lacks; empty means none.
 	FetchFrom UpstreamID
+	// Instead names the upstream whose attempt ends as this one begins; empty means none.
+	Instead UpstreamID
 }
 
 // Refuse ends a request that was never dispatched.
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -84,6 +84,16 @@
 	Retry bool
 }
 
+// Silent says that the upstream of a request has said nothing for the time that its route
+// allows. The request goes on there, unless a Dispatch that names Upstream in Instead
+// follows, which frees the slot.
+type Silent struct {
+	Request  RequestID
+	Upstream UpstreamID
+	// Elsewhere is true if another upstream may go on with the request.
+	Elsewhere bool
+}
+
 // Abandon says that the caller of a request has left. A request that still
 // waits is forgotten; one that runs is ended by its Finish.
 type Abandon struct{ Request RequestID }
@@ -140,6 +150,7 @@
 func (Progress) isEvent()     {}
 func (Finish) isEvent()       {}
 func (Abandon) isEvent()      {}
+func (Silent) isEvent()       {}
 func (PolicyChange) isEvent() {}
 func (PeersChange) isEvent()  {}
 func (Pause) isEvent()        {}
