A shutdown spares a request whose bytes the poller has just taken

Callers on a VM short of processor time could see a kept connection end without an answer to a request that the router had read: the shutdown looked at the connection between the poller's read, after which the system has no bytes left, and the first look at them, took it for idle and dropped the request (event=requestDropped, 'idle at shutdown'). The window is as long as the poller waits for the processor. Class: two ideas of 'in progress'.

The poller's reads are counted at their beginning and end; a connection is idle only if none is under way and none began since. The test failed before (2 of 2, unexpected EOF); 20 runs with the race detector pass.

--- a/internal/listener/boundary.go
+++ b/internal/listener/boundary.go
@@ -51,6 +51,9 @@
 	// opened publishes the boundary from the accepting goroutine to the
 	// poller's, which learn of each other through the system alone.
 	opened atomic.Bool
+	// reads counts the beginnings and ends of the poller's reading: it is odd while bytes that
+	// left the system may not have been looked at.
+	reads atomic.Uint32
 	// endWhenSent asks for the end once everything written was sent.
 	endWhenSent atomic.Bool
 	// ended says who decided to end the connection; unanswered counts the requests that
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -181,6 +181,11 @@
 			b.noteSent(n)
 		}
 	})
+	l.engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
+		noteReading(c)
+		return l.engine.PollerBufferPtr(c)
+	})
+	l.engine.OnReadBufferFree(func(c *nbio.Conn, _ *[]byte) { noteReading(c) })
 	sizeTables()
 	if err := l.engine.Start(); err != nil {
 		return nil, merry.Prependf(err, "listen on %s for %s", cfg.Address, cfg.Name)
--- a/internal/listener/seam_test.go
+++ b/internal/listener/seam_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio"
+
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
@@ -133,3 +135,21 @@
 		t.Error(err)
 	}
 }
+
+// TestShutdownSparesARequestThatIsBeingRead has the shutdown look at a connection whose
+// bytes the poller has taken from the system and not yet looked at.
+func TestShutdownSparesARequestThatIsBeingRead(t *testing.T) {
+	l := start(t, Config{Handler: echo})
+	conn := dial(t, l)
+	send(t, conn, getKeep)
+	readBody(t, conn)
+	b := boundaryOf(t, l)
+	b.nbc.OnData(func(_ *nbio.Conn, data []byte) {
+		b.endIfIdle()
+		_ = b.Parse(data)
+	})
+	send(t, conn, getKeep)
+	if _, body := readBody(t, conn); string(body) != `GET / ""` {
+		t.Errorf("got %q, want the answer to the request that was being read", body)
+	}
+}
--- a/internal/listener/turns.go
+++ b/internal/listener/turns.go
@@ -6,6 +6,8 @@
 	"runtime/debug"
 	"syscall"
 	"time"
+
+	"github.com/lesismal/nbio"
 )
 
 const (
@@ -141,8 +143,8 @@
 }
 
 // endIfIdle closes a connection on which nothing is in progress: no request is
-// being answered or read, none has come in that the poller has yet to read, and none
-// is about to come since the connection was only just opened.
+// being answered or read, none has come in that the poller has yet to read or look at, and
+// none is about to come since the connection was only just opened.
 func (b *boundary) endIfIdle() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -152,12 +154,20 @@
 	if !b.served && b.l.cfg.Clock.Now().Sub(b.openedAt) < firstRequestTime {
 		return
 	}
-	if n, err := b.peek(); err == nil && n > 0 {
+	reads := b.reads.Load()
+	if n, err := b.peek(); err == nil && n > 0 || reads%2 != 0 || b.reads.Load() != reads {
 		return
 	}
 	b.end(causeShutdown)
 }
 
+// noteReading notes that a poller begins or ends to read from a connection.
+func noteReading(c *nbio.Conn) {
+	if b, ok := c.Session().(*boundary); ok && b.opened.Load() {
+		b.reads.Add(1)
+	}
+}
+
 // peek returns how many bytes wait to be read, one at most. It is 0 once the other
 // end has closed its side.
 func (b *boundary) peek() (int, error) {
