Answers under way when a shutdown begins announce the end of their connection

A caller whose request was in progress at the signal was not told that its connection ends, as that was decided when its request came in. It sent its next request on it, which crossed the close, or came in late in the time of grace and was cut at its end. The head of an answer now says what holds as it is written. The test failed before (2 of 2); 20 runs with the race detector pass.

--- a/internal/listener/caller.go
+++ b/internal/listener/caller.go
@@ -52,6 +52,9 @@
 		status = status / 100 * 100
 	}
 	cleanHeader(c.res.Header())
+	if !c.close && c.b.l.draining.Load() {
+		c.CloseAfter()
+	}
 	if c.close {
 		c.res.Header().Set("Connection", "close")
 	}
--- a/internal/listener/seam_test.go
+++ b/internal/listener/seam_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -153,3 +154,22 @@
 		t.Errorf("got %q, want the answer to the request that was being read", body)
 	}
 }
+
+// TestShutdownAnnouncesTheEndWithAnswersUnderWay has the end announced while a request is in
+// progress: its caller is to send no other one on the connection.
+func TestShutdownAnnouncesTheEndWithAnswersUnderWay(t *testing.T) {
+	begun, announced := make(chan struct{}), make(chan struct{})
+	l := start(t, Config{Handler: func(c *Caller, _ *http.Request) {
+		close(begun)
+		<-announced
+		c.WriteHeader(http.StatusOK)
+	}})
+	conn := dial(t, l)
+	send(t, conn, getKeep)
+	<-begun
+	l.AnnounceClose()
+	close(announced)
+	if res, _ := readBody(t, conn); !res.Close {
+		t.Error("got an answer that leaves the connection open, want its end announced")
+	}
+}
