--- a/internal/listener/seam_test.go
+++ b/internal/listener/seam_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio"
+
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
@@ -133,3 +136,40 @@
 		t.Error(err)
 	}
 }
+
+// TestShutdownSparesARequestThatIsBeingRead has the shutdown look at a connection whose
+// bytes the poller has taken from the system and not yet looked at.
+func TestShutdownSparesARequestThatIsBeingRead(t *testing.T) {
+	l := start(t, Config{Handler: echo})
+	conn := dial(t, l)
+	send(t, conn, getKeep)
+	readBody(t, conn)
+	b := boundaryOf(t, l)
+	b.nbc.OnData(func(_ *nbio.Conn, data []byte) {
+		b.endIfIdle()
+		_ = b.Parse(data)
+	})
+	send(t, conn, getKeep)
+	if _, body := readBody(t, conn); string(body) != `GET / ""` {
+		t.Errorf("got %q, want the answer to the request that was being read", body)
+	}
+}
+
+// TestShutdownAnnouncesTheEndWithAnswersUnderWay has the end announced while a request is in
+// progress: its caller is to send no other one on the connection.
+func TestShutdownAnnouncesTheEndWithAnswersUnderWay(t *testing.T) {
+	begun, announced := make(chan struct{}), make(chan struct{})
+	l := start(t, Config{Handler: func(c *Caller, _ *http.Request) {
+		close(begun)
+		<-announced
+		c.WriteHeader(http.StatusOK)
+	}})
+	conn := dial(t, l)
+	send(t, conn, getKeep)
+	<-begun
+	l.AnnounceClose()
+	close(announced)
+	if res, _ := readBody(t, conn); !res.Close {
+		t.Error("got an answer that leaves the connection open, want its end announced")
+	}
+}
