--- a/internal/router/leavingnews_test.go
+++ b/internal/router/leavingnews_test.go
@@ -192,3 +192,19 @@
 		t.Error("a router that was started again does not have what was sent to it before")
 	}
 }
+
+// TestDoubtfulCollectorPassesOnWhatAnotherOneIsSureOf has a router that collects doubt that
+// an upstream is gone, and one that followed the store all the while tell it that it is.
+func TestDoubtfulCollectorPassesOnWhatAnotherOneIsSureOf(t *testing.T) {
+	n := newNewsFleet(t)
+	n.change(follower.Row{Key: "u1", Deleted: true}, true)
+	drop := follower.Row{Table: follower.RegistrationTable, Key: "u1", Deleted: true, Version: n.version}
+	n.teller.mergePeerRows(n.teller.meet(Member{Name: "sure"}), []follower.Batch{
+		{Table: follower.RegistrationTable, Rows: []follower.Row{drop}, Since: n.version - 1, Version: n.version},
+	})
+	n.exchange()
+	n.checkGone("u1")
+	if n.believes(n.teller, "u1") {
+		t.Error("the router goes on to doubt what another one is sure of")
+	}
+}
