What an answer says of its upstream counts for the address that answered

An upstream that says in an answer that it leaves was marked by its id, for the process that its row names when the answer is taken in. If it was started again elsewhere by then, the new process was marked, and all routers were told of it: the fleet used it no more. The same held for a pause, here alone.

An answer comes with the address that its request was sent to; what it says is of no use once the row names another one. A process started again at the same address is still marked, as either may have said so, and what leaves is not to be used.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -140,7 +140,7 @@
 // head checks the head of an answer. It returns false if the attempt ended.
 func (f *flight) head(at *attempt, p progress) bool {
 	f.learnLoad(at, p.header)
-	f.d.notify(at.upstream, f.d.dialect.Notice(p.status, p.header))
+	f.d.notify(at.upstream, at.policy.Address, f.d.dialect.Notice(p.status, p.header))
 	if f.d.dialect.Declined(p.status, p.header) {
 		f.declined(at)
 		return false
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -170,9 +170,10 @@
 	Dialect Dialect
 	// Loads, if set, gets what answers say of the load of their upstreams.
 	Loads func(messenger.LoadReport)
-	// Notices, if set, gets what answers say of the wishes of their upstreams. It is
+	// Notices, if set, gets what answers say of the wishes of their upstreams, with the
+	// address that answered. It is
 	// called from several goroutines.
-	Notices func(messenger.UpstreamID, Notice)
+	Notices func(id messenger.UpstreamID, address string, n Notice)
 }
 
 // Dispatcher sends requests to upstreams. It is safe for concurrent use.
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -221,7 +221,7 @@
 		address: policy.Address, method: f.req.Method, uri: f.req.URI,
 		header: f.requestHeader(at), body: f.req.Body,
 		fresh: f.retries > 0 || !f.req.Arrive.Idempotent && !f.d.traits.ReusesConnections,
-		once:  !f.req.Arrive.Idempotent, answers: f.answersTo(a.Upstream), withheld: f.withheld(a.Upstream, policy),
+		once:  !f.req.Arrive.Idempotent, answers: f.answersTo(a.Upstream, policy.Address), withheld: f.withheld(a.Upstream, policy),
 	})
 }
 
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -44,7 +44,7 @@
 // answersTo returns what tells the request's answers from others, or nil if
 // the dialect has no use for it. An answer to another request may come late, but that
 // its upstream leaves holds all the same.
-func (f *flight) answersTo(upstream messenger.UpstreamID) func(int, http.Header) bool {
+func (f *flight) answersTo(upstream messenger.UpstreamID, address string) func(int, http.Header) bool {
 	if !f.d.traits.ReusesConnections {
 		return nil
 	}
@@ -53,15 +53,15 @@
 		if id == "" || id == f.req.WireID {
 			return true
 		}
-		f.d.notify(upstream, Notice{Leaving: f.d.dialect.Notice(status, h).Leaving})
+		f.d.notify(upstream, address, Notice{Leaving: f.d.dialect.Notice(status, h).Leaving})
 		return false
 	}
 }
 
 // notify passes on what an answer says of its upstream's wishes, if it says anything.
-func (d *Dispatcher) notify(upstream messenger.UpstreamID, n Notice) {
+func (d *Dispatcher) notify(upstream messenger.UpstreamID, address string, n Notice) {
 	if d.cfg.Notices != nil && n != (Notice{}) {
-		d.cfg.Notices(upstream, n)
+		d.cfg.Notices(upstream, address, n)
 	}
 }
 
--- a/internal/follower/departure.go
+++ b/internal/follower/departure.go
@@ -15,13 +15,18 @@
 	Started int64
 }
 
-// NoteDeparture notes that an upstream said itself that it leaves, and reports whether
-// that is news. It holds until its row names another process.
-func (f *Follower) NoteDeparture(id messenger.UpstreamID) bool {
+// NoteDeparture notes that an upstream said itself, at an address, that it leaves, and
+// reports whether that is news. It holds until its row names another process. What is said at
+// another address than that of its row is of a process that its row no longer names.
+func (f *Follower) NoteDeparture(id messenger.UpstreamID, address string) bool {
 	e, ok := f.rows[RegistrationTable][string(id)]
-	if !ok {
+	if !ok || e.last.Address != address {
 		return false
 	}
+	return f.noteDeparture(id, e)
+}
+
+func (f *Follower) noteDeparture(id messenger.UpstreamID, e *entry) bool {
 	if started, ok := f.departing[string(id)]; ok && started.Equal(e.last.Started) {
 		return false
 	}
@@ -36,7 +41,7 @@
 	if !ok || startedMS(e.last.Started) != d.Started {
 		return false
 	}
-	return f.NoteDeparture(d.Upstream)
+	return f.noteDeparture(d.Upstream, e)
 }
 
 // Departures returns the upstreams that are registered as if they stayed and said
--- a/internal/follower/departure_test.go
+++ b/internal/follower/departure_test.go
@@ -14,6 +14,13 @@
 	return messenger.UpstreamPolicy{Pool: "p", Started: time.Unix(int64(value[0]), 0)}, nil
 }
 
+// placedDecoder reads registrations of a process that started at second N at address A.
+type placedDecoder struct{ plainDecoder }
+
+func (placedDecoder) Registration(_ string, value []byte) (messenger.UpstreamPolicy, error) {
+	return messenger.UpstreamPolicy{Pool: "p", Started: time.Unix(int64(value[0]), 0), Address: string(value[1:])}, nil
+}
+
 // registered returns a Follower that knows one upstream, whose process started at born.
 func registered(t *testing.T, born byte) *Follower {
 	t.Helper()
@@ -29,7 +36,7 @@
 // leaves, while its row goes on to say that it is ready.
 func TestDepartureOutlivesRowsThatSayReady(t *testing.T) {
 	f := registered(t, 1)
-	if !f.NoteDeparture("u") || f.NoteDeparture("u") {
+	if !f.NoteDeparture("u", "") || f.NoteDeparture("u", "") {
 		t.Error("got the first note taken for known or the second for news")
 	}
 	f.Merge(epoch, Batch{Table: RegistrationTable, Rows: []Row{{Key: "u", Value: []byte{1}, Version: 12}}})
@@ -73,3 +80,18 @@
 		t.Error("an upstream that registered after the store was read is missing")
 	}
 }
+
+// TestAnswerOfTheProcessBeforeMarksNoNewOne has an answer that says that an upstream leaves
+// be taken in after the upstream was started again elsewhere.
+func TestAnswerOfTheProcessBeforeMarksNoNewOne(t *testing.T) {
+	f := New(placedDecoder{})
+	f.Merge(epoch, Batch{Table: ConfigurationTable, Whole: true, Version: 5, Rows: []Row{{Key: "c", Value: []byte("xxx"), Version: 5}}})
+	f.Merge(epoch, Batch{Table: RegistrationTable, Whole: true, Version: 9, Rows: []Row{{Key: "u", Value: []byte("1old"), Version: 9}}})
+	f.Merge(epoch, Batch{Table: RegistrationTable, Rows: []Row{{Key: "u", Value: []byte("2new"), Version: 10}}})
+	if f.NoteDeparture("u", "old") || isLeaving(f) || len(f.Departures()) > 0 {
+		t.Error("what the process before said marks the new one, and the other routers are told")
+	}
+	if !f.NoteDeparture("u", "new") || !isLeaving(f) {
+		t.Error("what the new process said does not count")
+	}
+}
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -219,32 +219,36 @@
 
 // notice takes in what an upstream said of its wishes. A pause holds at once, also for
 // requests that the upstream was chosen for before.
-func (h *Hosted) notice(id messenger.UpstreamID, n dispatcher.Notice) {
-	if n.Pause > 0 {
-		h.notePause(id, n.Pause)
+func (h *Hosted) notice(id messenger.UpstreamID, address string, n dispatcher.Notice) {
+	if n.Pause > 0 && !h.notePause(id, address, n.Pause) {
+		n.Pause = 0
 	}
-	h.control.post(func() { h.decideByNotice(id, n) })
+	h.control.post(func() { h.decideByNotice(id, address, n) })
 }
 
-// notePause notes that the process of an upstream that is registered now wants nothing.
-func (h *Hosted) notePause(id messenger.UpstreamID, d time.Duration) {
+// notePause notes that an upstream wants nothing for a time. It reports whether the process
+// that is registered now stands at the address that said so.
+func (h *Hosted) notePause(id messenger.UpstreamID, address string, d time.Duration) bool {
 	s := h.snapshot.Load()
 	if s == nil {
-		return
+		return false
 	}
-	if u, ok := s.Policy.Upstreams[id]; ok {
-		h.pauses.note(id, u.Started, h.clock.Now().Add(d))
+	u, ok := s.Policy.Upstreams[id]
+	if !ok || u.Address != address {
+		return false
 	}
+	h.pauses.note(id, u.Started, h.clock.Now().Add(d))
+	return true
 }
 
 // decideByNotice takes in what an upstream said of its wishes for later decisions. It runs on
 // the control goroutine.
-func (h *Hosted) decideByNotice(id messenger.UpstreamID, n dispatcher.Notice) {
+func (h *Hosted) decideByNotice(id messenger.UpstreamID, address string, n dispatcher.Notice) {
 	if n.Pause > 0 {
 		h.log.WithFields(logrus.Fields{eventField: "pause", upstreamField: id, "ms": n.Pause.Milliseconds()}).Info("upstream wants nothing for a while")
 		h.control.handle(messenger.Pause{Upstream: id, For: n.Pause})
 	}
-	if n.Leaving && h.follower.NoteDeparture(id) {
+	if n.Leaving && h.follower.NoteDeparture(id, address) {
 		h.log.WithFields(logrus.Fields{eventField: "departure", upstreamField: id}).Info("upstream says that it leaves")
 		h.publish(fromUpstream)
 	}
