--- a/internal/dispatcher/refusal_test.go
+++ b/internal/dispatcher/refusal_test.go
@@ -98,7 +98,7 @@
 			second := serveInTurn(t, &other, own)
 			d := newTestDispatcher(t, Config{
 				Dialect: wishes{}, Upstreams: fixedUpstreams{"a": {Address: addr}, "b": {Address: second}},
-				Notices: func(messenger.UpstreamID, Notice) { pauses.Add(1) },
+				Notices: func(messenger.UpstreamID, string, Notice) { pauses.Add(1) },
 				Loads:   func(messenger.LoadReport) { loads.Add(1) },
 			})
 			d.Serve(context.Background(), reservation(), newFakeQueue("a"), newFakeCaller())
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -46,7 +46,7 @@
 // answersTo returns what tells the request's answers from others, or nil if
 // the dialect has no use for it. One without an id is another's too if others may be due
 // on its connection.
-func (f *flight) answersTo(upstream messenger.UpstreamID) func(int, http.Header, bool) bool {
+func (f *flight) answersTo(upstream messenger.UpstreamID, address string) func(int, http.Header, bool) bool {
 	if !f.d.traits.ReusesConnections {
 		return nil
 	}
@@ -55,19 +55,19 @@
 		if id == f.req.WireID || id == "" && !kept {
 			return true
 		}
-		f.strayed(upstream, status, h)
+		f.strayed(upstream, address, status, h)
 		return false
 	}
 }
 
 // strayed notes an answer to another request. That its upstream leaves holds all the
 // same; what else it says may be long past.
-func (f *flight) strayed(upstream messenger.UpstreamID, status int, h http.Header) {
+func (f *flight) strayed(upstream messenger.UpstreamID, address string, status int, h http.Header) {
 	f.d.counters.WrongAnswers.Add(1)
 	f.log("wrongAnswer").WithFields(logrus.Fields{
 		"upstream": upstream, "status": status, "answersTo": f.d.dialect.AnswersTo(h),
 	}).Warn("answer to another request")
-	f.d.notify(upstream, Notice{Leaving: f.d.dialect.Notice(status, h).Leaving})
+	f.d.notify(upstream, address, Notice{Leaving: f.d.dialect.Notice(status, h).Leaving})
 }
 
 // mine reports whether the head of an answer belongs to the request: by its id, or, for a
@@ -78,9 +78,9 @@
 }
 
 // notify passes on what an answer says of its upstream's wishes, if it says anything.
-func (d *Dispatcher) notify(upstream messenger.UpstreamID, n Notice) {
+func (d *Dispatcher) notify(upstream messenger.UpstreamID, address string, n Notice) {
 	if d.cfg.Notices != nil && n != (Notice{}) {
-		d.cfg.Notices(upstream, n)
+		d.cfg.Notices(upstream, address, n)
 	}
 }
 
