A rest counts only with its seal, and no event is no end

What callers saw: a stream that had begun and broke off ended as if complete where the next upstream answered 200 without a length and without an event; events of an answer without a seal, or with another content coding, went on as its rest.

Cause: the end of the connection was taken for the end of any answer without a length, and the head of a rest was judged by status and type alone.

Change: a stream without a length that brought no event proves nothing and counts as broken; a rest must bear its upstream's seal and no coding.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -211,7 +211,7 @@
 		f.unwanted(at)
 		return
 	}
-	framed := p.err == nil && p.done && (!p.unframed || f.d.traits.UnframedWhole) && at.header != nil
+	framed := p.err == nil && p.done && at.header != nil && (!p.unframed || f.endsByClosing(at))
 	if at.stream.complete() || framed && (at.stream == nil || at.stream.whole()) {
 		f.completed(at)
 		return
@@ -223,6 +223,12 @@
 	f.attemptFailed(at, name, true)
 }
 
+// endsByClosing reports whether the end of its connection ends an answer without a length.
+// It proves nothing of a stream that brought no event.
+func (f *flight) endsByClosing(at *attempt) bool {
+	return f.d.traits.UnframedWhole && (at.stream == nil || at.counted > 0)
+}
+
 // unwanted ends an attempt whose request was not written since its caller had left.
 func (f *flight) unwanted(at *attempt) {
 	f.close(at, false)
--- a/internal/dispatcher/dialect.go
+++ b/internal/dispatcher/dialect.go
@@ -32,6 +32,9 @@
 	AnswersTo(answer http.Header) string
 	// Declined reports whether an upstream says that it did not run the request.
 	Declined(status int, answer http.Header) bool
+	// Signed reports whether an answer bears what its upstream signs its successes with;
+	// always, if upstreams sign nothing.
+	Signed(answer http.Header) bool
 	// Load returns what an answer says of the upstream's load.
 	Load(answer http.Header) (messenger.LoadReport, bool)
 	// Notice returns what the head of an answer says of its upstream's wishes.
@@ -93,6 +96,9 @@
 // Declined is always false: no answer of an upstream proves that it did not run.
 func (ownDialect) Declined(int, http.Header) bool { return false }
 
+// Signed is always true: upstreams sign nothing.
+func (ownDialect) Signed(http.Header) bool { return true }
+
 // Load finds nothing: upstreams tell their load when they are polled.
 func (ownDialect) Load(http.Header) (messenger.LoadReport, bool) {
 	return messenger.LoadReport{}, false
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -117,7 +117,8 @@
 // goesOn reports whether an answer can be the rest of a stream of which the
 // caller has the beginning.
 func (f *flight) goesOn(p progress) bool {
-	return p.status == http.StatusOK && isEventStream(p.header)
+	coded := p.header.Get("Content-Encoding") != ""
+	return p.status == http.StatusOK && isEventStream(p.header) && !coded && f.d.dialect.Signed(p.header)
 }
 
 // mayFailOver reports whether another upstream may be given the request while
