A row that can't be read is not believed again once it is dropped

What callers saw: an upstream whose row another writer had made unreadable was in use again for 2.2 s if that row was dropped while the store was away.

Cause: a dropped row leaves the last row that could be read in force for a while, though a newer one had taken its place.

Change: only what was believed when it was dropped is believed for a while.

Before: TestRowThatTurnsOddNamesNoUpstream failed at its last step. That the old belief stays in force while the row can't be read was ruled out by the step before: such a row names no upstream.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -231,7 +231,7 @@
 		return f.configure(row)
 	}
 	if row.Deleted {
-		if catchUp {
+		if catchUp && e.believed() {
 			fresh.goneAt = now.Add(returnTime)
 			fresh.before = previous(e)
 			f.expires = true
@@ -242,6 +242,15 @@
 	return true
 }
 
+// believed reports whether an entry names an upstream, be it one that was dropped and may
+// come back.
+func (e *entry) believed() bool {
+	if e == nil {
+		return false
+	}
+	return e.readable || e.row.Deleted && !e.goneAt.IsZero()
+}
+
 // previous returns the row that an entry stands for, or an empty one.
 func previous(e *entry) Row {
 	switch {
