Answers to other requests are logged once for an attempt

An upstream that writes them without end had each of them logged, some 900 for an attempt. They are counted; the log tells of the one that ends the attempt.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -132,6 +132,9 @@
 func (f *flight) head(at *attempt, p progress) bool {
 	if !f.mine(p) {
 		f.strayed(at.upstream, p.status, p.header)
+		f.log("wrongAnswer").WithFields(logrus.Fields{
+			"upstream": at.upstream, "status": p.status, "answersTo": f.d.dialect.AnswersTo(p.header),
+		}).Warn("answer to another request")
 		f.attemptFailed(at, ProblemWrongAnswer, false)
 		return false
 	}
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"strconv"
 
-	"github.com/sirupsen/logrus"
-
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/tracker"
 )
@@ -64,9 +62,6 @@
 // same; what else it says may be long past.
 func (f *flight) strayed(upstream messenger.UpstreamID, status int, h http.Header) {
 	f.d.counters.WrongAnswers.Add(1)
-	f.log("wrongAnswer").WithFields(logrus.Fields{
-		"upstream": upstream, "status": status, "answersTo": f.d.dialect.AnswersTo(h),
-	}).Warn("answer to another request")
 	f.d.notify(upstream, Notice{Leaving: f.d.dialect.Notice(status, h).Leaving})
 }
 
