--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -141,6 +141,9 @@
 func (f *flight) head(at *attempt, p progress) bool {
 	if !f.mine(p) {
 		f.strayed(at.upstream, at.policy.Address, p.status, p.header)
+		f.log("wrongAnswer").WithFields(logrus.Fields{
+			"upstream": at.upstream, "status": p.status, "answersTo": f.d.dialect.AnswersTo(p.header),
+		}).Warn("answer to another request")
 		f.attemptFailed(at, ProblemWrongAnswer, false)
 		return false
 	}
@@ -220,7 +223,7 @@
 		f.unwanted(at)
 		return
 	}
-	framed := p.err == nil && p.done && (!p.unframed || f.d.traits.UnframedWhole) && at.header != nil
+	framed := p.err == nil && p.done && at.header != nil && (!p.unframed || f.endsByClosing(at))
 	if at.stream.complete() || framed && (at.stream == nil || at.stream.whole()) {
 		f.completed(at)
 		return
@@ -232,6 +235,12 @@
 	f.attemptFailed(at, name, true)
 }
 
+// endsByClosing reports whether the end of its connection ends an answer without a length.
+// It proves nothing of a stream that brought no event.
+func (f *flight) endsByClosing(at *attempt) bool {
+	return f.d.traits.UnframedWhole && (at.stream == nil || at.counted > 0)
+}
+
 // unwanted ends an attempt whose request was not written since its caller had left.
 func (f *flight) unwanted(at *attempt) {
 	f.close(at, false)
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"strconv"
 
-	"github.com/sirupsen/logrus"
-
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/tracker"
 )
@@ -64,9 +62,6 @@
 // same; what else it says may be long past.
 func (f *flight) strayed(upstream messenger.UpstreamID, address string, status int, h http.Header) {
 	f.d.counters.WrongAnswers.Add(1)
-	f.log("wrongAnswer").WithFields(logrus.Fields{
-		"upstream": upstream, "status": status, "answersTo": f.d.dialect.AnswersTo(h),
-	}).Warn("answer to another request")
 	f.d.notify(upstream, address, Notice{Leaving: f.d.dialect.Notice(status, h).Leaving})
 }
 
@@ -117,7 +112,8 @@
 // goesOn reports whether an answer can be the rest of a stream of which the
 // caller has the beginning.
 func (f *flight) goesOn(p progress) bool {
-	return p.status == http.StatusOK && isEventStream(p.header)
+	coded := p.header.Get("Content-Encoding") != ""
+	return p.status == http.StatusOK && isEventStream(p.header) && !coded && f.d.dialect.Signed(p.header)
 }
 
 // mayFailOver reports whether another upstream may be given the request while
