The workload line tells what came on used connections, and what was turned away in its second

refusedUnread was a running total since turning away began, beside figures of one second, and was read as such; that requests come on open connections past the share of new ones could not be told. askedAgain counts these, refusedUnread counts since the last line. No decision changes. TestLaterRequestOnAConnectionIsTold is new with the two counts.

--- a/internal/listener/acceptor.go
+++ b/internal/listener/acceptor.go
@@ -28,8 +28,10 @@
 	screening atomic.Bool
 	// peeked is room for a head, which one goroutine uses.
 	peeked [peekBytes]byte
-	// taken counts the connections that were taken in.
-	taken    atomic.Uint64
+	// taken counts the connections that were taken in, turnedAway those that were not since
+	// the screener said so.
+	taken, turnedAway atomic.Uint64
+
 	once     sync.Once
 	stopping chan struct{}
 	closed   chan struct{}
@@ -111,6 +113,7 @@
 		return &problemFull
 	}
 	if !a.screener.Take(a.cfg.Clock.Now(), caller) {
+		a.turnedAway.Add(1)
 		return &problemOverload
 	}
 	return nil
--- a/internal/listener/boundary.go
+++ b/internal/listener/boundary.go
@@ -60,6 +60,9 @@
 	// handedOver is true once a request was handed to its handler.
 	handedOver bool
 
+	// handled is true once a request reached its handler. It belongs to the job that runs.
+	handled bool
+
 	mu      sync.Mutex
 	jobs    []func()
 	running bool
--- a/internal/listener/caller.go
+++ b/internal/listener/caller.go
@@ -34,6 +34,7 @@
 	isHead    bool
 	http10    bool
 	close     bool
+	again     bool
 }
 
 // Header returns the headers of the answer; changes after the first Write or
@@ -150,6 +151,9 @@
 	c.b.closeAfter = true
 }
 
+// Again reports whether the connection had brought a request before this one.
+func (c *Caller) Again() bool { return c.again }
+
 // Opened returns when the connection was opened.
 func (c *Caller) Opened() time.Time { return c.b.openedAt }
 
@@ -163,7 +167,8 @@
 	if !ok {
 		return
 	}
-	c := &Caller{b: g.b, res: res, isHead: r.Method == http.MethodHead, http10: r.ProtoMinor == 0}
+	c := &Caller{b: g.b, res: res, isHead: r.Method == http.MethodHead, http10: r.ProtoMinor == 0, again: g.b.handled}
+	g.b.handled = true
 	c.close = c.http10 || wantsClose(r.Header) || l.draining.Load() || l.crowded()
 	r.Close = false
 	if c.close {
--- a/internal/listener/intake_test.go
+++ b/internal/listener/intake_test.go
@@ -118,3 +118,22 @@
 		t.Errorf("got %v of half a request line, want nothing", got)
 	}
 }
+
+// TestLaterRequestOnAConnectionIsTold has two requests come on one connection, and another
+// connection be turned away.
+func TestLaterRequestOnAConnectionIsTold(t *testing.T) {
+	again := make(chan bool, 2)
+	l := start(t, Config{Handler: func(c *Caller, _ *http.Request) { again <- c.Again() }})
+	conn := dialFrom(t, l, "127.0.0.1")
+	for _, want := range []bool{false, true} {
+		_, _ = conn.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+		_, _ = readBody(t, conn)
+		if got := <-again; got != want {
+			t.Errorf("got again %v, want %v", got, want)
+		}
+	}
+	l.TurnAway(1)
+	if served(t, l, "127.0.0.1") || l.TurnedAway() != 1 {
+		t.Errorf("got %d connections turned away, want 1", l.TurnedAway())
+	}
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -230,6 +230,9 @@
 // Taken returns how many connections were taken in since the start.
 func (l *Listener) Taken() uint64 { return l.acceptor.taken.Load() }
 
+// TurnedAway returns how many connections were turned away since the start by TurnAway.
+func (l *Listener) TurnedAway() uint64 { return l.acceptor.turnedAway.Load() }
+
 // Crowds reports whether a caller, as Config.CallerOf names it, takes the place of others
 // that are turned away.
 func (l *Listener) Crowds(caller string) bool { return l.acceptor.screener.Crowds(caller) }
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -36,6 +36,9 @@
 func (h *Hosted) serveCaller(c *listener.Caller, req *http.Request) {
 	h.inProgress.Add(1)
 	defer h.inProgress.Add(-1)
+	if c.Again() {
+		h.workload.again.Add(1)
+	}
 	in := h.cfg.Entrance.Read(req.Header)
 	out, refused := h.accept(&in, req)
 	if refused != nil {
--- a/internal/router/workload.go
+++ b/internal/router/workload.go
@@ -21,14 +21,18 @@
 type workload struct {
 	// sent counts requests that an upstream was given.
 	sent atomic.Int64
+	// again counts requests on connections that had brought one before.
+	again atomic.Int64
 	// beyondShare and late count those refused because their account had used up its
 	// share, and because they would have been late; otherwise counts the rest.
 	beyondShare, late, otherwise atomic.Int64
 
 	// The control goroutine owns the rest: the time of the last line, and the
 	// connections taken in and the processor time used until then.
-	logged    time.Time
-	taken     uint64
+	logged time.Time
+	// turnedAway counts the connections that were turned away until the last line.
+	taken, turnedAway uint64
+
 	processor time.Duration
 	// deciding is the time that went to decisions about requests since the last line,
 	// and decisions how many there were.
@@ -81,8 +85,8 @@
 	fields := logrus.Fields{
 		eventField: "workload", "ms": now.Sub(w.logged).Milliseconds(),
 		"takenIn": rounded(1 - h.strain.turnedAway), "connectionsTaken": h.callers.Taken() - w.taken,
-		"connectionsOpen": h.callers.Conns(), "refusedUnread": h.refusedUnread.Load(),
-		"sent": w.sent.Swap(0), "refusedBeyondShare": w.beyondShare.Swap(0), "refusedLate": w.late.Swap(0),
+		"connectionsOpen": h.callers.Conns(), "refusedUnread": h.callers.TurnedAway() - w.turnedAway,
+		"askedAgain": w.again.Swap(0), "sent": w.sent.Swap(0), "refusedBeyondShare": w.beyondShare.Swap(0), "refusedLate": w.late.Swap(0),
 		"endedOtherwise": w.otherwise.Swap(0), "inProgress": h.inProgress.Load(),
 		"callers": callers, "largestCaller": rounded(largest),
 		"lag": h.strain.lag, "wait": h.strain.wait,
@@ -90,6 +94,7 @@
 		"weighed": h.admitter.Weighed() - w.weighed,
 	}
 	w.logged, w.taken, w.processor = now, h.callers.Taken(), used
+	w.turnedAway = h.callers.TurnedAway()
 	w.deciding, w.decisions, w.weighed = 0, 0, h.admitter.Weighed()
 	if h.strain.starved() {
 		h.log.WithFields(fields).Warn("short of processor time: what it went to")
