A request that is timed out gets no second answer

A request whose last bytes came in as it was given up for coming too slowly was run and answered, and then answered again with 408 not-run, which the caller could take for the answer to its next request. The sweeper's decision was carried out on another goroutine, after the request may have been handed on. The answer is now queued with the decision, and what follows it on the connection is dropped.

--- a/internal/listener/seam_test.go
+++ b/internal/listener/seam_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -173,3 +175,30 @@
 		t.Error("got an answer that leaves the connection open, want its end announced")
 	}
 }
+
+// TestRequestThatIsTimedOutHasOneAnswer has the last bytes of a request come in just as it is
+// given up for coming too slowly.
+func TestRequestThatIsTimedOutHasOneAnswer(t *testing.T) {
+	l := start(t, Config{Handler: echo})
+	conn := dial(t, l)
+	send(t, conn, "GET / HT")
+	b := boundaryOf(t, l)
+	for {
+		b.mu.Lock()
+		reading := !b.readingSince.IsZero()
+		b.mu.Unlock()
+		if reading {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	b.checkTimes(time.Now().Add(2 * DefaultReadTimeout))
+	b.execute(func() { _, _ = b.parser.Conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")) })
+	got, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(string(got), "HTTP/1.1 "); n != 1 || !strings.HasPrefix(string(got), "HTTP/1.1 408") {
+		t.Errorf("got %d answers, %q, want a 408 alone", n, got)
+	}
+}
--- a/internal/listener/sweeper.go
+++ b/internal/listener/sweeper.go
@@ -45,17 +45,17 @@
 	case expired(b.stalledSince, now, b.l.cfg.IdleTimeout):
 		go b.closeNow(causeStalled)
 	case expired(b.readingSince, now, b.l.cfg.ReadTimeout):
-		b.readingSince = time.Time{}
-		go b.timeOutRequest()
+		b.timeOutRequest()
 	case idle && expired(b.idleSince, now, b.l.cfg.IdleTimeout):
 		b.end(causeIdle)
 	}
 }
 
-// timeOutRequest answers a request whose bytes came too slowly.
+// timeOutRequest answers a request whose bytes came too slowly, before one that is whole by
+// now is handed on. The caller holds b.mu.
 func (b *boundary) timeOutRequest() {
 	b.l.cfg.Refused(problemTimeout.kind)
-	b.execute(func() {
+	b.enqueue(func() {
 		b.closeAfterAnswer(causeTimeout)
 		_, _ = b.parser.Conn.Write(problemTimeout.answer())
 	})
--- a/internal/listener/turns.go
+++ b/internal/listener/turns.go
@@ -23,6 +23,11 @@
 func (b *boundary) execute(job func()) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.enqueue(job)
+}
+
+// enqueue is execute for a caller that holds b.mu.
+func (b *boundary) enqueue(job func()) bool {
 	if b.ending || b.ctx.Err() != nil {
 		b.noteDropped(1)
 		return false
