A descriptor's earlier connection is known also while its end is not reported yet

nbio reports the end of a connection on a goroutine of its own, after the descriptor is free, so a next connection could be taken in before its descriptor was noted as one of which a poller may hold an event. The owner of each descriptor is kept from the beginning, and asked how it ended when the next one comes.

--- a/internal/listener/boundary.go
+++ b/internal/listener/boundary.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
-	"io"
 	"net"
 	"runtime"
 	"strings"
@@ -107,7 +105,7 @@
 	}
 	b.noteGone(err)
 	b.cancel()
-	b.l.forget(b, errors.Is(err, io.EOF)) // handlers and the sweeper end a connection otherwise
+	b.l.forget(b)
 	b.parser.CloseAndClean(err)
 }
 
--- a/internal/listener/ending.go
+++ b/internal/listener/ending.go
@@ -1,13 +1,12 @@
 package listener
 
 import (
+	"errors"
+	"io"
+
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 )
 
-// tcpEstablished is the system's state of a connection that neither end has closed.
-const tcpEstablished = 1
-
 // Side says which end of a connection ended it.
 type Side string
 
@@ -78,15 +77,15 @@
 	b.l.cfg.Log.WithFields(logrus.Fields{
 		"event": event, "port": b.l.cfg.Name, "remote": b.nbc.RemoteAddr().String(), "side": e.side, "cause": e.cause,
 		"requests": requests, "openMs": b.l.cfg.Clock.Now().Sub(b.openedAt).Milliseconds(),
-		"unsentBytes": b.pending(), "answers": b.answers.Load(), "otherEndOpen": b.otherEndOpen(),
+		"unsentBytes": b.pending(), "answers": b.answers.Load(),
 	}).Log(level, message)
 }
 
-// otherEndOpen reports whether the system knows the other end to be open: a connection that
-// it ended is not.
-func (b *boundary) otherEndOpen() bool {
-	info, err := unix.GetsockoptTCPInfo(b.nbc.Hash(), unix.IPPROTO_TCP, unix.TCP_INFO)
-	return err == nil && info.State == tcpEstablished
+// endedByPoller reports whether the poller ended the connection, having looked at its last
+// event. Handlers and the sweeper end one otherwise.
+func (b *boundary) endedByPoller() bool {
+	closed, err := b.nbc.IsClosed()
+	return closed && errors.Is(err, io.EOF)
 }
 
 // Ended returns who decided to end the connection and why, or false if nobody has yet.
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -149,16 +149,15 @@
 	mu     sync.Mutex
 	conns  map[*boundary]struct{}
 	probes probes
-	// unsettled are the descriptors of closed connections of which a poller may still
-	// hold an event.
-	unsettled map[int]struct{}
+	// owners are the connections that had each descriptor last.
+	owners map[int]*boundary
 }
 
 // Start opens the port and serves it.
 func Start(cfg Config) (*Listener, error) {
 	cfg.setDefaults()
 	setLogger(cfg.Log)
-	l := &Listener{cfg: cfg, stopped: make(chan struct{}), conns: map[*boundary]struct{}{}, unsettled: map[int]struct{}{}}
+	l := &Listener{cfg: cfg, stopped: make(chan struct{}), conns: map[*boundary]struct{}{}, owners: map[int]*boundary{}}
 	l.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:               cfg.Name,
 		Network:            "tcp",
@@ -312,8 +311,8 @@
 	if !ok {
 		return
 	}
-	l.settle(c.Hash())
 	b := newBoundary(l, c, parser)
+	l.settle(b)
 	parser.Conn = b.wire
 	if tlsConfig != nil {
 		parser.Conn = b.encrypt(tlsConfig)
@@ -337,26 +336,27 @@
 	return &before
 }
 
-// forget notes that a connection is gone, before its descriptor is free.
-func (l *Listener) forget(b *boundary, byPoller bool) {
+// forget notes that a connection is gone.
+func (l *Listener) forget(b *boundary) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, b)
-	if !byPoller {
-		l.unsettled[b.nbc.Hash()] = struct{}{}
+	if fd := b.nbc.Hash(); l.owners[fd] == b && b.endedByPoller() {
+		delete(l.owners, fd)
 	}
 }
 
 // settle waits, before a connection is read from, until no poller holds an event of an earlier
 // one with the same descriptor: pollers know connections by these alone, and would take
 // the end of the earlier connection for that of this one.
-func (l *Listener) settle(descriptor int) {
+func (l *Listener) settle(b *boundary) {
+	fd := b.nbc.Hash()
 	l.mu.Lock()
-	_, unsettled := l.unsettled[descriptor]
-	delete(l.unsettled, descriptor)
-	p := l.probes[descriptor%pollers]
+	before := l.owners[fd]
+	l.owners[fd] = b
+	p := l.probes[fd%pollers]
 	l.mu.Unlock()
-	if !unsettled || p == nil {
+	if before == nil || p == nil || before.endedByPoller() {
 		return
 	}
 	if err := p.pass(l.stopped); err != nil {
--- a/internal/listener/recycled_test.go
+++ b/internal/listener/recycled_test.go
@@ -122,6 +122,8 @@
 	leave(t, leaving)
 	release()
 	<-heldAgain // the poller has been told that the caller left, and has not looked at it
+	reported := make(chan struct{})
+	l.engine.Async(func() { <-reported }) // ends of connections are reported late
 	_ = leaving.b.nbc.Close()
 	for _, f := range low {
 		_ = f.Close()
@@ -130,6 +132,7 @@
 	send(t, next, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
 	time.Sleep(50 * time.Millisecond) // the next connection is taken in meanwhile
 	releaseAgain()
+	close(reported)
 	if got := <-descriptors; got != descriptor {
 		t.Fatalf("got descriptor %d for the next connection, want %d of the closed one", got, descriptor)
 	}
