The end of one caller's connection ends none that took its file descriptor

Callers saw a connection closed without an answer, 2 ms after their request was passed on, at VMs short of processor time (LOST). nbio's poller gets up to 1,024 events from epoll at once and matches each by descriptor alone. A connection that another goroutine closes meanwhile (a write to a caller that has left, the sweeper) gives its descriptor to the next one that is accepted; the event of the old one, its end, then ends the new one. The poller of a VM without processor time takes tens of ms for a batch, and there most connections end that way.

A connection waits, before it is handed to its poller, until the poller has done with the batch in which an earlier one with its descriptor may be, unless the poller itself closed that one. The probes that show that pollers run stay open for this.

That this is the LOST that users reported is suspected, not shown.

--- a/internal/listener/boundary.go
+++ b/internal/listener/boundary.go
@@ -96,6 +96,7 @@
 	if !b.opened.Load() {
 		return
 	}
+	b.l.descriptors.noteClosed(b.nbc.Hash(), b, err)
 	b.cancel()
 	b.l.forget(b)
 	b.parser.CloseAndClean(err)
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -145,9 +145,13 @@
 	draining atomic.Bool
 	stopOnce sync.Once
 	stopped  chan struct{}
+	// descriptors tells when a new connection has to wait for its poller.
+	descriptors descriptors
 
 	mu    sync.Mutex
 	conns map[*boundary]struct{}
+	// probes are connections of the process to itself, one for each poller.
+	probes []*probe
 }
 
 // Start opens the port and serves it.
@@ -182,10 +186,14 @@
 		return nil, merry.Prependf(err, "listen on %s for %s", cfg.Address, cfg.Name)
 	}
 	<-l.acceptor.running
-	if err := awaitPollers(l.engine); err != nil {
+	probes, err := awaitPollers(l.engine)
+	if err != nil {
 		l.acceptor.stopAccepting()
 		return nil, merry.Prependf(err, "start the pollers of %s", cfg.Name)
 	}
+	l.mu.Lock()
+	l.probes = probes
+	l.mu.Unlock()
 	go l.sweep()
 	return l, nil
 }
@@ -280,6 +288,7 @@
 	l.stopOnce.Do(func() {
 		close(l.stopped)
 		l.engine.Stop()
+		closeProbes(l.probes)
 	})
 }
 
@@ -300,6 +309,7 @@
 		return
 	}
 	b := newBoundary(l, c, parser)
+	l.awaitPollerOf(b)
 	parser.Conn = b.wire
 	if tlsConfig != nil {
 		parser.Conn = b.encrypt(tlsConfig)
@@ -314,6 +324,22 @@
 	c.SetSession(b)
 }
 
+// awaitPollerOf waits, before a connection is handed to its poller, until the poller has done
+// with an earlier one that had the same descriptor.
+func (l *Listener) awaitPollerOf(b *boundary) {
+	fd := b.nbc.Hash()
+	taken := l.descriptors.take(fd, b)
+	l.mu.Lock()
+	probes := l.probes
+	l.mu.Unlock()
+	if probes == nil || !taken {
+		return
+	}
+	if err := probes[fd%pollers].pass(l.stopped); err != nil {
+		l.cfg.Log.WithError(err).Warn("a poller may end a connection that took a descriptor")
+	}
+}
+
 func (l *Listener) forget(b *boundary) {
 	l.mu.Lock()
 	delete(l.conns, b)
--- a/internal/listener/prober.go
+++ b/internal/listener/prober.go
@@ -17,40 +17,44 @@
 // errNoPoller means that no connection reached one of the pollers.
 var errNoPoller = merry.New("no connection reached one of the pollers")
 
-// awaitPollers returns once each poller of engine reads its connections. A
+// awaitPollers returns a probe of each poller of engine, once all read their connections. A
 // poller of nbio clears the request to stop when it begins to run: one that is
 // told to stop before that never ends, and neither does engine.Stop.
-func awaitPollers(engine *nbhttp.Engine) error {
-	waiting := make(map[int]bool, pollers)
-	for i := range pollers {
-		waiting[i] = true
-	}
-	var held []*probe
-	defer func() {
-		for _, p := range held {
-			p.close()
-		}
-	}()
+func awaitPollers(engine *nbhttp.Engine) ([]*probe, error) {
+	found := make([]*probe, pollers)
+	waiting := pollers
+	var others []*probe
+	defer func() { closeProbes(others) }()
 	for range mostProbes {
 		p, err := newProbe()
 		if err != nil {
-			return err
+			return nil, err
 		}
-		held = append(held, p)
 		poller := p.conn.Hash() % pollers
-		if !waiting[poller] {
+		if found[poller] != nil {
 			p.occupyDescriptor()
+			others = append(others, p)
 			continue
 		}
 		if err := p.run(engine); err != nil {
-			return err
+			return nil, err
 		}
-		delete(waiting, poller)
-		if len(waiting) == 0 {
-			return nil
+		found[poller] = p
+		waiting--
+		if waiting == 0 {
+			return found, nil
+		}
+	}
+	closeProbes(found)
+	return nil, errNoPoller
+}
+
+func closeProbes(probes []*probe) {
+	for _, p := range probes {
+		if p != nil {
+			p.close()
 		}
 	}
-	return errNoPoller
 }
 
 // probe is a connection inside the process: a byte written to its peer's file
@@ -58,6 +62,8 @@
 type probe struct {
 	conn *nbio.Conn
 	peer []int
+	// read gets a token for each byte that the poller has read.
+	read chan struct{}
 }
 
 func newProbe() (*probe, error) {
@@ -78,20 +84,28 @@
 		_ = syscall.Close(ends[1])
 		return nil, merry.Prepend(err, "hand a socket to nbio")
 	}
-	return &probe{conn: nbc, peer: []int{ends[1]}}, nil
+	return &probe{conn: nbc, peer: []int{ends[1]}, read: make(chan struct{}, 1)}, nil
 }
 
 // run returns once the poller has read a byte.
 func (p *probe) run(engine *nbhttp.Engine) error {
-	read := make(chan struct{})
-	p.conn.OnData(func(*nbio.Conn, []byte) { close(read) })
+	p.conn.OnData(func(*nbio.Conn, []byte) { p.read <- struct{}{} })
 	if _, err := engine.AddConn(p.conn); err != nil {
 		return merry.Prepend(err, "add a connection to a poller")
 	}
+	return p.pass(nil)
+}
+
+// pass returns once the poller has done with all that the system had told it of before. It
+// gives up once stopped is closed. One goroutine at a time may call it.
+func (p *probe) pass(stopped <-chan struct{}) error {
 	if _, err := syscall.Write(p.peer[0], []byte{0}); err != nil {
 		return merry.Prepend(err, "write to a poller's connection")
 	}
-	<-read
+	select {
+	case <-p.read:
+	case <-stopped:
+	}
 	return nil
 }
 
