A second SIGTERM cuts nothing off

A platform that asks twice for a planned stop, as when two changes of the fleet overlap, ended the process at once: its callers' requests were cut (LOST, around planned work). Only an interrupt after the first signal ends the process now. TestSecondTerminationCutsNothingOff failed before; TestSecondSignalEndsTheProcess, an interrupt after a SIGTERM, stands as it was.

--- a/internal/cli/daemons.go
+++ b/internal/cli/daemons.go
@@ -92,8 +92,8 @@
 	return logger.New(w, cfg.Level.Logrus(), timekeeper.System{}, logger.Budget{Kept: slices.Collect(maps.Keys(beliefs))})
 }
 
-// untilSignal returns a context that ends at the first SIGTERM or SIGINT. The
-// second one ends the process.
+// untilSignal returns a context that ends at the first SIGTERM or SIGINT. An interrupt
+// after that ends the process.
 func untilSignal(log *logrus.Logger) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 2)
@@ -124,14 +124,25 @@
 	if !ok {
 		return
 	}
-	log.WithField("event", "signal").WithField("signal", sig).Info("shutting down gracefully; a second signal ends the process at once")
+	log.WithField("event", "signal").WithField("signal", sig).Info("shutting down gracefully; an interrupt ends the process at once")
 	cancel()
 	<-ctx.Done()
-	sig, ok = <-signals
-	if !ok {
+	awaitInterrupt(signals, log, exit)
+}
+
+// awaitInterrupt ends the process at the next interrupt, which somebody at a terminal sends.
+// A platform may ask for the planned stop again, and ends the process itself once its time
+// is over.
+func awaitInterrupt(signals <-chan os.Signal, log *logrus.Logger, exit func(int)) {
+	for sig := range signals {
+		entry := log.WithField("event", "signal").WithField("signal", sig)
+		if sig == syscall.SIGTERM {
+			entry.Info("shutting down already")
+			continue
+		}
+		entry.Error("second signal: ending at once, requests in progress are cut off")
+		logger.Flush(log)
+		exit(exitFailed)
 		return
 	}
-	log.WithField("event", "signal").WithField("signal", sig).Error("second signal: ending at once, requests in progress are cut off")
-	logger.Flush(log)
-	exit(exitFailed)
 }
