While the port is closed, a connection ends with the answer at hand

An answer whose head went out before the stop doesn't say that its connection ends. Its caller sent the next request on it as soon as it was whole, and the look at idle connections, every 2 ms or later on a VM short of processor time, found that request there: it was served though it came seconds into the stop, and cut at its end (LOST, around planned work).

Whether the connection goes on is decided before the last bytes of an answer leave.

--- a/internal/listener/caller.go
+++ b/internal/listener/caller.go
@@ -145,8 +145,8 @@
 	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
 }
 
-// CloseAfter ends the connection once the answer is sent. It has an effect only before the
-// answer has begun.
+// CloseAfter ends the connection once the answer is sent. The caller is told so if the answer
+// has not begun.
 func (c *Caller) CloseAfter() {
 	c.close = true
 	c.b.mu.Lock()
@@ -178,6 +178,9 @@
 		c.CloseAfter()
 	}
 	l.cfg.Handler(c, detach(r, g.b))
+	if l.closing.Load() {
+		c.CloseAfter() // its caller may send the next request as soon as this answer is whole
+	}
 	c.finish()
 }
 
--- /dev/null
+++ b/internal/listener/drainedanswer_test.go
@@ -0,0 +1,45 @@
+package listener
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"testing"
+)
+
+// TestDrainTakesNoRequestAfterAnAnswerBegunBeforeIt has the port close while an answer is on
+// its way whose head said nothing of that, and its caller send the next request at once.
+func TestDrainTakesNoRequestAfterAnAnswerBegunBeforeIt(t *testing.T) {
+	begun, finish, taken := make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
+	l := start(t, Config{Handler: func(c *Caller, r *http.Request) {
+		if r.URL.Path == "/next" {
+			taken <- struct{}{}
+			return
+		}
+		fmt.Fprint(c, "first ")
+		c.Flush()
+		close(begun)
+		<-finish
+		fmt.Fprint(c, "last")
+	}})
+	conn := dial(t, l)
+	send(t, conn, getKeep)
+	<-begun
+	l.StopAccepting() // the look at idle connections that follows comes late
+	close(finish)
+	reader := bufio.NewReader(conn)
+	res, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for buf := make([]byte, 64); err == nil; {
+		_, err = res.Body.Read(buf)
+	}
+	send(t, conn, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+	res, err = http.ReadResponse(reader, nil)
+	select {
+	case <-taken:
+		t.Errorf("got the next request taken in (answer %v, error %v), want the connection ended with the answer before it", res != nil, err)
+	default:
+	}
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -143,6 +143,8 @@
 	engine   *nbhttp.Engine
 	acceptor *acceptor
 	draining atomic.Bool
+	// closing is true once no connection is accepted any more.
+	closing  atomic.Bool
 	stopOnce sync.Once
 	stopped  chan struct{}
 
@@ -255,9 +257,11 @@
 }
 
 // StopAccepting closes the port. Open connections live on; each is told with
-// its next answer that it will be closed.
+// its next answer that it will be closed, and ends with the answer at hand even if the
+// head of that said nothing yet.
 func (l *Listener) StopAccepting() {
 	l.draining.Store(true)
+	l.closing.Store(true)
 	l.acceptor.stopAccepting()
 }
 
