An answer that its caller did not get whole is cut, not completed

Found in review.

What ends without being given whole now says so, on both kinds of router, and ends by cutting the connection. TestUnfinishedStreamNeverLooksWhole failed before, in both cases.

--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -284,9 +284,10 @@
 	f.gone = true
 	if f.over {
 		f.result.CallerGone = f.result.CallerGone || f.relay.Waiting()
+		f.result.Aborted = f.result.Aborted || f.relay.Waiting()
 		return
 	}
-	f.result.CallerGone = true
+	f.result.CallerGone, f.result.Aborted = true, true
 	f.d.counters.CallersGone.Add(1)
 	if f.pending != nil {
 		return
@@ -317,6 +318,7 @@
 func (f *flight) stop() {
 	if f.over {
 		f.gone = true
+		f.result.Aborted = f.result.Aborted || f.relay.Waiting()
 		return
 	}
 	if len(f.attempts) == 0 && f.retry == nil && f.pending == nil {
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -67,6 +67,14 @@
 	result := r.dispatcher.Serve(r.serving, out, q, &namedCaller{Caller: c, wireID: out.WireID, callerID: callerID})
 	r.control.closeQueue(out.ID)
 	r.observe(series, arrived, result)
+	r.logEnded(out, callerID, arrived, result)
+	if result.Aborted {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// logEnded writes the line of an ended request.
+func (r *Router) logEnded(out *dispatcher.Request, callerID string, arrived time.Time, result dispatcher.Result) {
 	if !r.log.IsLevelEnabled(logrus.InfoLevel) {
 		return
 	}
