--- a/internal/dispatcher/refusal_test.go
+++ b/internal/dispatcher/refusal_test.go
@@ -128,8 +128,9 @@
 			idle := make(chan struct{})
 			accepted := atomic.Int64{}
 			addr := serveRaw(t, func(conn net.Conn, _ *http.Request) {
+				first := accepted.Add(1) == 1
 				_, _ = io.WriteString(conn, own)
-				if accepted.Add(1) > 1 {
+				if !first {
 					return
 				}
 				<-idle
