An upstream that speaks before its place is taken goes on

A stream that may not go on elsewhere was silent before its first event; while the decision to send it to another upstream was on its way, its events reached the caller. The attempt was ended all the same, the other one could not begin, and the caller's stream was cut (LOST). What has come in is looked at, and asked again, before an attempt makes way. TestUpstreamThatSpeaksBeforeItsPlaceIsTakenGoesOn failed before.

--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -173,8 +173,9 @@
 		f.leave()
 		return
 	}
-	if a.Instead != "" {
-		f.makeWay(a)
+	if a.Instead != "" && !f.makeWay(a) {
+		f.finish(a.Upstream, 0, false, false)
+		return
 	}
 	late := f.late()
 	if f.over || f.gone || late || f.pending != nil || !f.outcome.MaySend() {
--- a/internal/dispatcher/relocate_test.go
+++ b/internal/dispatcher/relocate_test.go
@@ -143,3 +143,58 @@
 		t.Errorf("got %d retries taken from the budget, want 1", got)
 	}
 }
+
+// lateQueue keeps back what the scheduler decides about a silent upstream.
+type lateQueue struct {
+	*fakeQueue
+	silent chan messenger.UpstreamID
+}
+
+// Tell takes an event.
+func (q *lateQueue) Tell(e messenger.Event) {
+	s, ok := e.(messenger.Silent)
+	if !ok {
+		q.fakeQueue.Tell(e)
+		return
+	}
+	select {
+	case q.silent <- s.Upstream:
+	default:
+	}
+}
+
+// TestUpstreamThatSpeaksBeforeItsPlaceIsTakenGoesOn has an upstream begin its stream after it was
+// silent, while the decision to send the request elsewhere is on its way.
+func TestUpstreamThatSpeaksBeforeItsPlaceIsTakenGoesOn(t *testing.T) {
+	begin, goOn := make(chan struct{}), make(chan struct{})
+	first := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		<-begin
+		beginStream(w, r)
+		writeEvent(w, numbered(1, 3))
+		<-goOn
+		writeEvent(w, numbered(4, 6))
+	})
+	second := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		beginStream(w, r)
+		writeEvent(w, numbered(1, 6))
+	})
+	d := newTestDispatcher(t, Config{Dialect: resendDialect{}, Upstreams: fixedUpstreams{"a": {Address: first}, "b": {Address: second}}})
+	q, c := &lateQueue{newFakeQueue("a"), make(chan messenger.UpstreamID, 1)}, newFakeCaller()
+	req := quietStream()
+	req.Resumable, req.Arrive.Idempotent = false, true
+	done := make(chan Result, 1)
+	go func() { done <- d.Serve(context.Background(), req, q, c) }()
+	<-q.silent
+	close(begin)
+	for c.text() != numbered(1, 3) {
+		<-c.wrote
+	}
+	q.actions <- messenger.Dispatch{Request: q.id, Upstream: "b", Instead: "a"}
+	for len(q.finishes()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	close(goOn)
+	if res := <-done; res.Aborted || c.text() != numbered(1, 6) {
+		t.Errorf("got %q, aborted %v, want the whole stream of the first upstream", c.text(), res.Aborted)
+	}
+}
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -143,21 +143,30 @@
 	return f.d.spendRetry(f.req.Arrive.Pool)
 }
 
-// makeWay ends the attempt in whose place a is to begin.
-func (f *flight) makeWay(a messenger.Dispatch) {
-	f.asked = false
+// makeWay ends the attempt in whose place a is to begin, and reports whether a may begin. What
+// has come in by now counts: a stream that can't go on elsewhere may be under way again.
+func (f *flight) makeWay(a messenger.Dispatch) bool {
+	defer func() { f.asked = false }()
 	for _, at := range f.attempts {
-		if at.upstream != a.Instead || f.over || f.gone || f.late() {
+		if at.upstream != a.Instead {
 			continue
 		}
+		f.pumpAttempt(at)
+		if !f.holds(at) {
+			return true
+		}
+		if !f.mayFailOver() {
+			return false
+		}
 		f.logResend(at)
 		f.retries++
 		if at.won && f.outcome.State() == tracker.Answered {
 			f.note(tracker.Break)
 		}
 		f.close(at, true)
-		return
+		return true
 	}
+	return true
 }
 
 // framedEvents relays the whole events of a stream that ends with its message. Bytes
