A pass that was given up does not hold up its poller

A listener that stopped while two connections waited for the same poller could hang: the poller waited to hand over what nobody took. Found in review. TestPassesThatAreGivenUpHoldUpNoStop hung before.

--- a/internal/listener/prober.go
+++ b/internal/listener/prober.go
@@ -96,7 +96,12 @@
 
 // start adds the probe to its poller and returns once that has read a byte.
 func (p *probe) start(engine *nbhttp.Engine) error {
-	p.conn.OnData(func(*nbio.Conn, []byte) { p.read <- struct{}{} })
+	p.conn.OnData(func(*nbio.Conn, []byte) {
+		select {
+		case p.read <- struct{}{}:
+		default: // a pass that was given up left its token
+		}
+	})
 	if _, err := engine.AddConn(p.conn); err != nil {
 		return merry.Prepend(err, "add a connection to a poller")
 	}
--- a/internal/listener/recycled_test.go
+++ b/internal/listener/recycled_test.go
@@ -140,3 +140,29 @@
 		t.Errorf("got status %d, want 200", res.StatusCode)
 	}
 }
+
+// TestPassesThatAreGivenUpHoldUpNoStop has a listener stop while connections wait for a poller.
+func TestPassesThatAreGivenUpHoldUpNoStop(t *testing.T) {
+	l := start(t, Config{Handler: echo})
+	givenUp := make(chan struct{})
+	close(givenUp)
+	l.mu.Lock()
+	p := l.probes[0]
+	l.mu.Unlock()
+	for range 40 {
+		if err := p.pass(givenUp); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond) // the poller reads the byte
+	}
+	done := make(chan struct{})
+	go func() {
+		l.stop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(patience):
+		t.Error("got a listener that does not stop")
+	}
+}
