Nothing is sent to what a pool listed that was taken away

A retry, or a request of a silent upstream, could go to an upstream that the removed pool used to list and that may serve another pool by now. By reading, in review; the test of a retry in a removed pool stands beside it.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -289,15 +289,14 @@
 	}
 	r.avoid = e.Upstream
 	r.holdUntil = a.now.Add(time.Duration(holdShare * float64(r.arrive.Objective)))
-	if a.placeAgain(r) {
-		return
-	}
 	if a.pools[r.pool.id] != r.pool {
 		delete(a.requests, e.Request)
 		a.refuse(r)
 		return
 	}
-	r.pool.waiting = append(r.pool.waiting, r)
+	if !a.placeAgain(r) {
+		r.pool.waiting = append(r.pool.waiting, r)
+	}
 }
 
 // silent notes that an upstream is silent with a request, which it keeps unless another one
@@ -311,7 +310,7 @@
 		r.silent = true
 		r.at.note(a.now, true)
 	}
-	if e.Elsewhere {
+	if e.Elsewhere && a.pools[r.pool.id] == r.pool {
 		a.relocate(r)
 	}
 }
