--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -19,6 +19,7 @@
 // cases holds the scripts by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"endless":   playEndless,
+	"truncated": playTruncated,
 }
 
 func main() { os.Exit(run()) }
