--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"endless":   playEndless,
 	"truncated": playTruncated,
+	"repeats":   playRepeats,
 	"poison":    playPoison,
 	"preempted": playPreempted,
 }
