admitter: requests that spent least of their time use an account's share first

Cause: at a load peak, 14 to 19% of the served streams had been refused before and came back, so they were late from the start. They used their account's share, while new requests of the same account, which could have been in time, were refused. Change: an account over its share charges a request only if its unused credit is at least the fraction of its caller's time that has passed; with full credit every request is admitted.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -182,7 +182,7 @@
 	r := &request{arrive: e, pool: p, arrivedAt: a.now, cost: e.Work.Cost()}
 	r.queueDeadline = a.now.Add(time.Duration(maxQueueingShare * float64(e.Objective)))
 	if p.hasEngines {
-		r.overShare = a.shares.addDemand(a.now, e.Account, r.cost)
+		r.overShare = a.shares.addDemand(a.now, e.Account, r.cost, e.SpentShare)
 	}
 	a.requests[e.Request] = r
 	if a.trySend(r) {
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -96,7 +96,7 @@
 func (p *pool) sortWaiting(a *Admitter) {
 	for _, r := range p.waiting {
 		if p.hasEngines && r.overShare {
-			r.overShare = !a.shares.moveWithinShare(r.arrive.Account, r.cost)
+			r.overShare = !a.shares.moveWithinShare(r.arrive.Account, r.cost, r.arrive.SpentShare)
 		}
 	}
 	slices.SortStableFunc(p.waiting, func(x, y *request) int {
--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -93,27 +93,35 @@
 
 // addDemand records the demand of a request and reports whether the account has used up its
 // share.
-func (s *shares) addDemand(now time.Time, id messenger.AccountID, cost float64) bool {
+func (s *shares) addDemand(now time.Time, id messenger.AccountID, cost, spentShare float64) bool {
 	a := s.accountOf(id)
 	a.decay(now)
 	a.demand += rateIncrement(cost)
-	return !a.chargeCredit(cost)
+	return !a.chargeCredit(cost, spentShare)
 }
 
 // chargeCredit charges a request to the account's credit and reports whether it is within
 // the share. The charge is made whether or not the request will be served, so that a
 // shortage of slots affects all accounts alike and not mainly those with less demand.
-func (a *account) chargeCredit(cost float64) bool {
+//
+// An account that demands more than its share uses its credit for the requests that have spent
+// least of their time: one that was refused and came back is late already, while a new one can
+// still meet its objective. The more credit is left unused, the more time a request may have
+// spent; with full credit, any request is within the share.
+func (a *account) chargeCredit(cost, spentShare float64) bool {
 	if !a.capped {
 		return true
 	}
-	if a.credit <= 0 {
+	if a.credit <= 0 || a.credit < spentShare*a.maxCredit() {
 		return false
 	}
 	a.credit -= cost
 	return true
 }
 
+// maxCredit returns the credit that the account may accumulate.
+func (a *account) maxCredit() float64 { return a.creditRate * creditTime.Seconds() }
+
 // fleetDemandAndShare returns the demand of an account in the whole fleet and its share of
 // the throughput, in cost per second.
 func (s *shares) fleetDemandAndShare(id messenger.AccountID) (demand, share float64) {
@@ -169,8 +177,8 @@
 
 // moveWithinShare reports whether a request that was over its account's share is now within
 // it, and charges it in that case.
-func (s *shares) moveWithinShare(id messenger.AccountID, cost float64) bool {
-	return s.accountOf(id).chargeCredit(cost)
+func (s *shares) moveWithinShare(id messenger.AccountID, cost, spentShare float64) bool {
+	return s.accountOf(id).chargeCredit(cost, spentShare)
 }
 
 // fleetReserve returns the fraction of the slots that requests over their account's share
@@ -315,5 +323,5 @@
 		a.capped = true
 		a.credit = 0
 	}
-	a.credit = min(a.credit+a.creditRate*elapsed.Seconds(), a.creditRate*creditTime.Seconds())
+	a.credit = min(a.credit+a.creditRate*elapsed.Seconds(), a.maxCredit())
 }
