follower: rows and answers say until when an upstream is cold

Cause: the routers don't know which upstreams are cold. After the end of a process its upstream counts as cold until a row or an answer says otherwise. Measured: tests of follower and platform pass; nothing uses the end yet.

--- /dev/null
+++ b/internal/follower/cold.go
@@ -0,0 +1,117 @@
+package follower
+
+import (
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+const (
+	// oldRowTime is how long after an upstream's own word, or the end of its process, a row of
+	// it may still arrive that was written before. Rows usually take 0.1 to 0.3 s.
+	oldRowTime = 1500 * time.Millisecond
+	// maxReturnTime bounds the time for which an upstream whose process has ended counts as
+	// cold without an answer from it.
+	maxReturnTime = 10 * time.Minute
+	// coldTolerance is the change of the end of the cold time, and more, that counts as news.
+	coldTolerance = 200 * time.Millisecond
+)
+
+// coldState is what is known about the time in which an upstream is cold.
+type coldState struct {
+	until time.Time
+	// saidAt is when the upstream itself last said in an answer until when it is cold.
+	saidAt time.Time
+	// endedAt is when the upstream's process was last known to have ended; zero if a row or an
+	// answer has said since whether the next process is cold. started is the start time of the
+	// process that ended, returned is true once a process answers again.
+	endedAt, started time.Time
+	returned         bool
+}
+
+// applyRow applies a row received at now. Its time counts from its receipt, so that the end is
+// never too early. A row that may have been written before what is known otherwise does not
+// shorten the time.
+func (c *coldState) applyRow(now time.Time, u messenger.UpstreamPolicy) {
+	if !c.endedAt.IsZero() && u.ColdLeft <= 0 && u.Started.Equal(c.started) && now.Sub(c.endedAt) < oldRowTime {
+		return
+	}
+	until := time.Time{}
+	if u.ColdLeft > 0 {
+		until = now.Add(u.ColdLeft)
+	}
+	if until.Before(c.until) && !c.saidAt.IsZero() && now.Sub(c.saidAt) < oldRowTime {
+		return
+	}
+	c.until, c.endedAt, c.returned = until, time.Time{}, false
+}
+
+// setPolicy sets until when an upstream is cold in its published policy.
+func (c *coldState) setPolicy(u *messenger.UpstreamPolicy, pool messenger.ColdPolicy) {
+	u.ColdLeft = 0
+	if pool.PerSecond <= 0 {
+		return
+	}
+	u.ColdUntil = c.until
+	if !c.endedAt.IsZero() && !c.returned {
+		u.ColdUntil, u.ColdAssumed = c.endedAt.Add(maxReturnTime), true
+	}
+}
+
+// RecordCold records that an upstream, reached at address, said in an answer how much longer it
+// is cold. It reports whether this is news.
+func (f *Follower) RecordCold(now time.Time, id messenger.UpstreamID, address string, left time.Duration) bool {
+	e := f.coldEntry(id, address)
+	if e == nil {
+		return false
+	}
+	before := e.cold
+	e.cold = coldState{saidAt: now}
+	if left > 0 {
+		e.cold.until = now.Add(left)
+	}
+	if !before.endedAt.IsZero() || before.until.After(now) != e.cold.until.After(now) {
+		return true
+	}
+	return e.cold.until.After(now) && e.cold.until.Sub(before.until).Abs() > coldTolerance
+}
+
+// RecordEnd records that the process of an upstream, reached at address, has ended. The upstream
+// counts as cold until a row or an answer says otherwise, at most for the time after its return
+// for which upstreams of the pool are cold. It reports whether this is news.
+func (f *Follower) RecordEnd(now time.Time, id messenger.UpstreamID, address string) bool {
+	e := f.coldEntry(id, address)
+	if e == nil {
+		return false
+	}
+	known := !e.cold.endedAt.IsZero() && !e.cold.returned
+	e.cold.endedAt, e.cold.started, e.cold.returned = now, e.lastPolicy.Started, false
+	return !known
+}
+
+// RecordReturn records that an upstream, reached at address, answers again after its process
+// had ended. It reports whether this is news.
+func (f *Follower) RecordReturn(now time.Time, id messenger.UpstreamID, address string) bool {
+	e := f.coldEntry(id, address)
+	if e == nil || e.cold.endedAt.IsZero() || e.cold.returned {
+		return false
+	}
+	e.cold.returned = true
+	if until := now.Add(f.configuration.Pools[e.lastPolicy.Pool].Cold.Duration); until.After(e.cold.until) {
+		e.cold.until = until
+	}
+	return true
+}
+
+// coldEntry returns the entry of an upstream that is registered at address, or nil if its pool
+// has no limit for cold upstreams.
+func (f *Follower) coldEntry(id messenger.UpstreamID, address string) *entry {
+	e, ok := f.rows[RegistrationTable][string(id)]
+	if !ok || e.lastPolicy.Address != address || f.configuration == nil {
+		return nil
+	}
+	if f.configuration.Pools[e.lastPolicy.Pool].Cold.PerSecond <= 0 {
+		return nil
+	}
+	return e
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -128,6 +128,7 @@
 	expiresAt time.Time
 	// lastPolicy is the last registration of this key that could be parsed.
 	lastPolicy messenger.UpstreamPolicy
+	cold       coldState
 	// deletedRow is the last row before the deletion, kept while the registration is still in
 	// use.
 	deletedRow Row
@@ -224,7 +225,7 @@
 	}
 	newEntry := &entry{row: row}
 	if ok {
-		newEntry.lastPolicy = e.lastPolicy
+		newEntry.lastPolicy, newEntry.cold = e.lastPolicy, e.cold
 	}
 	entries[row.Key] = newEntry
 	if row.Table == ConfigurationTable {
@@ -239,6 +240,9 @@
 		return true
 	}
 	f.register(newEntry)
+	if newEntry.readable {
+		newEntry.cold.applyRow(now, newEntry.upstream)
+	}
 	return true
 }
 
@@ -350,6 +354,7 @@
 			continue
 		}
 		u.Engine = pool.Engine != nil
+		e.cold.setPolicy(&u, pool.Cold)
 		u.Leaving = u.Leaving || f.isDeparting(key, u)
 		policy.Upstreams[messenger.UpstreamID(key)] = u
 	}
--- a/internal/messenger/action.go
+++ b/internal/messenger/action.go
@@ -17,6 +17,8 @@
 	FetchFrom UpstreamID
 	// Replaces is the upstream whose attempt ends when this one begins, or empty.
 	Replaces UpstreamID
+	// WriteBy is set if Upstream is cold: the request may be written once, until this time.
+	WriteBy time.Time
 }
 
 // Refuse ends a request that was never dispatched.
@@ -71,6 +73,8 @@
 	RefuseTokens      RefuseReason = "token-limit"
 	RefuseDeadline    RefuseReason = "deadline"
 	RefuseNoUpstream  RefuseReason = "no-upstream"
+	// RefuseCold means that only cold upstreams were left.
+	RefuseCold        RefuseReason = "cold-upstreams"
 	RefuseUnknownPool RefuseReason = "unknown-pool"
 )
 
--- a/internal/messenger/policy.go
+++ b/internal/messenger/policy.go
@@ -75,6 +75,17 @@
 	HedgeBudget float64
 	// Engine describes the pool's model engines; nil for plain services.
 	Engine *EnginePolicy
+	// Cold limits the requests to upstreams that are cold; the zero value means no limit.
+	Cold ColdPolicy
+}
+
+// ColdPolicy describes upstreams that are cold after their start.
+type ColdPolicy struct {
+	// PerSecond is the number of requests per second that all routers together may send to a
+	// cold upstream; 0 means no limit.
+	PerSecond float64
+	// Duration is how long an upstream is cold after its start.
+	Duration time.Duration
 }
 
 // EnginePolicy holds the configured properties of a pool's model engines.
@@ -104,6 +115,18 @@
 	// MoveTo is the engine to which streams in progress must be moved. If empty, they finish on
 	// this upstream.
 	MoveTo UpstreamID
+	// ColdLeft is how much longer the upstream is cold according to its row. Decoders set it;
+	// published policies have ColdUntil instead.
+	ColdLeft time.Duration
+	// ColdUntil is the end of the time in which the upstream is cold. It is zero if the pool has
+	// no limit for cold upstreams.
+	ColdUntil time.Time
+	// ColdAssumed is true if ColdUntil is assumed because the upstream's process has ended, and
+	// holds until the upstream answers.
+	ColdAssumed bool
 	// ChecksFence is true if the upstream refuses orders with an outdated fencing number.
 	ChecksFence bool
 }
+
+// IsCold reports whether the upstream is cold.
+func (p UpstreamPolicy) IsCold(now time.Time) bool { return now.Before(p.ColdUntil) }
