admitter: every request to a cold upstream has a permit

Cause: the choice of an upstream knows nothing of cold ones. Change: a cold upstream without a permit of the pacer is not usable, for first sends, retries, moves and freed slots alike. Cold upstreams with shares of this router are on the shortlist; a request that the best upstream can't serve in time goes to one of them.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/pacer"
 )
 
 const (
@@ -72,6 +73,8 @@
 	upstreamsByKey map[messenger.NameHash]*upstream
 	requests       map[messenger.RequestID]*request
 	shares         shares
+	pacer          *pacer.Pacer
+	coldStats      ColdStats
 	peers          map[messenger.RouterID]*peer
 	// peerLoadSentAt is the time at which the last load message was sent to the other
 	// routers, peerLoadInterval the time between the last two.
@@ -128,12 +131,14 @@
 		upstreamsByKey: make(map[messenger.NameHash]*upstream),
 		requests:       make(map[messenger.RequestID]*request),
 		peers:          make(map[messenger.RouterID]*peer),
+		pacer:          pacer.New(messenger.HashName(cfg.Self)),
 	}
 }
 
 // Handle processes one event. The returned actions are valid until the next call.
 func (a *Admitter) Handle(now time.Time, e messenger.Event) []messenger.Action {
 	a.now = now
+	a.pacer.Advance(now)
 	a.actions = a.actions[:0]
 	switch e := e.(type) {
 	case messenger.Arrive:
@@ -203,7 +208,7 @@
 		r.lastDenial = denial{}
 		return false
 	}
-	return a.trySendTo(r, u, f)
+	return a.trySendTo(r, u, f) || a.trySendCold(r)
 }
 
 // trySendTo sends a request to u if forecast f is within the limits; otherwise it records
@@ -253,6 +258,7 @@
 	r.unreadTokens, r.nothingAhead = f.unreadTokens, f.nothingAhead
 	r.expectedFirstOutput = time.Duration(float64(f.firstOutput) * r.pool.medianError)
 	u.addRequest(a.now, r)
+	writeBy := a.takePermit(u)
 	r.pool.shortlist.sends++
 	if r.pool.hasEngines && r.arrive.Work.MaxOutputTokens > 0 {
 		a.shares.addServed(a.now, r.arrive.Account, r.cost)
@@ -261,7 +267,7 @@
 		}
 		r.pool.recordPrompt(a.now, u, r, f)
 	}
-	d := messenger.Dispatch{Request: r.arrive.Request, Upstream: u.id, Replaces: replaced}
+	d := messenger.Dispatch{Request: r.arrive.Request, Upstream: u.id, Replaces: replaced, WriteBy: writeBy}
 	if f.fetchFrom != nil {
 		d.FetchFrom = f.fetchFrom.id
 	}
@@ -374,6 +380,7 @@
 	}
 	previousWeight := decayFactor(min(a.now.Sub(a.lastTick), peerRunningHalfLife), peerRunningHalfLife)
 	a.lastTick = a.now
+	a.listColdUpstreams()
 	for _, u := range a.upstreams {
 		u.recordMissedObjectives(a.now)
 		u.smoothPeerRunning(previousWeight)
@@ -454,6 +461,7 @@
 			a.upstreamsByKey[messenger.HashName(id)] = u
 		}
 		u.setPolicy(up, p, a.cfg.Domain)
+		a.updateGate(u)
 		p.members = append(p.members, u)
 	}
 	for id, u := range a.upstreams {
@@ -469,5 +477,6 @@
 	for _, p := range a.pools {
 		p.membersChanged()
 	}
+	a.listColdUpstreams()
 	a.rankRouters()
 }
--- /dev/null
+++ b/internal/admitter/cold.go
@@ -0,0 +1,147 @@
+package admitter
+
+import (
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// The functions in this file concern upstreams that are cold after their start. Package pacer
+// decides how many requests this router may send to them.
+
+// coldReadFactor times the time to read a prompt is added to the cost of a cold upstream, so
+// that the few requests that it takes are mainly short ones, and those whose shared parts are
+// not cached at a warm upstream.
+const coldReadFactor = 1
+
+// ColdStats describes the cold upstreams.
+type ColdStats struct {
+	// Upstreams is the number of cold upstreams, Shared the number of those to which this
+	// router may send some requests.
+	Upstreams, Shared int
+	// Permits counts the requests that were sent to cold upstreams. Refused counts the
+	// requests that were refused while cold upstreams were closed to this router, OnlyCold
+	// those of them for which only cold upstreams were left.
+	Permits, Refused, OnlyCold uint64
+}
+
+// ColdStats returns the state of the cold upstreams as of the last tick, and the counts since
+// the start.
+func (a *Admitter) ColdStats() ColdStats { return a.coldStats }
+
+// Join records the members of the fleet. Without others, alone tells that none are to come. Until
+// then, nothing is sent to cold upstreams.
+func (a *Admitter) Join(now time.Time, members []messenger.RouterID, alone bool) {
+	keys := make([]messenger.NameHash, 0, len(members))
+	for _, id := range members {
+		keys = append(keys, messenger.HashName(id))
+	}
+	a.pacer.Join(now, keys, alone)
+}
+
+// updateGate applies the policy of an upstream to its gate.
+func (a *Admitter) updateGate(u *upstream) {
+	perSecond := u.pool.policy.Cold.PerSecond
+	if perSecond <= 0 {
+		u.gate = nil
+		return
+	}
+	if u.gate == nil {
+		u.gate = a.pacer.NewGate(u.hash)
+	}
+	u.gate.SetRate(perSecond)
+	u.gate.SetColdUntil(a.now, u.policy.ColdUntil)
+}
+
+// listColdUpstreams lists, for each pool, the cold upstreams to which this router may send some
+// requests.
+func (a *Admitter) listColdUpstreams() {
+	a.coldStats.Upstreams, a.coldStats.Shared = 0, 0
+	for _, p := range a.pools {
+		p.cold = p.cold[:0]
+		if p.policy.Cold.PerSecond <= 0 {
+			continue
+		}
+		for _, u := range p.members {
+			if !u.acceptsWork || !u.gate.IsCold(a.now) {
+				continue
+			}
+			a.coldStats.Upstreams++
+			if u.gate.HoldsShare(a.now) {
+				p.cold = append(p.cold, u)
+			}
+		}
+		a.coldStats.Shared += len(p.cold)
+	}
+}
+
+// takePermit uses a permit for a request that is sent to u, and returns until when it may be
+// written. The time is zero if u is warm.
+func (a *Admitter) takePermit(u *upstream) time.Time {
+	if !u.gate.IsCold(a.now) {
+		return time.Time{}
+	}
+	a.coldStats.Permits++
+	return u.gate.Take(a.now)
+}
+
+// coldCost returns what is added to the cost of a request at a cold upstream.
+func (a *Admitter) coldCost(u *upstream, f forecast) time.Duration {
+	if !u.gate.IsCold(a.now) {
+		return 0
+	}
+	return time.Duration(coldReadFactor * float64(f.unreadTokens) * u.pool.readSpeed.secondsPerToken * float64(time.Second))
+}
+
+// trySendCold sends a request that the best upstream can't serve in time to a cold upstream
+// with a permit, if that one can.
+func (a *Admitter) trySendCold(r *request) bool {
+	p := r.pool
+	if len(p.cold) == 0 {
+		return false
+	}
+	home := p.home(a, r)
+	u, f := p.cheapest(a, r, p.cold, p.findParts(a, r, home), home, false)
+	if u == nil || u == r.lastDenial.upstream {
+		return false
+	}
+	best := r.lastDenial
+	if a.trySendTo(r, u, f) {
+		return true
+	}
+	r.lastDenial = best
+	return false
+}
+
+// countColdRefusal counts the refusal of a request while cold upstreams are closed to this
+// router, and reports whether only cold upstreams were left.
+func (a *Admitter) countColdRefusal(r *request) bool {
+	if r.pool.policy.Cold.PerSecond <= 0 || a.coldStats.Upstreams == 0 {
+		return false
+	}
+	cold, warm := r.pool.countUsable(a.now)
+	if cold == 0 {
+		return false
+	}
+	a.coldStats.Refused++
+	if warm > 0 || r.lastDenial.upstream != nil {
+		return false
+	}
+	a.coldStats.OnlyCold++
+	return true
+}
+
+// countUsable returns the numbers of cold upstreams without a permit, and of other upstreams
+// that accept work.
+func (p *pool) countUsable(now time.Time) (cold, warm int) {
+	for _, u := range p.members {
+		switch {
+		case !u.acceptsWork || now.Before(u.pausedUntil):
+		case u.gate.IsCold(now) && !u.gate.Open(now):
+			cold++
+		default:
+			warm++
+		}
+	}
+	return cold, warm
+}
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -70,6 +70,8 @@
 	// candidates.
 	shortlist    shortlist
 	candidateBuf []*upstream
+	// cold lists the cold upstreams of which this router holds a share of the allowed rate.
+	cold []*upstream
 }
 
 func newPool(id messenger.PoolID) *pool {
@@ -183,7 +185,7 @@
 		if !u.acceptsWork {
 			continue
 		}
-		remaining := u.pausedUntil.Sub(now)
+		remaining := max(u.pausedUntil.Sub(now), u.gate.Wait(now))
 		if remaining <= 0 {
 			return 0
 		}
@@ -268,7 +270,7 @@
 			continue
 		}
 		f := u.forecast(a, r, u == home, src)
-		if cost := p.cost(u, f); best == nil || cost < lowestCost {
+		if cost := p.cost(u, f) + a.coldCost(u, f); best == nil || cost < lowestCost {
 			best, bestForecast, lowestCost = u, f, cost
 		}
 	}
--- a/internal/admitter/shortlist.go
+++ b/internal/admitter/shortlist.go
@@ -72,7 +72,8 @@
 }
 
 // candidates returns the upstreams to evaluate for a request: all of a small pool; of a
-// large one those that hold parts of its prompt, and the shortlist.
+// large one those that hold parts of its prompt, cold ones that this router may send to, and
+// the shortlist.
 func (p *pool) candidates(a *Admitter, home *upstream, src partSource) []*upstream {
 	if len(p.members) <= maxFullScan {
 		return p.members
@@ -86,6 +87,9 @@
 	for _, h := range src.holders {
 		p.addCandidate(h.upstream)
 	}
+	for _, u := range p.cold {
+		p.addCandidate(u)
+	}
 	for _, r := range p.shortlist.best {
 		p.addCandidate(r.upstream)
 	}
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/pacer"
 )
 
 const (
@@ -60,6 +61,8 @@
 	policySet   bool
 	acceptsWork bool
 	otherDomain bool
+	// gate limits the requests to the upstream while it is cold; nil if its pool has no limit.
+	gate *pacer.Gate
 
 	// running counts this router's requests. unreadTokens is the number of tokens that the
 	// engine has to read for those requests that have no output yet.
@@ -126,15 +129,15 @@
 }
 
 // usable reports whether the upstream accepts new requests. With allowFailed, it may be in
-// backoff.
+// backoff. A cold upstream is usable only with a permit.
 func (u *upstream) usable(now time.Time, allowFailed bool) bool {
-	return u.acceptsWork && !now.Before(u.pausedUntil) && (allowFailed || !now.Before(u.backoffUntil))
+	return u.acceptsWork && !now.Before(u.pausedUntil) && (allowFailed || !now.Before(u.backoffUntil)) && u.gate.Open(now)
 }
 
-// healthy reports whether the upstream is usable, its last attempt did not fail, and none of
+// healthy reports whether the upstream is usable and warm, its last attempt did not fail, and none of
 // its pending requests is overdue.
 func (u *upstream) healthy(now time.Time) bool {
-	return u.acceptsWork && !now.Before(u.pausedUntil) && u.consecutiveFailures == 0 && u.overdue(now) == 0
+	return u.acceptsWork && !now.Before(u.pausedUntil) && u.consecutiveFailures == 0 && u.overdue(now) == 0 && !u.gate.IsCold(now)
 }
 
 func (u *upstream) slots() int {
