dispatcher: look at the permit again right before writing

Cause: a request may be written late, after the router stood still, or a second time on a new connection, or after its upstream became cold. Change: the check before each write refuses a request for a cold upstream without a permit, with a late one, or with one that was used; the request then goes elsewhere. Refused connections and the cold time in answers are passed on as notices.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -80,8 +80,11 @@
 func (at *attempt) tokens() float64 { return max(at.countedTokens, at.reportedTokens) }
 
 // upstreamWithdrawn reports whether the attempt ended because its upstream was no longer
-// to be used. That does not count as a failure of the upstream.
-func (at *attempt) upstreamWithdrawn() bool { return errors.Is(at.exchange.failure(), errNoUpstream) }
+// to be used, or not for this request. That does not count as a failure of the upstream.
+func (at *attempt) upstreamWithdrawn() bool {
+	cause := at.exchange.failure()
+	return errors.Is(cause, errNoUpstream) || errors.Is(cause, errNoPermit)
+}
 
 // recordProgress records activity of the upstream and extends the attempt's deadline.
 func (at *attempt) recordProgress(now time.Time, timeout time.Duration) {
@@ -159,7 +162,7 @@
 		return false
 	}
 	f.reportLoad(at, u.header)
-	f.d.notify(at.upstream, at.policy.Address, f.d.dialect.Notice(u.status, u.header))
+	f.d.notify(at.upstream, at.policy.Address, f.noticeOf(at, u))
 	if f.d.dialect.Declined(u.status, u.header) {
 		f.handleDeclined(at)
 		return false
@@ -282,6 +285,7 @@
 		entry = entry.WithField("cause", cause)
 	}
 	entry.Info("attempt failed")
+	f.reportRefusedConnection(at)
 	f.reportBreak(at, problem == ProblemUpstreamSilent)
 	if at.selected && f.outcome.State() == tracker.Answered {
 		f.track(tracker.Break)
--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -26,6 +26,9 @@
 	// Quarantined counts requests that were refused or ended because a part of their prompt is
 	// quarantined.
 	Quarantined atomic.Uint64
+	// PermitsExpired counts requests that were not written to a cold upstream because they had no
+	// permit, or it had expired.
+	PermitsExpired atomic.Uint64
 	// UnknownOutcomes counts requests that ended without a known outcome.
 	UnknownOutcomes atomic.Uint64
 }
--- a/internal/dispatcher/dialect.go
+++ b/internal/dispatcher/dialect.go
@@ -47,12 +47,19 @@
 }
 
 // Notice is an upstream's announcement about itself in a response, whichever request the
-// response belongs to. The zero value announces nothing.
+// response belongs to, or an observation about it. The zero value says nothing.
 type Notice struct {
 	// Leaving is true if the upstream is about to stop.
 	Leaving bool
 	// Pause is how long the upstream asks to be sent no requests; zero if it announced none.
 	Pause time.Duration
+	// HasCold is true if the upstream announced how much longer it is cold, Cold that time.
+	HasCold bool
+	Cold    time.Duration
+	// Ended is true if nothing listens at the upstream's address: its process has ended.
+	Ended bool
+	// Answered is true if an upstream answers whose process had ended.
+	Answered bool
 }
 
 // Traits are the differences in behavior between dialects.
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -12,6 +12,7 @@
 var (
 	errCanceled       = merry.Sentinel("exchange canceled")
 	errNoUpstream     = merry.Sentinel("upstream not known, or not to be used any more")
+	errNoPermit       = merry.Sentinel("upstream is cold, and the request has no permit for it or a late one")
 	errStrayResponse  = merry.Sentinel("upstream answered another request and closed")
 	errUnexpectedData = merry.Sentinel("upstream closed or answered before it was asked")
 	errProtocolSwitch = merry.Sentinel("upstream switched protocols")
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -241,6 +241,7 @@
 		f.d.budget.Earn(f.req.Arrive.Pool)
 	}
 	at := &attempt{upstream: a.Upstream, policy: policy, hedge: a.Hedge, fetchFrom: a.FetchFrom}
+	f.logColdSend(a, policy)
 	f.attempts = append(f.attempts, at)
 	if !known {
 		at.recordProgress(f.now(), f.progressTimeout())
@@ -252,7 +253,7 @@
 		address: policy.Address, method: f.req.Method, uri: f.req.URI,
 		header: f.requestHeader(at), body: f.req.Body,
 		newConn:  f.needsNewConnection(),
-		noResend: !f.req.Arrive.Idempotent, ownsResponse: f.responseFilter(a.Upstream, policy.Address), checkBeforeWrite: f.preWriteCheck(a.Upstream, policy),
+		noResend: !f.req.Arrive.Idempotent, ownsResponse: f.responseFilter(a.Upstream, policy.Address), checkBeforeWrite: f.preWriteCheck(a, policy),
 	})
 }
 
@@ -266,16 +267,17 @@
 // preWriteCheck returns a function that returns why the request must no longer be
 // written, or nil. The upstream may be withdrawn while a connection to it is being opened,
 // or while the connection that the request was written to is closing.
-func (f *inflightRequest) preWriteCheck(id messenger.UpstreamID, chosen messenger.UpstreamPolicy) func() error {
+func (f *inflightRequest) preWriteCheck(a messenger.Dispatch, chosen messenger.UpstreamPolicy) func() error {
+	permit := coldPermit{writeBy: a.WriteBy}
 	return func() error {
 		if f.caller.Disconnected() {
 			return errCallerGone
 		}
-		current, known := f.d.cfg.Upstreams.Upstream(id)
+		current, known := f.d.cfg.Upstreams.Upstream(a.Upstream)
 		if !known || current.Address != chosen.Address || current.Pool != chosen.Pool {
 			return errNoUpstream
 		}
-		return nil
+		return permit.use(f.now(), current)
 	}
 }
 
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -124,6 +124,9 @@
 		return
 	}
 	u := at.probe.poll(true)
+	if u.status != 0 {
+		f.d.notify(at.upstream, at.policy.Address, f.d.dialect.Notice(u.status, u.header))
+	}
 	switch {
 	case u.status == http.StatusOK:
 		f.cancelProbe(at)
