router: cold upstreams in the hosted router

Cause: the parts for cold upstreams need to be connected. Change: the hosted router passes the members to the admitter, applies notices about the cold time, and has gauges of cold upstreams, permits and refusals.

--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -129,6 +129,8 @@
 	refusedUnread atomic.Int64
 	// pauses holds the upstreams that asked for no requests for some time.
 	pauses pauseTable
+	// cold holds the counts of cold upstreams and of the requests to them.
+	cold coldGauges
 	// workload counts the work that used the router's CPU time.
 	workload workload
 	// storeDelegated is true if this router relies on other routers to follow the store,
@@ -214,6 +216,7 @@
 	h.control.onDecision = h.workload.recordDecision
 	h.control.isIdle = func() bool { return !h.admitter.HasWaiting() }
 	h.registerGauges()
+	h.cold.register(h.meter)
 	h.quarantine = newQuarantine(cfg.Clock, cfg.Log, h.meter, cfg.Settings.Quarantine)
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Quarantine: h.quarantine, Upstreams: h, Clock: cfg.Clock, Log: cfg.Log, Seed: h.incarnation,
@@ -233,6 +236,10 @@
 	if n.Pause > 0 && !h.recordPause(id, address, n.Pause) {
 		n.Pause = 0
 	}
+	h.dropOldColdNews(id, &n)
+	if n == (dispatcher.Notice{}) {
+		return
+	}
 	h.control.callAsync(func() { h.applyNotice(id, address, n) })
 }
 
@@ -261,6 +268,7 @@
 		h.log.WithFields(logrus.Fields{eventField: "departure", upstreamField: id}).Info("upstream announced that it is leaving")
 		h.publishSnapshot(sourceUpstream)
 	}
+	h.applyColdNews(id, address, n)
 }
 
 // Start opens the listeners and starts following the platform's store.
@@ -372,6 +380,7 @@
 // tick is called on the control goroutine at every tick.
 func (h *Hosted) tick(t tickTiming) {
 	h.expireDroppedRegistrations()
+	h.cold.update(h.admitter.ColdStats())
 	h.quarantine.tick()
 	h.updateOverload(t)
 	h.gossip()
--- a/internal/router/hostedjoin.go
+++ b/internal/router/hostedjoin.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lentilwood.example/lentilwood/internal/follower"
+	"lentilwood.example/lentilwood/internal/messenger"
 )
 
 // The functions in this file find the other routers of the fleet.
@@ -67,6 +68,15 @@
 	return h.readMembers()
 }
 
+// joinAdmitter passes the members of the fleet to the admitter.
+func (h *Hosted) joinAdmitter() {
+	var ids []messenger.RouterID
+	for name := range h.peers {
+		ids = append(ids, messenger.RouterID(name))
+	}
+	h.admitter.Join(h.clock.Now(), ids, len(ids) == 0 && len(h.settings.SeedPeers) == 0)
+}
+
 // sleep waits for the duration d or until the router stops.
 func (h *Hosted) sleep(d time.Duration) {
 	select {
@@ -91,6 +101,7 @@
 			h.upsertPeer(m)
 		}
 		h.joined = true
+		h.joinAdmitter()
 	})
 	return true
 }
--- a/internal/router/hostedstore.go
+++ b/internal/router/hostedstore.go
@@ -108,6 +108,7 @@
 		}
 		h.log.WithFields(logrus.Fields{
 			eventField: "upstream", upstreamField: id, "pool": u.Pool, "address": u.Address, "leaving": u.Leaving,
+			"coldLeftMs": max(0, u.ColdUntil.Sub(h.clock.Now())).Milliseconds(),
 			"rowVersion": h.registrationVersion(id), "from": source,
 		}).Info("upstream added or changed")
 	}
