--- a/internal/admitter/engine_test.go
+++ b/internal/admitter/engine_test.go
@@ -88,6 +88,8 @@
 	collectors []simCollector
 	messages   []simMessage
 	policy     *messenger.Policy
+	// onSend, if set, is called with each dispatch.
+	onSend func(messenger.Dispatch)
 }
 
 func newSim(t *testing.T, routers, engines, slots int, throughput float64) *sim {
@@ -181,6 +183,9 @@
 func (s *sim) send(r *simRequest, d messenger.Dispatch) {
 	e := s.engines[d.Upstream]
 	r.upstream = e.id
+	if s.onSend != nil {
+		s.onSend(d)
+	}
 	if e.refusesConnections {
 		s.sendDelayed(func() { s.failAttempt(r, e) })
 		return
