admitter: slots of cold upstreams are not contested

Cause: a router keeps to its own part of the slots of an upstream that several routers send to. Few routers send to a cold one, and most have less than one slot there, so permits were left unused. Change: the whole of a cold upstream's free slots counts for the holders of its shares.

--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -255,7 +255,8 @@
 func (u *upstream) estimateQueue(now time.Time) queue {
 	count := u.requestCount(now)
 	q := queue{onlyReservedSlots: u.nearlyFull(count, u.pool.reservedShare)}
-	if u.pool.hasEngines {
+	// Only the few holders of shares send to a cold upstream, so its slots are not contested.
+	if u.pool.hasEngines && !u.gate.IsCold(now) {
 		count = u.contestedCount(count)
 	}
 	tokensAhead := float64(u.unreadTokens + u.peerLoad.unreadTokens)
