pacer: members that were never seen count for a minute only

Cause: the directory keeps the entries of routers that ended without withdrawing. A new router would find no majority for ten minutes. Change: such members are forgotten after a minute.

--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -212,7 +212,6 @@
 	d.background.Go(func() {
 		defer d.probes.end(policy.Address)
 		if d.stopsListening(policy.Address) {
-			d.notify(id, policy.Address, Notice{Ended: true})
 			d.cfg.Quarantine.Observe(quarantiner.Refused{Upstream: id, Started: policy.Started})
 		}
 	})
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -51,6 +51,9 @@
 	// forgetTTL is how long routers out of sight count while they are the majority, which may
 	// be alive on the other side of a partition.
 	forgetTTL = 10 * time.Minute
+	// unseenTTL is how long members that were never seen count. The directory may still have the
+	// entries of routers that ended long ago, and then a new router would never have a majority.
+	unseenTTL = time.Minute
 	// maxGap is the longest time between two calls of Advance after which the known routers
 	// are still used. A router that stood still longer reads outdated messages first.
 	maxGap = 1500 * time.Millisecond
@@ -158,7 +161,7 @@
 	removed := false
 	for key, r := range p.others {
 		age := now.Sub(r.seenAt)
-		if age > forgetTTL || p.hasQuorum && r.seen && age > lostTTL {
+		if age > forgetTTL || !r.seen && age > unseenTTL || p.hasQuorum && r.seen && age > lostTTL {
 			delete(p.others, key)
 			removed = true
 		}
