dispatcher: notice the end of a process in pools with cold upstreams

Cause: after a crash, an upstream may be back under the same id before a connection to it is refused. Change: a connection that breaks off leads to a probe of the address, as for quarantined parts, in pools with a limit for cold upstreams only. Measured: the new test and the other tests of permits pass with -race.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -285,7 +285,7 @@
 		entry = entry.WithField("cause", cause)
 	}
 	entry.Info("attempt failed")
-	f.reportRefusedConnection(at)
+	f.reportEndedProcess(at)
 	f.reportBreak(at, problem == ProblemUpstreamSilent)
 	if at.selected && f.outcome.State() == tracker.Answered {
 		f.track(tracker.Break)
--- a/internal/dispatcher/cold.go
+++ b/internal/dispatcher/cold.go
@@ -50,14 +50,33 @@
 	return n
 }
 
-// reportRefusedConnection passes on that nothing listens at the address of a failed attempt's
-// upstream, and counts an attempt that had no permit.
-func (f *inflightRequest) reportRefusedConnection(at *attempt) {
+// reportEndedProcess passes on that the process of a failed attempt's upstream has ended, or looks
+// whether it has if the connection broke off: its next process will be cold. It also counts an
+// attempt that had no permit.
+func (f *inflightRequest) reportEndedProcess(at *attempt) {
 	cause := at.exchange.failure()
-	if errors.Is(cause, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(cause, syscall.ECONNREFUSED):
 		f.d.notify(at.upstream, at.policy.Address, Notice{Ended: true})
+	case at.policy.ColdLimited && at.sent && at.exchange.brokenOff():
+		f.d.probeEnd(at.upstream, at.policy)
 	}
 	if errors.Is(cause, errNoPermit) {
 		f.d.counters.PermitsExpired.Add(1)
 	}
 }
+
+// probeEnd connects to an upstream whose connection broke off, and passes on if nothing listens
+// there.
+func (d *Dispatcher) probeEnd(id messenger.UpstreamID, policy messenger.UpstreamPolicy) {
+	key := "end of " + policy.Address // apart from the probes of the quarantine
+	if !d.probes.begin(key) {
+		return
+	}
+	d.background.Go(func() {
+		defer d.probes.end(key)
+		if d.stopsListening(policy.Address) {
+			d.notify(id, policy.Address, Notice{Ended: true})
+		}
+	})
+}
--- a/internal/dispatcher/cold_test.go
+++ b/internal/dispatcher/cold_test.go
@@ -116,3 +116,30 @@
 		t.Errorf("got %+v, want %+v", got["back"], want)
 	}
 }
+
+// TestBrokenConnectionToEndedProcessIsReported guards against the same if the process ends while
+// it serves a request and no further request is sent to it.
+func TestBrokenConnectionToEndedProcessIsReported(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_ = l.Close()
+		_ = conn.Close()
+	}()
+	ended := make(chan Notice, 1)
+	d := newTestDispatcher(t, Config{
+		Dialect: resendDialect{}, Upstreams: fixedUpstreams{"ended": {Address: l.Addr().String(), ColdLimited: true}},
+		OnNotice: func(_ messenger.UpstreamID, _ string, n Notice) { ended <- n },
+	})
+	d.Serve(context.Background(), reservation(), newFakeQueue("ended"), newFakeCaller())
+	if got, want := <-ended, (Notice{Ended: true}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/internal/follower/cold.go
+++ b/internal/follower/cold.go
@@ -52,7 +52,7 @@
 	if pool.PerSecond <= 0 {
 		return
 	}
-	u.ColdUntil = c.until
+	u.ColdUntil, u.ColdLimited = c.until, true
 	if !c.endedAt.IsZero() && !c.returned {
 		u.ColdUntil, u.ColdAssumed = c.endedAt.Add(maxReturnTime), true
 	}
--- a/internal/messenger/policy.go
+++ b/internal/messenger/policy.go
@@ -121,6 +121,8 @@
 	// ColdUntil is the end of the time in which the upstream is cold. It is zero if the pool has
 	// no limit for cold upstreams.
 	ColdUntil time.Time
+	// ColdLimited is true if the pool has a limit for cold upstreams.
+	ColdLimited bool
 	// ColdAssumed is true if ColdUntil is assumed because the upstream's process has ended, and
 	// holds until the upstream answers.
 	ColdAssumed bool
