--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -130,7 +130,7 @@
 	// pauses holds the upstreams that asked for no requests for some time.
 	pauses pauseTable
 	// cold holds the counts of cold upstreams and of the requests to them.
-	cold coldGauges
+	cold coldCounts
 	// workload counts the work that used the router's CPU time.
 	workload workload
 	// storeDelegated is true if this router relies on other routers to follow the store,
@@ -216,7 +216,6 @@
 	h.control.onDecision = h.workload.recordDecision
 	h.control.isIdle = func() bool { return !h.admitter.HasWaiting() }
 	h.registerGauges()
-	h.cold.register(h.meter)
 	h.quarantine = newQuarantine(cfg.Clock, cfg.Log, h.meter, cfg.Settings.Quarantine)
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Quarantine: h.quarantine, Upstreams: h, Clock: cfg.Clock, Log: cfg.Log, Seed: h.incarnation,
--- a/internal/router/hostedcold.go
+++ b/internal/router/hostedcold.go
@@ -11,31 +11,37 @@
 	"lentilwood.example/lentilwood/internal/meter"
 )
 
-// coldGauges holds the admitter's counts of cold upstreams for other goroutines.
-type coldGauges struct {
-	upstreams, shared, permits, refused, onlyCold atomic.Int64
+// coldCounts holds the admitter's counts about cold upstreams for other goroutines. The zero value
+// has none.
+type coldCounts struct{ latest atomic.Pointer[admitter.ColdStats] }
+
+// update stores the counts. It runs on the control goroutine.
+func (c *coldCounts) update(s admitter.ColdStats) {
+	if before := c.latest.Load(); before == nil || *before != s {
+		c.latest.Store(&s)
+	}
 }
 
-// register adds the counts to the metrics.
-func (g *coldGauges) register(m *meter.Meter) {
-	for name, value := range map[string]*atomic.Int64{
-		"lentilwood_cold_upstreams":        &g.upstreams,
-		"lentilwood_cold_upstreams_shared": &g.shared,
-		"lentilwood_cold_permits_used":     &g.permits,
-		"lentilwood_cold_permits_denied":   &g.refused,
-		"lentilwood_cold_refusals":         &g.onlyCold,
-	} {
-		m.Gauge(name, func() float64 { return float64(value.Load()) })
+// load returns the counts.
+func (c *coldCounts) load() admitter.ColdStats {
+	if s := c.latest.Load(); s != nil {
+		return *s
 	}
+	return admitter.ColdStats{}
+}
+
+// registerGauges adds the numbers of cold upstreams to the metrics.
+func (c *coldCounts) registerGauges(m *meter.Meter) {
+	m.Gauge("lentilwood_cold_upstreams", func() float64 { return float64(c.load().Upstreams) })
+	m.Gauge("lentilwood_cold_upstreams_shared", func() float64 { return float64(c.load().Shared) })
 }
 
-// update stores the counts.
-func (g *coldGauges) update(s admitter.ColdStats) {
-	g.upstreams.Store(int64(s.Upstreams))
-	g.shared.Store(int64(s.Shared))
-	g.permits.Store(int64(s.Permits))   //nolint:gosec // a count of requests
-	g.refused.Store(int64(s.Refused))   //nolint:gosec // a count of requests
-	g.onlyCold.Store(int64(s.OnlyCold)) //nolint:gosec // a count of requests
+// copyCounters copies the counts of requests to a meter.
+func (c *coldCounts) copyCounters(m *meter.Meter) {
+	s := c.load()
+	m.Counter("lentilwood_cold_permits_used_total").Set(s.Permits)
+	m.Counter("lentilwood_cold_permits_denied_total").Set(s.Refused)
+	m.Counter("lentilwood_cold_refusals_total").Set(s.OnlyCold)
 }
 
 // dropOldColdNews removes from a notice what changes nothing about an upstream's cold time, so
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -24,6 +24,7 @@
 func (h *Hosted) writeMetrics(w io.Writer) {
 	copyPeerCounters(h.meter, h.exchanger.Stats())
 	copyDispatcherCounters(h.meter, h.dispatcher.Counters())
+	h.cold.copyCounters(h.meter)
 	h.meter.WritePrometheus(w)
 }
 
@@ -38,6 +39,7 @@
 	h.meter.Gauge("lentilwood_routers_known", func() float64 { return float64(h.peerCount.Load() + 1) })
 	h.meter.Gauge("lentilwood_collecting", func() float64 { return toFloat(h.collecting.Load()) })
 	h.meter.Gauge("lentilwood_store_left_to_others", func() float64 { return toFloat(h.storeDelegated.Load()) })
+	h.cold.registerGauges(h.meter)
 	h.meter.Gauge("lentilwood_news_age_seconds", func() float64 {
 		return h.clock.Now().Sub(time.UnixMicro(h.lastPeerMessageMicros.Load())).Seconds()
 	})
@@ -88,6 +90,7 @@
 		"lentilwood_cancels_total":                     &c.Cancels,
 		"lentilwood_silent_upstream_connections_total": &c.SilentConnections,
 		"lentilwood_quarantined_requests_total":        &c.Quarantined,
+		"lentilwood_cold_permits_expired_total":        &c.PermitsExpired,
 		"lentilwood_callers_gone_total":                &c.CallersGone,
 		"lentilwood_unknown_outcomes_total":            &c.UnknownOutcomes,
 	}
