--- a/internal/router/hostedcold.go
+++ b/internal/router/hostedcold.go
@@ -13,7 +13,9 @@
 
 // coldCounts holds the admitter's counts about cold upstreams for other goroutines. The zero value
 // has none.
-type coldCounts struct{ latest atomic.Pointer[admitter.ColdStats] }
+type coldCounts struct {
+	latest atomic.Pointer[admitter.ColdStats]
+}
 
 // update stores the counts. It runs on the control goroutine.
 func (c *coldCounts) update(s admitter.ColdStats) {
