pacer: routers with little traffic leave their shares to others

Cause: the holder of a share that has nothing to send leaves it unused. Change: load messages mark routers with less than a quarter of the mean demand; collectors pass the marks on as a bit for each router. Such a router uses no shares; after 5 s the others rank without it. joinDelay is 5 s, more than the age of what collectors send.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -75,7 +75,10 @@
 	shares         shares
 	pacer          *pacer.Pacer
 	coldStats      ColdStats
-	peers          map[messenger.RouterID]*peer
+	// quiet is true while this router has little traffic, quietSince since when.
+	quiet      bool
+	quietSince time.Time
+	peers      map[messenger.RouterID]*peer
 	// peerLoadSentAt is the time at which the last load message was sent to the other
 	// routers, peerLoadInterval the time between the last two.
 	peerLoadSentAt   time.Time
@@ -397,6 +400,7 @@
 func (a *Admitter) updatePools() {
 	demandShare := a.shares.demandShare(1 / float64(a.routerCount()))
 	reservedShare := a.shares.fleetReserve(a.peers)
+	a.updateQuiet(demandShare)
 	peerLoadAge := a.maxPeerLoadAge().Seconds()
 	for _, p := range a.pools {
 		p.demandShare, p.reservedShare = demandShare, reservedShare
--- a/internal/admitter/cold.go
+++ b/internal/admitter/cold.go
@@ -14,6 +14,16 @@
 // not cached at a warm upstream.
 const coldReadFactor = 1
 
+const (
+	// quietDemand and busyDemand are fractions of the mean demand of a router. A router with less
+	// than the first for quietTime leaves its shares of cold upstreams to others, until it has
+	// more than the second: a share needs about the requests of a router with a quarter of the
+	// mean. The demand is measured over seconds.
+	quietDemand = 0.25
+	busyDemand  = 0.5
+	quietTime   = 5 * time.Second
+)
+
 // ColdStats describes the cold upstreams.
 type ColdStats struct {
 	// Upstreams is the number of cold upstreams, Shared the number of those to which this
@@ -39,6 +49,16 @@
 	a.pacer.Join(now, keys, alone)
 }
 
+// updateQuiet updates whether this router has little traffic, given its fraction of the demand.
+func (a *Admitter) updateQuiet(demandShare float64) {
+	demand := demandShare * float64(a.routerCount())
+	if a.quietSince.IsZero() || demand >= quietDemand && !a.quiet || demand > busyDemand {
+		a.quietSince = a.now
+	}
+	a.quiet = a.now.Sub(a.quietSince) >= quietTime
+	a.pacer.SetQuiet(a.now, a.quiet)
+}
+
 // updateGate applies the policy of an upstream to its gate.
 func (a *Admitter) updateGate(u *upstream) {
 	perSecond := u.pool.policy.Cold.PerSecond
--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -55,12 +55,12 @@
 	routers := e.Routers
 	if len(routers) == 0 {
 		routers = []messenger.NameHash{messenger.HashName(e.From)}
-		a.pacer.SeeRouters(a.now, routers)
+		a.pacer.SeeRouters(a.now, routers, e.IsQuiet)
 		if a.coveredByAggregate(routers[0]) {
 			return
 		}
 	} else {
-		a.pacer.SeeRouters(a.now, routers)
+		a.pacer.SeeRouters(a.now, routers, e.IsQuiet)
 		a.removeCoveredPeers(e.From, routers)
 	}
 	p := &peer{
@@ -225,6 +225,9 @@
 	}
 	a.peerLoadSentAt = now
 	out := messenger.PeerLoad{From: a.cfg.Self, ReservedShare: float32(a.shares.reserve)}
+	if a.quiet {
+		out.SetQuiet(0)
+	}
 	for key, u := range a.upstreamsByKey {
 		if u.running == 0 && len(u.unannounced) == 0 {
 			continue
--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -157,6 +157,15 @@
 		remaining.Served -= a.Served
 	}
 	excluded := messenger.HashName(id)
-	out.Routers = slices.DeleteFunc(slices.Clone(out.Routers), func(k messenger.NameHash) bool { return k == excluded })
+	out.Routers, out.Quiet = make([]messenger.NameHash, 0, len(agg.total.Routers)), nil
+	for i, router := range agg.total.Routers {
+		if router == excluded {
+			continue
+		}
+		if agg.total.IsQuiet(i) {
+			out.SetQuiet(len(out.Routers))
+		}
+		out.Routers = append(out.Routers, router)
+	}
 	return out
 }
--- a/internal/collector/collector_test.go
+++ b/internal/collector/collector_test.go
@@ -22,12 +22,34 @@
 			{Upstream: messenger.NameHash(100 + i), Running: 1},
 		},
 		Accounts: []messenger.AccountDemand{{Account: 7, Rate: uint32(i), Served: 1}},
+		Quiet:    []byte{byte(i % 2)},
 		Pools:    []messenger.PoolDemand{{Pool: 3, Contested: 0.5, BaseSeconds: 0.02, SecondsPerToken: float32(i + 1)}},
 	}
 }
 
 func routerID(i int) messenger.RouterID { return messenger.RouterID(fmt.Sprint("r", i)) }
 
+// quietRouters returns the routers that a load marks as quiet, and oddRouters those with odd
+// numbers but one, which are. Both are sorted.
+func quietRouters(l messenger.PeerLoad) (keys []messenger.NameHash) {
+	for i, key := range l.Routers {
+		if l.IsQuiet(i) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func oddRouters(n, except int) (keys []messenger.NameHash) {
+	for i := 1; i < n; i += 2 {
+		if i != except {
+			keys = append(keys, messenger.HashName(routerID(i)))
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // runningOn returns the running requests of a load on an upstream.
 func runningOn(l messenger.PeerLoad, upstream messenger.NameHash) uint32 {
 	for _, u := range l.Upstreams {
@@ -105,6 +127,9 @@
 		if got := len(slices.Compact(routers)); got != n-1 || slices.Contains(routers, messenger.HashName(routerID(i))) {
 			t.Errorf("router %d: got %d other routers, want %d and not itself", i, got, n-1)
 		}
+		if got, want := quietRouters(digest), oddRouters(n, i); !slices.Equal(got, want) {
+			t.Errorf("router %d: got quiet routers %v, want %v: those with odd numbers", i, got, want)
+		}
 		if got := digest.Pools[0].SecondsPerToken; got < n/2-5 || got > n/2+5 {
 			t.Errorf("router %d: got a median of %v, want about %d", i, got, n/2)
 		}
--- a/internal/collector/sum.go
+++ b/internal/collector/sum.go
@@ -10,6 +10,7 @@
 // sum adds up the loads of routers.
 type sum struct {
 	routers       []messenger.NameHash
+	quiet         map[messenger.NameHash]bool
 	upstreams     []messenger.UpstreamLoad
 	upstreamIndex map[messenger.NameHash]int
 	accounts      []messenger.AccountDemand
@@ -29,6 +30,7 @@
 
 func newSum() *sum {
 	return &sum{
+		quiet:         make(map[messenger.NameHash]bool),
 		upstreamIndex: make(map[messenger.NameHash]int), accountIndex: make(map[messenger.NameHash]int),
 		pools: make(map[messenger.NameHash]*poolSum),
 	}
@@ -41,6 +43,11 @@
 		routers = []messenger.NameHash{messenger.HashName(l.From)}
 	}
 	s.routers = append(s.routers, routers...)
+	for i, router := range routers {
+		if l.IsQuiet(i) {
+			s.quiet[router] = true
+		}
+	}
 	s.reservedShare = max(s.reservedShare, l.ReservedShare)
 	for _, u := range l.Upstreams {
 		if parts != nil {
@@ -104,6 +111,11 @@
 func (s *sum) toPeerLoad(from messenger.RouterID) messenger.PeerLoad {
 	slices.Sort(s.routers)
 	out := messenger.PeerLoad{From: from, Routers: s.routers, ReservedShare: s.reservedShare, Upstreams: s.upstreams, Accounts: s.accounts}
+	for i, router := range s.routers {
+		if s.quiet[router] {
+			out.SetQuiet(i)
+		}
+	}
 	for pool, p := range s.pools {
 		out.Pools = append(out.Pools, messenger.PoolDemand{
 			Pool: pool, Contested: p.contestedSum / p.routerCount,
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -146,6 +146,21 @@
 	// Routers are the routers whose loads are summed in this message. If empty, it is the load
 	// of From alone.
 	Routers []NameHash
+	// Quiet marks the routers with little traffic, which leave their shares of cold upstreams
+	// to others: one bit for each entry of Routers, or one for From, the lowest bits first.
+	// Missing bits are zero.
+	Quiet []byte
+}
+
+// IsQuiet reports whether the router with the given index in Routers has little traffic.
+func (l *PeerLoad) IsQuiet(i int) bool { return i/8 < len(l.Quiet) && l.Quiet[i/8]>>(i%8)&1 == 1 }
+
+// SetQuiet marks the router with the given index in Routers as one with little traffic.
+func (l *PeerLoad) SetQuiet(i int) {
+	for i/8 >= len(l.Quiet) {
+		l.Quiet = append(l.Quiet, 0)
+	}
+	l.Quiet[i/8] |= 1 << (i % 8)
 }
 
 // FleetSum is the From of a PeerLoad that sums the loads of all other routers.
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -19,9 +19,9 @@
 // # Usage
 //
 //	p := pacer.New(messenger.HashName(id))
-//	p.Join(now, members, false)           // once the directory of the fleet is read
-//	p.Advance(now)                        // with each event, at least several times a second
-//	p.SeeRouters(now, load.Routers)       // with each message of other routers
+//	p.Join(now, members, false)                   // once the directory of the fleet is read
+//	p.Advance(now)                                // with each event, at least several times a second
+//	p.SeeRouters(now, load.Routers, load.IsQuiet) // with each message of other routers
 //	gate := p.NewGate(upstreamHash)
 //	gate.SetRate(12)
 //	gate.SetColdUntil(now, until)
@@ -40,11 +40,15 @@
 	// joinDelay is how long a router must know the fleet without interruption before it uses
 	// shares. By then the former holders of its shares have heard of it: news of a router
 	// reaches all others within a second, also through collectors.
-	joinDelay = 4 * time.Second
-	// quorumTTL is how long another router counts as in touch after it was last seen. It is
-	// shorter than joinDelay, so that a router that lost touch stops before routers that it
-	// can't know of use its shares. The loss of a collector takes up to two seconds to repair.
+	joinDelay = 5 * time.Second
+	// quorumTTL is how long another router counts as in touch after it was last seen. With the
+	// age of what collectors send, up to two seconds, it is not longer than joinDelay, so that a
+	// router that lost touch stops before routers that it can't know of use its shares. The
+	// loss of a collector takes up to two seconds to repair.
 	quorumTTL = 3 * time.Second
+	// quietTTL is the same for a router with little traffic, which takes its shares back joinDelay
+	// after it has more.
+	quietTTL = 2 * time.Second
 	// lostTTL is how long the shares of a router out of sight stay unused. Sightings through
 	// collectors may be two seconds old, so it leaves room beyond quorumTTL.
 	lostTTL = 10 * time.Second
@@ -69,9 +73,12 @@
 	// joined is true once the list of members is known.
 	joined bool
 	others map[messenger.NameHash]*router
-	// ranked lists the other routers, rebuilt with each change; generation counts the changes.
+	// ranked lists the other routers that hold shares, rebuilt with each change; generation counts the changes.
 	ranked     []rankedRouter
 	generation uint64
+	// quiet is true while this router has little traffic, busySince is when that ended.
+	quiet     bool
+	busySince time.Time
 	// knownSince is since when the fleet is known without interruption; zero if it is not.
 	knownSince time.Time
 	hasQuorum  bool
@@ -87,9 +94,13 @@
 	// directory if seen is false.
 	seenAt time.Time
 	seen   bool
+	// quietSince is since when the router has little traffic; zero if it has more. yields is
+	// true while it leaves its shares to others.
+	quietSince time.Time
+	yields     bool
 }
 
-// rankedRouter is a router with its ranking key.
+// rankedRouter is a router that holds shares, with its ranking key.
 type rankedRouter struct {
 	key  uint64
 	seen bool
@@ -125,10 +136,20 @@
 	}
 }
 
-// SeeRouters records that routers are alive; this router may be among them.
-func (p *Pacer) SeeRouters(now time.Time, keys []messenger.NameHash) {
+// SetQuiet sets whether this router has too little traffic to use its shares, so that it leaves
+// them to others.
+func (p *Pacer) SetQuiet(now time.Time, quiet bool) {
+	if p.quiet && !quiet {
+		p.busySince = now
+	}
+	p.quiet = quiet
+}
+
+// SeeRouters records that routers are alive; this router may be among them. isQuiet reports
+// which of them have little traffic.
+func (p *Pacer) SeeRouters(now time.Time, keys []messenger.NameHash, isQuiet func(i int) bool) {
 	changed := false
-	for _, key := range keys {
+	for i, key := range keys {
 		if key == p.self {
 			continue
 		}
@@ -139,13 +160,20 @@
 		}
 		changed = changed || !r.seen
 		r.seenAt, r.seen = now, true
+		switch {
+		case !isQuiet(i):
+			r.quietSince = time.Time{}
+			changed = changed || r.yields
+		case r.quietSince.IsZero():
+			r.quietSince = now
+		}
 	}
 	if p.knownSince.IsZero() && p.joined && len(keys) > 0 {
 		p.knownSince = now
 	}
 	if changed {
-		p.listChanged()
 		p.check(now)
+		p.listChanged()
 	}
 }
 
@@ -158,15 +186,18 @@
 	if !p.hasQuorum && !p.knownSince.IsZero() {
 		p.knownSince = now
 	}
-	removed := false
+	changed := false
 	for key, r := range p.others {
 		age := now.Sub(r.seenAt)
+		yields := !r.quietSince.IsZero() && now.Sub(r.quietSince) >= joinDelay && age <= quietTTL
+		changed = changed || yields != r.yields
+		r.yields = yields
 		if age > forgetTTL || !r.seen && age > unseenTTL || p.hasQuorum && r.seen && age > lostTTL {
 			delete(p.others, key)
-			removed = true
+			changed = true
 		}
 	}
-	if removed {
+	if changed {
 		p.listChanged()
 	}
 }
@@ -197,7 +228,9 @@
 	p.generation++
 	p.ranked = p.ranked[:0]
 	for key, r := range p.others {
-		p.ranked = append(p.ranked, rankedRouter{key: widen(key), seen: r.seen})
+		if !r.yields {
+			p.ranked = append(p.ranked, rankedRouter{key: widen(key), seen: r.seen})
+		}
 	}
 }
 
@@ -206,6 +239,9 @@
 	if p.alone && len(p.others) == 0 {
 		return true
 	}
+	if p.quiet || now.Sub(p.busySince) < joinDelay {
+		return false
+	}
 	return !p.knownSince.IsZero() && now.Sub(p.knownSince) >= joinDelay && p.hasQuorum
 }
 
