admitter: only pools with a limit make routers look at cold upstreams

Cause: load messages marked routers with little traffic in fleets without the field as well. Change: the list of routers and the marks are kept only if a pool has coldPerS. Measured: the tests named Cold pass; the linter has no findings in the packages.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -75,6 +75,8 @@
 	shares         shares
 	pacer          *pacer.Pacer
 	coldStats      ColdStats
+	// limitsCold is true if some pool has a limit for cold upstreams.
+	limitsCold bool
 	// quiet is true while this router has little traffic, quietSince since when.
 	quiet      bool
 	quietSince time.Time
@@ -422,6 +424,7 @@
 // setPolicy applies a new policy.
 func (a *Admitter) setPolicy(policy *messenger.Policy) {
 	a.policy = policy
+	a.limitsCold = false
 	for id, poolPolicy := range policy.Pools {
 		p, ok := a.pools[id]
 		if !ok {
@@ -429,6 +432,7 @@
 			a.pools[id] = p
 		}
 		p.setPolicy(poolPolicy)
+		a.limitsCold = a.limitsCold || poolPolicy.Cold.PerSecond > 0
 	}
 	for id := range a.pools {
 		if _, ok := policy.Pools[id]; !ok {
--- a/internal/admitter/cold.go
+++ b/internal/admitter/cold.go
@@ -49,13 +49,20 @@
 	a.pacer.Join(now, keys, alone)
 }
 
+// seeRouters records that the routers of a load message are alive.
+func (a *Admitter) seeRouters(e *messenger.PeerLoad, routers []messenger.NameHash) {
+	if a.limitsCold {
+		a.pacer.SeeRouters(a.now, routers, e.IsQuiet)
+	}
+}
+
 // updateQuiet updates whether this router has little traffic, given its fraction of the demand.
 func (a *Admitter) updateQuiet(demandShare float64) {
 	demand := demandShare * float64(a.routerCount())
 	if a.quietSince.IsZero() || demand >= quietDemand && !a.quiet || demand > busyDemand {
 		a.quietSince = a.now
 	}
-	a.quiet = a.now.Sub(a.quietSince) >= quietTime
+	a.quiet = a.limitsCold && a.now.Sub(a.quietSince) >= quietTime
 	a.pacer.SetQuiet(a.now, a.quiet)
 }
 
--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -55,12 +55,12 @@
 	routers := e.Routers
 	if len(routers) == 0 {
 		routers = []messenger.NameHash{messenger.HashName(e.From)}
-		a.pacer.SeeRouters(a.now, routers, e.IsQuiet)
+		a.seeRouters(&e, routers)
 		if a.coveredByAggregate(routers[0]) {
 			return
 		}
 	} else {
-		a.pacer.SeeRouters(a.now, routers, e.IsQuiet)
+		a.seeRouters(&e, routers)
 		a.removeCoveredPeers(e.From, routers)
 	}
 	p := &peer{
--- a/internal/follower/cold_test.go
+++ b/internal/follower/cold_test.go
@@ -11,7 +11,7 @@
 
 // coldDecoder parses values such as "500 2" as the registration of a process that started 2 s
 // after the epoch and is cold for another 500 ms. The pool has a limit for cold upstreams.
-type coldDecoder struct{ plainDecoder }
+type coldDecoder struct{}
 
 func (coldDecoder) Configuration(value []byte) (*Configuration, error) {
 	c, err := plainDecoder{}.Configuration(value)
