follower, router: the end of a process is passed on to other routers

Cause: a router without a request at a crashed upstream takes its next process for a warm one until the row says otherwise. Change: messages between routers name the processes that are known to have ended and not returned, with the age of that news. An end from before the last row or answer about the process is ignored. Measured: the new test and the other tests of follower and router pass.

--- a/internal/follower/cold.go
+++ b/internal/follower/cold.go
@@ -27,6 +27,19 @@
 	// process that ended, returned is true once a process answers again.
 	endedAt, started time.Time
 	returned         bool
+	// clearedAt is when a row or an answer last said so.
+	clearedAt time.Time
+}
+
+// EndedProcess is a process of an upstream that is known to have ended, for other routers.
+type EndedProcess struct {
+	_        struct{} `codec:",toarray"`
+	Upstream messenger.UpstreamID
+	// StartedUnixMs is the start time of the process, in Unix milliseconds; zero if its row has
+	// none.
+	StartedUnixMs int64
+	// AgeMs is how long ago the process was known to have ended.
+	AgeMs int64
 }
 
 // applyRow applies a row received at now. Its time counts from its receipt, so that the end is
@@ -43,9 +56,12 @@
 	if until.Before(c.until) && !c.saidAt.IsZero() && now.Sub(c.saidAt) < oldRowTime {
 		return
 	}
-	c.until, c.endedAt, c.returned = until, time.Time{}, false
+	c.until, c.endedAt, c.returned, c.clearedAt = until, time.Time{}, false, now
 }
 
+// isEnded reports whether the process has ended and none has answered since.
+func (c *coldState) isEnded() bool { return !c.endedAt.IsZero() && !c.returned }
+
 // setPolicy sets until when an upstream is cold in its published policy.
 func (c *coldState) setPolicy(u *messenger.UpstreamPolicy, pool messenger.ColdPolicy) {
 	u.ColdLeft = 0
@@ -53,7 +69,7 @@
 		return
 	}
 	u.ColdUntil, u.ColdLimited = c.until, true
-	if !c.endedAt.IsZero() && !c.returned {
+	if c.isEnded() {
 		u.ColdUntil, u.ColdAssumed = c.endedAt.Add(maxReturnTime), true
 	}
 }
@@ -66,7 +82,7 @@
 		return false
 	}
 	before := e.cold
-	e.cold = coldState{saidAt: now}
+	e.cold = coldState{saidAt: now, clearedAt: now}
 	if left > 0 {
 		e.cold.until = now.Add(left)
 	}
@@ -84,11 +100,39 @@
 	if e == nil {
 		return false
 	}
-	known := !e.cold.endedAt.IsZero() && !e.cold.returned
+	known := e.cold.isEnded()
 	e.cold.endedAt, e.cold.started, e.cold.returned = now, e.lastPolicy.Started, false
 	return !known
 }
 
+// RecordPeerEnd is RecordEnd for what another router knows. A process other than that in the row
+// is ignored, and an end from before the last row or answer about the process.
+func (f *Follower) RecordPeerEnd(now time.Time, p EndedProcess) bool {
+	e, ok := f.rows[RegistrationTable][string(p.Upstream)]
+	if !ok || startedUnixMs(e.lastPolicy.Started) != p.StartedUnixMs || e.cold.isEnded() {
+		return false
+	}
+	endedAt := now.Add(-time.Duration(p.AgeMs) * time.Millisecond)
+	if endedAt.Before(e.cold.clearedAt) || e.cold.returned && endedAt.Before(e.cold.endedAt.Add(oldRowTime)) {
+		return false
+	}
+	return f.RecordEnd(endedAt, p.Upstream, e.lastPolicy.Address)
+}
+
+// EndedProcesses returns the processes that are known to have ended while their upstreams have
+// not returned. There are none without a limit for cold upstreams.
+func (f *Follower) EndedProcesses(now time.Time) []EndedProcess {
+	var out []EndedProcess
+	for key, e := range f.rows[RegistrationTable] {
+		if e.cold.isEnded() && e.readable {
+			out = append(out, EndedProcess{
+				Upstream: messenger.UpstreamID(key), StartedUnixMs: startedUnixMs(e.cold.started), AgeMs: now.Sub(e.cold.endedAt).Milliseconds(),
+			})
+		}
+	}
+	return out
+}
+
 // RecordReturn records that an upstream, reached at address, answers again after its process
 // had ended. It reports whether this is news.
 func (f *Follower) RecordReturn(now time.Time, id messenger.UpstreamID, address string) bool {
--- a/internal/follower/cold_test.go
+++ b/internal/follower/cold_test.go
@@ -80,6 +80,34 @@
 	}
 }
 
+// TestEndsAreSharedOnce guards against an upstream that some routers take for warm after a crash, and
+// against ends that two routers tell each other again and again after a row has cleared them.
+func TestEndsAreSharedOnce(t *testing.T) {
+	a, b := New(coldDecoder{}), New(coldDecoder{})
+	for _, f := range []*Follower{a, b} {
+		f.Merge(epoch, Batch{Table: ConfigurationTable, Rows: []Row{{Key: "c", Value: []byte("x"), Version: 1}}})
+		f.Merge(epoch, Batch{Table: RegistrationTable, Rows: []Row{{Key: "u", Value: []byte("0 0"), Version: 2}}})
+	}
+	a.RecordEnd(epoch.Add(time.Second), "u", "a")
+	now := epoch.Add(1300 * time.Millisecond)
+	ended := a.EndedProcesses(now)
+	if len(ended) != 1 || !b.RecordPeerEnd(now, ended[0]) || !b.Snapshot().Policy.Upstreams["u"].IsCold(now) {
+		t.Fatalf("got %v, want the end passed on and the upstream cold", ended)
+	}
+	if b.RecordPeerEnd(now, ended[0]) {
+		t.Error("the same end is news again")
+	}
+	now = epoch.Add(3 * time.Second)
+	b.Merge(now, Batch{Table: RegistrationTable, Rows: []Row{{Key: "u", Value: []byte("0 0"), Version: 3}}})
+	if b.RecordPeerEnd(now.Add(200*time.Millisecond), a.EndedProcesses(now)[0]) {
+		t.Error("an end is news after a later row has cleared it")
+	}
+	b.Merge(now, Batch{Table: RegistrationTable, Rows: []Row{{Key: "u", Value: []byte("900 3"), Version: 4}}})
+	if b.RecordPeerEnd(now, a.EndedProcesses(now)[0]) {
+		t.Error("the end of an earlier process is news")
+	}
+}
+
 // TestWithoutLimitNothingIsCold guards against changes in fleets whose configuration has no limit.
 func TestWithoutLimitNothingIsCold(t *testing.T) {
 	f := newFollower(t)
--- a/internal/router/hostedcold.go
+++ b/internal/router/hostedcold.go
@@ -88,3 +88,20 @@
 	}).Info("time in which an upstream is cold has changed")
 	h.publishSnapshot(sourceUpstream)
 }
+
+// applyEndedProcesses records the processes that another router knows to have ended: this router
+// may have had no request there, and would take the next process for a warm one.
+func (h *Hosted) applyEndedProcesses(e hostedEnvelope) {
+	changed := false
+	for _, p := range e.Ended {
+		if h.follower.RecordPeerEnd(h.clock.Now(), p) {
+			h.log.WithFields(logrus.Fields{
+				eventField: "cold", upstreamField: p.Upstream, "cause": "process ended", "peer": e.From.Name, "ageMs": p.AgeMs,
+			}).Info("time in which an upstream is cold has changed")
+			changed = true
+		}
+	}
+	if changed {
+		h.publishSnapshot(e.From.Name)
+	}
+}
--- a/internal/router/hostedgossip.go
+++ b/internal/router/hostedgossip.go
@@ -51,7 +51,7 @@
 		StoreLost:     h.unreachableTables.Load() > 0,
 		Configuration: h.follower.Version(follower.ConfigurationTable),
 		Registrations: h.follower.Version(follower.RegistrationTable),
-		Load:          &load, Departures: h.follower.Departures(),
+		Load:          &load, Departures: h.follower.Departures(), Ended: h.follower.EndedProcesses(h.clock.Now()),
 	}
 }
 
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -80,6 +80,8 @@
 	// Evidence that evidence if a receiver lacks some of it.
 	EvidenceChecksum uint64
 	Evidence         *quarantiner.Message
+	// Ended are processes of upstreams that are known to have ended.
+	Ended []follower.EndedProcess
 }
 
 // messageKind is the purpose of a message between routers.
@@ -193,6 +195,7 @@
 	p.versions[follower.ConfigurationTable] = e.Configuration
 	p.versions[follower.RegistrationTable] = e.Registrations
 	h.applyDepartures(e)
+	h.applyEndedProcesses(e)
 	load := *e.Load // copied: the message itself may still be queued for relaying
 	load.From = messenger.RouterID(e.From.Name)
 	switch e.Kind {
