--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -75,7 +75,12 @@
 	shares         shares
 	pacer          *pacer.Pacer
 	coldStats      ColdStats
-	peers          map[messenger.RouterID]*peer
+	// limitsCold is true if some pool has a limit for cold upstreams.
+	limitsCold bool
+	// quiet is true while this router has little traffic, quietSince since when.
+	quiet      bool
+	quietSince time.Time
+	peers      map[messenger.RouterID]*peer
 	// peerLoadSentAt is the time at which the last load message was sent to the other
 	// routers, peerLoadInterval the time between the last two.
 	peerLoadSentAt   time.Time
@@ -397,6 +402,7 @@
 func (a *Admitter) updatePools() {
 	demandShare := a.shares.demandShare(1 / float64(a.routerCount()))
 	reservedShare := a.shares.fleetReserve(a.peers)
+	a.updateQuiet(demandShare)
 	peerLoadAge := a.maxPeerLoadAge().Seconds()
 	for _, p := range a.pools {
 		p.demandShare, p.reservedShare = demandShare, reservedShare
@@ -418,6 +424,7 @@
 // setPolicy applies a new policy.
 func (a *Admitter) setPolicy(policy *messenger.Policy) {
 	a.policy = policy
+	a.limitsCold = false
 	for id, poolPolicy := range policy.Pools {
 		p, ok := a.pools[id]
 		if !ok {
@@ -425,6 +432,7 @@
 			a.pools[id] = p
 		}
 		p.setPolicy(poolPolicy)
+		a.limitsCold = a.limitsCold || poolPolicy.Cold.PerSecond > 0
 	}
 	for id := range a.pools {
 		if _, ok := policy.Pools[id]; !ok {
