Mark upstreams of an emptied failure domain in the policy

Cause: an upstream that leaves is given up for good, and there is no flag for one that gets nothing new for a while. Change: UpstreamPolicy.Evacuated, AcceptsWork as the one meaning of "may get new requests", and a reason for refusals. Nothing sets the flag yet. Measured: builds; no behaviour changes.

--- a/internal/dispatcher/problem.go
+++ b/internal/dispatcher/problem.go
@@ -39,6 +39,7 @@
 	string(messenger.RefuseTokens):      {http.StatusTooManyRequests, "The token budget of this client account is used up"},
 	string(messenger.RefuseDeadline):    {http.StatusServiceUnavailable, "The request could not start before its deadline"},
 	string(messenger.RefuseNoUpstream):  {http.StatusServiceUnavailable, "No upstream can take the request"},
+	string(messenger.RefuseEvacuated):   {http.StatusServiceUnavailable, "All upstreams of the pool are in emptied failure domains"},
 	string(messenger.RefuseUnknownPool): {http.StatusNotFound, "No pool serves the request"},
 	ProblemUpstreamFailed:               {http.StatusBadGateway, "The upstream failed"},
 	ProblemUpstreamSilent:               {http.StatusGatewayTimeout, "The upstream went silent"},
--- a/internal/messenger/action.go
+++ b/internal/messenger/action.go
@@ -72,6 +72,9 @@
 	RefuseDeadline    RefuseReason = "deadline"
 	RefuseNoUpstream  RefuseReason = "no-upstream"
 	RefuseUnknownPool RefuseReason = "unknown-pool"
+	// RefuseEvacuated means that all upstreams of the pool that could take requests are in
+	// failure domains that the operator has emptied.
+	RefuseEvacuated RefuseReason = "evacuated"
 )
 
 // Send sends a control message to another router.
--- a/internal/messenger/policy.go
+++ b/internal/messenger/policy.go
@@ -99,6 +99,9 @@
 	Started time.Time
 	// Leaving is true once the upstream must get no new requests.
 	Leaving bool
+	// Evacuated is true while the operator empties the upstream's failure domain. The upstream
+	// gets no new requests meanwhile and finishes those that it runs.
+	Evacuated bool
 	// NoLong is true once the upstream must get no new long requests.
 	NoLong bool
 	// MoveTo is the engine to which streams in progress must be moved. If empty, they finish on
@@ -107,3 +110,6 @@
 	// ChecksFence is true if the upstream refuses orders with an outdated fencing number.
 	ChecksFence bool
 }
+
+// AcceptsWork reports whether new requests may be sent to the upstream.
+func (u UpstreamPolicy) AcceptsWork() bool { return !u.Leaving && !u.Evacuated }
