Send nothing new to upstreams in emptied failure domains

Cause: the admitter knows upstreams that leave, but none that get nothing for a while. Change: AcceptsWork decides about new requests, retries, moves and fetches; cache knowledge and running requests stay. A pool in which only the emptied domains stand against sending refuses new, queued and retried requests at once.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -188,7 +188,7 @@
 	if a.trySend(r) {
 		return
 	}
-	if p.pauseRemaining(a.now) > r.queueDeadline.Sub(a.now) || a.cannotBeServed(r) {
+	if p.evacuated || p.pauseRemaining(a.now) > r.queueDeadline.Sub(a.now) || a.cannotBeServed(r) {
 		delete(a.requests, e.Request)
 		a.refuse(r)
 		return
@@ -295,7 +295,7 @@
 	}
 	r.avoid = e.Upstream
 	r.queueDeadline = a.now.Add(time.Duration(maxQueueingShare * float64(r.arrive.Objective)))
-	if a.pools[r.pool.id] != r.pool {
+	if a.pools[r.pool.id] != r.pool || r.pool.evacuated {
 		delete(a.requests, e.Request)
 		a.refuse(r)
 		return
@@ -430,11 +430,17 @@
 // removePool removes a pool that no route uses any more and refuses the requests queued for
 // it.
 func (a *Admitter) removePool(id messenger.PoolID) {
-	for _, r := range a.pools[id].waiting {
+	a.refuseWaiting(a.pools[id])
+	delete(a.pools, id)
+}
+
+// refuseWaiting refuses all requests queued for a pool.
+func (a *Admitter) refuseWaiting(p *pool) {
+	for _, r := range p.waiting {
 		delete(a.requests, r.arrive.Request)
 		a.refuse(r)
 	}
-	delete(a.pools, id)
+	p.waiting = nil
 }
 
 func (a *Admitter) setUpstreams(policy *messenger.Policy) {
@@ -468,6 +474,9 @@
 	}
 	for _, p := range a.pools {
 		p.membersChanged()
+		if p.evacuated {
+			a.refuseWaiting(p)
+		}
 	}
 	a.rankRouters()
 }
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -42,8 +42,11 @@
 	hasEngines bool
 	policy     messenger.PoolPolicy
 	members    []*upstream
-	waiting    []*request
-	model      model
+	// evacuated is true if no member accepts work and some are only in emptied failure domains.
+	// Requests are then refused at once: no slot becomes free while they wait.
+	evacuated bool
+	waiting   []*request
+	model     model
 	// readSpeed is the speed that the median router observes. A CPU-starved router would
 	// find every engine slow.
 	readSpeed readSpeed
@@ -348,6 +351,7 @@
 // membersChanged resets the state that was derived from the previous members.
 func (p *pool) membersChanged() {
 	p.sortMembers()
+	p.evacuated = p.isEvacuated()
 	p.shortlist = shortlist{}
 	clear(p.homes)
 }
--- a/internal/admitter/refuse.go
+++ b/internal/admitter/refuse.go
@@ -26,6 +26,9 @@
 	if r.overShare {
 		reason = messenger.RefuseTokens
 	}
+	if r.pool.evacuated {
+		reason = messenger.RefuseEvacuated
+	}
 	a.emit(messenger.Refuse{
 		Request: r.arrive.Request, Reason: reason, RetryAfter: a.retryAfter(r), Grounds: a.grounds(r),
 	})
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -106,7 +106,7 @@
 		u.reset()
 	}
 	u.policy, u.pool, u.policySet = policy, p, true
-	u.acceptsWork = !policy.Leaving
+	u.acceptsWork = policy.AcceptsWork()
 	u.otherDomain = policy.Domain != domain
 	if p.policy.Engine != nil {
 		u.cache.resize(p.policy.Engine.MemoryTokens)
