--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -90,6 +90,9 @@
 	Configuration(value []byte) (*Configuration, error)
 	// Registration parses the row of an upstream.
 	Registration(key string, value []byte) (messenger.UpstreamPolicy, error)
+	// Evacuation returns the failure domain that a row of the configuration table empties, and
+	// whether the key is that of such a row and not that of the configuration.
+	Evacuation(key string) (domain string, ok bool, err error)
 }
 
 // Snapshot is the routing table and policy that requests are served with.
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -28,6 +28,15 @@
 	}, nil
 }
 
+// Evacuation reads keys that begin with "empty/"; "empty/" alone is invalid.
+func (plainDecoder) Evacuation(key string) (string, bool, error) {
+	domain, ok := strings.CutPrefix(key, "empty/")
+	if ok && domain == "" {
+		return "", false, errors.New("unreadable")
+	}
+	return domain, ok, nil
+}
+
 func (plainDecoder) Registration(_ string, value []byte) (messenger.UpstreamPolicy, error) {
 	switch string(value) {
 	case "ready", "leaving":
--- a/internal/router/departure_test.go
+++ b/internal/router/departure_test.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,6 +40,15 @@
 	}, nil
 }
 
+// Evacuation reads keys that begin with "empty/"; "empty/" alone is invalid.
+func (poolDecoder) Evacuation(key string) (string, bool, error) {
+	domain, ok := strings.CutPrefix(key, "empty/")
+	if ok && domain == "" {
+		return "", false, errors.New("unreadable")
+	}
+	return domain, ok, nil
+}
+
 func (poolDecoder) Registration(_ string, value []byte) (messenger.UpstreamPolicy, error) {
 	return messenger.UpstreamPolicy{Pool: "p", Leaving: string(value) == "leaving"}, nil
 }
--- a/internal/router/hostedrows_test.go
+++ b/internal/router/hostedrows_test.go
@@ -20,6 +20,8 @@
 	return &follower.Configuration{}, nil
 }
 
+func (emptyDecoder) Evacuation(string) (string, bool, error) { return "", false, nil }
+
 func (emptyDecoder) Registration(string, []byte) (messenger.UpstreamPolicy, error) {
 	return messenger.UpstreamPolicy{}, nil
 }
