--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -75,6 +75,9 @@
 	AfterOutage bool
 	// UnchangedKeys lists rows of which the receiver already has the current version.
 	UnchangedKeys []string
+	// HasEvacuations is true if the sender follows the rows that empty failure domains. Releases
+	// before those rows leave it out; see WithoutVersion.
+	HasEvacuations bool
 }
 
 // Configuration is one version of the fleet's configuration.
