Report emptied domains, and believe no older router about them

Cause: a router of a release before evacuations sends the configuration table without their rows, but with a version that covers them. Operators do not see what a router believes, and a row that can't be read was logged only with the next change. Change: batches say whether their sender follows the rows; those of older routers neither raise the version nor delete rows. One log line for each domain that is emptied or reinstated, the gauge lentilwood_evacuated_domains, /v1/status with the requests that still run there, and rejected rows are logged at once.

--- a/internal/admitter/evacuation.go
+++ b/internal/admitter/evacuation.go
@@ -12,3 +12,14 @@
 	}
 	return emptied
 }
+
+// RunningIn returns the number of this router's requests at the upstreams of a failure domain.
+func (a *Admitter) RunningIn(domain string) int {
+	n := 0
+	for _, u := range a.upstreams {
+		if u.policy.Domain == domain {
+			n += u.running
+		}
+	}
+	return n
+}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -67,6 +67,9 @@
 	if len(s.Quarantined) > 0 {
 		fmt.Fprintf(w, "quarantined prompt parts: %s\n\n", strings.Join(s.Quarantined, ", "))
 	}
+	for _, d := range s.Evacuated {
+		fmt.Fprintf(w, "emptied failure domain %s: %d upstreams, %d requests of this router still run\n\n", d.FailureDomain, d.Upstreams, d.Running)
+	}
 	versionTable(w, s.Routers)
 	fmt.Fprintln(w)
 	row(w, "POOL", "WAITING", "RUNNING", "SLOTS", "ACCOUNTS")
--- a/internal/follower/difference.go
+++ b/internal/follower/difference.go
@@ -7,7 +7,7 @@
 	if version < f.fullVersion[t] {
 		return f.fullTable(t, version)
 	}
-	b := Batch{Table: t, Since: version, Version: f.Version(t)}
+	b := Batch{Table: t, Since: version, Version: f.Version(t), HasEvacuations: true}
 	for _, e := range f.rows[t] {
 		if e.row.Version > version && !e.deletionUnconfirmed() {
 			b.Rows = append(b.Rows, e.row)
@@ -19,7 +19,7 @@
 // fullTable returns the full table for a router that has all rows up to knownVersion; those
 // rows are only listed by key.
 func (f *Follower) fullTable(t Table, knownVersion uint64) Batch {
-	b := Batch{Table: t, Full: true, Version: f.Version(t)}
+	b := Batch{Table: t, Full: true, Version: f.Version(t), HasEvacuations: true}
 	for _, e := range f.rows[t] {
 		row := e.row
 		if e.deletionUnconfirmed() {
--- a/internal/follower/evacuation.go
+++ b/internal/follower/evacuation.go
@@ -1,5 +1,7 @@
 package follower
 
+import "math"
+
 // The functions in this file follow the rows of the configuration table with which the operator
 // empties a failure domain: its upstreams get no new requests until the row is deleted. The rows
 // never expire, so a deletion takes effect at once, also after an outage of the store.
@@ -40,3 +42,11 @@
 // EvacuationVersion returns the version of the newest row about emptying a failure domain, or
 // zero if there never was one.
 func (f *Follower) EvacuationVersion(domain string) uint64 { return f.evacuations[domain].Version }
+
+// WithoutVersion returns a batch whose rows are used like those after a gap: they neither raise
+// the version of the table nor delete other rows. It is meant for batches of the configuration
+// table from senders that leave out the rows that empty failure domains.
+func (b Batch) WithoutVersion() Batch {
+	b.Full, b.Since = false, math.MaxUint64
+	return b
+}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -22,6 +22,19 @@
 	Quarantined []string `json:"quarantined,omitempty"`
 	// Scheduler is the state of the queues and slots.
 	Scheduler scheduler.Snapshot `json:"scheduler"`
+	// Evacuated are the failure domains whose upstreams get no new requests because the operator
+	// empties them by rows of the platform's store.
+	Evacuated []EvacuatedDomain `json:"evacuated,omitempty"`
+}
+
+// EvacuatedDomain is a failure domain that the operator empties, as one router knows it.
+type EvacuatedDomain struct {
+	FailureDomain string `json:"failureDomain"`
+	// RowVersion is the version of the row that empties it.
+	RowVersion uint64 `json:"rowVersion"`
+	Upstreams  int    `json:"upstreams"`
+	// Running counts the requests of this router that have not ended there.
+	Running int `json:"running"`
 }
 
 // UpstreamStatus is one upstream as the answering router sees it.
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -21,6 +21,7 @@
 	"lentilwood.example/lentilwood/internal/loader"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/meter"
+	"lentilwood.example/lentilwood/internal/operator"
 	"lentilwood.example/lentilwood/internal/relayer"
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
@@ -339,8 +340,10 @@
 			return
 		}
 		c.WriteHeader(http.StatusOK)
-	case "/metrics":
+	case operator.PathMetrics:
 		h.writeMetrics(c)
+	case operator.PathStatus:
+		h.writeStatus(c)
 	default:
 		http.NotFound(c, req)
 	}
--- a/internal/router/hostedrows.go
+++ b/internal/router/hostedrows.go
@@ -198,6 +198,9 @@
 		if h.pulls[b.Table] == nil {
 			continue // a table unknown to this release
 		}
+		if b.Table == follower.ConfigurationTable && !b.HasEvacuations {
+			b = b.WithoutVersion()
+		}
 		known := h.follower.Version(b.Table)
 		h.merge(b, p.member.Name)
 		h.log.WithFields(logrus.Fields{
--- a/internal/router/hostedstore.go
+++ b/internal/router/hostedstore.go
@@ -70,18 +70,23 @@
 func (h *Hosted) merge(b follower.Batch, source string) {
 	changed := h.follower.Merge(h.clock.Now(), b)
 	h.pulls[b.Table].version.Store(h.follower.Version(b.Table))
+	h.logRejectedRows()
 	if changed {
 		h.publishSnapshot(source)
 	}
 }
 
-// publishSnapshot makes the follower's current state the active configuration; source names
-// the origin of the change: a router or one of the constants above.
-func (h *Hosted) publishSnapshot(source string) {
+// logRejectedRows logs the rows that could not be parsed.
+func (h *Hosted) logRejectedRows() {
 	for _, r := range h.follower.TakeRejected() {
 		h.log.WithFields(logrus.Fields{eventField: "rowRejected", "table": r.Table, "key": r.Key, "rowVersion": r.Version}).
 			WithError(r.Err).Warn("row rejected")
 	}
+}
+
+// publishSnapshot makes the follower's current state the active configuration; source names
+// the origin of the change: a router or one of the constants above.
+func (h *Hosted) publishSnapshot(source string) {
 	s := h.follower.Snapshot()
 	if s == nil {
 		return
@@ -100,9 +105,12 @@
 			"rowVersion": h.follower.Version(follower.ConfigurationTable), "from": source,
 		}).Info("configuration applied")
 	}
+	h.logEvacuations(before, after, source)
 	for id, u := range after.Policy.Upstreams {
 		if before != nil {
-			if old, ok := before.Policy.Upstreams[id]; ok && old == u {
+			old, ok := before.Policy.Upstreams[id]
+			old.Evacuated = u.Evacuated // one line for each failure domain says this
+			if ok && old == u {
 				continue
 			}
 		}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -38,6 +38,7 @@
 	h.meter.Gauge("lentilwood_routers_known", func() float64 { return float64(h.peerCount.Load() + 1) })
 	h.meter.Gauge("lentilwood_collecting", func() float64 { return toFloat(h.collecting.Load()) })
 	h.meter.Gauge("lentilwood_store_left_to_others", func() float64 { return toFloat(h.storeDelegated.Load()) })
+	h.meter.Gauge("lentilwood_evacuated_domains", func() float64 { return float64(h.evacuatedDomains()) })
 	h.meter.Gauge("lentilwood_news_age_seconds", func() float64 {
 		return h.clock.Now().Sub(time.UnixMicro(h.lastPeerMessageMicros.Load())).Seconds()
 	})
