--- a/internal/admitter/refuse.go
+++ b/internal/admitter/refuse.go
@@ -29,6 +29,9 @@
 	if a.countColdRefusal(r) {
 		reason = messenger.RefuseCold
 	}
+	if r.pool.evacuated {
+		reason = messenger.RefuseEvacuated
+	}
 	a.emit(messenger.Refuse{
 		Request: r.arrive.Request, Reason: reason, RetryAfter: a.retryAfter(r), Grounds: a.grounds(r),
 	})
--- a/internal/messenger/action.go
+++ b/internal/messenger/action.go
@@ -76,6 +76,9 @@
 	// RefuseCold means that only cold upstreams were left.
 	RefuseCold        RefuseReason = "cold-upstreams"
 	RefuseUnknownPool RefuseReason = "unknown-pool"
+	// RefuseEvacuated means that all upstreams of the pool that could take requests are in
+	// failure domains that the operator has emptied.
+	RefuseEvacuated RefuseReason = "evacuated"
 )
 
 // Send sends a control message to another router.
--- a/internal/messenger/policy.go
+++ b/internal/messenger/policy.go
@@ -110,6 +110,9 @@
 	Started time.Time
 	// Leaving is true once the upstream must get no new requests.
 	Leaving bool
+	// Evacuated is true while the operator empties the upstream's failure domain. The upstream
+	// gets no new requests meanwhile and finishes those that it runs.
+	Evacuated bool
 	// NoLong is true once the upstream must get no new long requests.
 	NoLong bool
 	// MoveTo is the engine to which streams in progress must be moved. If empty, they finish on
@@ -131,4 +134,7 @@
 }
 
 // IsCold reports whether the upstream is cold.
-func (p UpstreamPolicy) IsCold(now time.Time) bool { return now.Before(p.ColdUntil) }
+func (u UpstreamPolicy) IsCold(now time.Time) bool { return now.Before(u.ColdUntil) }
+
+// AcceptsWork reports whether new requests may be sent to the upstream.
+func (u UpstreamPolicy) AcceptsWork() bool { return !u.Leaving && !u.Evacuated }
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -21,6 +21,7 @@
 	"lentilwood.example/lentilwood/internal/loader"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/meter"
+	"lentilwood.example/lentilwood/internal/operator"
 	"lentilwood.example/lentilwood/internal/relayer"
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
@@ -346,8 +347,10 @@
 			return
 		}
 		c.WriteHeader(http.StatusOK)
-	case "/metrics":
+	case operator.PathMetrics:
 		h.writeMetrics(c)
+	case operator.PathStatus:
+		h.writeStatus(c)
 	default:
 		http.NotFound(c, req)
 	}
@@ -373,7 +376,7 @@
 		return messenger.UpstreamPolicy{}, false
 	}
 	u, ok := s.Policy.Upstreams[id]
-	return u, ok && !u.Leaving && !h.pauses.isPaused(id, u.Started, h.clock.Now())
+	return u, ok && u.AcceptsWork() && !h.pauses.isPaused(id, u.Started, h.clock.Now())
 }
 
 // tick is called on the control goroutine at every tick.
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -40,6 +40,7 @@
 	h.meter.Gauge("lentilwood_collecting", func() float64 { return toFloat(h.collecting.Load()) })
 	h.meter.Gauge("lentilwood_store_left_to_others", func() float64 { return toFloat(h.storeDelegated.Load()) })
 	h.cold.registerGauges(h.meter)
+	h.meter.Gauge("lentilwood_evacuated_domains", func() float64 { return float64(h.evacuatedDomains()) })
 	h.meter.Gauge("lentilwood_news_age_seconds", func() float64 {
 		return h.clock.Now().Sub(time.UnixMicro(h.lastPeerMessageMicros.Load())).Seconds()
 	})
