dispatcher: each arrival beyond the first passes the retry budget

Change: the transport sends nothing twice. It uses another connection only if it is certain that nothing arrived: input or the end could be read before the write, or the socket accepted no byte. That now holds for requests that must not run twice, too. Any other break before a part of a response goes to the request, which asks admitArrival; retries, failovers, resumes and moves do as well, with one log line, and a Dispatch that none of them asked for is charged when it starts. A permit that was not used for an arrival is used for the next.

--- /dev/null
+++ b/internal/dispatcher/arrival.go
@@ -0,0 +1,93 @@
+package dispatcher
+
+import (
+	"github.com/sirupsen/logrus"
+)
+
+// arrivalKind says why a request may reach an upstream after it may have reached one before.
+type arrivalKind string
+
+const (
+	// arrivalRetry follows an attempt that failed, arrivalDeclined one that the upstream
+	// declined. Both go to the upstream that the scheduler chooses.
+	arrivalRetry    arrivalKind = "retry"
+	arrivalDeclined arrivalKind = "declined"
+	// arrivalFailover replaces an attempt at a silent upstream.
+	arrivalFailover arrivalKind = "failover"
+	// arrivalResend goes to the same upstream over a new connection, after a kept one broke off
+	// before any part of a response.
+	arrivalResend arrivalKind = "resend"
+	// arrivalDispatch is a Dispatch that none of the others asked for.
+	arrivalDispatch arrivalKind = "dispatch"
+	// arrivalResume and arrivalMove request the rest of a stream from the engine that holds it.
+	arrivalResume arrivalKind = "resume"
+	arrivalMove   arrivalKind = "move"
+)
+
+// isCharged reports whether arrivals of this kind count against the retry budget. Requesting the
+// rest of a stream starts no run, so it does not.
+func (k arrivalKind) isCharged() bool { return k != arrivalResume && k != arrivalMove }
+
+// admitArrival decides whether the request may reach an upstream once more. Each arrival beyond
+// the first passes here, except hedges, which have a budget of their own. A retry is taken from
+// the budget unless an earlier one was not used. at is the attempt that it follows.
+func (f *inflightRequest) admitArrival(kind arrivalKind, at *attempt) bool {
+	charged := false
+	if kind.isCharged() && !f.permitted {
+		charged = f.d.spendRetry(f.req.Arrive.Pool)
+		f.permitted = charged
+	}
+	admitted := f.permitted || !kind.isCharged()
+	entry := f.log("resend").WithFields(logrus.Fields{
+		"kind": kind, "admitted": admitted, "charged": charged,
+		"sends": f.sends, "lastEvent": f.lastEvent, "run": f.outcome.RunState(),
+	})
+	if at != nil {
+		entry = entry.WithFields(logrus.Fields{"avoid": at.upstream, "silentMs": f.now().Sub(at.lastProgressAt).Milliseconds()})
+	}
+	entry.Info("request is to reach an upstream once more")
+	return admitted
+}
+
+// takePermit uses the permit for an attempt that is about to start, and reports whether the
+// attempt may start. The first arrival needs none.
+func (f *inflightRequest) takePermit(at *attempt) bool {
+	if at.hedge && !at.sameUpstream || f.sends == 0 {
+		return true
+	}
+	if !f.permitted && !f.admitArrival(arrivalDispatch, at) {
+		return false
+	}
+	f.permitted, at.permitted = false, true
+	return true
+}
+
+// returnPermit gives back the permit of an attempt of which nothing was sent.
+func (f *inflightRequest) returnPermit(at *attempt) {
+	f.permitted = f.permitted || at.permitted
+	at.permitted = false
+}
+
+// resendOnNewConnection sends the request to the same upstream again if its kept connection broke
+// off before any part of a response. Upstreams close kept connections at any time, so this says
+// nothing about the upstream. It returns false if the attempt has failed.
+//
+// The upstream may have read the request: an end that is seen after the write looks the same
+// whether the upstream closed the connection before or after. So this is an arrival, and only
+// for requests that may run twice. Where it is certain that nothing arrived, the transport has
+// used another connection already, see connTransport.sendRequest.
+func (f *inflightRequest) resendOnNewConnection(at *attempt, u exchangeUpdate) bool {
+	askedForOther := f.permitted
+	if !u.unanswered || askedForOther || !f.req.Arrive.Idempotent || f.callerGone || !f.outcome.MaySend() {
+		return false
+	}
+	if !f.admitArrival(arrivalResend, at) {
+		at.retryDenied = true
+		return false
+	}
+	f.closeAttempt(at, false)
+	again := &attempt{upstream: at.upstream, policy: at.policy, hedge: at.hedge, fetchFrom: at.fetchFrom, sameUpstream: true}
+	f.takePermit(again)
+	f.openAttempt(again, true)
+	return true
+}
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -41,6 +41,11 @@
 	// resuming is true while the rest of the stream is being requested.
 	resuming bool
 	resumes  int
+	// permitted is true if a retry was admitted for the attempt, retryDenied if the budget had no
+	// room after it.
+	permitted, retryDenied bool
+	// sameUpstream is true if the request is sent to the upstream of the attempt before.
+	sameUpstream bool
 	// declined is true if the upstream stated that it did not run the request.
 	declined bool
 	// timedOut is true if the last exchange ended because the upstream was silent.
@@ -245,6 +250,9 @@
 		f.completeAttempt(at)
 		return
 	}
+	if f.resendOnNewConnection(at, u) {
+		return
+	}
 	name := ProblemUpstreamFailed
 	if at.stream != nil {
 		name = ProblemStreamBroken
@@ -286,11 +294,11 @@
 	if at.selected && f.outcome.State() == tracker.Answered {
 		f.track(tracker.Break)
 	}
-	if resumable && f.resume(at) {
+	if resumable && f.resume(at, arrivalResume) {
 		return
 	}
 	f.closeAttempt(at, true)
-	if len(f.attempts) == 0 && f.mayRetry() && f.mayRepeat(at) && (!at.sent && f.d.traits.ResendsStreams || f.takeRetry()) {
+	if len(f.attempts) == 0 && f.mayRetry() && f.mayRepeat(at) && (!at.sent && f.d.traits.ResendsStreams || !at.retryDenied && f.admitArrival(arrivalRetry, at)) {
 		f.scheduleRetry(at)
 		return
 	}
@@ -314,7 +322,6 @@
 // scheduleRetry requests another upstream after a short delay.
 func (f *inflightRequest) scheduleRetry(at *attempt) {
 	f.retries++
-	f.logResend(at)
 	f.failedAttempt = at
 	f.retryAt = f.now()
 	if f.retries > 1 {
@@ -323,15 +330,6 @@
 	f.requestRetry()
 }
 
-// logResend logs that the request is to be sent to another upstream than that of the
-// attempt.
-func (f *inflightRequest) logResend(at *attempt) {
-	f.log("resend").WithFields(logrus.Fields{
-		"avoid": at.upstream, "sends": f.sends, "lastEvent": f.lastEvent, "run": f.outcome.RunState(),
-		"silentMs": f.now().Sub(at.lastProgressAt).Milliseconds(),
-	}).Info("requesting another upstream")
-}
-
 // requestRetry asks the scheduler for another upstream once the retry delay is over.
 func (f *inflightRequest) requestRetry() {
 	if f.failedAttempt == nil || f.now().Before(f.retryAt) {
@@ -364,6 +362,7 @@
 		}
 	}
 	if !at.sent {
+		f.returnPermit(at)
 		f.track(tracker.Unsent)
 		return
 	}
--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"math"
 	"net"
@@ -50,9 +51,8 @@
 }
 
 // connTransport uses one connection per exchange and net/http to encode and parse
-// messages. It knows whether bytes of a request may have been sent. By itself it sends
-// nothing twice, except idempotent requests that failed on an idle connection. It reads
-// no faster than its exchanges are polled.
+// messages. It knows whether bytes of a request may have been sent, and sends no request
+// twice. It reads no faster than its exchanges are polled.
 type connTransport struct {
 	connect func(ctx context.Context, address string) (net.Conn, error)
 	tls     *tls.Config
@@ -108,7 +108,17 @@
 	wake, stopped chan struct{}
 }
 
-// sendRequest sends a request and reads the head of the response.
+// sendRequest sends a request and reads the head of the response. If a kept connection turns
+// out to be dead, it uses a new one only if it is certain that nothing arrived over the kept
+// one. That is the case if
+//   - its end, or any other input, could be read before the write, so nothing was written; or
+//   - the write failed and the socket accepted no byte. TLS counts whole records, and a part of
+//     one can't be decrypted.
+//
+// Once the socket has accepted a byte, nothing is certain: an end or a reset that is read after
+// the write looks the same whether the upstream had closed the connection before, or has read
+// the request first. Neither do acknowledgments tell, which the system of the upstream sends or
+// delays whatever its process reads.
 func (t *connTransport) sendRequest(x *exchange, out *upstreamRequest) (*bodyReader, error) {
 	req, err := http.NewRequest(out.method, "http://"+out.address+out.uri, bytes.NewReader(out.body))
 	if err != nil {
@@ -123,7 +133,7 @@
 	}
 	if conn := t.idleConn(out); conn != nil {
 		r, err := t.sendOn(x, conn, req, out)
-		if err == nil || out.noResend || conn.limited.N < maxHeadBytes || !x.detach() {
+		if !errors.Is(err, errNothingWritten) || !x.detach() {
 			return r, err
 		}
 		if req.Body, err = req.GetBody(); err != nil {
@@ -168,8 +178,9 @@
 }
 
 // sendOn sends req over conn and reads the head of the response. It closes a connection
-// that fails. A new connection on which data arrived before the request was written is not
-// used, since the data cannot be a response to the request.
+// that fails. A connection on which data or its end arrived before the request was written is
+// not used, since the data cannot be a response to the request. The error is errNothingWritten
+// if that happened to a kept connection, or if it accepted no byte.
 func (t *connTransport) sendOn(x *exchange, conn *upstreamConn, req *http.Request, out *upstreamRequest) (*bodyReader, error) {
 	r := &bodyReader{
 		conn: conn, address: req.URL.Host,
@@ -179,8 +190,11 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	if !conn.reused && !hasNoInput(conn) {
+	if !hasNoInput(conn) {
 		_ = conn.Close()
+		if conn.reused {
+			return nil, errNothingWritten
+		}
 		return nil, errUnexpectedData
 	}
 	if !x.setControl(r.control()) || !x.markSent(t.pool.clock.Now()) {
@@ -192,6 +206,9 @@
 	resp, err := roundTrip(conn, req, out.ownsResponse) //nolint:bodyclose // the connection itself is closed or reused
 	if err != nil {
 		_ = conn.Close()
+		if conn.reused && conn.limited.N == maxHeadBytes && !errors.Is(err, errNothingWritten) {
+			x.setUnanswered()
+		}
 		return nil, err
 	}
 	conn.limited.N = math.MaxInt64
@@ -241,7 +258,10 @@
 	if err := req.Write(&head); err != nil {
 		return nil, err
 	}
-	if _, err := conn.Write(head.Bytes()); err != nil {
+	if n, err := conn.Write(head.Bytes()); err != nil {
+		if n == 0 && conn.reused {
+			return nil, merry.Wrap(errNothingWritten, merry.WithCause(err))
+		}
 		return nil, err
 	}
 	for {
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -14,6 +14,7 @@
 	errNoUpstream     = merry.Sentinel("upstream not known, or not to be used any more")
 	errStrayResponse  = merry.Sentinel("upstream answered another request and closed")
 	errUnexpectedData = merry.Sentinel("upstream closed or answered before it was asked")
+	errNothingWritten = merry.Sentinel("connection accepted no byte of the request")
 	errProtocolSwitch = merry.Sentinel("upstream switched protocols")
 	errNoRecorder     = merry.Sentinel("no store for idempotency keys")
 	errCallerGone     = merry.Sentinel("caller left before the request was written")
@@ -27,9 +28,6 @@
 	body        []byte
 	// newConn requests a new connection instead of an idle one.
 	newConn bool
-	// noResend is true if the request must not be sent a second time, even if the
-	// connection turns out to be dead.
-	noResend bool
 	// ownsResponse, if set, reports from status and header whether a response belongs to
 	// the request. Responses before it that do not are skipped. reused is true if the
 	// connection carried other requests before.
@@ -81,9 +79,11 @@
 	suspect bool
 	// closeDelimited is true if only the end of the connection ends the body.
 	closeDelimited bool
-	// reused is true if the connection carried other requests before.
-	reused  bool
-	control control
+	// reused is true if the connection carried other requests before. unanswered is true if such
+	// a connection broke off before any part of a response, although the request, or a part of
+	// it, may have arrived.
+	reused, unanswered bool
+	control            control
 }
 
 // control holds the functions through which an exchange controls the transport; each may
@@ -97,12 +97,13 @@
 
 // exchangeUpdate is the state of an exchange, with the body bytes since the last poll.
 type exchangeUpdate struct {
-	sent, done, suspect, closeDelimited, reused bool
-	writeStartedAt                              time.Time
-	err                                         error
-	status                                      int
-	header                                      http.Header
-	body                                        []byte
+	sent, done, suspect, closeDelimited bool
+	reused, unanswered                  bool
+	writeStartedAt                      time.Time
+	err                                 error
+	status                              int
+	header                              http.Header
+	body                                []byte
 }
 
 // poll returns the state of the exchange and the body bytes received since the last call.
@@ -111,7 +112,7 @@
 	x.mu.Lock()
 	u := exchangeUpdate{
 		sent: x.sent, writeStartedAt: x.writeStartedAt, status: x.status, header: x.header, err: x.err,
-		suspect: x.suspect, closeDelimited: x.closeDelimited, reused: x.reused,
+		suspect: x.suspect, closeDelimited: x.closeDelimited, reused: x.reused, unanswered: x.unanswered,
 	}
 	x.suspect = false
 	var resume func()
@@ -173,6 +174,14 @@
 	x.mu.Unlock()
 }
 
+// setUnanswered records that a connection that carried other requests before broke off before any
+// part of a response.
+func (x *exchange) setUnanswered() {
+	x.mu.Lock()
+	x.unanswered = true
+	x.mu.Unlock()
+}
+
 // setHead stores the status and header of the response, and whether only the end of the
 // connection ends its body.
 func (x *exchange) setHead(status int, header http.Header, closeDelimited bool) {
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -42,11 +42,12 @@
 	retryAt       time.Time
 	failedAttempt *attempt
 	retries       int
-	// failoverRequested is true while the scheduler has been asked for an upstream to
-	// replace a silent one. The retry is then already taken from the budget. If the budget
-	// is exhausted, the silence is reported without requesting an upstream.
-	failoverRequested bool
-	// sends counts the upstreams that may have received the request.
+	// permitted is true while a retry is admitted that no attempt has used yet: while the
+	// scheduler has been asked for another upstream. The retry is already taken from the
+	// budget.
+	permitted bool
+	// sends counts the upstreams that may have received the request. One that may have received it
+	// twice, over two connections, counts once.
 	sends int
 	// parts are the shared parts of the prompt, trial those of them that are quarantined and
 	// tried by this request. recheck is signaled when a quarantine has begun.
@@ -229,8 +230,13 @@
 // startAttempt starts an attempt at an upstream. It fails at once if the upstream is
 // unknown.
 func (f *inflightRequest) startAttempt(a messenger.Dispatch, policy messenger.UpstreamPolicy, known bool) {
+	at := &attempt{upstream: a.Upstream, policy: policy, hedge: a.Hedge, fetchFrom: a.FetchFrom}
+	if !f.takePermit(at) {
+		f.reportFinish(a.Upstream, 0, false, false)
+		f.endAfterUnusedDispatch(false)
+		return
+	}
 	f.cancelRetry()
-	f.track(tracker.Open)
 	if a.Hedge {
 		f.d.counters.Hedges.Add(1)
 	} else {
@@ -240,7 +246,12 @@
 		f.result.DispatchedAt = f.now()
 		f.d.budget.Earn(f.req.Arrive.Pool)
 	}
-	at := &attempt{upstream: a.Upstream, policy: policy, hedge: a.Hedge, fetchFrom: a.FetchFrom}
+	f.openAttempt(at, known)
+}
+
+// openAttempt sends the request for an attempt.
+func (f *inflightRequest) openAttempt(at *attempt, known bool) {
+	f.track(tracker.Open)
 	f.attempts = append(f.attempts, at)
 	if !known {
 		at.recordProgress(f.now(), f.progressTimeout())
@@ -249,10 +260,11 @@
 		return
 	}
 	f.startExchange(at, &upstreamRequest{
-		address: policy.Address, method: f.req.Method, uri: f.req.URI,
+		address: at.policy.Address, method: f.req.Method, uri: f.req.URI,
 		header: f.requestHeader(at), body: f.req.Body,
-		newConn:  f.needsNewConnection(),
-		noResend: !f.req.Arrive.Idempotent, ownsResponse: f.responseFilter(a.Upstream, policy.Address), checkBeforeWrite: f.preWriteCheck(a.Upstream, policy),
+		newConn:          f.needsNewConnection(),
+		ownsResponse:     f.responseFilter(at.upstream, at.policy.Address),
+		checkBeforeWrite: f.preWriteCheck(at.upstream, at.policy),
 	})
 }
 
@@ -260,7 +272,7 @@
 // without an id needs a new connection, because on a reused one its response could not be
 // distinguished from the response to another request.
 func (f *inflightRequest) needsNewConnection() bool {
-	return f.retries > 0 || f.req.WireID == "" || !f.req.Arrive.Idempotent && !f.d.traits.ReusesConnections
+	return f.sends > 0 || f.retries > 0 || f.req.WireID == "" || !f.req.Arrive.Idempotent && !f.d.traits.ReusesConnections
 }
 
 // preWriteCheck returns a function that returns why the request must no longer be
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -70,7 +70,7 @@
 	}
 	old := at.policy
 	at.policy = target
-	if at.stream.isComplete() || !f.resume(at) {
+	if at.stream.isComplete() || !f.resume(at, arrivalMove) {
 		at.policy = old
 		f.d.cancelStream(target.Address, f.req.WireID)
 		return
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -23,7 +23,9 @@
 // recordSend records that bytes of the request may have reached an upstream.
 func (f *inflightRequest) recordSend(at *attempt) {
 	at.sent = true
-	f.sends++
+	if !at.sameUpstream {
+		f.sends++
+	}
 	f.track(tracker.FirstByte)
 }
 
@@ -103,7 +105,7 @@
 		f.reportFinish(at.upstream, 0, true, false)
 		return
 	}
-	if f.mayRetry() && f.takeRetry() {
+	if f.mayRetry() && f.admitArrival(arrivalDeclined, at) {
 		f.scheduleRetry(at)
 		return
 	}
@@ -133,24 +135,13 @@
 	if !f.mayFailOver() {
 		return
 	}
-	f.failoverRequested = f.failoverRequested || f.d.spendRetry(f.req.Arrive.Pool)
-	f.queue.Notify(messenger.UpstreamSilent{Request: f.req.ID, Upstream: at.upstream, CanMove: f.failoverRequested})
-}
-
-// takeRetry takes one retry from the budget, unless requestFailover already took one.
-func (f *inflightRequest) takeRetry() bool {
-	if f.failoverRequested {
-		f.failoverRequested = false
-		return true
-	}
-	return f.d.spendRetry(f.req.Arrive.Pool)
+	f.queue.Notify(messenger.UpstreamSilent{Request: f.req.ID, Upstream: at.upstream, CanMove: f.admitArrival(arrivalFailover, at)})
 }
 
 // replaceAttempt ends the attempt that a Dispatch replaces and reports whether the new
 // attempt may start. It first processes the bytes received so far: they may include output
 // of a response that cannot continue at another upstream.
 func (f *inflightRequest) replaceAttempt(a messenger.Dispatch) bool {
-	defer func() { f.failoverRequested = false }()
 	for _, at := range f.attempts {
 		if at.upstream != a.Replaces {
 			continue
@@ -163,7 +154,6 @@
 			return false
 		}
 		f.reportBreak(at, true)
-		f.logResend(at)
 		f.retries++
 		if at.selected && f.outcome.State() == tracker.Answered {
 			f.track(tracker.Break)
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -26,7 +26,7 @@
 // resume requests the rest of a stream from its engine, after the last event relayed,
 // over a new connection. It returns false and leaves the attempt unchanged if the stream
 // cannot be resumed.
-func (f *inflightRequest) resume(at *attempt) bool {
+func (f *inflightRequest) resume(at *attempt, kind arrivalKind) bool {
 	if f.d.traits.ResendsStreams || !at.policy.Engine || !at.sent || !f.outcome.MayResume() {
 		return false
 	}
@@ -36,6 +36,9 @@
 	if f.callerGone || at.resumes >= f.d.cfg.MaxResumes {
 		return false
 	}
+	if !f.admitArrival(kind, at) {
+		return false
+	}
 	at.resumes++
 	at.resuming = true
 	f.result.Resumes++
@@ -84,7 +87,7 @@
 	f.d.counters.SilentConnections.Add(1)
 	f.log("upstreamSilent").WithField("upstream", at.upstream).Warn("upstream silent")
 	at.timedOut = true
-	if f.resume(at) {
+	if f.resume(at, arrivalResume) {
 		return
 	}
 	if f.d.traits.KeepsSilentAttempts {
