budgeter: windows by steady time

Cause: slices of the windows were numbered by the time of day, so a step of the clock forward forgot what was spent, and one backward held windows open.

Change: slices are numbered by the time since the Budgeter was created, which uses the monotonic clock.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -43,6 +43,9 @@
 type Budgeter struct {
 	clock  timekeeper.Clock
 	bounds Bounds
+	// start is when the Budgeter was created. Windows are counted by the time since then: the
+	// time of day may be set while requests run, and would end windows or hold them open.
+	start time.Time
 
 	mu      sync.Mutex
 	routers int
@@ -57,7 +60,7 @@
 
 // New returns a Budgeter for a fleet of one router.
 func New(clock timekeeper.Clock, bounds Bounds) *Budgeter {
-	return &Budgeter{clock: clock, bounds: bounds, routers: 1, pools: make(map[messenger.PoolID]*window)}
+	return &Budgeter{clock: clock, bounds: bounds, start: clock.Now(), routers: 1, pools: make(map[messenger.PoolID]*window)}
 }
 
 // SetRouters sets the number of routers among which Extra is divided.
@@ -101,7 +104,7 @@
 		b.pools[pool] = w
 	}
 	length := max(int64(b.bounds.Window)/slicesPerWindow, 1)
-	slice := b.clock.Now().UnixNano() / length
+	slice := int64(b.clock.Now().Sub(b.start)) / length
 	for i := max(w.slice+1, slice-slicesPerWindow+1); i <= slice; i++ {
 		w.requests[i%slicesPerWindow], w.retries[i%slicesPerWindow] = 0, 0
 	}
