--- a/internal/dispatcher/arrival.go
+++ b/internal/dispatcher/arrival.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/tracker"
 )
 
 // arrivalKind says why a request may reach an upstream after it may have reached one before.
@@ -91,3 +93,29 @@
 	f.openAttempt(again, true)
 	return true
 }
+
+// openAttempt sends the request for an attempt.
+func (f *inflightRequest) openAttempt(at *attempt, known bool) {
+	f.track(tracker.Open)
+	f.attempts = append(f.attempts, at)
+	if !known {
+		at.recordProgress(f.now(), f.progressTimeout())
+		at.exchange = &exchange{updated: f.exchangeUpdated}
+		at.exchange.finish(errNoUpstream)
+		return
+	}
+	f.startExchange(at, &upstreamRequest{
+		address: at.policy.Address, method: f.req.Method, uri: f.req.URI,
+		header: f.requestHeader(at), body: f.req.Body,
+		newConn:          f.needsNewConnection(),
+		ownsResponse:     f.responseFilter(at.upstream, at.policy.Address),
+		checkBeforeWrite: f.preWriteCheck(at.upstream, at.policy),
+	})
+}
+
+// needsNewConnection reports whether the request must not reuse a connection. A request
+// without an id needs a new connection, because on a reused one its response could not be
+// distinguished from the response to another request.
+func (f *inflightRequest) needsNewConnection() bool {
+	return f.sends > 0 || f.retries > 0 || f.req.WireID == "" || !f.req.Arrive.Idempotent && !f.d.traits.ReusesConnections
+}
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -249,32 +249,6 @@
 	f.openAttempt(at, known)
 }
 
-// openAttempt sends the request for an attempt.
-func (f *inflightRequest) openAttempt(at *attempt, known bool) {
-	f.track(tracker.Open)
-	f.attempts = append(f.attempts, at)
-	if !known {
-		at.recordProgress(f.now(), f.progressTimeout())
-		at.exchange = &exchange{updated: f.exchangeUpdated}
-		at.exchange.finish(errNoUpstream)
-		return
-	}
-	f.startExchange(at, &upstreamRequest{
-		address: at.policy.Address, method: f.req.Method, uri: f.req.URI,
-		header: f.requestHeader(at), body: f.req.Body,
-		newConn:          f.needsNewConnection(),
-		ownsResponse:     f.responseFilter(at.upstream, at.policy.Address),
-		checkBeforeWrite: f.preWriteCheck(at.upstream, at.policy),
-	})
-}
-
-// needsNewConnection reports whether the request must not reuse a connection. A request
-// without an id needs a new connection, because on a reused one its response could not be
-// distinguished from the response to another request.
-func (f *inflightRequest) needsNewConnection() bool {
-	return f.sends > 0 || f.retries > 0 || f.req.WireID == "" || !f.req.Arrive.Idempotent && !f.d.traits.ReusesConnections
-}
-
 // preWriteCheck returns a function that returns why the request must no longer be
 // written, or nil. The upstream may be withdrawn while a connection to it is being opened,
 // or while the connection that the request was written to is closing.
