--- a/internal/dispatcher/arrival_test.go
+++ b/internal/dispatcher/arrival_test.go
@@ -10,8 +10,10 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
 // countingBudget is a RetryBudget with room for a number of retries.
@@ -165,3 +167,23 @@
 		})
 	}
 }
+
+// TestPermitLapses guards against permits that are saved up: requests that are all admitted in one
+// window and all arrive in a later one, which has a budget of its own, would exceed the bound.
+func TestPermitLapses(t *testing.T) {
+	for _, tt := range []struct {
+		wait time.Duration
+		used int
+	}{{time.Second, 1}, {5 * time.Second, 2}} {
+		clock, budget := timekeeper.NewManual(time.Unix(1000, 0)), &countingBudget{room: 9}
+		d := newTestDispatcher(t, Config{Clock: clock, RetryBudget: budget, Upstreams: fixedUpstreams{}})
+		f := newInflightRequest(d, completion(), newFakeQueue(), newFakeCaller())
+		f.sends = 1
+		at := &attempt{upstream: "a"}
+		f.admitArrival(arrivalFailover, at)
+		clock.Advance(tt.wait)
+		if !f.takePermit(at) || budget.used != tt.used {
+			t.Errorf("%d charged for an arrival %v after its admission, want %d", budget.used, tt.wait, tt.used)
+		}
+	}
+}
