dispatcher: an admitted retry lapses

Cause: a request asks for a retry when its upstream falls silent and may use it much later, when the windows in which it was charged have passed.

Change: a permit is charged anew after 4 s, which the margin of the budget covers.

--- a/internal/dispatcher/arrival.go
+++ b/internal/dispatcher/arrival.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"lentilwood.example/lentilwood/internal/tracker"
@@ -26,6 +28,11 @@
 	arrivalMove   arrivalKind = "move"
 )
 
+// permitTTL is how long an admitted retry can be used. One that is used later would arrive in a
+// window in which it does not count. The budget of the hosted routers leaves 30% for that:
+// what is charged in 14 s then is at most 0.98 of what may arrive in the window of 10 s.
+const permitTTL = 4 * time.Second
+
 // isCharged reports whether arrivals of this kind count against the retry budget. Requesting the
 // rest of a stream starts no run, so it does not.
 func (k arrivalKind) isCharged() bool { return k != arrivalResume && k != arrivalMove }
@@ -34,12 +41,11 @@
 // the first passes here, except hedges, which have a budget of their own. A retry is taken from
 // the budget unless an earlier one was not used. at is the attempt that it follows.
 func (f *inflightRequest) admitArrival(kind arrivalKind, at *attempt) bool {
-	charged := false
-	if kind.isCharged() && !f.permitted {
-		charged = f.d.spendRetry(f.req.Arrive.Pool)
-		f.permitted = charged
+	charged := kind.isCharged() && !f.hasPermit() && f.d.spendRetry(f.req.Arrive.Pool)
+	if charged {
+		f.permitted = f.now()
 	}
-	admitted := f.permitted || !kind.isCharged()
+	admitted := !kind.isCharged() || f.hasPermit()
 	entry := f.log("resend").WithFields(logrus.Fields{
 		"kind": kind, "admitted": admitted, "charged": charged,
 		"sends": f.sends, "lastEvent": f.lastEvent, "run": f.outcome.RunState(),
@@ -57,17 +63,24 @@
 	if at.hedge && !at.sameUpstream || f.sends == 0 {
 		return true
 	}
-	if !f.permitted && !f.admitArrival(arrivalDispatch, at) {
+	if !f.hasPermit() && !f.admitArrival(arrivalDispatch, at) {
 		return false
 	}
-	f.permitted, at.permitted = false, true
+	f.permitted, at.permitted = time.Time{}, f.permitted
 	return true
 }
 
 // returnPermit gives back the permit of an attempt of which nothing was sent.
 func (f *inflightRequest) returnPermit(at *attempt) {
-	f.permitted = f.permitted || at.permitted
-	at.permitted = false
+	if at.permitted.After(f.permitted) {
+		f.permitted = at.permitted
+	}
+	at.permitted = time.Time{}
+}
+
+// hasPermit reports whether an admitted retry can be used.
+func (f *inflightRequest) hasPermit() bool {
+	return !f.permitted.IsZero() && f.now().Sub(f.permitted) < permitTTL
 }
 
 // resendOnNewConnection sends the request to the same upstream again if its kept connection broke
@@ -79,7 +92,7 @@
 // for requests that may run twice. Where it is certain that nothing arrived, the transport has
 // used another connection already, see connTransport.sendRequest.
 func (f *inflightRequest) resendOnNewConnection(at *attempt, u exchangeUpdate) bool {
-	askedForOther := f.permitted
+	askedForOther := f.hasPermit()
 	if !u.unanswered || askedForOther || !f.req.Arrive.Idempotent || f.callerGone || !f.outcome.MaySend() {
 		return false
 	}
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -41,9 +41,10 @@
 	// resuming is true while the rest of the stream is being requested.
 	resuming bool
 	resumes  int
-	// permitted is true if a retry was admitted for the attempt, retryDenied if the budget had no
-	// room after it.
-	permitted, retryDenied bool
+	// permitted is when a retry was taken from the budget for the attempt; zero if none was.
+	permitted time.Time
+	// retryDenied is true if the budget had no room for an arrival after the attempt.
+	retryDenied bool
 	// sameUpstream is true if the request is sent to the upstream of the attempt before.
 	sameUpstream bool
 	// declined is true if the upstream stated that it did not run the request.
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -42,10 +42,9 @@
 	retryAt       time.Time
 	failedAttempt *attempt
 	retries       int
-	// permitted is true while a retry is admitted that no attempt has used yet: while the
-	// scheduler has been asked for another upstream. The retry is already taken from the
-	// budget.
-	permitted bool
+	// permitted is when a retry was taken from the budget that no attempt has used yet; zero if
+	// there is none. It is set while the scheduler is asked for another upstream.
+	permitted time.Time
 	// sends counts the upstreams that may have received the request. One that may have received it
 	// twice, over two connections, counts once.
 	sends int
