--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -115,10 +115,10 @@
 //   - the write failed and the socket accepted no byte. TLS counts whole records, and a part of
 //     one can't be decrypted.
 //
-// Once the socket has accepted a byte, nothing is certain: an end or a reset that is read after
-// the write looks the same whether the upstream had closed the connection before, or has read
-// the request first. Neither do acknowledgments tell, which the system of the upstream sends or
-// delays whatever its process reads.
+// Once the socket has accepted a byte, nothing is certain: a reset that is read after the write
+// looks the same whether the upstream has read the request or not, the acknowledgment of the
+// bytes included. So does an end, unless the acknowledgment is looked at, and even without one the
+// upstream may have closed its sending side only.
 func (t *connTransport) sendRequest(x *exchange, out *upstreamRequest) (*bodyReader, error) {
 	req, err := http.NewRequest(out.method, "http://"+out.address+out.uri, bytes.NewReader(out.body))
 	if err != nil {
