router: the evidence behind a quarantine is kept in the store

Cause: a restart of all routers forgot which part of prompts ends the engines.

Change: the crashes and parts behind the verdicts are kept in one row of the table quarantine. It is written when a verdict changes, by few routers after a short random delay and only if the row lacks it, under its version; a lost answer or another version leads to reading, merging and writing again. It is read at the start, in the background. Ages are by the store's nowMs, and evidence expires after 15 minutes as it does in memory.

--- a/internal/quarantiner/judge.go
+++ b/internal/quarantiner/judge.go
@@ -50,6 +50,8 @@
 	Part messenger.ContentID
 	// Quarantined is true if the part is quarantined from now on.
 	Quarantined bool
+	// Cleared is true if the quarantine ended although its evidence had not expired.
+	Cleared bool
 	// Crashes is the number of crashes that count against the part, Begun the number of those
 	// in which the answer had begun, and Accounts the number of client accounts with evidence.
 	Crashes, Begun, Accounts int
@@ -75,7 +77,9 @@
 	}
 	for part, q := range before {
 		if t.quarantined[part] == nil {
-			changes = append(changes, t.newChange(part, false, q))
+			c := t.newChange(part, false, q)
+			c.Cleared = now.Sub(q.lastAt) <= crashTTL
+			changes = append(changes, c)
 		}
 	}
 	return changes
--- /dev/null
+++ b/internal/quarantiner/row_test.go
@@ -0,0 +1,134 @@
+package quarantiner
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// verdictOn returns evidence of crashes that confirm a part, the oldest of the given age.
+func verdictOn(part messenger.ContentID, crashes int, age time.Duration) Message {
+	var m Message
+	for i := range crashes {
+		m.Crashes = append(m.Crashes, Crash{
+			ID:    CrashID{Upstream: messenger.NameHash(i), Process: uint64(part)},
+			AgeMs: uint32((age - time.Duration(i)*time.Second).Milliseconds()),
+			Suspects: []Suspect{
+				{Part: part, Account: 7, Requests: 2, Begun: true, Confirmed: true},
+				{Part: 5, Account: 7, Requests: 1, Cleared: true},
+			},
+		})
+	}
+	return m
+}
+
+// TestRowKeepsVerdict has a Table start from a row that another one's verdict was written to. The
+// age of the evidence goes on by the clock of the store, and it expires with it.
+func TestRowKeepsVerdict(t *testing.T) {
+	const writtenAt = 5_000_000
+	m := verdictOn(poisonPart, 3, time.Minute)
+	value, err := EncodeRow(m, writtenAt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range []struct {
+		later time.Duration
+		want  int
+	}{{0, 1}, {13 * time.Minute, 1}, {14*time.Minute + 3*time.Second, 0}} {
+		read, err := DecodeRow(value, writtenAt+tt.later.Milliseconds())
+		if err != nil {
+			t.Fatal(err)
+		}
+		var table Table
+		table.Merge(epoch, read)
+		table.Update(epoch)
+		if got := len(table.Quarantined()); got != tt.want {
+			t.Errorf("%d parts quarantined %v later, want %d", got, tt.later, tt.want)
+		}
+		if ruling := table.Rule(epoch, Inquiry{Account: "x", Parts: []messenger.ContentID{5}}); ruling.Refused() {
+			t.Error("a cleared part is refused")
+		}
+	}
+	table := Table{}
+	read, _ := DecodeRow(value, writtenAt+(10*time.Minute).Milliseconds())
+	table.Merge(epoch, read)
+	if table.Update(epoch.Add(4*time.Minute + 3*time.Second)); len(table.Quarantined()) != 0 {
+		t.Error("the part is quarantined for longer than 15 minutes after its last crash")
+	}
+}
+
+func TestUnreadableRowHasNoEvidence(t *testing.T) {
+	large, _ := encodeRow(verdictOn(1, maxCrashes+1, time.Hour), math.MaxUint32)
+	for name, value := range map[string]string{
+		"not JSON":         "{",
+		"other JSON":       `{"crashes":7}`,
+		"part":             `{"crashes":[{"suspects":[{"part":"zz"}]}]}`,
+		"no part":          `{"crashes":[{"suspects":[{"part":"0"}]}]}`,
+		"ahead":            `{"crashes":[{"atMs":1001,"suspects":[{"part":"1"}]}]}`,
+		"too large":        `{"crashes":[]` + string(bytes.Repeat([]byte(" "), maxRowBytes)) + `}`,
+		"too many crashes": string(bytes.ReplaceAll(large, []byte(`"atMs":`), []byte(`"atMs":0,"x":`))),
+	} {
+		if m, err := DecodeRow([]byte(value), 1000); !errors.Is(err, ErrRow) || len(m.Crashes) != 0 {
+			t.Errorf("%s: %d crashes, error %v, want none and ErrRow", name, len(m.Crashes), err)
+		}
+	}
+	if m, err := DecodeRow(nil, 1000); err != nil || len(m.Crashes) != 0 {
+		t.Errorf("missing row: %d crashes, error %v, want none", len(m.Crashes), err)
+	}
+}
+
+// TestRowIsBounded writes as much evidence as a Table can hold. The confirmed parts are kept.
+func TestRowIsBounded(t *testing.T) {
+	var m Message
+	for i := range maxCrashes {
+		c := Crash{ID: CrashID{Upstream: math.MaxUint32, Process: math.MaxUint64 - uint64(i)}, AgeMs: uint32(i)}
+		for j := range maxSuspects {
+			c.Suspects = append(c.Suspects, Suspect{Part: messenger.ContentID(math.MaxUint64) - messenger.ContentID(j), Account: math.MaxUint32, Requests: math.MaxUint16, Begun: true, Confirmed: j == 0})
+		}
+		m.Crashes = append(m.Crashes, c)
+	}
+	value, err := EncodeRow(m, math.MaxInt64)
+	if err != nil || len(value) > maxRowBytes {
+		t.Fatalf("%d bytes, error %v, want at most %d", len(value), err, maxRowBytes)
+	}
+	read, err := DecodeRow(value, math.MaxInt64)
+	if err != nil || len(read.Crashes) != maxCrashes || !slices.Equal(read.ConfirmedParts(), m.ConfirmedParts()) {
+		t.Errorf("%d crashes, error %v, want all with the confirmed part", len(read.Crashes), err)
+	}
+}
+
+// TestCombine checks when a row is to be written: only if its verdicts become other ones.
+func TestCombine(t *testing.T) {
+	one, two := verdictOn(1, 3, time.Minute), verdictOn(2, 3, time.Minute)
+	more := verdictOn(1, 4, time.Minute)
+	tests := []struct {
+		name        string
+		stored, own Message
+		cleared     []messenger.ContentID
+		want        []messenger.ContentID
+		changed     bool
+	}{
+		{name: "nothing"},
+		{name: "first verdict", own: one, want: []messenger.ContentID{1}, changed: true},
+		{name: "known verdict", stored: one, own: one, want: []messenger.ContentID{1}},
+		{name: "known verdict, another crash", stored: one, own: more, want: []messenger.ContentID{1}},
+		{name: "another verdict", stored: one, own: two, want: []messenger.ContentID{1, 2}, changed: true},
+		{name: "verdict of others only", stored: one, want: []messenger.ContentID{1}},
+		{name: "cleared", stored: one, cleared: []messenger.ContentID{1}, changed: true},
+		{name: "cleared, not stored", cleared: []messenger.ContentID{1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m, changed := Combine(epoch, tt.stored, tt.own, tt.cleared)
+			if got := m.ConfirmedParts(); fmt.Sprint(got) != fmt.Sprint(tt.want) || changed != tt.changed {
+				t.Errorf("got parts %v, changed %v, want %v, %v", got, changed, tt.want, tt.changed)
+			}
+		})
+	}
+}
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -79,9 +79,11 @@
 // HostedConfig holds the settings and dependencies of a Hosted router. Clock and Log may be
 // nil.
 type HostedConfig struct {
-	Settings     loader.Router
-	Source       follower.Source
-	Directory    Directory
+	Settings  loader.Router
+	Source    follower.Source
+	Directory Directory
+	// Evidence, if set, keeps the evidence on quarantined prompt parts.
+	Evidence     EvidenceStore
 	Decoder      follower.Decoder
 	Dialect      dispatcher.Dialect
 	HeaderReader HeaderReader
@@ -107,8 +109,10 @@
 	meter      *meter.Meter
 	exchanger  *exchanger.Exchanger[hostedEnvelope]
 	quarantine *quarantine
-	callers    *listener.Listener
-	operators  *listener.Listener
+	// evidence keeps the evidence of the quarantine in the store; nil if there is no store for it.
+	evidence  *evidenceKeeper
+	callers   *listener.Listener
+	operators *listener.Listener
 
 	snapshot      atomic.Pointer[follower.Snapshot]
 	draining      atomic.Bool
@@ -224,6 +228,7 @@
 		OnNotice: h.handleNotice,
 	})
 	h.quarantine.onBegin = h.dispatcher.RecheckQuarantine
+	h.keepEvidence()
 	return h
 }
 
@@ -275,6 +280,7 @@
 		h.startFeed(table)
 	}
 	h.goroutines.Go(h.join)
+	h.startEvidence()
 	h.log.WithFields(logrus.Fields{
 		eventField: "started", "router": h.self, "incarnation": h.incarnation, "callers": h.callers.Addr(),
 	}).Info("router started")
--- a/internal/router/hostedjoin.go
+++ b/internal/router/hostedjoin.go
@@ -134,6 +134,9 @@
 	n = max(n, len(h.peers)+1)
 	h.budget.SetRouters(n)
 	h.quarantine.setRouters(n, h.self)
+	if h.evidence != nil {
+		h.evidence.setRouters(n)
+	}
 	h.peerCount.Store(int64(n - 1))
 }
 
--- a/internal/router/hostedquarantine.go
+++ b/internal/router/hostedquarantine.go
@@ -8,7 +8,23 @@
 )
 
 // The functions in this file exchange the evidence on quarantined prompt parts between hosted
-// routers. They run on the control goroutine.
+// routers. They run on the control goroutine, but for those that start the keeping of the evidence.
+
+// keepEvidence creates the keeper of the evidence if there is a store for it.
+func (h *Hosted) keepEvidence() {
+	if h.cfg.Evidence == nil {
+		return
+	}
+	h.evidence = newEvidenceKeeper(h.cfg, h.quarantine, h.meter, h.incarnation)
+	h.quarantine.onVerdicts = h.evidence.handleChanges
+}
+
+// startEvidence starts reading and writing the row of evidence, which the router does not wait for.
+func (h *Hosted) startEvidence() {
+	if h.evidence != nil {
+		h.goroutines.Go(func() { h.evidence.run(h.backgroundCtx) })
+	}
+}
 
 // urgentGossipInterval is the time between two updates to the other routers while there is new
 // evidence.
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -22,7 +22,9 @@
 	// onBegin is called without the lock when a quarantine has begun, onNews, if set, when this
 	// router's own observations have changed the evidence.
 	onBegin, onNews func()
-	meter           *meter.Meter
+	// onVerdicts, if set, is called without the lock when quarantines have begun or ended.
+	onVerdicts func([]quarantiner.Change)
+	meter      *meter.Meter
 	// partCount is the number of quarantined parts.
 	partCount atomic.Int64
 
@@ -94,9 +96,27 @@
 // tick lets time pass.
 func (q *quarantine) tick() { q.change(func(time.Time) {}) }
 
-// change applies a change to the table and logs what follows from it. It reports whether the
-// evidence is another one now.
+// mergeStored adds evidence from the store, and returns that of this router's verdicts.
+func (q *quarantine) mergeStored(m quarantiner.Message) quarantiner.Message {
+	q.update(func(now time.Time) { q.table.Merge(now, m) })
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Verdicts(q.clock.Now())
+}
+
+// change applies a change to the table and reports the verdicts that follow from it. It reports
+// whether the evidence is another one now.
 func (q *quarantine) change(apply func(now time.Time)) bool {
+	changed, verdicts := q.update(apply)
+	if len(verdicts) > 0 && q.onVerdicts != nil {
+		q.onVerdicts(verdicts)
+	}
+	return changed
+}
+
+// update applies a change to the table and logs what follows from it. It returns whether the
+// evidence is another one now, and the verdicts that have changed.
+func (q *quarantine) update(apply func(now time.Time)) (bool, []quarantiner.Change) {
 	q.mu.Lock()
 	now := q.clock.Now()
 	before, known := q.table.Checksum(), q.table.CrashCount()
@@ -119,12 +139,12 @@
 	for _, c := range changes {
 		q.logChange(c)
 	}
-	return changed
+	return changed, changes
 }
 
 func (q *quarantine) logChange(c quarantiner.Change) {
 	q.log.WithFields(logrus.Fields{
-		eventField: "quarantine", "part": c.Part, "on": c.Quarantined, "crashes": c.Crashes, "accounts": c.Accounts, "begun": c.Begun, "spanMs": c.Span.Milliseconds(),
+		eventField: "quarantine", "part": c.Part, "on": c.Quarantined, "cleared": c.Cleared, "crashes": c.Crashes, "accounts": c.Accounts, "begun": c.Begun, "spanMs": c.Span.Milliseconds(),
 		"lostShare": roundTo2Digits(c.LostShare), "begunShare": roundTo2Digits(c.BegunShare), "evidence": roundTo2Digits(c.Evidence),
 	}).Warn("quarantine of a prompt part changed")
 	if c.Quarantined {
