quarantiner: test of a clearing that is to spread

The output of a trial, a minute or more after the last crash, clears the last open part of the crashes.

--- a/internal/quarantiner/row_test.go
+++ b/internal/quarantiner/row_test.go
@@ -132,3 +132,31 @@
 		})
 	}
 }
+
+// TestClearingSpreads guards against a quarantine that others bring back: a crash whose last open
+// part is cleared long after it was dropped at once, and came back open with the next message.
+func TestClearingSpreads(t *testing.T) {
+	var a, b Table
+	for _, table := range []*Table{&a, &b} {
+		table.Merge(epoch, verdictOn(poisonPart, 3, time.Minute))
+		table.Update(epoch)
+	}
+	now := epoch.Add(2 * time.Minute)
+	a.Observe(now, Output{Parts: []messenger.ContentID{poisonPart}})
+	for range 2 {
+		a.Update(now)
+		b.Update(now)
+		b.Merge(now, a.Message(now))
+		a.Merge(now, b.Message(now))
+	}
+	later := now.Add(2 * clearedTTL)
+	for _, table := range []*Table{&a, &b} {
+		table.Update(now)
+		if got := table.Quarantined(); len(got) != 0 {
+			t.Errorf("quarantined %v after an output, want nothing", got)
+		}
+		if table.Update(later); table.CrashCount() != 0 {
+			t.Errorf("%d crashes later, want the cleared ones forgotten", table.CrashCount())
+		}
+	}
+}
