quarantiner: a clearing reaches the other routers

Cause: a crash whose parts are all cleared was kept for 30 s after the crash. A trial comes a minute or more after it, so the crash was dropped at once; the others still had it open and sent it back, and the quarantine began again.

Change: such a crash is kept for 30 s after it was cleared. One that is not known and has nothing to clear is not taken in.

--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -347,7 +347,7 @@
 	}
 	removed := false
 	for id, c := range t.crashes {
-		if now.Sub(c.at) > c.ttl() {
+		if c.isExpired(now) {
 			delete(t.crashes, id)
 			removed = true
 		}
@@ -362,10 +362,14 @@
 	}
 }
 
-// ttl returns how long the crash is kept.
-func (c *crash) ttl() time.Duration {
-	if allCleared(c.suspects) {
-		return clearedTTL
+// isExpired reports whether the crash is no longer kept.
+func (c *crash) isExpired(now time.Time) bool {
+	if !allCleared(c.suspects) {
+		c.clearedAt = time.Time{}
+		return now.Sub(c.at) > crashTTL
 	}
-	return crashTTL
+	if c.clearedAt.IsZero() {
+		c.clearedAt = now
+	}
+	return now.Sub(c.clearedAt) > clearedTTL
 }
--- a/internal/quarantiner/message.go
+++ b/internal/quarantiner/message.go
@@ -104,7 +104,10 @@
 	changed := false
 	for _, received := range m.Crashes[:min(len(m.Crashes), maxCrashes)] {
 		c := crash{at: now.Add(-time.Duration(received.AgeMs) * time.Millisecond), suspects: received.Suspects}
-		if len(c.suspects) == 0 || now.Sub(c.at) > c.ttl() {
+		if _, known := t.crashes[received.ID]; !known && allCleared(c.suspects) && now.Sub(c.at) > clearedTTL {
+			continue // nothing to clear here
+		}
+		if len(c.suspects) == 0 || now.Sub(c.at) > crashTTL {
 			continue
 		}
 		if t.addSuspects(now, received.ID, c.at, c.suspects) {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -46,8 +46,8 @@
 )
 
 const (
-	// crashTTL is how long a crash counts, clearedTTL how long one is kept of which all parts
-	// are cleared.
+	// crashTTL is how long a crash counts, clearedTTL how long one is kept after all its parts were
+	// cleared, so that the other routers learn of it.
 	crashTTL   = 15 * time.Minute
 	clearedTTL = 30 * time.Second
 	// confirmWindow is how long after a break the end of the process can still be confirmed.
@@ -113,6 +113,8 @@
 type crash struct {
 	at       time.Time
 	suspects []Suspect
+	// clearedAt is when it was first seen that all suspects are cleared.
+	clearedAt time.Time
 }
 
 // SetRouters sets the number of routers in the fleet, by which trials are divided, and a number
