--- a/internal/router/evidencekeeper_test.go
+++ b/internal/router/evidencekeeper_test.go
@@ -116,7 +116,8 @@
 			if err := k.sync(context.Background()); !errors.Is(err, tt.want) {
 				t.Errorf("first sync: %v, want %v", err, tt.want)
 			}
-			s.Advance(saveSpread)
+			s.Advance(time.Minute) // longer than a crash is kept after it was cleared
+			k.quarantine.tick()
 			for range 2 {
 				if err := k.sync(context.Background()); err != nil {
 					t.Errorf("sync: %v", err)
@@ -124,6 +125,9 @@
 			}
 			later := s.newKeeper()
 			_ = later.sync(context.Background())
+			if got := fmt.Sprint(k.quarantine.quarantined()); got != tt.parts {
+				t.Errorf("quarantined %s, want %s", got, tt.parts)
+			}
 			if got := fmt.Sprint(later.quarantine.quarantined()); got != tt.parts || s.row.Version != tt.version || k.unsaved.Load() {
 				t.Errorf("stored %s in version %d, unsaved %v, want %s in version %d", got, s.row.Version, k.unsaved.Load(), tt.parts, tt.version)
 			}
