router: no part of the fleet's retry budget before the fleet is known

Cause: a router divided the fixed part of the retry budget by 1 until it knew other routers, so after a restart of all each could spend the whole of it: 312 retries of 8 routers where 56 are allowed.

Change: the fixed part is 0 until the directory was read or another router was met. The share of the router's own requests holds from the start.

Result: TestStartingFleetStaysWithinRetryBudget passes (go test -race ./internal/router -run StartingFleet).

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -63,11 +63,20 @@
 	return &Budgeter{clock: clock, bounds: bounds, start: clock.Now(), routers: 1, pools: make(map[messenger.PoolID]*window)}
 }
 
-// SetRouters sets the number of routers among which Extra is divided.
+// SetRouters sets the number of routers among which Extra is divided; 0 means that it is not known
+// yet. Until it is, Extra is left to others, as all routers of a fleet may have started at once.
 func (b *Budgeter) SetRouters(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.routers = max(1, n)
+	b.routers = n
+}
+
+// extra returns this router's part of Extra.
+func (b *Budgeter) extra() float64 {
+	if b.routers <= 0 {
+		return 0
+	}
+	return b.bounds.Extra / float64(b.routers)
 }
 
 // Earn counts the first attempt of a request.
@@ -88,7 +97,7 @@
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	limit := safetyFactor * (b.bounds.Ratio*requests + b.bounds.Extra/float64(b.routers))
+	limit := safetyFactor * (b.bounds.Ratio*requests + b.extra())
 	if retries+1 > limit {
 		return false
 	}
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -212,6 +212,7 @@
 	h.backgroundCtx, h.cancelBackground = context.WithCancel(context.Background())
 	retries := cfg.Settings.Retries
 	h.budget = budgeter.New(cfg.Clock, budgeter.Bounds{Ratio: retries.Ratio, Extra: retries.Extra, Window: retries.Window})
+	h.budget.SetRouters(0) // until the directory was read or another router was met
 	h.admitter = admitter.New(admitter.Config{Self: h.self, Domain: cfg.Settings.FailureDomain, Seed: h.incarnation})
 	h.control = newControl(cfg.Clock, h.admitter)
 	h.control.onTick = h.tick
--- a/internal/router/hostedjoin.go
+++ b/internal/router/hostedjoin.go
@@ -91,6 +91,7 @@
 			h.upsertPeer(m)
 		}
 		h.joined = true
+		h.setFleetSize(1 + max(len(h.peers), int(h.peerCount.Load())))
 	})
 	return true
 }
@@ -132,7 +133,9 @@
 // setFleetSize records the number of routers, at least as many as are known by name.
 func (h *Hosted) setFleetSize(n int) {
 	n = max(n, len(h.peers)+1)
-	h.budget.SetRouters(n)
+	if n > 1 || h.joined {
+		h.budget.SetRouters(n)
+	}
 	h.quarantine.setRouters(n, h.self)
 	if h.evidence != nil {
 		h.evidence.setRouters(n)
--- a/internal/router/retrybudget_test.go
+++ b/internal/router/retrybudget_test.go
@@ -28,6 +28,7 @@
 		t.Errorf("%d retries of routers that don't know each other, want at most %d", spent, extra)
 	}
 	single := NewHosted(HostedConfig{Settings: loader.Router{Retries: loader.Retries{Extra: extra, Window: 10 * time.Second}}, Clock: clock})
+	single.joined = true
 	single.setFleetSize(1)
 	spent = 0
 	spend(single)
