budgeter: one retry while the fleet is not known

Cause: with no part of the fixed number until the directory was read, 4 cases of TestErrorIsNotPartOfAStream lost a stream that broke in the first moments of its router.

Change: a router that does not know the fleet takes one retry in each window.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -25,6 +25,10 @@
 	// safetyFactor is the part of the budget that is used. A request may reach its upstream in
 	// a later window than the one in which it was counted here.
 	safetyFactor = 0.7
+	// unknownExtra is the part of Bounds.Extra that a router takes while it does not know the
+	// number of routers: with safetyFactor one retry in each window. Without any, a stream that
+	// breaks in the first moments of a router is lost.
+	unknownExtra = 1.5
 	// slicesPerWindow is the number of slices in which the requests of a window are counted.
 	slicesPerWindow = 20
 )
@@ -64,7 +68,8 @@
 }
 
 // SetRouters sets the number of routers among which Extra is divided; 0 means that it is not known
-// yet. Until it is, Extra is left to others, as all routers of a fleet may have started at once.
+// yet. Until it is, Extra is mostly left to others, as all routers of a fleet may have started at
+// once.
 func (b *Budgeter) SetRouters(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -74,7 +79,7 @@
 // extra returns this router's part of Extra.
 func (b *Budgeter) extra() float64 {
 	if b.routers <= 0 {
-		return 0
+		return min(unknownExtra, b.bounds.Extra)
 	}
 	return b.bounds.Extra / float64(b.routers)
 }
