--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -25,6 +25,10 @@
 	// safetyFactor is the part of the budget that is used. A request may reach its upstream in
 	// a later window than the one in which it was counted here.
 	safetyFactor = 0.7
+	// unknownExtra is the part of Bounds.Extra that a router takes while it does not know the
+	// number of routers: with safetyFactor one retry in each window. Without any, a stream that
+	// breaks in the first moments of a router is lost.
+	unknownExtra = 1.5
 	// slicesPerWindow is the number of slices in which the requests of a window are counted.
 	slicesPerWindow = 20
 )
@@ -43,6 +47,9 @@
 type Budgeter struct {
 	clock  timekeeper.Clock
 	bounds Bounds
+	// start is when the Budgeter was created. Windows are counted by the time since then: the
+	// time of day may be set while requests run, and would end windows or hold them open.
+	start time.Time
 
 	mu      sync.Mutex
 	routers int
@@ -57,14 +64,24 @@
 
 // New returns a Budgeter for a fleet of one router.
 func New(clock timekeeper.Clock, bounds Bounds) *Budgeter {
-	return &Budgeter{clock: clock, bounds: bounds, routers: 1, pools: make(map[messenger.PoolID]*window)}
+	return &Budgeter{clock: clock, bounds: bounds, start: clock.Now(), routers: 1, pools: make(map[messenger.PoolID]*window)}
 }
 
-// SetRouters sets the number of routers among which Extra is divided.
+// SetRouters sets the number of routers among which Extra is divided; 0 means that it is not known
+// yet. Until it is, Extra is mostly left to others, as all routers of a fleet may have started at
+// once.
 func (b *Budgeter) SetRouters(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.routers = max(1, n)
+	b.routers = n
+}
+
+// extra returns this router's part of Extra.
+func (b *Budgeter) extra() float64 {
+	if b.routers <= 0 {
+		return min(unknownExtra, b.bounds.Extra)
+	}
+	return b.bounds.Extra / float64(b.routers)
 }
 
 // Earn counts the first attempt of a request.
@@ -85,7 +102,7 @@
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	limit := safetyFactor * (b.bounds.Ratio*requests + b.bounds.Extra/float64(b.routers))
+	limit := safetyFactor * (b.bounds.Ratio*requests + b.extra())
 	if retries+1 > limit {
 		return false
 	}
@@ -101,7 +118,7 @@
 		b.pools[pool] = w
 	}
 	length := max(int64(b.bounds.Window)/slicesPerWindow, 1)
-	slice := b.clock.Now().UnixNano() / length
+	slice := int64(b.clock.Now().Sub(b.start)) / length
 	for i := max(w.slice+1, slice-slicesPerWindow+1); i <= slice; i++ {
 		w.requests[i%slicesPerWindow], w.retries[i%slicesPerWindow] = 0, 0
 	}
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -42,11 +42,11 @@
 	retryAt       time.Time
 	failedAttempt *attempt
 	retries       int
-	// failoverRequested is true while the scheduler has been asked for an upstream to
-	// replace a silent one. The retry is then already taken from the budget. If the budget
-	// is exhausted, the silence is reported without requesting an upstream.
-	failoverRequested bool
-	// sends counts the upstreams that may have received the request.
+	// permitted is when a retry was taken from the budget that no attempt has used yet; zero if
+	// there is none. It is set while the scheduler is asked for another upstream.
+	permitted time.Time
+	// sends counts the upstreams that may have received the request. One that may have received it
+	// twice, over two connections, counts once.
 	sends int
 	// parts are the shared parts of the prompt, trial those of them that are quarantined and
 	// tried by this request. recheck is signaled when a quarantine has begun.
@@ -229,8 +229,13 @@
 // startAttempt starts an attempt at an upstream. It fails at once if the upstream is
 // unknown.
 func (f *inflightRequest) startAttempt(a messenger.Dispatch, policy messenger.UpstreamPolicy, known bool) {
+	at := &attempt{upstream: a.Upstream, policy: policy, hedge: a.Hedge, fetchFrom: a.FetchFrom, writeBy: a.WriteBy}
+	if !f.takePermit(at) {
+		f.reportFinish(a.Upstream, 0, false, false)
+		f.endAfterUnusedDispatch(false)
+		return
+	}
 	f.cancelRetry()
-	f.track(tracker.Open)
 	if a.Hedge {
 		f.d.counters.Hedges.Add(1)
 	} else {
@@ -240,41 +245,21 @@
 		f.result.DispatchedAt = f.now()
 		f.d.budget.Earn(f.req.Arrive.Pool)
 	}
-	at := &attempt{upstream: a.Upstream, policy: policy, hedge: a.Hedge, fetchFrom: a.FetchFrom}
 	f.logColdSend(a, policy)
-	f.attempts = append(f.attempts, at)
-	if !known {
-		at.recordProgress(f.now(), f.progressTimeout())
-		at.exchange = &exchange{updated: f.exchangeUpdated}
-		at.exchange.finish(errNoUpstream)
-		return
-	}
-	f.startExchange(at, &upstreamRequest{
-		address: policy.Address, method: f.req.Method, uri: f.req.URI,
-		header: f.requestHeader(at), body: f.req.Body,
-		newConn:  f.needsNewConnection(),
-		noResend: !f.req.Arrive.Idempotent, ownsResponse: f.responseFilter(a.Upstream, policy.Address), checkBeforeWrite: f.preWriteCheck(a, policy),
-	})
-}
-
-// needsNewConnection reports whether the request must not reuse a connection. A request
-// without an id needs a new connection, because on a reused one its response could not be
-// distinguished from the response to another request.
-func (f *inflightRequest) needsNewConnection() bool {
-	return f.retries > 0 || f.req.WireID == "" || !f.req.Arrive.Idempotent && !f.d.traits.ReusesConnections
+	f.openAttempt(at, known)
 }
 
 // preWriteCheck returns a function that returns why the request must no longer be
 // written, or nil. The upstream may be withdrawn while a connection to it is being opened,
 // or while the connection that the request was written to is closing.
-func (f *inflightRequest) preWriteCheck(a messenger.Dispatch, chosen messenger.UpstreamPolicy) func() error {
-	permit := coldPermit{writeBy: a.WriteBy}
+func (f *inflightRequest) preWriteCheck(at *attempt) func() error {
+	permit := coldPermit{writeBy: at.writeBy}
 	return func() error {
 		if f.caller.Disconnected() {
 			return errCallerGone
 		}
-		current, known := f.d.cfg.Upstreams.Upstream(a.Upstream)
-		if !known || current.Address != chosen.Address || current.Pool != chosen.Pool {
+		current, known := f.d.cfg.Upstreams.Upstream(at.upstream)
+		if !known || current.Address != at.policy.Address || current.Pool != at.policy.Pool {
 			return errNoUpstream
 		}
 		return permit.use(f.now(), current)
--- a/internal/router/hostedjoin.go
+++ b/internal/router/hostedjoin.go
@@ -102,6 +102,7 @@
 		}
 		h.joined = true
 		h.joinAdmitter()
+		h.setFleetSize(1 + max(len(h.peers), int(h.peerCount.Load())))
 	})
 	return true
 }
@@ -143,8 +144,13 @@
 // setFleetSize records the number of routers, at least as many as are known by name.
 func (h *Hosted) setFleetSize(n int) {
 	n = max(n, len(h.peers)+1)
-	h.budget.SetRouters(n)
+	if n > 1 || h.joined {
+		h.budget.SetRouters(n)
+	}
 	h.quarantine.setRouters(n, h.self)
+	if h.evidence != nil {
+		h.evidence.setRouters(n)
+	}
 	h.peerCount.Store(int64(n - 1))
 }
 
