Keep a silent attempt until another upstream has taken over

Cause: the attempt at a silent upstream ended when another upstream was chosen.

If the new upstream does not take over, Finish.ContinuesAt tells the admitter, which gives the request its slot back.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -117,6 +117,8 @@
 	// progressTimedOut is true once the upstream has sent nothing for the progress timeout
 	// of the route.
 	progressTimedOut bool
+	// replaced is the request as it was before it was last relocated, or nil.
+	replaced *request
 }
 
 // New returns an Admitter without a policy.
@@ -288,6 +290,10 @@
 	u.endAttempt(a.now, r, e)
 	a.revertServed(r)
 	r.upstream = nil
+	if a.returnToReplaced(r, e) {
+		a.fillFreedSlot(r.pool, u)
+		return
+	}
 	if !e.Retry {
 		delete(a.requests, e.Request)
 		a.fillFreedSlot(r.pool, u)
@@ -323,6 +329,7 @@
 
 // relocate moves a running request to another upstream if one is usable.
 func (a *Admitter) relocate(r *request) {
+	before := *r
 	previous, previousAvoid := r.upstream, r.avoid
 	r.avoid = previous.id
 	u, f := r.pool.pickUsable(a, r)
@@ -333,6 +340,8 @@
 	previous.removeRequest(r)
 	a.revertServed(r)
 	a.sendReplacing(r, u, f, previous.id)
+	before.replaced = nil
+	r.replaced = &before
 }
 
 // revertServed deducts an attempt that ended without output from the served rate of its
--- a/internal/admitter/silent_test.go
+++ b/internal/admitter/silent_test.go
@@ -49,3 +49,34 @@
 		t.Errorf("got %d running and %d requests known after the end, want 0", n, len(a.requests))
 	}
 }
+
+// TestRequestReturnsToReplacedUpstream guards against a request that the admitter has forgotten
+// while it runs: the upstream that was to take it over fails, and the silent one goes on. The
+// request occupies its slot again, and is sent elsewhere if that upstream fails later.
+func TestRequestReturnsToReplacedUpstream(t *testing.T) {
+	a := newPlainAdmitter()
+	first, ok := dispatchOf(a.Handle(epoch, plainRequest(1, epoch)))
+	if !ok {
+		t.Fatal("got no dispatch with idle upstreams")
+	}
+	a.Handle(epoch, messenger.Progress{Request: 1, First: true})
+	now := epoch.Add(time.Second)
+	second, ok := dispatchOf(a.Handle(now, messenger.UpstreamSilent{Request: 1, Upstream: first.Upstream, CanMove: true}))
+	if !ok {
+		t.Fatal("got no dispatch that replaces the silent upstream")
+	}
+	a.Handle(now, messenger.Finish{Request: 1, Upstream: second.Upstream, Failed: true, ContinuesAt: first.Upstream})
+	back, other := a.upstreams[first.Upstream], a.upstreams[second.Upstream]
+	if back.running != 1 || len(back.pending) != 0 || other.running != 0 {
+		t.Errorf("got %d running and %d pending at the first upstream and %d running at the other, want 1, 0 and 0", back.running, len(back.pending), other.running)
+	}
+	now = now.Add(time.Minute) // the failure of the other upstream is forgotten
+	got, ok := dispatchOf(a.Handle(now, messenger.Finish{Request: 1, Upstream: first.Upstream, Failed: true, Retry: true}))
+	if !ok || got.Upstream != second.Upstream || got.Replaces != "" {
+		t.Errorf("got %+v after the failure of the first upstream, want a dispatch to the other", got)
+	}
+	a.Handle(now, messenger.Finish{Request: 1, Upstream: second.Upstream})
+	if n := back.running + other.running; n != 0 || len(a.requests) != 0 {
+		t.Errorf("got %d running and %d requests known after the end, want 0", n, len(a.requests))
+	}
+}
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -34,6 +34,8 @@
 	exchange *exchange
 	// chosenAt is when the upstream was looked up for the exchange.
 	chosenAt time.Time
+	// writtenAt is when writing the request last began, valid if sent is set.
+	writtenAt time.Time
 	// sent is true once the outcome tracker knows that bytes may have been sent.
 	sent bool
 	// selected is true for the attempt whose response is relayed.
@@ -57,6 +59,9 @@
 	// that the engine reports.
 	countedTokens, reportedTokens float64
 
+	// replaced is true while another attempt is to take over. Its slot is then already freed.
+	replaced bool
+
 	// move is the transfer of the stream to another engine in progress. moved is true
 	// once the stream comes from that engine. nextMoveAt is when the next transfer may
 	// start.
@@ -119,6 +124,7 @@
 		f.recordSend(at)
 	}
 	if u.sent {
+		at.writtenAt = u.writeStartedAt
 		f.result.MaxWriteDelay = max(f.result.MaxWriteDelay, u.writeStartedAt.Sub(at.chosenAt))
 	}
 	if u.suspect {
@@ -174,10 +180,14 @@
 		f.attemptFailed(at, ProblemStreamBroken, false)
 		return false
 	}
-	if (retryableStatus(u.status) || f.d.traits.ResendsStreams && u.status >= http.StatusInternalServerError) && f.mayRetry() {
+	retryable := retryableStatus(u.status) || f.d.traits.ResendsStreams && u.status >= http.StatusInternalServerError
+	if retryable && (f.mayRetry() || f.replacedAttempt() != nil) {
 		f.attemptFailed(at, ProblemUpstreamFailed, false)
 		return false
 	}
+	if at.replaced {
+		f.keepReplaced(at)
+	}
 	if f.outcome.State() != tracker.Answered {
 		f.selectAttempt(at)
 	}
@@ -191,6 +201,9 @@
 func (f *inflightRequest) selectAttempt(at *attempt) {
 	at.selected = true
 	f.track(responseEvent(at.status))
+	if old := f.replacedAttempt(); old != nil {
+		f.endReplaced(old)
+	}
 	f.cancelOtherAttempts(at)
 }
 
@@ -294,7 +307,7 @@
 		f.scheduleRetry(at)
 		return
 	}
-	f.reportFinish(at.upstream, at.tokens(), !at.upstreamWithdrawn(), false)
+	f.reportEnd(at, !at.upstreamWithdrawn())
 	if len(f.attempts) == 0 {
 		f.fail(problem)
 	}
@@ -348,7 +361,7 @@
 		f.track(tracker.Break)
 	}
 	f.closeAttempt(at, true)
-	f.reportFinish(at.upstream, at.tokens(), false, false)
+	f.reportEnd(at, false)
 }
 
 // closeAttempt ends the exchanges of an attempt. If cancel is true, an engine is sent a
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -46,6 +46,9 @@
 	// replace a silent one. The retry is then already taken from the budget. If the budget
 	// is exhausted, the silence is reported without requesting an upstream.
 	failoverRequested bool
+	// takeoverCheckAt is when to check next how long a replaced attempt and the one that is to
+	// take over have both been open.
+	takeoverCheckAt time.Time
 	// sends counts the upstreams that may have received the request.
 	sends int
 	// parts are the shared parts of the prompt, trial those of them that are quarantined and
@@ -191,17 +194,17 @@
 		f.handleCallerGone()
 		return
 	}
-	if a.Replaces != "" && !f.replaceAttempt(a) {
-		f.reportFinish(a.Upstream, 0, false, false)
+	if a.Replaces != "" && !f.beginTakeover(a) {
+		f.reportUnused(a)
 		return
 	}
 	expired := f.deadlinePassed()
 	if f.concluded || f.callerGone || expired || f.pendingDispatch != nil || !f.outcome.MaySend() {
-		f.reportFinish(a.Upstream, 0, false, false)
+		f.reportUnused(a)
 		f.endAfterUnusedDispatch(expired)
 		return
 	}
-	if !f.mayDispatch(a.Upstream) {
+	if !f.mayDispatch(a) {
 		return
 	}
 	if f.needsClaim() && f.claim.Status != recorder.Claimed {
--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -103,12 +103,12 @@
 
 // mayDispatch reports whether the request may be sent to an upstream as far as its prompt is
 // concerned. If not, it frees the slot, and ends the request unless it already runs elsewhere.
-func (f *inflightRequest) mayDispatch(upstream messenger.UpstreamID) bool {
+func (f *inflightRequest) mayDispatch(a messenger.Dispatch) bool {
 	ruling := f.quarantineRuling(true)
 	if !ruling.Refused() {
 		return true
 	}
-	f.reportFinish(upstream, 0, false, false)
+	f.reportUnused(a)
 	if len(f.attempts) == 0 {
 		f.endQuarantined(ruling)
 	}
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -100,7 +100,7 @@
 	f.log("declined").WithField("upstream", at.upstream).Info("upstream declined the request")
 	f.closeAttempt(at, false)
 	if len(f.attempts) > 0 {
-		f.reportFinish(at.upstream, 0, true, false)
+		f.reportEnd(at, true)
 		return
 	}
 	if f.mayRetry() && f.takeRetry() {
@@ -127,7 +127,7 @@
 }
 
 // requestFailover asks the scheduler for an upstream to replace a silent one. The current
-// attempt continues until a replacement is dispatched, because a silent upstream may still
+// attempt continues until the replacement has taken over, because a silent upstream may still
 // complete its response.
 func (f *inflightRequest) requestFailover(at *attempt) {
 	if !f.mayFailOver() {
@@ -146,34 +146,6 @@
 	return f.d.spendRetry(f.req.Arrive.Pool)
 }
 
-// replaceAttempt ends the attempt that a Dispatch replaces and reports whether the new
-// attempt may start. It first processes the bytes received so far: they may include output
-// of a response that cannot continue at another upstream.
-func (f *inflightRequest) replaceAttempt(a messenger.Dispatch) bool {
-	defer func() { f.failoverRequested = false }()
-	for _, at := range f.attempts {
-		if at.upstream != a.Replaces {
-			continue
-		}
-		f.processAttempt(at)
-		if !f.isOpen(at) {
-			return true
-		}
-		if !f.mayFailOver() {
-			return false
-		}
-		f.reportBreak(at, true)
-		f.logResend(at)
-		f.retries++
-		if at.selected && f.outcome.State() == tracker.Answered {
-			f.track(tracker.Break)
-		}
-		f.closeAttempt(at, true)
-		return true
-	}
-	return true
-}
-
 // handleFramedEvents relays complete events of a stream that ends with its HTTP message.
 // Bytes that complete no new event do not count as progress, because a stalled upstream
 // may still send such bytes, intermittently or continuously.
@@ -185,6 +157,11 @@
 		s.bytesSinceEvent = 0
 	}
 	ok = ok && s.bytesSinceEvent <= maxEventBytes
+	if at.replaced && count > 0 {
+		f.keepReplaced(at)
+	} else if at.replaced {
+		out = nil // nothing but events shows that the upstream goes on
+	}
 	first := len(out) > 0 && f.result.FirstOutputAt.IsZero()
 	f.deliver(at, out)
 	f.lastEvent, f.hasLastEvent = s.lastEventID, s.hasLastEventID
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -65,6 +65,9 @@
 	if at.stream != nil {
 		return f.handleEvents(at, p)
 	}
+	if at.replaced {
+		f.keepReplaced(at)
+	}
 	if len(at.buffered)+len(p) > f.d.cfg.MaxResponseBytes {
 		f.rejectResponse(at, ProblemAnswerTooLarge)
 		return false
@@ -193,6 +196,9 @@
 
 // completeAttempt relays a complete response and frees the slot.
 func (f *inflightRequest) completeAttempt(at *attempt) {
+	if at.replaced {
+		f.keepReplaced(at)
+	}
 	f.cancelOtherAttempts(at)
 	f.reportOutput(at)
 	f.track(tracker.Complete)
--- a/internal/dispatcher/timers.go
+++ b/internal/dispatcher/timers.go
@@ -41,6 +41,9 @@
 	if f.failedAttempt != nil {
 		add(f.retryAt)
 	}
+	if f.replacedAttempt() != nil {
+		add(f.takeoverCheckAt)
+	}
 	if !f.deadline.IsZero() && !f.callerGone {
 		add(f.deadline)
 	}
@@ -58,6 +61,7 @@
 		return
 	}
 	f.requestRetry()
+	f.checkTakeover()
 	now := f.now()
 	for _, at := range append([]*attempt(nil), f.attempts...) {
 		if f.concluded || !f.isOpen(at) || now.Before(at.deadline) {
--- a/internal/messenger/action.go
+++ b/internal/messenger/action.go
@@ -15,7 +15,7 @@
 	// FetchFrom is an engine that is expected to have cached parts of the prompt that Upstream
 	// lacks, or empty.
 	FetchFrom UpstreamID
-	// Replaces is the upstream whose attempt ends when this one begins, or empty.
+	// Replaces is the upstream whose attempt ends when this one takes over, or empty.
 	Replaces UpstreamID
 }
 
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -53,11 +53,15 @@
 	Failed bool
 	// Retry is true if the request must be dispatched again, to another upstream.
 	Retry bool
+	// ContinuesAt is the upstream whose attempt the ended one was to replace and which the
+	// request goes on with, or empty.
+	ContinuesAt UpstreamID
 }
 
 // UpstreamSilent reports that the upstream of a request has sent nothing for the time that the
 // route allows. The attempt continues unless a Dispatch with Upstream in Replaces follows, which
-// frees the slot.
+// frees the slot. If the upstream of that Dispatch does not take over, a Finish with Upstream in
+// ContinuesAt follows, which occupies the slot again.
 type UpstreamSilent struct {
 	Request  RequestID
 	Upstream UpstreamID
