--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -217,30 +216,6 @@
 	}
 }
 
-// responseEvent returns Answer for a status that proves that the request ran, and Decline
-// for one that does not.
-func responseEvent(status int) tracker.Event {
-	if status == http.StatusTooManyRequests || status >= http.StatusInternalServerError {
-		return tracker.Decline
-	}
-	return tracker.Answer
-}
-
-// retryableStatus reports whether a request that got this status may be retried at
-// another upstream.
-func retryableStatus(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusBadGateway,
-		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		return true
-	}
-	return false
-}
-
-func isEventStream(h http.Header) bool {
-	return strings.HasPrefix(strings.ToLower(h.Get("Content-Type")), "text/event-stream")
-}
-
 // handleExchangeEnd handles the end of an exchange.
 func (f *inflightRequest) handleExchangeEnd(at *attempt, u exchangeUpdate) {
 	if errors.Is(u.err, errCallerGone) {
