Read what has arrived before an upstream counts as silent

Cause: after the router's VM stood still, the timers of its requests fired before the bytes that had arrived were read. Their upstreams counted as silent and the requests were sent again.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -49,6 +49,9 @@
 	// probe checks over another connection whether the upstream is alive.
 	probe         *exchange
 	silentPeriods int
+	// unreadExcused is true once the attempt's deadline was extended, since its last progress,
+	// because bytes had arrived that were not read yet.
+	unreadExcused bool
 
 	status   int
 	header   http.Header
@@ -89,7 +92,7 @@
 
 // recordProgress records activity of the upstream and extends the attempt's deadline.
 func (at *attempt) recordProgress(now time.Time, timeout time.Duration) {
-	at.lastProgressAt, at.deadline = now, now.Add(timeout)
+	at.lastProgressAt, at.deadline, at.unreadExcused = now, now.Add(timeout), false
 }
 
 // processAttempts handles the updates of every exchange.
--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -225,6 +225,7 @@
 			default:
 			}
 		},
+		unread: func() bool { return hasUnreadBytes(r.conn.Conn) },
 		linger: func() { _ = r.conn.SetReadDeadline(time.Now().Add(lingerTimeout)) },
 	}
 }
--- a/internal/dispatcher/endcheck.go
+++ b/internal/dispatcher/endcheck.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -19,15 +18,6 @@
 // short of CPU time a probe takes some 0.5 s.
 const maxUnseenRestart = time.Second
 
-// Standstill is a time during which the router's VM did not run. The zero value means none.
-type Standstill struct{ From, To time.Time }
-
-// mayHide reports whether the end of a connection that was received at t may have happened
-// during the standstill. TCP repeats what was lost after at most as long again.
-func (s Standstill) mayHide(t time.Time) bool {
-	return !s.To.IsZero() && !t.After(s.To.Add(s.To.Sub(s.From)))
-}
-
 // endEvidence is what is known about the process of an upstream at the end of a response
 // without a length. Such an end looks the same whether the response is complete or the
 // process has ended.
@@ -171,23 +161,34 @@
 // endReceivedAt returns when the end of a connection was received, or zero if the system does
 // not tell. It may be long before the end is read.
 func endReceivedAt(conn net.Conn, now time.Time) time.Time {
+	var info *unix.TCPInfo
+	err := controlSocket(conn, func(fd int) (err error) {
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err
+	})
+	if err != nil {
+		return time.Time{}
+	}
+	// The segment that ends a connection carries its last acknowledgment.
+	return now.Add(-time.Duration(info.Last_ack_recv) * time.Millisecond)
+}
+
+// controlSocket calls f with the descriptor of a connection.
+func controlSocket(conn net.Conn, f func(fd int) error) error {
 	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
 		conn = wrapped.NetConn()
 	}
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
-		return time.Time{}
+		return errNoSocket
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return time.Time{}
+		return err
 	}
-	var info *unix.TCPInfo
-	var infoErr error
-	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if errors.Join(err, infoErr) != nil {
-		return time.Time{}
+	var callErr error
+	if err := raw.Control(func(fd uintptr) { callErr = f(int(fd)) }); err != nil {
+		return err
 	}
-	// The segment that ends a connection carries its last acknowledgment.
-	return now.Add(-time.Duration(info.Last_ack_recv) * time.Millisecond)
+	return callErr
 }
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -17,6 +17,7 @@
 	errProtocolSwitch = merry.Sentinel("upstream switched protocols")
 	errNoRecorder     = merry.Sentinel("no store for idempotency keys")
 	errNoOlderConn    = merry.Sentinel("no idle connection opened early enough")
+	errNoSocket       = merry.Sentinel("connection is no socket")
 	errCallerGone     = merry.Sentinel("caller left before the request was written")
 )
 
@@ -100,6 +101,8 @@
 	stop, resume func()
 	// linger limits the wait for the end of the HTTP body after the last event of a stream.
 	linger func()
+	// unread reports whether bytes have arrived that were not read yet.
+	unread func() bool
 }
 
 // exchangeUpdate is the state of an exchange, with the body bytes since the last poll.
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -65,6 +65,10 @@
 	deadline time.Time
 	timer    <-chan time.Time
 	timerDue time.Time
+	// timerExpectedAt is when the timer should fire: timerDue, or when it was set if that had
+	// passed. standstill is the last known standstill of the router's VM.
+	timerExpectedAt time.Time
+	standstill      Standstill
 	// callerProgressAt is when the caller last read some of the bytes waiting for it.
 	// callerSentBytes is the number of bytes sent at the last check.
 	callerProgressAt time.Time
--- a/internal/dispatcher/silentstream_red_test.go
+++ b/internal/dispatcher/standstill_test.go
@@ -1,5 +1,3 @@
-//go:build red
-
 package dispatcher
 
 import (
@@ -63,3 +61,37 @@
 		t.Errorf("response = %q after %d attempts, want the complete stream of the first", c.text(), res.Attempts)
 	}
 }
+
+// TestStandstillExtendsSilenceOnce checks how long an upstream is given after a standstill of
+// the router's VM that its own timer does not show: as long again, and no longer.
+func TestStandstillExtendsSilenceOnce(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	stood := Standstill{From: start.Add(100 * time.Millisecond), To: start.Add(700 * time.Millisecond)}
+	d := newTestDispatcher(t, Config{LastStandstill: func() Standstill { return stood }})
+	req := resumableStream()
+	req.Class.ProgressTimeout = 800 * time.Millisecond
+	f := newInflightRequest(d, req, newFakeQueue(), newFakeCaller())
+	at := &attempt{exchange: &exchange{}}
+	at.recordProgress(start, req.Class.ProgressTimeout)
+	now := at.deadline
+	f.timerExpectedAt = now
+	f.noteStandstill(now)
+	if got, want := f.isSilenceUnproven(at, now), true; got != want || !at.deadline.Equal(stood.To.Add(600*time.Millisecond)) {
+		t.Errorf("got %v and a deadline at %v, want an extension by the length of the standstill after its end", got, at.deadline.Sub(start))
+	}
+	f.timerExpectedAt = at.deadline
+	f.noteStandstill(at.deadline)
+	if f.isSilenceUnproven(at, at.deadline) {
+		t.Error("the same standstill extended the silence twice")
+	}
+	at.exchange.control.unread = func() bool { return true }
+	for _, want := range []bool{true, false} {
+		if got := f.isSilenceUnproven(at, at.deadline); got != want {
+			t.Errorf("with unread bytes: got %v, want %v: once for each silence", got, want)
+		}
+	}
+	at.recordProgress(at.deadline, req.Class.ProgressTimeout)
+	if !f.isSilenceUnproven(at, at.deadline) {
+		t.Error("unread bytes after new progress: got a silence, want an extension")
+	}
+}
--- a/internal/dispatcher/timers.go
+++ b/internal/dispatcher/timers.go
@@ -17,8 +17,9 @@
 	if f.timer != nil && !due.Before(f.timerDue) {
 		return
 	}
-	f.timerDue = due
-	f.timer = f.d.cfg.Clock.After(due.Sub(f.now()))
+	now := f.now()
+	f.timerDue, f.timerExpectedAt = due, now.Add(max(0, due.Sub(now)))
+	f.timer = f.d.cfg.Clock.After(due.Sub(now))
 }
 
 // nextDue returns the next time at which handleTimer has work to do, or the zero time.
@@ -52,6 +53,7 @@
 
 // handleTimer does the work that is due.
 func (f *inflightRequest) handleTimer() {
+	f.noteStandstill(f.now())
 	f.drainCaller()
 	if f.concluded {
 		return
@@ -71,7 +73,7 @@
 		if f.isOpen(at) {
 			f.processAttempt(at)
 		}
-		if !f.concluded && f.isOpen(at) && !f.now().Before(at.deadline) {
+		if !f.concluded && f.isOpen(at) && !f.now().Before(at.deadline) && !f.isSilenceUnproven(at, now) {
 			f.handleSilence(at)
 		}
 	}
