Send a status without a standard text unchanged

Cause: nbhttp ignores such statuses, so the listener sent the first status of the class. An upstream's 520 reached the caller as 500; 299, 600 and 999 became 200.

Change: nbhttp writes a placeholder, and the connection below it puts the status into the status line of that head.

--- a/internal/listener/caller.go
+++ b/internal/listener/caller.go
@@ -41,16 +41,12 @@
 // WriteHeader have no effect.
 func (c *Caller) Header() http.Header { return c.res.Header() }
 
-// WriteHeader sets the status of the response. A status without a standard text is sent as the
-// first status of its class (599 as 500), which is how RFC 9110 lets a client treat it.
+// WriteHeader sets the status of the response. Interim statuses are ignored.
 func (c *Caller) WriteHeader(status int) {
 	if c.wroteHeader || status < http.StatusOK {
 		return
 	}
 	c.wroteHeader = true
-	if http.StatusText(status) == "" {
-		status = status / 100 * 100
-	}
 	sanitizeHeader(c.res.Header())
 	if !c.closeConn && c.sc.l.keepAliveDisabled.Load() {
 		c.CloseAfterResponse()
@@ -61,7 +57,7 @@
 	c.noBody = status == http.StatusNoContent || status == http.StatusNotModified
 	c.status = status
 	if !c.isHead {
-		c.res.WriteHeader(status)
+		c.writeStatus(status)
 	}
 }
 
@@ -72,7 +68,7 @@
 		if c.res.Header().Get("Content-Length") == "" {
 			c.res.Header().Set("Content-Length", strconv.Itoa(c.bodyBytes))
 		}
-		c.res.WriteHeader(c.status)
+		c.writeStatus(c.status)
 	}
 	if c.truncated() {
 		panic(http.ErrAbortHandler)
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -325,11 +325,12 @@
 	}
 	sc := newServerConn(l, c, parser)
 	l.awaitStaleEvents(sc)
-	parser.Conn = sc.countingConn
+	sc.statusConn = &statusConn{Conn: sc.countingConn}
 	if tlsConfig != nil {
-		parser.Conn = sc.wrapTLS(tlsConfig)
+		sc.statusConn.Conn = sc.wrapTLS(tlsConfig)
 		c.OnData(l.engine.TLSDataHandler)
 	}
+	parser.Conn = sc.statusConn
 	parser.Processor = &requestProcessor{sc: sc}
 	parser.Execute = sc.execute
 	l.mu.Lock()
--- a/internal/listener/serverconn.go
+++ b/internal/listener/serverconn.go
@@ -40,6 +40,7 @@
 	nbc          *nbio.Conn
 	parser       *nbhttp.Parser
 	countingConn *countingConn
+	statusConn   *statusConn
 	ctx          context.Context
 	cancel       context.CancelFunc
 	openedAt     time.Time
@@ -100,13 +101,13 @@
 	return sc
 }
 
-// UnderlayerConn implements nbhttp's ParserCloser; it returns the connection that the parser
-// uses, or nil before initialization.
+// UnderlayerConn implements nbhttp's ParserCloser; it returns the connection below statusConn,
+// whose type nbhttp's TLS handler needs, or nil before initialization.
 func (sc *serverConn) UnderlayerConn() net.Conn {
 	if !sc.initialized.Load() {
 		return nil
 	}
-	return sc.parser.UnderlayerConn()
+	return sc.statusConn.Conn
 }
 
 // CloseAndClean implements nbhttp's ParserCloser; it is called after the connection was
