Return an error at once if a listener's port is in use

Cause: nbio's engine opens the port after it has started its pollers, and stops them if that fails. A poller that is told to stop before it runs never ends, so the start span (once for 9 minutes) in place of an error.

Change: the port is opened before the engine is made.

The package's tests pass with -race.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -160,12 +160,19 @@
 func Start(cfg Config) (*Listener, error) {
 	cfg.setDefaults()
 	setLogger(cfg.Log)
+	// The port is opened before the engine starts: an engine that cannot open it stops its
+	// pollers, which spin for ever if they have not run yet.
+	ln, err := net.Listen("tcp", cfg.Address)
+	if err != nil {
+		return nil, merry.Prependf(err, "listen on %s for %s", cfg.Address, cfg.Name)
+	}
 	l := &Listener{cfg: cfg, stopped: make(chan struct{}), conns: map[*serverConn]struct{}{}, lastConnByFD: map[int]*serverConn{}}
+	l.acceptor = newAcceptor(ln, &l.cfg, l.atCapacity)
 	l.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:               cfg.Name,
 		Network:            "tcp",
 		Addrs:              []string{cfg.Address},
-		Listen:             l.listen,
+		Listen:             func(string, string) (net.Listener, error) { return l.acceptor, nil },
 		Handler:            http.HandlerFunc(l.serve),
 		ServerExecutor:     func(f func()) { go f() },
 		SupportServerOnly:  true,
@@ -190,7 +197,8 @@
 	l.engine.OnReadBufferFree(func(c *nbio.Conn, _ *[]byte) { trackRead(c) })
 	setMaxOpenFiles()
 	if err := l.engine.Start(); err != nil {
-		return nil, merry.Prependf(err, "listen on %s for %s", cfg.Address, cfg.Name)
+		_ = ln.Close()
+		return nil, merry.Prependf(err, "start engine of %s", cfg.Name)
 	}
 	<-l.acceptor.loopStarted
 	started, err := awaitPollers(l.engine)
@@ -204,15 +212,6 @@
 	return l, nil
 }
 
-func (l *Listener) listen(network, address string) (net.Listener, error) {
-	ln, err := net.Listen(network, address)
-	if err != nil {
-		return nil, err
-	}
-	l.acceptor = newAcceptor(ln, &l.cfg, l.atCapacity)
-	return l.acceptor, nil
-}
-
 // Addr returns the address on which the port is open.
 func (l *Listener) Addr() string { return l.acceptor.Addr().String() }
 
