Let the stand-in of a refusal test refuse without closing connections

Change: the stand-in refuses every request but the first, on any connection, and closes none. The test also checks that the refusal came over the reused connection, and how many requests each upstream got.

--- a/internal/dispatcher/refusal_test.go
+++ b/internal/dispatcher/refusal_test.go
@@ -231,8 +231,25 @@
 // TestRefusalWithRequestIDIsAccepted checks that a refusal on a reused connection is
 // accepted if it carries the request's id.
 func TestRefusalWithRequestIDIsAccepted(t *testing.T) {
-	var requests, other atomic.Int64
-	busy := serveResponses(t, &requests, ownResponse, refusal("503 Service Unavailable", "X-Request-Id: "+wireID+"\r\n"))
+	var requests, conns, other atomic.Int64
+	// The upstream refuses every request but the first, on any connection, and closes none: a
+	// connection that it closed after a refusal might end just while the next request is written.
+	busy := serveConns(t, func(conn net.Conn) {
+		conns.Add(1)
+		br := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			response := ownResponse
+			if requests.Add(1) > 1 {
+				response = refusal("503 Service Unavailable", "X-Request-Id: "+wireID+"\r\n")
+			}
+			_, _ = io.WriteString(conn, response)
+		}
+	})
 	healthy := serveResponses(t, &other, ownResponse)
 	d := newTestDispatcher(t, Config{Dialect: noticeDialect{}, Upstreams: fixedUpstreams{"a": {Address: busy}, "b": {Address: healthy}}})
 	d.Serve(context.Background(), reservation(), newFakeQueue("a"), newFakeCaller())
@@ -245,10 +262,13 @@
 		if res.Status != want {
 			t.Errorf("got status %d, want %d", res.Status, want)
 		}
-		if want != http.StatusOK && res.Run != messenger.StateNotRun {
-			t.Errorf("got run %q, want not run", res.Run)
+		if want != http.StatusOK && (res.Run != messenger.StateNotRun || conns.Load() != 1) {
+			t.Errorf("got run %q over %d connections, want not run over the reused one", res.Run, conns.Load())
 		}
 	}
+	if requests.Load() != 3 || other.Load() != 1 {
+		t.Errorf("got %d requests at the refusing upstream and %d at the other, want 3 and 1", requests.Load(), other.Load())
+	}
 }
 
 // TestRequestWithoutIDUsesOwnConnection checks that a request without an id is sent over
