Let the test of a silent stream judge silence only once its upstream has begun

Cause: TestSilentStreamFailsOver ran with a timeout of 30 ms of real time. On a busy machine its first request was given up before the handler ran, for which the second upstream waited.

Change: the clock stands still until the caller has the first events. The second upstream sends its head at once and its events only after the first one's request has ended, which is stricter than before: the head alone takes the stream over. The test also checks the retry budget.

--- a/internal/dispatcher/silentfailover_test.go
+++ b/internal/dispatcher/silentfailover_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
 // noRetries is an exhausted retry budget.
@@ -87,7 +88,9 @@
 }
 
 // TestSilentStreamFailsOver checks that another upstream continues the stream of a silent
-// one, and that the silent upstream's request is ended first.
+// one, that the silent upstream's request ends before anything of the other's stream is
+// delivered, and that the retry budget is spent once. The clock stands still until the first
+// upstream has begun, so that silence is never judged before its handler runs.
 func TestSilentStreamFailsOver(t *testing.T) {
 	ended := make(chan struct{})
 	first := serve(t, func(w http.ResponseWriter, r *http.Request) {
@@ -98,19 +101,29 @@
 		close(ended)
 	})
 	second := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		<-ended
 		startStream(w, r)
+		w.(http.Flusher).Flush() // the head takes the stream over
+		<-ended
 		writeEvent(w, numberedEvents(4, 6))
 	})
-	d := newTestDispatcher(t, Config{Dialect: resendDialect{}, Upstreams: fixedUpstreams{"a": {Address: first}, "b": {Address: second}}})
-	q, c := newFakeQueue("a", "b"), newFakeCaller()
-	res := d.Serve(context.Background(), shortTimeoutStream(), q, c)
+	clock := timekeeper.NewManual(time.Unix(1_800_000_000, 0))
+	d := newTestDispatcher(t, Config{
+		Dialect: resendDialect{}, Clock: clock, Upstreams: fixedUpstreams{"a": {Address: first}, "b": {Address: second}},
+	})
+	q, c, req, done := newFakeQueue("a", "b"), newFakeCaller(), shortTimeoutStream(), make(chan Result, 1)
+	go func() { done <- d.Serve(context.Background(), req, q, c) }()
+	awaitText(c, numberedEvents(1, 3))
+	awaitSilence(d, clock, req.Class.ProgressTimeout)
+	res := <-done
 	if got, want := c.text(), numberedEvents(1, 6); got != want || res.Aborted || res.Attempts != 2 {
 		t.Errorf("response = %q, result %+v, want %q after two attempts", got, res, want)
 	}
 	if got := q.finishes(); len(got) != 1 || got[0].Upstream != "b" {
 		t.Errorf("finishes = %+v, want only that of b: the slot of a was freed when b was chosen", got)
 	}
+	if got := d.Counters().Retries.Load(); got != 1 {
+		t.Errorf("got %d retries taken from the budget, want 1", got)
+	}
 }
 
 // TestSilentUpstreamFailsDuringFailoverRequest checks that a silent upstream that fails
