Look whether a process lives when its answer's end arrives, not when it is read

Cause: a router that reads an answer without a length no faster than its caller may read the end seconds after it arrived. The health answer that followed then proved nothing any more, and a complete answer counted as truncated.

Change: while such an answer is not read, its connection is checked every 100 ms for its end, and the health path is asked at once. A standstill after the health answer does not matter.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -141,6 +141,9 @@
 		return
 	}
 	f.updateMove(at)
+	if f.isOpen(at) && at.header != nil && u.closeDelimited && !u.endedAt.IsZero() && f.acceptsCloseDelimited(at) {
+		f.isEndKnown(at, u)
+	}
 	if f.isOpen(at) && (u.done || at.stream.isComplete()) {
 		f.handleExchangeEnd(at, u)
 	}
--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -108,6 +108,7 @@
 	closeAfter bool
 	// closeDelimited is true if only the end of the connection ends the body.
 	closeDelimited bool
+	clock          timekeeper.Clock
 	// wake ends a pause; stopped is closed when the exchange is canceled.
 	wake, stopped chan struct{}
 }
@@ -181,7 +182,7 @@
 // used, since the data cannot be a response to the request.
 func (t *connTransport) sendOn(x *exchange, conn *upstreamConn, req *http.Request, out *upstreamRequest) (*bodyReader, error) {
 	r := &bodyReader{
-		conn: conn, address: req.URL.Host,
+		conn: conn, address: req.URL.Host, clock: t.pool.clock,
 		wake: make(chan struct{}, 1), stopped: make(chan struct{}),
 	}
 	if err := out.checkWritable(); err != nil {
@@ -293,12 +294,8 @@
 	buf := make([]byte, minReadBytes)
 	for {
 		n, err := r.body.Read(buf)
-		if n > 0 && !x.addBody(buf[:n]) {
-			select {
-			case <-r.wake:
-			case <-r.stopped:
-				return errCanceled
-			}
+		if n > 0 && !x.addBody(buf[:n]) && !r.awaitWake(x) {
+			return errCanceled
 		}
 		if err == io.EOF {
 			return nil
--- a/internal/dispatcher/endcheck.go
+++ b/internal/dispatcher/endcheck.go
@@ -18,6 +18,13 @@
 // short of CPU time a probe takes some 0.5 s.
 const maxUnseenRestart = time.Second
 
+const (
+	// endPollInterval is how often a connection that is not being read is checked for its end.
+	endPollInterval = 100 * time.Millisecond
+	// tcpEstablished is the state of a connection of which neither side has ended.
+	tcpEstablished = 1
+)
+
 // endEvidence is what is known about the process of an upstream at the end of a response
 // without a length. Such an end looks the same whether the response is complete or the
 // process has ended.
@@ -58,7 +65,7 @@
 		return "registration gone"
 	case e.endedAt.IsZero():
 		return "time of the end unknown"
-	case e.standstill.mayHide(e.endedAt):
+	case e.standstill.From.Before(e.health.answeredAt) && e.standstill.mayHide(e.endedAt):
 		return "router stood still"
 	case e.health.answeredAt.Sub(e.endedAt) > maxUnseenRestart:
 		return "end noticed late"
@@ -158,6 +165,46 @@
 	}
 }
 
+// awaitWake waits until reading may continue. It returns false if the exchange was canceled.
+// Meanwhile it watches for the end of a connection that alone ends the body: whether the
+// process that sent the body is alive has to be found out when the end arrives.
+func (r *bodyReader) awaitWake(x *exchange) bool {
+	var poll <-chan time.Time
+	if r.closeDelimited {
+		ticker := time.NewTicker(endPollInterval)
+		defer ticker.Stop()
+		poll = ticker.C
+	}
+	for {
+		select {
+		case <-r.wake:
+			return true
+		case <-r.stopped:
+			return false
+		case <-poll:
+			if hasEnded(r.conn.Conn) {
+				x.setEndedAt(endReceivedAt(r.conn.Conn, r.clock.Now()))
+				x.signal()
+				poll = nil
+			}
+		}
+	}
+}
+
+// hasEnded reports whether the end of a connection was received, even if bytes before it were
+// not read yet.
+func hasEnded(conn net.Conn) bool {
+	state := uint8(tcpEstablished)
+	err := controlSocket(conn, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			state = info.State
+		}
+		return err
+	})
+	return err == nil && state != tcpEstablished
+}
+
 // endReceivedAt returns when the end of a connection was received, or zero if the system does
 // not tell. It may be long before the end is read.
 func endReceivedAt(conn net.Conn, now time.Time) time.Time {
--- a/internal/dispatcher/endcheck_test.go
+++ b/internal/dispatcher/endcheck_test.go
@@ -309,6 +309,7 @@
 		{"end read late", endEvidence{current: sent, health: late, endedAt: end}, "end noticed late"},
 		{"end during a standstill", endEvidence{current: sent, health: answer, endedAt: end, standstill: frozen}, "router stood still"},
 		{"end repeated after a standstill", endEvidence{current: sent, health: answer, endedAt: end, standstill: Standstill{From: end.Add(-3 * time.Second), To: end.Add(-time.Second)}}, "router stood still"},
+		{"standstill after the health answer", endEvidence{current: sent, health: answer, endedAt: end, standstill: Standstill{From: end.Add(time.Second), To: end.Add(2 * time.Second)}}, ""},
 		{"end after a standstill", endEvidence{current: sent, health: answer, endedAt: end, standstill: Standstill{From: end.Add(-4 * time.Second), To: end.Add(-3 * time.Second)}}, ""},
 		{"end during a standstill, older connection", endEvidence{current: sent, health: older, endedAt: end, standstill: frozen}, ""},
 	} {
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -204,10 +204,12 @@
 	return more
 }
 
-// setEndedAt records when the end of the connection was received.
+// setEndedAt records when the end of the connection was received. Only the first call counts.
 func (x *exchange) setEndedAt(t time.Time) {
 	x.mu.Lock()
-	x.endedAt = t
+	if x.endedAt.IsZero() {
+		x.endedAt = t
+	}
 	x.mu.Unlock()
 }
 
