--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -253,3 +253,57 @@
 		t.Errorf("result %+v, finishes %+v, %d retries, want one slot freed and one retry spent", res, tc.queue.finishes(), tc.d.Counters().Retries.Load())
 	}
 }
+
+// TestHeadAloneEndsNoTakeover guards against staying with an upstream that sends the head of a
+// stream late and then nothing, while another one is about to serve the request.
+func TestHeadAloneEndsNoTakeover(t *testing.T) {
+	started, begin, headSent, ended := make(chan struct{}), make(chan struct{}), make(chan struct{}), make(chan struct{})
+	first := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(started)
+		<-begin
+		startStream(w, r)
+		w.(http.Flusher).Flush()
+		close(headSent)
+		<-r.Context().Done()
+		close(ended)
+	})
+	begun, answer := make(chan struct{}), make(chan struct{})
+	second := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(begun)
+		select {
+		case <-answer:
+			startStream(w, r)
+			writeEvent(w, numberedEvents(1, 6))
+		case <-r.Context().Done():
+		}
+	})
+	clock := timekeeper.NewManual(time.Unix(1_800_000_000, 0))
+	d := newTestDispatcher(t, Config{
+		Dialect: resendDialect{}, Clock: clock, Upstreams: fixedUpstreams{"a": {Address: first}, "b": {Address: second}},
+	})
+	req, q, c, done := resumableStream(), newFakeQueue("a", "b"), newFakeCaller(), make(chan Result, 1)
+	req.Class.ProgressTimeout, req.MaxSends = time.Second, 2
+	go func() { done <- d.Serve(context.Background(), req, q, c) }()
+	<-started
+	awaitSilence(d, clock, req.Class.ProgressTimeout)
+	<-begun
+	close(begin)
+	<-headSent
+	select {
+	case <-ended: // never before the answer of the second upstream
+		t.Error("the first upstream's request ended before another one answered")
+	case <-time.After(50 * time.Millisecond): // its head is handled meanwhile
+	}
+	close(answer)
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the request stays at the silent upstream")
+	}
+	<-ended
+	if got, want := c.text(), numberedEvents(1, 6); got != want {
+		t.Errorf("response = %q, want %q", got, want)
+	}
+}
