Wait for the window's timer in the test of a replaced attempt

TestReplacedAttemptEndsWithinWindow moved the clock on before the request had set its timer, and hung in 1 of 32 runs with 8 copies at once.

--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -192,17 +192,17 @@
 		startStream(w, r)
 		writeEvent(w, numberedEvents(4, 6))
 	})
-	for ended := false; !ended; {
-		select {
-		case <-tc.firstEnded:
-			ended = true
-		case <-time.After(time.Millisecond):
-			// The check may find the request just written, and is then repeated once.
-			if tc.clock.Now().Sub(time.Unix(1_800_000_000, 0)) < time.Second+2*takeoverWindow {
-				tc.clock.Advance(takeoverWindow / 4)
-			}
-		}
+	for tc.clock.Waiters() < 2 { // the timers for the silence and for the window
+		time.Sleep(time.Millisecond)
 	}
+	tc.clock.Advance(takeoverWindow - time.Millisecond)
+	select {
+	case <-tc.firstEnded:
+		t.Error("the silent upstream's request ended before the window was over")
+	case <-time.After(20 * time.Millisecond):
+	}
+	tc.clock.Advance(time.Millisecond)
+	<-tc.firstEnded
 	close(answer)
 	tc.checkComplete(t, messenger.Finish{Upstream: "b"})
 }
