Do not let a late head alone end a takeover

Cause: a silent upstream that sent the head of a stream while another one was about to take over kept the request, although a hung upstream may send no more.

Change: only an event, or the head of an answer that is no stream, keeps the request at the silent upstream.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -190,15 +190,16 @@
 		f.attemptFailed(at, ProblemUpstreamFailed, false)
 		return false
 	}
-	if at.replaced {
-		f.keepReplaced(at)
-	}
-	if f.outcome.State() != tracker.Answered {
-		f.selectAttempt(at)
-	}
 	if u.status == http.StatusOK && isEventStream(u.header) {
 		at.stream = f.newStream(at)
 	}
+	switch {
+	case at.replaced && at.stream != nil: // only an event shows that the upstream goes on
+	case at.replaced:
+		f.keepReplaced(at)
+	case f.outcome.State() != tracker.Answered:
+		f.selectAttempt(at)
+	}
 	return f.isOpen(at)
 }
 
