Prove the end of a long answer without a length across a standstill

Cause: after a standstill of the router, only an idle connection from before the request proved that the upstream's process is the same.

Change: a connection opened while that of the answer was open proves as much. With each part of the answer its connection's TCP state is looked at, and an answer that goes on for 500 ms has a health probe sent, which leaves an idle connection behind. Probes may use connections that were idle for long.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -81,6 +81,10 @@
 	brokeOffBegun bool
 	// endCheck is set once a response without a length has ended with its connection.
 	endCheck *endCheck
+	// openUntil is when the connection of a response without a length was last known to be open.
+	// witnessed is true once another connection to its upstream was asked for.
+	openUntil time.Time
+	witnessed bool
 }
 
 // tokens returns the number of tokens that the upstream produced, as far as known.
@@ -137,13 +141,11 @@
 			return
 		}
 	}
+	f.watchUnframed(at, u)
 	if len(u.body) > 0 && !f.handleBody(at, u.body) {
 		return
 	}
 	f.updateMove(at)
-	if f.isOpen(at) && at.header != nil && u.closeDelimited && !u.endedAt.IsZero() && f.acceptsCloseDelimited(at) {
-		f.isEndKnown(at, u)
-	}
 	if f.isOpen(at) && (u.done || at.stream.isComplete()) {
 		f.handleExchangeEnd(at, u)
 	}
--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -226,6 +226,7 @@
 			default:
 			}
 		},
+		open:   func() bool { return isOpenConn(r.conn.Conn) },
 		unread: func() bool { return hasUnreadBytes(r.conn.Conn) },
 		linger: func() { _ = r.conn.SetReadDeadline(time.Now().Add(lingerTimeout)) },
 	}
--- a/internal/dispatcher/endcheck.go
+++ b/internal/dispatcher/endcheck.go
@@ -23,6 +23,9 @@
 	endPollInterval = 100 * time.Millisecond
 	// tcpEstablished is the state of a connection of which neither side has ended.
 	tcpEstablished = 1
+	// witnessDelay is how long a response without a length must have begun for a second
+	// connection to its upstream to be worth it.
+	witnessDelay = 500 * time.Millisecond
 )
 
 // endEvidence is what is known about the process of an upstream at the end of a response
@@ -44,7 +47,7 @@
 	// named is true if the upstream that the request was sent to has answered.
 	named bool
 	// olderConn is true if it answered over a connection that was opened before the request
-	// was sent.
+	// was sent, or while the connection of the response was known to be open.
 	olderConn  bool
 	answeredAt time.Time
 }
@@ -59,7 +62,8 @@
 	case !e.health.named:
 		return "no health answer of the upstream"
 	case e.health.olderConn:
-		// Whichever process opened that connection has lived since before the request.
+		// Whichever process opened that connection was alive together with the one that sent
+		// the response, at the same address.
 		return ""
 	case !registered:
 		return "registration gone"
@@ -79,6 +83,47 @@
 	done   atomic.Bool
 }
 
+// watchUnframed prepares for the end of a response without a length. It notes until when the
+// connection was open, lets a long response's upstream have a second connection, and starts
+// the check as soon as the end has arrived.
+func (f *inflightRequest) watchUnframed(at *attempt, u exchangeUpdate) {
+	if at.header == nil || !u.closeDelimited || !f.d.traits.AllowsCloseDelimited || !f.isOpen(at) {
+		return
+	}
+	if !u.endedAt.IsZero() {
+		if f.acceptsCloseDelimited(at) {
+			f.isEndKnown(at, u)
+		}
+		return
+	}
+	now := f.now()
+	if !f.lastStandstill().mayHide(now) && at.exchange.isConnOpen() {
+		at.openUntil = now
+	}
+	if at.witnessed || now.Sub(at.headAt) < witnessDelay {
+		return
+	}
+	at.witnessed = true
+	upstream, address := at.upstream, at.policy.Address
+	f.d.background.Go(func() { f.d.askHealth(upstream, address, now) })
+}
+
+// lastStandstill returns the last standstill of the router's VM.
+func (f *inflightRequest) lastStandstill() Standstill {
+	if f.d.cfg.LastStandstill == nil {
+		return Standstill{}
+	}
+	return f.d.cfg.LastStandstill()
+}
+
+// isConnOpen reports whether the connection of the exchange is known to be open.
+func (x *exchange) isConnOpen() bool {
+	x.mu.Lock()
+	open := x.control.open
+	x.mu.Unlock()
+	return open != nil && open()
+}
+
 // isEndKnown reports whether it is known if the process that answered an attempt is alive. If
 // not, it starts to find out; the attempt's exchange is signaled once it is known.
 func (f *inflightRequest) isEndKnown(at *attempt, u exchangeUpdate) bool {
@@ -88,9 +133,13 @@
 	c := &endCheck{}
 	at.endCheck = c
 	at.recordProgress(f.now(), max(f.progressTimeout(), 2*f.d.cfg.ConnectTimeout))
+	before := u.writeStartedAt
+	if at.openUntil.After(before) {
+		before = at.openUntil
+	}
 	upstream, address, x := at.upstream, at.policy.Address, at.exchange
 	f.d.background.Go(func() {
-		c.health = f.d.askHealth(upstream, address, u.writeStartedAt)
+		c.health = f.d.askHealth(upstream, address, before)
 		c.done.Store(true)
 		x.signal()
 	})
@@ -100,12 +149,9 @@
 // sentByLivingProcess reports whether the process that sent the response of an attempt is
 // known to be alive after the end of the response.
 func (f *inflightRequest) sentByLivingProcess(at *attempt, u exchangeUpdate) bool {
-	e := endEvidence{sent: at.policy, health: at.endCheck.health, endedAt: u.endedAt}
+	e := endEvidence{sent: at.policy, health: at.endCheck.health, endedAt: u.endedAt, standstill: f.lastStandstill()}
 	// A leaving upstream is registered, although it gets no requests.
 	e.current, _ = f.d.cfg.Upstreams.Upstream(at.upstream)
-	if f.d.cfg.LastStandstill != nil {
-		e.standstill = f.d.cfg.LastStandstill()
-	}
 	reason := e.conclusion()
 	if reason == "" {
 		return true
@@ -194,25 +240,29 @@
 // hasEnded reports whether the end of a connection was received, even if bytes before it were
 // not read yet.
 func hasEnded(conn net.Conn) bool {
-	state := uint8(tcpEstablished)
-	err := controlSocket(conn, func(fd int) error {
-		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err == nil {
-			state = info.State
-		}
+	info, err := tcpInfo(conn)
+	return err == nil && info.State != tcpEstablished
+}
+
+// isOpenConn reports whether a connection is known to be open.
+func isOpenConn(conn net.Conn) bool {
+	info, err := tcpInfo(conn)
+	return err == nil && info.State == tcpEstablished
+}
+
+// tcpInfo returns what the system knows about a connection.
+func tcpInfo(conn net.Conn) (info *unix.TCPInfo, err error) {
+	err = controlSocket(conn, func(fd int) (err error) {
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		return err
 	})
-	return err == nil && state != tcpEstablished
+	return info, err
 }
 
 // endReceivedAt returns when the end of a connection was received, or zero if the system does
 // not tell. It may be long before the end is read.
 func endReceivedAt(conn net.Conn, now time.Time) time.Time {
-	var info *unix.TCPInfo
-	err := controlSocket(conn, func(fd int) (err error) {
-		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		return err
-	})
+	info, err := tcpInfo(conn)
 	if err != nil {
 		return time.Time{}
 	}
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -101,6 +101,8 @@
 	stop, resume func()
 	// linger limits the wait for the end of the HTTP body after the last event of a stream.
 	linger func()
+	// open reports whether the connection is known to be open: its end has not arrived.
+	open func() bool
 	// unread reports whether bytes have arrived that were not read yet.
 	unread func() bool
 }
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -32,7 +32,8 @@
 }
 
 // get returns the most recently used connection to address, or nil. If openedBefore is not
-// zero, it must have been opened before that time.
+// zero, it must have been opened before that time, and may have been idle for long: a probe
+// that is lost does no harm.
 func (p *connPool) get(address string, openedBefore time.Time) *upstreamConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -45,10 +46,7 @@
 		return nil
 	}
 	conn := conns[i]
-	if p.clock.Now().Sub(conn.idleSince) >= p.maxIdleTime(conn) {
-		if !openedBefore.IsZero() {
-			return nil
-		}
+	if openedBefore.IsZero() && p.clock.Now().Sub(conn.idleSince) >= p.maxIdleTime(conn) {
 		p.closeIdleLocked(address)
 		return nil
 	}
