--- a/internal/dispatcher/arrival.go
+++ b/internal/dispatcher/arrival.go
@@ -92,7 +92,7 @@
 // for requests that may run twice. Where it is certain that nothing arrived, the transport has
 // used another connection already, see connTransport.sendRequest.
 func (f *inflightRequest) resendOnNewConnection(at *attempt, u exchangeUpdate) bool {
-	askedForOther := f.hasPermit()
+	askedForOther := f.hasPermit() || len(f.attempts) > 1
 	if !u.unanswered || askedForOther || !f.req.Arrive.Idempotent || f.callerGone || !f.outcome.MaySend() {
 		return false
 	}
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -37,6 +36,8 @@
 	exchange *exchange
 	// chosenAt is when the upstream was looked up for the exchange.
 	chosenAt time.Time
+	// writtenAt is when writing the request last began, valid if sent is set.
+	writtenAt time.Time
 	// sent is true once the outcome tracker knows that bytes may have been sent.
 	sent bool
 	// selected is true for the attempt whose response is relayed.
@@ -57,6 +58,9 @@
 	// probe checks over another connection whether the upstream is alive.
 	probe         *exchange
 	silentPeriods int
+	// unreadExcused is true once the attempt's deadline was extended, since its last progress,
+	// because bytes had arrived that were not read yet.
+	unreadExcused bool
 
 	status   int
 	header   http.Header
@@ -66,6 +70,9 @@
 	// that the engine reports.
 	countedTokens, reportedTokens float64
 
+	// replaced is true while another attempt is to take over. Its slot is then already freed.
+	replaced bool
+
 	// move is the transfer of the stream to another engine in progress. moved is true
 	// once the stream comes from that engine. nextMoveAt is when the next transfer may
 	// start.
@@ -83,6 +90,10 @@
 	brokeOffBegun bool
 	// endCheck is set once a response without a length has ended with its connection.
 	endCheck *endCheck
+	// openUntil is when the connection of a response without a length was last known to be open.
+	// witnessed is true once another connection to its upstream was asked for.
+	openUntil time.Time
+	witnessed bool
 }
 
 // tokens returns the number of tokens that the upstream produced, as far as known.
@@ -97,7 +108,7 @@
 
 // recordProgress records activity of the upstream and extends the attempt's deadline.
 func (at *attempt) recordProgress(now time.Time, timeout time.Duration) {
-	at.lastProgressAt, at.deadline = now, now.Add(timeout)
+	at.lastProgressAt, at.deadline, at.unreadExcused = now, now.Add(timeout), false
 }
 
 // processAttempts handles the updates of every exchange.
@@ -131,6 +142,7 @@
 		f.recordSend(at)
 	}
 	if u.sent {
+		at.writtenAt = u.writeStartedAt
 		f.result.MaxWriteDelay = max(f.result.MaxWriteDelay, u.writeStartedAt.Sub(at.chosenAt))
 	}
 	if u.suspect {
@@ -141,6 +153,7 @@
 			return
 		}
 	}
+	f.watchUnframed(at, u)
 	if len(u.body) > 0 && !f.handleBody(at, u.body) {
 		return
 	}
@@ -186,16 +199,21 @@
 		f.attemptFailed(at, ProblemStreamBroken, false)
 		return false
 	}
-	if (retryableStatus(u.status) || f.d.traits.ResendsStreams && u.status >= http.StatusInternalServerError) && f.mayRetry() {
+	retryable := retryableStatus(u.status) || f.d.traits.ResendsStreams && u.status >= http.StatusInternalServerError
+	if retryable && (f.mayRetry() || f.replacedAttempt() != nil) {
 		f.attemptFailed(at, ProblemUpstreamFailed, false)
 		return false
 	}
-	if f.outcome.State() != tracker.Answered {
-		f.selectAttempt(at)
-	}
 	if u.status == http.StatusOK && isEventStream(u.header) {
 		at.stream = f.newStream(at)
 	}
+	switch {
+	case at.replaced && at.stream != nil: // only an event shows that the upstream goes on
+	case at.replaced:
+		f.keepReplaced(at)
+	case f.outcome.State() != tracker.Answered:
+		f.selectAttempt(at)
+	}
 	return f.isOpen(at)
 }
 
@@ -203,6 +221,9 @@
 func (f *inflightRequest) selectAttempt(at *attempt) {
 	at.selected = true
 	f.track(responseEvent(at.status))
+	if old := f.replacedAttempt(); old != nil {
+		f.endReplaced(old)
+	}
 	f.cancelOtherAttempts(at)
 }
 
@@ -216,30 +237,6 @@
 	}
 }
 
-// responseEvent returns Answer for a status that proves that the request ran, and Decline
-// for one that does not.
-func responseEvent(status int) tracker.Event {
-	if status == http.StatusTooManyRequests || status >= http.StatusInternalServerError {
-		return tracker.Decline
-	}
-	return tracker.Answer
-}
-
-// retryableStatus reports whether a request that got this status may be retried at
-// another upstream.
-func retryableStatus(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusBadGateway,
-		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		return true
-	}
-	return false
-}
-
-func isEventStream(h http.Header) bool {
-	return strings.HasPrefix(strings.ToLower(h.Get("Content-Type")), "text/event-stream")
-}
-
 // handleExchangeEnd handles the end of an exchange.
 func (f *inflightRequest) handleExchangeEnd(at *attempt, u exchangeUpdate) {
 	if errors.Is(u.err, errCallerGone) {
@@ -248,10 +245,10 @@
 	}
 	endedCleanly := u.err == nil && u.done && at.header != nil && (!u.closeDelimited || f.acceptsCloseDelimited(at))
 	if endedCleanly && u.closeDelimited {
-		if !f.isEndKnown(at) {
+		if !f.isEndKnown(at, u) {
 			return
 		}
-		endedCleanly = !at.endCheck.crashed.Load()
+		endedCleanly = f.sentByLivingProcess(at, u)
 	}
 	if at.stream.isComplete() || endedCleanly && (at.stream == nil || at.stream.endsCleanly()) {
 		f.completeAttempt(at)
@@ -310,7 +307,7 @@
 		f.scheduleRetry(at)
 		return
 	}
-	f.reportFinish(at.upstream, at.tokens(), !at.upstreamWithdrawn(), false)
+	f.reportEnd(at, !at.upstreamWithdrawn())
 	if len(f.attempts) == 0 {
 		f.fail(problem)
 	}
@@ -354,7 +351,7 @@
 		f.track(tracker.Break)
 	}
 	f.closeAttempt(at, true)
-	f.reportFinish(at.upstream, at.tokens(), false, false)
+	f.reportEnd(at, false)
 }
 
 // closeAttempt ends the exchanges of an attempt. If cancel is true, an engine is sent a
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -18,6 +18,8 @@
 	errNothingWritten = merry.Sentinel("connection accepted no byte of the request")
 	errProtocolSwitch = merry.Sentinel("upstream switched protocols")
 	errNoRecorder     = merry.Sentinel("no store for idempotency keys")
+	errNoOlderConn    = merry.Sentinel("no idle connection opened early enough")
+	errNoSocket       = merry.Sentinel("connection is no socket")
 	errCallerGone     = merry.Sentinel("caller left before the request was written")
 )
 
@@ -29,6 +31,9 @@
 	body        []byte
 	// newConn requests a new connection instead of an idle one.
 	newConn bool
+	// openedBefore, if not zero, requests an idle connection opened before that time. The
+	// exchange fails if there is none.
+	openedBefore time.Time
 	// ownsResponse, if set, reports from status and header whether a response belongs to
 	// the request. Responses before it that do not are skipped. reused is true if the
 	// connection carried other requests before.
@@ -80,6 +85,9 @@
 	suspect bool
 	// closeDelimited is true if only the end of the connection ends the body.
 	closeDelimited bool
+	// endedAt is when the end of the connection was received, for a body that only it ends;
+	// zero if unknown.
+	endedAt time.Time
 	// reused is true if the connection carried other requests before. unanswered is true if such
 	// a connection broke off before any part of a response, although the request, or a part of
 	// it, may have arrived.
@@ -94,13 +102,17 @@
 	stop, resume func()
 	// linger limits the wait for the end of the HTTP body after the last event of a stream.
 	linger func()
+	// open reports whether the connection is known to be open: its end has not arrived.
+	open func() bool
+	// unread reports whether bytes have arrived that were not read yet.
+	unread func() bool
 }
 
 // exchangeUpdate is the state of an exchange, with the body bytes since the last poll.
 type exchangeUpdate struct {
 	sent, done, suspect, closeDelimited bool
 	reused, unanswered                  bool
-	writeStartedAt                      time.Time
+	writeStartedAt, endedAt             time.Time
 	err                                 error
 	status                              int
 	header                              http.Header
@@ -114,6 +126,7 @@
 	u := exchangeUpdate{
 		sent: x.sent, writeStartedAt: x.writeStartedAt, status: x.status, header: x.header, err: x.err,
 		suspect: x.suspect, closeDelimited: x.closeDelimited, reused: x.reused, unanswered: x.unanswered,
+		endedAt: x.endedAt,
 	}
 	x.suspect = false
 	var resume func()
@@ -204,6 +217,15 @@
 	return more
 }
 
+// setEndedAt records when the end of the connection was received. Only the first call counts.
+func (x *exchange) setEndedAt(t time.Time) {
+	x.mu.Lock()
+	if x.endedAt.IsZero() {
+		x.endedAt = t
+	}
+	x.mu.Unlock()
+}
+
 // finish ends the exchange. Only the first call sets the error.
 func (x *exchange) finish(err error) {
 	x.mu.Lock()
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -45,6 +45,9 @@
 	// permitted is when a retry was taken from the budget that no attempt has used yet; zero if
 	// there is none. It is set while the scheduler is asked for another upstream.
 	permitted time.Time
+	// takeoverCheckAt is when to check next how long a replaced attempt and the one that is to
+	// take over have both been open.
+	takeoverCheckAt time.Time
 	// sends counts the upstreams that may have received the request. One that may have received it
 	// twice, over two connections, counts once.
 	sends int
@@ -62,6 +65,10 @@
 	deadline time.Time
 	timer    <-chan time.Time
 	timerDue time.Time
+	// timerExpectedAt is when the timer should fire: timerDue, or when it was set if that had
+	// passed. standstill is the last known standstill of the router's VM.
+	timerExpectedAt time.Time
+	standstill      Standstill
 	// callerProgressAt is when the caller last read some of the bytes waiting for it.
 	// callerSentBytes is the number of bytes sent at the last check.
 	callerProgressAt time.Time
@@ -191,17 +198,17 @@
 		f.handleCallerGone()
 		return
 	}
-	if a.Replaces != "" && !f.replaceAttempt(a) {
-		f.reportFinish(a.Upstream, 0, false, false)
+	if a.Replaces != "" && !f.beginTakeover(a) {
+		f.reportUnused(a)
 		return
 	}
 	expired := f.deadlinePassed()
 	if f.concluded || f.callerGone || expired || f.pendingDispatch != nil || !f.outcome.MaySend() {
-		f.reportFinish(a.Upstream, 0, false, false)
+		f.reportUnused(a)
 		f.endAfterUnusedDispatch(expired)
 		return
 	}
-	if !f.mayDispatch(a.Upstream) {
+	if !f.mayDispatch(a) {
 		return
 	}
 	if f.needsClaim() && f.claim.Status != recorder.Claimed {
@@ -231,7 +238,7 @@
 func (f *inflightRequest) startAttempt(a messenger.Dispatch, policy messenger.UpstreamPolicy, known bool) {
 	at := &attempt{upstream: a.Upstream, policy: policy, hedge: a.Hedge, fetchFrom: a.FetchFrom, writeBy: a.WriteBy}
 	if !f.takePermit(at) {
-		f.reportFinish(a.Upstream, 0, false, false)
+		f.reportUnused(a)
 		f.endAfterUnusedDispatch(false)
 		return
 	}
--- a/internal/dispatcher/timers.go
+++ b/internal/dispatcher/timers.go
@@ -17,8 +17,9 @@
 	if f.timer != nil && !due.Before(f.timerDue) {
 		return
 	}
-	f.timerDue = due
-	f.timer = f.d.cfg.Clock.After(due.Sub(f.now()))
+	now := f.now()
+	f.timerDue, f.timerExpectedAt = due, now.Add(max(0, due.Sub(now)))
+	f.timer = f.d.cfg.Clock.After(due.Sub(now))
 }
 
 // nextDue returns the next time at which handleTimer has work to do, or the zero time.
@@ -41,6 +42,9 @@
 	if f.failedAttempt != nil {
 		add(f.retryAt)
 	}
+	if f.replacedAttempt() != nil {
+		add(f.takeoverCheckAt)
+	}
 	if !f.deadline.IsZero() && !f.callerGone {
 		add(f.deadline)
 	}
@@ -49,6 +53,7 @@
 
 // handleTimer does the work that is due.
 func (f *inflightRequest) handleTimer() {
+	f.noteStandstill(f.now())
 	f.drainCaller()
 	if f.concluded {
 		return
@@ -58,6 +63,7 @@
 		return
 	}
 	f.requestRetry()
+	f.checkTakeover()
 	now := f.now()
 	for _, at := range append([]*attempt(nil), f.attempts...) {
 		if f.concluded || !f.isOpen(at) || now.Before(at.deadline) {
@@ -67,7 +73,7 @@
 		if f.isOpen(at) {
 			f.processAttempt(at)
 		}
-		if !f.concluded && f.isOpen(at) && !f.now().Before(at.deadline) {
+		if !f.concluded && f.isOpen(at) && !f.now().Before(at.deadline) && !f.isSilenceUnproven(at, now) {
 			f.handleSilence(at)
 		}
 	}
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -136,6 +136,8 @@
 	pauses pauseTable
 	// cold holds the counts of cold upstreams and of the requests to them.
 	cold coldCounts
+	// standstills records when the router's VM did not run.
+	standstills standstills
 	// workload counts the work that used the router's CPU time.
 	workload workload
 	// storeDelegated is true if this router relies on other routers to follow the store,
@@ -228,8 +230,9 @@
 		BufferBudget:   relayer.NewBudget(int64(cfg.Settings.Memory) << 20 / relayBudgetDivisor),
 		ConnectTimeout: connectTimeout, IdleTimeout: upstreamIdleTimeout,
 		MaxAttempts: maxAttempts, RetryBudget: h.budget, Dialect: h.cfg.Dialect,
-		OnLoad:   func(report messenger.LoadReport) { h.control.submit(report) },
-		OnNotice: h.handleNotice,
+		LastStandstill: func() dispatcher.Standstill { return h.standstills.last(h.clock.Now()) },
+		OnLoad:         func(report messenger.LoadReport) { h.control.submit(report) },
+		OnNotice:       h.handleNotice,
 	})
 	h.quarantine.onBegin = h.dispatcher.RecheckQuarantine
 	h.keepEvidence()
@@ -388,6 +391,7 @@
 
 // tick is called on the control goroutine at every tick.
 func (h *Hosted) tick(t tickTiming) {
+	h.standstills.recordTick(h.clock.Now())
 	h.expireDroppedRegistrations()
 	h.cold.update(h.admitter.ColdStats())
 	h.quarantine.tick()
