pacer: 60% of the routers make a majority, and unseen members count against it

Routers added to a partition counted each other as a majority; both sides of a nearly even partition had one, since they had forgotten different routers. Change: a router needs 60% of the known routers, and at most a tenth of the members may never have been seen.

--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -11,7 +11,7 @@
 //
 // A router gains a share late and gives one up at once: a router that just started or stood
 // still has no share at first, and a router that is out of sight keeps its shares for a long
-// time. A router that is in touch with less than half of the known routers stops using its
+// time. A router that is in touch with less than 60% of the known routers stops using its
 // shares before the others take them over.
 //
 // A Pacer does no I/O and has no clock.
@@ -52,12 +52,19 @@
 	// lostTTL is how long the shares of a router out of sight stay unused. Sightings through
 	// collectors may be two seconds old, so it leaves room beyond quorumTTL.
 	lostTTL = 10 * time.Second
-	// forgetTTL is how long routers out of sight count while they are the majority, which may
-	// be alive on the other side of a partition.
+	// forgetTTL is how long routers out of sight count while too few others are in touch: they
+	// may be alive on the other side of a partition.
 	forgetTTL = 10 * time.Minute
 	// unseenTTL is how long members that were never seen count. The directory may still have the
 	// entries of routers that ended long ago, and then a new router would never have a majority.
 	unseenTTL = time.Minute
+	// quorumShare is the fraction of the known routers with which a router must be in touch. It is
+	// more than half, since the two sides of a partition may know different routers, and less
+	// than what is left of a fleet that loses one of three failure domains.
+	quorumShare = 0.6
+	// maxUnseenShare is the largest fraction of members that were never seen with which a router
+	// uses shares. It can't tell which members are as new as itself and unknown to those.
+	maxUnseenShare = 0.1
 	// maxGap is the longest time between two calls of Advance after which the known routers
 	// are still used. A router that stood still longer reads outdated messages first.
 	maxGap = 1500 * time.Millisecond
@@ -202,8 +209,8 @@
 	}
 }
 
-// countQuorum reports whether most routers are in touch. Routers that were added after others
-// were lost do not count, since those may not know of them.
+// countQuorum reports whether most routers are in touch, and almost none was never seen. Routers
+// that were added after others were lost do not count, since those may not know of them.
 func (p *Pacer) countQuorum(now time.Time) bool {
 	lostAt := now
 	for _, r := range p.others {
@@ -211,17 +218,20 @@
 			lostAt = r.seenAt
 		}
 	}
-	inTouch, total := 1, 1
+	inTouch, total, unseen := 1, 1, 0
 	for _, r := range p.others {
 		if r.addedAt.After(lostAt) {
 			continue
 		}
 		total++
+		if !r.seen {
+			unseen++
+		}
 		if r.seen && now.Sub(r.seenAt) <= quorumTTL {
 			inTouch++
 		}
 	}
-	return 2*inTouch > total
+	return float64(inTouch) > quorumShare*float64(total) && float64(unseen) <= maxUnseenShare*float64(total)
 }
 
 func (p *Pacer) listChanged() {
