Tests with abusive clients, as a step of their own after the race tests

Routers pass the memory of their machine through request bodies and upstreams that send bytes without end; no test showed it.

--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,14 @@
 SLOPES := ./internal/scheduler ./internal/coordinator ./internal/configurer ./internal/recorder ./internal/meter ./internal/demonstrator
 
 
-.PHONY: build test lint vet race bench demo fmt slopes promises soak
+.PHONY: build test lint vet race abuse bench demo fmt slopes promises soak
 
 build:
 	CGO_ENABLED=1 go build -o bin/lentilwood .
 
-# test runs what CI runs: formatter, linter, vet, race tests.
-test: lint vet race
+# test runs what CI runs: formatter, linter, vet, race tests, and after
+# them the tests with abusive clients.
+test: lint vet race abuse
 
 lint:
 	go run $(LINT) fmt --diff ./...
@@ -25,6 +26,12 @@
 race:
 	go test -race ./...
 
+# abuse runs the tests with abusive clients, one at a time. They start the program itself, built
+# without the race detector, whose memory they bound.
+abuse: build
+	go vet -tags abuse ./platform
+	LENTILWOOD_BINARY=$(CURDIR)/bin/lentilwood go test -tags abuse -count 1 -p 1 -run '^TestAbuse' ./platform
+
 bench:
 	go test -run '^$$' -bench . -benchtime 1x ./...
 
