listener: collect bodies in the connection, within the memory account

nbhttp buffered each body without a bound over all of them, the handler's copy held it a second time and the router's io.ReadAll a third time. serverConn now collects the body itself, in a buffer that doubles with what arrives, and passes the head to the parser once the body is complete. Each allocation is charged before it is made and released when the request or the connection ends. A body without room is refused with 503 no-room and Retry-After, by the announced length already and in place of 100; unfinished requests are shed as the governor decides, with one log line a time. The receive buffer of a connection no longer grows beyond its first size.

Without Config.Memory nothing is bounded beyond what was before.

--- a/internal/listener/caller.go
+++ b/internal/listener/caller.go
@@ -153,6 +153,10 @@
 	c.sc.closeRequested = true
 }
 
+// Body returns the complete body of the request. It is not copied: it counts as held until the
+// handler returns.
+func (c *Caller) Body() []byte { return c.sc.current.bytes() }
+
 // ConnReused reports whether this is not the first request on its connection.
 func (c *Caller) ConnReused() bool { return c.connReused }
 
@@ -195,16 +199,10 @@
 	out := r.WithContext(sc.ctx)
 	out.Body = http.NoBody
 	out.ContentLength = 0
-	bodyReader, ok := r.Body.(*nbhttp.BodyReader)
-	if !ok || bodyReader.Left() == 0 {
-		return out
-	}
-	body := make([]byte, bodyReader.Left())
-	if _, err := io.ReadFull(bodyReader, body); err != nil {
-		return out
+	if body := sc.current.bytes(); len(body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(body))
+		out.ContentLength = int64(len(body))
 	}
-	out.Body = io.NopCloser(bytes.NewReader(body))
-	out.ContentLength = int64(len(body))
 	return out
 }
 
--- a/internal/listener/closereason.go
+++ b/internal/listener/closereason.go
@@ -26,12 +26,15 @@
 	causeShutdown  = "idle at shutdown"
 	causeLingered  = "the other end did not close"
 	causeStalled   = "the other end takes nothing"
+	causeUnwanted  = "sends on after its request was refused"
+	causeShed      = "unfinished request while memory is short"
 	causeUnknown   = "connection closed"
 )
 
 // Values of the log field "event".
 const (
 	eventConnectionEnded = "connectionEnded"
+	eventShed            = "memoryShed"
 	eventRequestDropped  = "requestDropped"
 )
 
--- a/internal/listener/jobs.go
+++ b/internal/listener/jobs.go
@@ -21,20 +21,28 @@
 // execute queues job behind the connection's earlier jobs, which run in order on a goroutine
 // of their own. It queues the job and resets readingSince while holding sc.mu, so that a
 // shutdown never sees the connection as idle between reading a request and handling it.
-func (sc *serverConn) execute(job func()) bool {
+func (sc *serverConn) execute(run func()) bool {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	return sc.enqueue(job)
+	return sc.enqueue(job{run: run})
+}
+
+// job is a request to be handled, or a response to be written without a handler.
+type job struct {
+	run func()
+	// request is what is held for the request until the job ends; nil without one.
+	request *requestBytes
 }
 
 // enqueue is execute for callers that hold sc.mu.
-func (sc *serverConn) enqueue(job func()) bool {
+func (sc *serverConn) enqueue(j job) bool {
 	if sc.closing || sc.ctx.Err() != nil {
 		sc.logDropped(1)
+		j.request.release()
 		return false
 	}
 	sc.unanswered.Add(1)
-	sc.jobs = append(sc.jobs, job)
+	sc.jobs = append(sc.jobs, j)
 	sc.readingSince = time.Time{}
 	sc.requestReceived = true
 	if !sc.running {
@@ -47,26 +55,30 @@
 // runJobs runs the queued jobs in order until none is left.
 func (sc *serverConn) runJobs() {
 	for {
-		job := sc.nextJob()
-		if job == nil {
+		j, ok := sc.nextJob()
+		if !ok {
 			return
 		}
-		sc.runJob(job)
+		sc.runJob(j)
 	}
 }
 
-func (sc *serverConn) nextJob() func() {
+func (sc *serverConn) nextJob() (job, bool) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	if sc.closeRequested {
 		sc.setCloseReason(SideRouter, causeResponded)
 		sc.logDropped(len(sc.jobs))
+		for _, j := range sc.jobs {
+			j.request.release()
+		}
 		sc.jobs = nil
 	}
 	if len(sc.jobs) > 0 {
-		job := sc.jobs[0]
+		next := sc.jobs[0]
+		sc.jobs[0] = job{}
 		sc.jobs = sc.jobs[1:]
-		return job
+		return next, true
 	}
 	sc.jobs = nil
 	sc.running = false
@@ -74,11 +86,14 @@
 	if sc.closeRequested {
 		sc.closeGracefully(causeResponded)
 	}
-	return nil
+	return job{}, false
 }
 
-func (sc *serverConn) runJob(job func()) {
+func (sc *serverConn) runJob(j job) {
+	sc.current = j.request
 	defer func() {
+		sc.current = nil
+		j.request.release()
 		r := recover()
 		if r == nil {
 			return
@@ -91,7 +106,7 @@
 		}
 		sc.requestClose(causeAborted)
 	}()
-	job()
+	j.run()
 	sc.unanswered.Add(-1)
 	sc.answered.Add(1)
 }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -23,6 +23,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -35,6 +36,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/sirupsen/logrus"
 
+	"lentilwood.example/lentilwood/internal/governor"
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
@@ -51,6 +53,10 @@
 const (
 	readBufferBytes = 16 << 10
 	numPollers      = 2
+	// receiveBufferBytes is the size set for the receive buffer of each connection, which the
+	// kernel doubles. It is what Linux begins with; without the setting the kernel lets the
+	// buffer of each fast sender grow to megabytes, outside the memory account.
+	receiveBufferBytes = 64 << 10
 	// maxConnTableEntries bounds nbio's table of connections, which is indexed by file
 	// descriptor.
 	maxConnTableEntries = 1 << 20
@@ -98,6 +104,8 @@
 	// connections is shed. If it is nil or returns false, each source address counts as one
 	// caller. It must not block.
 	IdentifyCaller func(h http.Header) (caller string, ok bool)
+	// Memory, if set, is the memory account that heads and bodies of requests are charged to.
+	Memory *governor.Governor
 	// Log receives the log lines; nil selects logrus's standard logger.
 	Log *logrus.Logger
 	// Clock measures the timeouts; nil selects the system clock.
@@ -205,7 +213,8 @@
 }
 
 func (l *Listener) listen(network, address string) (net.Listener, error) {
-	ln, err := net.Listen(network, address)
+	lc := net.ListenConfig{Control: setReceiveBuffer}
+	ln, err := lc.Listen(context.Background(), network, address)
 	if err != nil {
 		return nil, err
 	}
@@ -213,6 +222,15 @@
 	return l.acceptor, nil
 }
 
+// setReceiveBuffer sets the receive buffer that the connections of a listening socket inherit.
+func setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+	})
+	return errors.Join(err, failed)
+}
+
 // Addr returns the address on which the port is open.
 func (l *Listener) Addr() string { return l.acceptor.Addr().String() }
 
@@ -331,7 +349,7 @@
 		c.OnData(l.engine.TLSDataHandler)
 	}
 	parser.Processor = &requestProcessor{sc: sc}
-	parser.Execute = sc.execute
+	parser.Execute = sc.executeRequest
 	l.mu.Lock()
 	l.conns[sc] = struct{}{}
 	l.mu.Unlock()
--- /dev/null
+++ b/internal/listener/memory_test.go
@@ -0,0 +1,147 @@
+package listener
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/governor"
+)
+
+// startWithMemory starts a listener with a memory account that echoes bodies.
+func startWithMemory(t *testing.T, total int64, handler Handler) (*Listener, *governor.Governor) {
+	t.Helper()
+	g := governor.New(governor.Config{TotalBytes: total, SmallBytes: 8 << 10})
+	if handler == nil {
+		handler = func(c *Caller, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			if string(body) != string(c.Body()) {
+				t.Errorf("got different bodies of %d and %d bytes", len(body), len(c.Body()))
+			}
+			_, _ = c.Write(body)
+		}
+	}
+	l, err := Start(Config{Name: "test", Address: "127.0.0.1:0", MaxBodyBytes: 1 << 20, Handler: handler, Memory: g})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.stop)
+	return l, g
+}
+
+// exchangeRaw sends a text on a connection of its own, and returns the answer up to the end of
+// the connection if wait is true.
+func exchangeRaw(t *testing.T, l *Listener, text string, wait bool) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close() //nolint:errcheck // a test
+	_, _ = io.WriteString(conn, text)
+	if !wait {
+		return ""
+	}
+	answer, _ := io.ReadAll(conn)
+	return string(answer)
+}
+
+func chunked(piece string, n int) string {
+	return strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece), n)
+}
+
+// TestNothingStaysHeld guards against reservations that outlive their connection or request,
+// which would starve the router.
+func TestNothingStaysHeld(t *testing.T) {
+	l, g := startWithMemory(t, 4<<20, nil)
+	const post = "POST / HTTP/1.1\r\nHost: a\r\n"
+	body := strings.Repeat("x", 100_000)
+	requests := map[string]bool{
+		post + "Content-Length: 100000\r\nConnection: close\r\n\r\n" + body:                                                                               true,
+		post + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked("xy", 30_000) + "0\r\n\r\n":                                            true,
+		post + "Content-Length: 3\r\n\r\nabc" + post + "Content-Length: 100000\r\nConnection: close\r\n\r\n" + body + "GET / HTTP/1.1\r\nHost: a\r\n\r\n": true,
+		post + "Content-Length: 100000\r\n\r\n" + body[1:]:                                                                                                false,
+		post + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 5):                                                                                    false,
+		post + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 5) + "z\r\n":                                                                          true,
+		post + "X: " + strings.Repeat("x", 9000):                                                                                                          false,
+		post + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 20):                                                                                   true,
+		post + "Content-Length: 99999999\r\n\r\n" + strings.Repeat("x", 2*maxDiscardBytes):                                                                false,
+		"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n":                                                                                          true,
+		post + "Expect: 100-continue\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc":                                                                true,
+		post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcX":                                                                                              true,
+		post + "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n3\r\nabc\r\n0\r\n\r\nrest":                                                         true,
+	}
+	for text, wait := range requests {
+		for range 3 {
+			exchangeRaw(t, l, text, wait)
+		}
+	}
+	for l.OpenConns() > 0 || g.UsedBytes() != 0 {
+		time.Sleep(time.Millisecond) // the timeout of go test ends a test whose count stays up
+	}
+	if g.PeakBytes() == 0 || g.Clients() != 0 {
+		t.Errorf("got a peak of %d bytes and %d clients, want some bytes and no client", g.PeakBytes(), g.Clients())
+	}
+}
+
+// TestLargeBodyWithoutRoom guards against a body that is read although there is no room for it:
+// the refusal comes in place of 100, says that nothing ran and when to come again.
+func TestLargeBodyWithoutRoom(t *testing.T) {
+	release, running := make(chan struct{}), make(chan struct{})
+	l, g := startWithMemory(t, 2<<20, func(c *Caller, _ *http.Request) {
+		if len(c.Body()) > 300_000 {
+			running <- struct{}{}
+			<-release
+		}
+		_, _ = io.WriteString(c, "served")
+	})
+	post := func(size int) string {
+		return fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: %d\r\n", size)
+	}
+	done := make(chan string)
+	go func() { done <- exchangeRaw(t, l, post(310_000)+"\r\n"+strings.Repeat("x", 310_000), true) }()
+	<-running
+	got := exchangeRaw(t, l, post(800_000)+"Expect: 100-continue\r\n\r\n", true)
+	if !strings.HasPrefix(got, "HTTP/1.1 503 ") || !strings.Contains(got, "Retry-After: ") || !strings.Contains(got, "not-run") && !strings.Contains(got, "notRun") {
+		t.Errorf("large body: got %q, want 503 with Retry-After and not run", got)
+	}
+	if got = exchangeRaw(t, l, post(1000)+"\r\n"+strings.Repeat("x", 1000), true); !strings.Contains(got, "served") {
+		t.Errorf("small body: got %q, want it served", got)
+	}
+	close(release)
+	if got = <-done; !strings.Contains(got, "served") {
+		t.Errorf("running request: got %q, want it served", got)
+	}
+	if g.Refused() == 0 {
+		t.Error("the refusal was not counted")
+	}
+}
+
+// TestStoppedBodiesAreShed guards against bodies that stop short of their end and keep the room
+// of others until the read timeout.
+func TestStoppedBodiesAreShed(t *testing.T) {
+	l, g := startWithMemory(t, 4<<20, nil)
+	const head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n"
+	stopped := make(chan string)
+	go func() { stopped <- exchangeRaw(t, l, fmt.Sprintf(head, 1_000_000)+"\r\n"+strings.Repeat("x", 990_000), true) }()
+	for g.UsedBytes() < 990_000 {
+		time.Sleep(time.Millisecond)
+	}
+	for {
+		got := exchangeRaw(t, l, fmt.Sprintf(head, 700_000)+"Connection: close\r\n\r\n"+strings.Repeat("y", 700_000), true)
+		if strings.Contains(got, strings.Repeat("y", 1000)) {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if got := <-stopped; !strings.HasPrefix(got, "HTTP/1.1 503 ") {
+		t.Errorf("stopped body: got %q, want 503", got)
+	}
+	if g.Shed() != 1 {
+		t.Errorf("shed: got %d, want 1", g.Shed())
+	}
+}
--- a/internal/listener/problem.go
+++ b/internal/listener/problem.go
@@ -28,6 +28,7 @@
 	problemExpectation     = problem{http.StatusExpectationFailed, "expectation", "The only expectation met is 100-continue."}
 	problemTooManyConns    = problem{http.StatusServiceUnavailable, "too-many-connections", "Too many connections are open."}
 	problemOverload        = problem{http.StatusServiceUnavailable, "overloaded", "This router is short of processor time."}
+	problemNoRoom          = problem{http.StatusServiceUnavailable, "no-room", "This router has no memory left for the request."}
 	problemPipelineTooLong = problem{http.StatusTooManyRequests, "pipeline-too-long", "Too many requests wait on this connection."}
 )
 
@@ -36,8 +37,8 @@
 }
 
 const (
-	// retryAfter is the Retry-After for callers rejected because of too many connections or
-	// pipelined requests.
+	// retryAfter is the Retry-After for callers rejected because of too many connections, too
+	// little memory or too many pipelined requests.
 	retryAfter = time.Second
 	// maxOverloadRetryAfter bounds the Retry-After sent by an overloaded router. Client-side
 	// load balancing sends the caller back to the same router and an overload lasts for
--- a/internal/listener/serverconn.go
+++ b/internal/listener/serverconn.go
@@ -12,6 +12,8 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"lentilwood.example/lentilwood/internal/governor"
 )
 
 // parseState says which part of a request the next byte of a connection belongs to.
@@ -22,19 +24,19 @@
 	stateBody
 	stateChunkSize
 	stateChunkData
+	stateChunkEnd
 	stateLastChunk
 	stateRejected
 )
 
 const (
-	maxChunkLineBytes = 256
-	crlf              = "\r\n"
-	headTerminator    = "\r\n\r\n"
+	crlf           = "\r\n"
+	headTerminator = "\r\n\r\n"
 )
 
-// serverConn is one connection of a Listener. It checks the bytes received and passes them to
-// nbhttp's parser one part of a request at a time (head, body data, chunk line); invalid
-// requests are rejected before the parser sees them.
+// serverConn is one connection of a Listener. It checks the bytes received and collects them
+// until a request is complete; only then is its head passed to nbhttp's parser. Invalid requests
+// are rejected before the parser sees them.
 type serverConn struct {
 	l            *Listener
 	nbc          *nbio.Conn
@@ -61,6 +63,13 @@
 	closeReason          atomic.Pointer[closeReason]
 	unanswered, answered atomic.Int32
 
+	// holder is the connection's part of the memory account. receiving is the request that
+	// arrives, or nil; it is dropped when the connection closes.
+	holder    *governor.Holder
+	receiving atomic.Pointer[requestBytes]
+	// receivedBytes counts the bytes of bodies.
+	receivedBytes atomic.Int64
+
 	// The following fields belong to the poller's goroutine.
 	state parseState
 	// partial holds the received bytes of an incomplete head or chunk line; remainingBytes are
@@ -68,17 +77,22 @@
 	partial        []byte
 	remainingBytes int
 	bodyBytes      int
+	// discardedBytes counts the bytes received after a rejection.
+	discardedBytes int
+	// completed is the request that is being passed to the parser.
+	completed *requestBytes
 	// requestDispatched is true once the parser has passed a request to its handler, until
 	// yieldToHandler resets it.
 	requestDispatched bool
 
 	// handlerCalled is true once the handler was called on this connection. It belongs to the
-	// goroutine that runs the jobs.
+	// goroutine that runs the jobs, as does current, the request that is handled.
 	handlerCalled bool
+	current       *requestBytes
 
 	// mu guards the following fields.
 	mu      sync.Mutex
-	jobs    []func()
+	jobs    []job
 	running bool
 	// requestReceived is true once a request was received on the connection.
 	requestReceived bool
@@ -90,6 +104,9 @@
 	lingerSince     time.Time
 	lastSentBytes   int64
 	stalledSince    time.Time
+	// lastReceivedBytes is receivedBytes at the last sweep, lastReceivedAt when it last changed.
+	lastReceivedBytes int64
+	lastReceivedAt    time.Time
 }
 
 func newServerConn(l *Listener, c *nbio.Conn, parser *nbhttp.Parser) *serverConn {
@@ -97,6 +114,9 @@
 	sc := &serverConn{l: l, nbc: c, parser: parser, openedAt: now, idleSince: now}
 	sc.countingConn = &countingConn{Conn: c, sc: sc}
 	sc.ctx, sc.cancel = context.WithCancel(context.Background())
+	if l.cfg.Memory != nil {
+		sc.holder = l.cfg.Memory.Open(addressOf(c))
+	}
 	return sc
 }
 
@@ -118,6 +138,8 @@
 	sc.recordClosed(err)
 	sc.cancel()
 	sc.l.removeConn(sc)
+	sc.dropReceiving()
+	sc.holder.Close()
 	sc.parser.CloseAndClean(err)
 }
 
@@ -135,10 +157,13 @@
 		case stateChunkSize:
 			data = sc.consumeChunkSize(data)
 		case stateChunkData:
-			data = sc.consumeBody(data, stateChunkSize)
+			data = sc.consumeBody(data, stateChunkEnd)
+		case stateChunkEnd:
+			data = sc.consumeChunkEnd(data)
 		case stateLastChunk:
 			data = sc.consumeLastChunk(data)
 		default:
+			sc.discard(len(data))
 			return nil
 		}
 	}
@@ -176,7 +201,9 @@
 	if end < 0 {
 		if len(sc.partial) > sc.l.cfg.MaxHeaderBytes {
 			sc.reject(problemHeadersTooLarge)
+			return nil
 		}
+		sc.reserve(int64(cap(sc.partial)), 0)
 		return nil
 	}
 	end += seen + len(headTerminator)
@@ -201,16 +228,22 @@
 	}
 	sc.bodyBytes = 0
 	sc.remainingBytes = max(h.length, 0)
+	if !sc.reserve(headCost(len(raw)), sc.remainingBytes) {
+		return
+	}
 	switch {
 	case h.chunked:
 		sc.state = stateChunkSize
 	case sc.remainingBytes > 0:
 		sc.state = stateBody
+	default:
+		sc.completeRequest(raw)
+		return
 	}
-	if h.expectContinue && sc.state != stateHead {
+	sc.receiving.Load().setHead(raw)
+	if h.expectContinue {
 		sc.sendContinue()
 	}
-	sc.feedParser(raw)
 }
 
 func (sc *serverConn) consumeBody(data []byte, next parseState) []byte {
@@ -219,84 +252,13 @@
 	if sc.remainingBytes == 0 {
 		sc.state = next
 	}
-	sc.feedParser(data[:n])
-	return data[n:]
-}
-
-// consumeChunkSize collects and checks the line with a chunk's size.
-func (sc *serverConn) consumeChunkSize(data []byte) []byte {
-	line, rest := sc.consumeLine(data)
-	if line == nil {
+	if !sc.collect(data[:n]) {
 		return nil
 	}
-	size, p := parseChunkSize(line)
-	if p == nil && size > sc.l.cfg.MaxBodyBytes-sc.bodyBytes {
-		p = &problemBodyTooLarge
-	}
-	if p != nil {
-		sc.reject(*p)
-		return nil
+	if sc.state == stateHead {
+		sc.completeRequest(nil)
 	}
-	sc.bodyBytes += size
-	sc.remainingBytes = size + len(crlf)
-	sc.state = stateChunkData
-	if size == 0 {
-		sc.state = stateLastChunk
-	}
-	sc.feedParser(line)
-	return rest
-}
-
-// consumeLastChunk collects the empty line that follows the chunk of size zero. Trailer fields
-// are rejected.
-func (sc *serverConn) consumeLastChunk(data []byte) []byte {
-	line, rest := sc.consumeLine(data)
-	if line == nil {
-		return nil
-	}
-	if string(line) != crlf {
-		sc.reject(*malformed("Trailer fields are not served."))
-		return nil
-	}
-	sc.state = stateHead
-	sc.feedParser(line)
-	return rest
-}
-
-// consumeLine returns the next line including its line break, and the bytes after it. It
-// returns nil while the line is incomplete.
-func (sc *serverConn) consumeLine(data []byte) (line, rest []byte) {
-	end := bytes.IndexByte(data, '\n')
-	if end < 0 {
-		sc.partial = append(sc.partial, data...)
-		if len(sc.partial) > maxChunkLineBytes {
-			sc.reject(*malformed("A chunk's first line is too long."))
-		}
-		return nil, nil
-	}
-	line = sc.partial
-	sc.partial = nil
-	return append(line, data[:end+1]...), data[end+1:]
-}
-
-func parseChunkSize(line []byte) (int, *problem) {
-	text, ok := strings.CutSuffix(string(line), crlf)
-	digits, extension, _ := strings.Cut(text, ";")
-	if !ok || digits == "" || len(digits) > 2*8-1 || !isFieldValue(extension) {
-		return 0, malformed("A chunk's first line is malformed.")
-	}
-	size := 0
-	for i := range len(digits) {
-		value := bytes.IndexByte([]byte("0123456789abcdef"), digits[i]|0x20)
-		if digits[i] >= '0' && digits[i] <= '9' {
-			value = int(digits[i] - '0')
-		}
-		if value < 0 {
-			return 0, malformed("A chunk's size is not a hexadecimal number.")
-		}
-		size = size<<4 | value
-	}
-	return size, nil
+	return data[n:]
 }
 
 // feedParser passes a checked part of a request to nbhttp's parser.
@@ -314,6 +276,7 @@
 	}
 	sc.state = stateRejected
 	sc.partial = nil
+	sc.dropReceiving()
 	sc.l.cfg.OnRejected(p.kind)
 	sc.l.cfg.Log.WithFields(map[string]any{
 		"port": sc.l.cfg.Name, "remote": sc.nbc.RemoteAddr().String(), "status": p.status, "problem": p.kind,
--- a/internal/listener/sweeper.go
+++ b/internal/listener/sweeper.go
@@ -27,6 +27,7 @@
 		for _, sc := range l.listConns() {
 			sc.checkTimeouts(now)
 		}
+		l.shedUnfinished(now)
 	}
 }
 
@@ -38,6 +39,9 @@
 		sc.stalledSince = now
 	}
 	sc.lastSentBytes = sent
+	if received := sc.receivedBytes.Load(); received != sc.lastReceivedBytes {
+		sc.lastReceivedBytes, sc.lastReceivedAt = received, now
+	}
 	idle := !sc.running && sc.readingSince.IsZero() && !sc.closing
 	switch {
 	case expired(sc.lingerSince, now, lingerTimeout):
@@ -56,8 +60,8 @@
 // arrive at this moment, the request is queued behind the response and dropped.
 func (sc *serverConn) timeOutRequest() {
 	sc.l.cfg.OnRejected(problemTimeout.kind)
-	sc.enqueue(func() {
+	sc.enqueue(job{run: func() {
 		sc.requestClose(causeTimeout)
 		_, _ = sc.parser.Conn.Write(problemTimeout.response())
-	})
+	}})
 }
