dispatcher, relayer: charge what upstreams send to the memory account

The bytes of an event without an end were in no budget, up to 1 MiB for each stream; nor were read-ahead bodies and heads of responses. Unfinished events may take a quarter of the answers' budget beyond 16 KB each; the stream that finds no room ends and is requested elsewhere. Response bodies that are held until complete are charged by their allocation, with both buffers while one grows. Read-ahead bytes and heads beyond 4 KB are charged to the account; a head that finds no room is given up. Bytes after the end of a response are discarded rather than kept, and the kernel's receive buffer of an upstream's connection is bounded.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -356,7 +356,8 @@
 func (f *inflightRequest) closeAttempt(at *attempt, cancel bool) {
 	f.cancelProbe(at)
 	f.cancelExchange(at)
-	f.relay.Reserve(-len(at.buffered))
+	f.relay.Reserve(-cap(at.buffered))
+	f.relay.SetEvent(0)
 	for i, open := range f.attempts {
 		if open == at {
 			f.attempts = append(f.attempts[:i], f.attempts[i+1:]...)
--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -13,6 +13,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"lentilwood.example/lentilwood/internal/governor"
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
@@ -33,6 +34,7 @@
 // upstreamConn is a connection to an upstream with its read buffer.
 type upstreamConn struct {
 	net.Conn
+	head    headMeter
 	limited io.LimitedReader
 	reader  *bufio.Reader
 	reused  bool
@@ -44,7 +46,8 @@
 
 func newUpstreamConn(conn net.Conn) *upstreamConn {
 	c := &upstreamConn{Conn: conn}
-	c.limited.R = conn
+	c.head.r = conn
+	c.limited.R = &c.head
 	c.reader = bufio.NewReaderSize(&c.limited, connReadBytes)
 	return c
 }
@@ -57,6 +60,7 @@
 	connect func(ctx context.Context, address string) (net.Conn, error)
 	tls     *tls.Config
 	pool    connPool
+	memory  *governor.Governor
 }
 
 // dialFunc returns the function that opens connections to upstreams.
@@ -74,6 +78,7 @@
 	return &connTransport{
 		connect: dialFunc(cfg),
 		tls:     cfg.UpstreamTLS,
+		memory:  cfg.Memory,
 		pool:    connPool{clock: clock, idleTimeout: cfg.IdleTimeout},
 	}
 }
@@ -156,6 +161,7 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "connect to upstream")
 	}
+	limitReceiveBuffer(conn)
 	if t.tls != nil {
 		tlsConn := tls.Client(conn, t.tls)
 		if err := tlsConn.HandshakeContext(ctx); err != nil {
@@ -189,7 +195,9 @@
 	}
 	conn.limited.N = maxHeadBytes
 	x.setReused(conn.reused)
+	conn.head.begin(t.memory)
 	resp, err := roundTrip(conn, req, out.ownsResponse) //nolint:bodyclose // the connection itself is closed or reused
+	conn.head.end()
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -28,6 +28,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lentilwood.example/lentilwood/internal/governor"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/relayer"
 	"lentilwood.example/lentilwood/internal/timekeeper"
@@ -147,6 +148,9 @@
 	// BufferBudget limits the bytes buffered for all callers; nil means a default budget.
 	BufferBudget *relayer.Budget
 	RelayLimits  relayer.Limits
+	// Memory, if set, is the memory account that is charged for what upstreams send and no
+	// request has taken yet.
+	Memory *governor.Governor
 	// CallerTimeout is how long a caller may read nothing while bytes are waiting for it.
 	CallerTimeout time.Duration
 	// Dial opens a connection to an upstream; nil means TCP.
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"lentilwood.example/lentilwood/internal/governor"
 )
 
 // Errors of an exchange. Their texts are values of the log field "cause".
@@ -16,6 +18,7 @@
 	errUnexpectedData = merry.Sentinel("upstream closed or answered before it was asked")
 	errProtocolSwitch = merry.Sentinel("upstream switched protocols")
 	errNoRecorder     = merry.Sentinel("no store for idempotency keys")
+	errNoMemory       = merry.Sentinel("no memory for the head of the response")
 	errCallerGone     = merry.Sentinel("caller left before the request was written")
 )
 
@@ -64,6 +67,8 @@
 	updated chan<- struct{}
 	// maxBuffered is the number of body bytes at which the transport pauses reading.
 	maxBuffered int
+	// memory, if set, is charged for the body bytes that were not polled yet.
+	memory *governor.Governor
 
 	mu sync.Mutex
 	// sent is true if bytes of the request may have been sent.
@@ -71,12 +76,14 @@
 	// writeStartedAt is when writing the request last began.
 	writeStartedAt time.Time
 	canceled       bool
-	done           bool
-	err            error
-	status         int
-	header         http.Header
-	body           []byte
-	paused         bool
+	// lingering is true once the request has its response. Later bytes are discarded.
+	lingering bool
+	done      bool
+	err       error
+	status    int
+	header    http.Header
+	body      []byte
+	paused    bool
 	// suspect is true if another connection to the same upstream was found dead.
 	suspect bool
 	// closeDelimited is true if only the end of the connection ends the body.
@@ -116,7 +123,7 @@
 	x.suspect = false
 	var resume func()
 	if readBody {
-		u.body, x.body = x.body, nil
+		u.body = x.takeBody()
 		if x.paused && !x.done {
 			x.paused = false
 			resume = x.control.resume
@@ -159,6 +166,8 @@
 // response is complete for the caller, so that the connection can be reused.
 func (x *exchange) linger() {
 	x.mu.Lock()
+	x.lingering = true
+	x.takeBody()
 	linger := x.control.linger
 	x.mu.Unlock()
 	if linger != nil {
@@ -186,7 +195,13 @@
 // until its resume function is called.
 func (x *exchange) addBody(p []byte) bool {
 	x.mu.Lock()
+	if x.canceled || x.lingering {
+		x.mu.Unlock()
+		return x.lingering
+	}
+	before := cap(x.body)
 	x.body = append(x.body, p...)
+	x.charge(cap(x.body) - before)
 	x.paused = len(x.body) >= x.maxBuffered
 	more := !x.paused
 	x.mu.Unlock()
@@ -194,6 +209,21 @@
 	return more
 }
 
+// takeBody removes and returns the body bytes. The caller holds x.mu.
+func (x *exchange) takeBody() []byte {
+	p := x.body
+	x.body = nil
+	x.charge(-cap(p))
+	return p
+}
+
+// charge charges n bytes to the memory account.
+func (x *exchange) charge(n int) {
+	if x.memory != nil && n != 0 {
+		x.memory.Charge(governor.KindReadAhead, int64(n))
+	}
+}
+
 // finish ends the exchange. Only the first call sets the error.
 func (x *exchange) finish(err error) {
 	x.mu.Lock()
@@ -220,6 +250,7 @@
 	if !x.done {
 		x.done, x.err = true, errCanceled
 	}
+	x.takeBody()
 	stop, sent := x.control.stop, x.sent
 	x.control = control{}
 	x.mu.Unlock()
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -281,7 +281,7 @@
 
 // startExchange starts an exchange for an attempt.
 func (f *inflightRequest) startExchange(at *attempt, out *upstreamRequest) {
-	at.exchange = &exchange{updated: f.exchangeUpdated, maxBuffered: readAheadBytes}
+	at.exchange = &exchange{updated: f.exchangeUpdated, maxBuffered: readAheadBytes, memory: f.d.cfg.Memory}
 	at.chosenAt = f.now()
 	at.recordProgress(at.chosenAt, f.progressTimeout())
 	f.d.live.add(out.address, at.exchange)
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -184,7 +184,7 @@
 	if count > 0 {
 		s.bytesSinceEvent = 0
 	}
-	ok = ok && s.bytesSinceEvent <= maxEventBytes
+	ok = ok && s.bytesSinceEvent <= maxEventBytes && f.relay.SetEvent(cap(s.splitter.rest))
 	first := len(out) > 0 && f.result.FirstOutputAt.IsZero()
 	f.deliver(at, out)
 	f.lastEvent, f.hasLastEvent = s.lastEventID, s.hasLastEventID
@@ -240,7 +240,7 @@
 		}
 		rest = rest[n:]
 	}
-	s.splitter.rest = append(s.splitter.rest[:0], rest...)
+	s.splitter.keep(rest)
 	return out, count, len(rest) <= maxEventBytes
 }
 
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -69,9 +69,16 @@
 		f.rejectResponse(at, ProblemAnswerTooLarge)
 		return false
 	}
-	if !f.relay.Reserve(len(p)) {
-		f.rejectResponse(at, ProblemMemoryExhausted)
-		return false
+	if need := len(at.buffered) + len(p); need > cap(at.buffered) {
+		// Old and new buffer exist together while the bytes are copied.
+		size := min(max(need, 2*cap(at.buffered)), f.d.cfg.MaxResponseBytes)
+		if !f.relay.Reserve(size) {
+			f.rejectResponse(at, ProblemMemoryExhausted)
+			return false
+		}
+		old := cap(at.buffered)
+		at.buffered = append(make([]byte, 0, size), at.buffered...)
+		f.relay.Reserve(-old)
 	}
 	at.buffered = append(at.buffered, p...)
 	at.recordProgress(f.now(), f.progressTimeout())
@@ -110,6 +117,7 @@
 	if tokens > 0 {
 		f.reportProgress(at, float64(tokens))
 	}
+	ok = ok && f.relay.SetEvent(cap(at.stream.splitter.rest))
 	if !ok || at.stream.broken {
 		at.stream.broken = false
 		f.attemptFailed(at, ProblemStreamBroken, true)
@@ -206,7 +214,7 @@
 		f.result.FirstOutputAt = f.now()
 		f.queue.Notify(messenger.Progress{Request: f.req.ID, Tokens: at.tokens(), First: true})
 	}
-	f.relay.Reserve(-len(at.buffered))
+	f.relay.Reserve(-cap(at.buffered))
 	f.result.Upstream, f.result.Tokens = at.upstream, at.tokens()
 	f.reportFinish(at.upstream, at.tokens(), false, false)
 	if !f.callerGone {
--- a/internal/dispatcher/sse.go
+++ b/internal/dispatcher/sse.go
@@ -8,6 +8,9 @@
 // maxEventBytes limits the size of one event.
 const maxEventBytes = 1 << 20
 
+// maxKeptBytes is the largest buffer that a splitter keeps between two events.
+const maxKeptBytes = 4 << 10
+
 // sseEvent is one complete server-sent event.
 type sseEvent struct {
 	// raw is the event as received, including its closing blank line.
@@ -43,6 +46,15 @@
 	return len(s.rest) <= maxEventBytes
 }
 
+// keep replaces the unfinished event. A buffer that was needed for a long event is not kept.
+func (s *sseSplitter) keep(rest []byte) {
+	if len(rest) == 0 && cap(s.rest) > maxKeptBytes {
+		s.rest = nil
+		return
+	}
+	s.rest = append(s.rest[:0], rest...)
+}
+
 // partial reports whether the stream ends inside an event.
 func (s *sseSplitter) partial() bool { return len(s.rest) > 0 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -45,13 +45,32 @@
 	StreamBytes int
 }
 
+// Account is the memory account of the process.
+type Account interface {
+	// Charge adds n bytes, or subtracts them if n is negative.
+	Charge(n int64)
+}
+
 // Budget bounds the bytes that all streams of a router buffer. It is safe for concurrent use.
 type Budget struct {
-	limit int64
-	used  atomic.Int64
-	peak  atomic.Int64
+	limit   int64
+	account Account
+	used    atomic.Int64
+	peak    atomic.Int64
+	// events are the bytes of unfinished events beyond freeEventBytes of each stream.
+	events atomic.Int64
 }
 
+const (
+	// freeEventBytes of an unfinished event need no room in the budget's share for events.
+	// Events on the present sheets have less than 1 KB.
+	freeEventBytes = 16 << 10
+	// eventDivisor is the divisor of the budget that gives the bytes of unfinished events of all
+	// streams. Upstreams in trouble send events that never end; they must not take the room of
+	// the answers of others.
+	eventDivisor = 4
+)
+
 // NewBudget returns a budget of limit bytes; 0 selects DefaultBudgetBytes.
 func NewBudget(limit int64) *Budget {
 	if limit <= 0 {
@@ -60,6 +79,13 @@
 	return &Budget{limit: limit}
 }
 
+// ChargeTo makes the budget charge its bytes to an account too. It must be called before the
+// budget is used.
+func (b *Budget) ChargeTo(a Account) *Budget {
+	b.account = a
+	return b
+}
+
 // UsedBytes returns the bytes charged at present.
 func (b *Budget) UsedBytes() int64 { return b.used.Load() }
 
@@ -72,6 +98,9 @@
 func (b *Budget) Exhausted() bool { return b.used.Load() >= b.limit-b.limit/4 }
 
 func (b *Budget) charge(n int64) {
+	if b.account != nil {
+		b.account.Charge(n)
+	}
 	used := b.used.Add(n)
 	for {
 		peak := b.peak.Load()
@@ -91,6 +120,8 @@
 	queuedBytes, chargedBytes int
 	// pushedBytes is the sum of all bytes pushed, reservedBytes the amount charged by Reserve.
 	pushedBytes, reservedBytes int
+	// eventBytes is the size of the unfinished event.
+	eventBytes int
 }
 
 // NewStream returns an empty buffer in front of c.
@@ -132,6 +163,21 @@
 	return true
 }
 
+// SetEvent charges the size of the unfinished event that the user of the stream buffers, in place
+// of the last one. If it grows beyond what all unfinished events may take, it returns false.
+func (s *Stream) SetEvent(n int) bool {
+	before, after := max(0, s.eventBytes-freeEventBytes), max(0, n-freeEventBytes)
+	if after > before && s.budget.events.Load()+int64(after-before) > s.budget.limit/eventDivisor {
+		return false
+	}
+	if after != before {
+		s.budget.events.Add(int64(after - before))
+	}
+	s.eventBytes = n
+	s.updateCharge()
+	return true
+}
+
 // Push appends p to the queue; the stream owns p from then on.
 func (s *Stream) Push(p []byte) {
 	if len(p) == 0 {
@@ -186,6 +232,7 @@
 
 // Close discards the queue and releases everything charged to the budget.
 func (s *Stream) Close() {
+	s.SetEvent(0)
 	s.queue, s.queuedBytes, s.reservedBytes = nil, 0, 0
 	s.budget.charge(int64(-s.chargedBytes))
 	s.chargedBytes = 0
@@ -193,7 +240,7 @@
 
 // updateCharge adjusts the budget to the bytes unsent and reserved.
 func (s *Stream) updateCharge() {
-	buffered := s.UnsentBytes() + s.reservedBytes
+	buffered := s.UnsentBytes() + s.reservedBytes + s.eventBytes
 	if buffered != s.chargedBytes {
 		s.budget.charge(int64(buffered - s.chargedBytes))
 		s.chargedBytes = buffered
