router: one memory account for both compositions

Hosted and Router keep one governor each for requests, answers and read-ahead bytes: three eighths of `memory`, or of the machine's memory. Handlers take the body without a copy. Router now sets the Go memory limit too. While the process has more than 88% of its memory resident, new large bodies are refused; nothing that runs is ended. Gauges, counters and log lines of the account are added, and the settings limits.maxHeldBytes, maxHeldConnBytes and maxHeldClientBytes.

--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -87,6 +87,12 @@
 type Limits struct {
 	MaxHeaderBytes int `json:"maxHeaderBytes"`
 	MaxBodyBytes   int `json:"maxBodyBytes"`
+	// MaxHeldBytes bounds what the router holds for all clients and upstreams together,
+	// MaxHeldConnBytes what it holds of one connection's requests, and MaxHeldClientBytes the
+	// large requests from one address. Zero means a share of the memory.
+	MaxHeldBytes       int `json:"maxHeldBytes"`
+	MaxHeldConnBytes   int `json:"maxHeldConnBytes"`
+	MaxHeldClientBytes int `json:"maxHeldClientBytes"`
 	// MaxPendingBytes bounds an answer's bytes that a slow caller has not read.
 	MaxPendingBytes int `json:"maxPendingBytes"`
 	MaxConnections  int `json:"maxConnections"`
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -17,11 +17,11 @@
 	"lentilwood.example/lentilwood/internal/exchanger"
 	"lentilwood.example/lentilwood/internal/follower"
 	"lentilwood.example/lentilwood/internal/gossiper"
+	"lentilwood.example/lentilwood/internal/governor"
 	"lentilwood.example/lentilwood/internal/listener"
 	"lentilwood.example/lentilwood/internal/loader"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/meter"
-	"lentilwood.example/lentilwood/internal/relayer"
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
@@ -35,12 +35,6 @@
 	// maxAttempts bounds the attempts of one request, including those that an upstream
 	// declined.
 	maxAttempts = 4
-	// relayBudgetDivisor is the divisor of the memory size that gives the bytes buffered for
-	// slow callers.
-	relayBudgetDivisor = 8
-	// memoryLimitPercent is the percentage of the VM's memory set as the soft memory limit of
-	// the Go runtime.
-	memoryLimitPercent = 70
 )
 
 // Directory is the registry in which the routers of a fleet find each other.
@@ -107,6 +101,7 @@
 	meter      *meter.Meter
 	exchanger  *exchanger.Exchanger[hostedEnvelope]
 	quarantine *quarantine
+	memory     *governor.Governor
 	callers    *listener.Listener
 	operators  *listener.Listener
 
@@ -213,11 +208,12 @@
 	h.control.onTick = h.tick
 	h.control.onDecision = h.workload.recordDecision
 	h.control.isIdle = func() bool { return !h.admitter.HasWaiting() }
+	h.memory = newGovernor(cfg.Settings)
 	h.registerGauges()
 	h.quarantine = newQuarantine(cfg.Clock, cfg.Log, h.meter, cfg.Settings.Quarantine)
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Quarantine: h.quarantine, Upstreams: h, Clock: cfg.Clock, Log: cfg.Log, Seed: h.incarnation,
-		BufferBudget:   relayer.NewBudget(int64(cfg.Settings.Memory) << 20 / relayBudgetDivisor),
+		BufferBudget: answersBudget(h.memory), Memory: h.memory,
 		ConnectTimeout: connectTimeout, IdleTimeout: upstreamIdleTimeout,
 		MaxAttempts: maxAttempts, RetryBudget: h.budget, Dialect: h.cfg.Dialect,
 		OnLoad:   func(report messenger.LoadReport) { h.control.submit(report) },
@@ -275,6 +271,7 @@
 		h.startFeed(table)
 	}
 	h.goroutines.Go(h.join)
+	h.goroutines.Go(func() { watchMemory(h.backgroundCtx, h.clock, h.log, h.memory, h.settings.Memory) })
 	h.log.WithFields(logrus.Fields{
 		eventField: "started", "router": h.self, "incarnation": h.incarnation, "callers": h.callers.Addr(),
 	}).Info("router started")
@@ -297,7 +294,7 @@
 		return err
 	}
 	callers := h.listenerConfig("callers", h.settings.Listeners.Callers, h.serveCaller)
-	callers.IdentifyCaller = h.accountName
+	callers.IdentifyCaller, callers.Memory = h.accountName, h.memory
 	h.callers, err = listener.Start(callers)
 	if err != nil {
 		return err
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"io"
 	"math"
 	"net/http"
 	"runtime/debug"
@@ -43,7 +42,7 @@
 		h.workload.reusedConnRequests.Add(1)
 	}
 	in := h.cfg.HeaderReader.Read(req.Header)
-	out, refused := h.accept(&in, req)
+	out, refused := h.accept(&in, req, c.Body())
 	if refused != nil {
 		h.refuseAtEntry(c, refused, in.RequestID)
 		return
@@ -88,7 +87,7 @@
 
 // accept looks up route, account and pool of a request in one snapshot. It returns a refusal
 // if the request can't be served.
-func (h *Hosted) accept(in *CallerHeaders, req *http.Request) (*dispatcher.Request, *refusal) {
+func (h *Hosted) accept(in *CallerHeaders, req *http.Request, body []byte) (*dispatcher.Request, *refusal) {
 	s := h.snapshot.Load()
 	if s == nil {
 		return nil, refuseNotReady
@@ -101,10 +100,6 @@
 	if !ok && !route.Public && s.Table.RequiresKeys() {
 		return nil, refuseToken
 	}
-	body, err := io.ReadAll(req.Body)
-	if err != nil {
-		return nil, refuseBody
-	}
 	out := &dispatcher.Request{
 		ID: messenger.RequestID(h.lastRequestID.Add(1)), WireID: in.RequestID,
 		Host: req.Host, Method: req.Method, URI: req.URL.RequestURI(), Header: req.Header, Body: body,
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -17,6 +17,7 @@
 	copyPeerCounters(r.meter, r.exchanger.Stats())
 	r.copyStoreCounters()
 	r.copyRequestCounters()
+	copyMemoryCounters(r.meter, r.memory)
 	r.meter.WritePrometheus(w)
 }
 
@@ -24,11 +25,13 @@
 func (h *Hosted) writeMetrics(w io.Writer) {
 	copyPeerCounters(h.meter, h.exchanger.Stats())
 	copyDispatcherCounters(h.meter, h.dispatcher.Counters())
+	copyMemoryCounters(h.meter, h.memory)
 	h.meter.WritePrometheus(w)
 }
 
 // registerGauges registers the metrics that are computed when they are read.
 func (h *Hosted) registerGauges() {
+	registerMemoryGauges(h.meter, h.memory)
 	h.meter.Gauge("lentilwood_ready", func() float64 {
 		ready, _ := h.Ready()
 		return toFloat(ready)
@@ -98,6 +101,7 @@
 
 // registerGauges registers the metrics that are computed when they are read.
 func (r *Router) registerGauges() {
+	registerMemoryGauges(r.meter, r.memory)
 	r.meter.Gauge("lentilwood_ready", func() float64 {
 		ready, _ := r.Ready()
 		return toFloat(ready)
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -29,7 +29,6 @@
 	refuseHint     = &refusal{http.StatusBadRequest, "cost-hint", "The cost hint is not a number of tokens"}
 	refuseDeadline = &refusal{http.StatusBadRequest, "deadline-header", "The deadline is not a number of milliseconds"}
 	refuseKey      = &refusal{http.StatusBadRequest, "idempotency-key", "The idempotency key is longer than 255 bytes"}
-	refuseBody     = &refusal{http.StatusBadRequest, "body", "The body could not be read"}
 )
 
 // write writes the refusal to a caller.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,6 +18,7 @@
 	"lentilwood.example/lentilwood/internal/coordinator"
 	"lentilwood.example/lentilwood/internal/dispatcher"
 	"lentilwood.example/lentilwood/internal/exchanger"
+	"lentilwood.example/lentilwood/internal/governor"
 	"lentilwood.example/lentilwood/internal/identifier"
 	"lentilwood.example/lentilwood/internal/listener"
 	"lentilwood.example/lentilwood/internal/loader"
@@ -65,6 +66,7 @@
 	exchanger  *exchanger.Exchanger[envelope]
 	meter      *meter.Meter
 	quarantine *quarantine
+	memory     *governor.Governor
 
 	dialPeer func(ctx context.Context, address string) (net.Conn, error)
 
@@ -143,6 +145,7 @@
 	})
 	r.control = newControl(cfg.Clock, r.scheduler)
 	r.control.fleet = r
+	r.memory = newGovernor(cfg.Settings)
 	r.registerGauges()
 	r.conductor = conductor.New(conductor.Config{
 		Self: r.self, Seed: cfg.Incarnation, Clock: cfg.Clock, Store: r.store.For(purposeJobs), Log: cfg.Log,
@@ -158,7 +161,7 @@
 	})
 	r.dispatcher = dispatcher.New(dispatcher.Config{
 		Upstreams: r, Recorder: r.recorder, Clock: cfg.Clock, Log: cfg.Log, Seed: cfg.Incarnation,
-		Quarantine: r.quarantine,
+		Quarantine: r.quarantine, BufferBudget: answersBudget(r.memory), Memory: r.memory,
 	})
 	r.quarantine.onBegin = r.dispatcher.RecheckQuarantine
 	r.quarantine.onNews = func() { r.control.callAsync(r.spreadEvidence) }
@@ -167,6 +170,7 @@
 
 // Start opens the listeners and starts serving requests.
 func (r *Router) Start() error {
+	setMemoryLimit(r.settings.Memory * memoryLimitPercent / 100)
 	if err := r.startListeners(); err != nil {
 		r.cancelBackground()
 		return err
@@ -182,6 +186,7 @@
 	r.goroutines.Go(func() { r.conductor.Run(r.backgroundCtx) })
 	r.goroutines.Go(func() { r.control.run(r.backgroundCtx) })
 	r.goroutines.Go(r.sweepRecords)
+	r.goroutines.Go(func() { watchMemory(r.backgroundCtx, r.clock, r.log, r.memory, r.settings.Memory) })
 	r.log.WithFields(logrus.Fields{
 		eventField: "started", "router": r.self, "incarnation": r.incarnation,
 		"callers": r.CallersAddr(), "operators": r.OperatorsAddr(),
@@ -201,7 +206,9 @@
 	if err := r.startPeerListener(); err != nil {
 		return err
 	}
-	r.callers, err = listener.Start(r.listenerConfig("callers", r.settings.Listeners.Callers, callersTLS, r.serveCaller))
+	callers := r.listenerConfig("callers", r.settings.Listeners.Callers, callersTLS, r.serveCaller)
+	callers.Memory = r.memory
+	r.callers, err = listener.Start(callers)
 	if err != nil {
 		return err
 	}
--- a/internal/router/traffic.go
+++ b/internal/router/traffic.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -49,7 +48,7 @@
 	defer r.inProgress.Add(-1)
 	id := messenger.RequestID(r.lastRequestID.Add(1))
 	wireID := r.wireID(id)
-	out, refusal := r.accept(id, wireID, req)
+	out, refusal := r.accept(id, wireID, req, c.Body())
 	if refusal != nil {
 		refusal.write(c, wireID, req.Header.Get(messenger.RequestIDHeader))
 		r.meter.Counter(refusal.metric()).Inc()
@@ -90,7 +89,7 @@
 
 // accept identifies the client account and classifies the request. It returns a refusal if the
 // request can't be served.
-func (r *Router) accept(id messenger.RequestID, wireID string, req *http.Request) (*dispatcher.Request, *refusal) {
+func (r *Router) accept(id messenger.RequestID, wireID string, req *http.Request, body []byte) (*dispatcher.Request, *refusal) {
 	cfg := r.active.Load()
 	if cfg == nil {
 		return nil, refuseNotReady
@@ -112,10 +111,6 @@
 		return nil, problem
 	}
 	arrive.Account, arrive.Class, arrive.Pool, arrive.Idempotent = messenger.AccountID(account), class, route.Pool, route.Idempotent
-	body, err := io.ReadAll(req.Body)
-	if err != nil {
-		return nil, refuseBody
-	}
 	key := req.Header.Get(messenger.IdempotencyKeyHeader)
 	if len(key) > maxKeyBytes {
 		return nil, refuseKey
