Tests that nothing stays held after the last request

A reservation that is never released would starve the router. The random schedules of the dispatcher now also check that the account is empty at the end; go test -race -count 2 -run TestRandomSchedules ./internal/dispatcher passes.

--- a/internal/dispatcher/randomschedules_test.go
+++ b/internal/dispatcher/randomschedules_test.go
@@ -11,9 +11,11 @@
 	"testing"
 	"time"
 
+	"lentilwood.example/lentilwood/internal/governor"
 	"lentilwood.example/lentilwood/internal/keeper"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/recorder"
+	"lentilwood.example/lentilwood/internal/relayer"
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
@@ -63,7 +65,7 @@
 	close(seeds)
 	wg.Wait()
 	t.Logf("%d schedules: %v", *schedules, counts.n)
-	for _, name := range []string{"run", "not-run", "unknown", "resumed", "retried", "replayed", "gone", "stream-broken"} {
+	for _, name := range []string{"run", "not-run", "unknown", "resumed", "retried", "replayed", "gone", "stream-broken", "held"} {
 		if counts.n[name] < *schedules/100 {
 			t.Errorf("%q occurred %d times, too few for a meaningful check", name, counts.n[name])
 		}
@@ -116,9 +118,11 @@
 	ticking.Go(func() { tick(clock, stop) })
 	store := keeper.New(clock)
 	store.SetFaults(keeper.Faults{Seed: seed, FailShare: 0.1, LoseAnswers: 0.2})
+	memory := governor.New(governor.Config{})
 	for i := range 2 {
 		rec := recorder.New(recorder.Config{Store: store, Clock: clock, Router: messenger.RouterID(fmt.Sprint("r", i)), ClaimsPerSecond: 1000})
-		s.routers = append(s.routers, New(Config{Upstreams: all, Recorder: rec, Clock: clock, Log: quietLog(), Seed: seed, ConnectTimeout: time.Second, Dial: network.dial}))
+		s.routers = append(s.routers, New(Config{Upstreams: all, Recorder: rec, Clock: clock, Log: quietLog(), Seed: seed, ConnectTimeout: time.Second, Dial: network.dial,
+			Memory: memory, BufferBudget: relayer.NewBudget(0).ChargeTo(answersAccount{memory})}))
 	}
 	var wg sync.WaitGroup
 	for i := range requestsPerSchedule {
@@ -138,6 +142,31 @@
 		check()
 	}
 	s.checkKeys()
+	checkNothingHeld(t, seed, memory)
+	if memory.PeakBytes() > 0 {
+		counts.add("held")
+	}
+}
+
+// answersAccount charges answers to a memory account.
+type answersAccount struct{ g *governor.Governor }
+
+func (a answersAccount) Charge(n int64) { a.g.Charge(governor.KindAnswers, n) }
+
+// checkNothingHeld guards against bytes that stay charged after all requests have ended, which
+// would starve the router. Transports may still be ending.
+func checkNothingHeld(t *testing.T, seed uint64, g *governor.Governor) {
+	for range 5000 {
+		if g.UsedBytes() == 0 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	for _, kind := range governor.Kinds() {
+		if got := g.KindBytes(kind); got != 0 {
+			t.Errorf("seed %d: got %d bytes held for %v after the last request, want none", seed, got, kind)
+		}
+	}
 }
 
 // tick advances the clock fifty times as fast as real time.
--- a/internal/listener/memory_test.go
+++ b/internal/listener/memory_test.go
@@ -127,7 +127,9 @@
 	l, g := startWithMemory(t, 4<<20, nil)
 	const head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n"
 	stopped := make(chan string)
-	go func() { stopped <- exchangeRaw(t, l, fmt.Sprintf(head, 1_000_000)+"\r\n"+strings.Repeat("x", 990_000), true) }()
+	go func() {
+		stopped <- exchangeRaw(t, l, fmt.Sprintf(head, 1_000_000)+"\r\n"+strings.Repeat("x", 990_000), true)
+	}()
 	for g.UsedBytes() < 990_000 {
 		time.Sleep(time.Millisecond)
 	}
