--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -14,6 +14,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"lentilwood.example/lentilwood/internal/governor"
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
@@ -34,6 +35,7 @@
 // upstreamConn is a connection to an upstream with its read buffer.
 type upstreamConn struct {
 	net.Conn
+	head    headMeter
 	limited io.LimitedReader
 	reader  *bufio.Reader
 	reused  bool
@@ -47,7 +49,8 @@
 
 func newUpstreamConn(conn net.Conn) *upstreamConn {
 	c := &upstreamConn{Conn: conn}
-	c.limited.R = conn
+	c.head.r = conn
+	c.limited.R = &c.head
 	c.reader = bufio.NewReaderSize(&c.limited, connReadBytes)
 	return c
 }
@@ -59,6 +62,7 @@
 	connect func(ctx context.Context, address string) (net.Conn, error)
 	tls     *tls.Config
 	pool    connPool
+	memory  *governor.Governor
 }
 
 // dialFunc returns the function that opens connections to upstreams.
@@ -76,6 +80,7 @@
 	return &connTransport{
 		connect: dialFunc(cfg),
 		tls:     cfg.UpstreamTLS,
+		memory:  cfg.Memory,
 		pool:    connPool{clock: clock, idleTimeout: cfg.IdleTimeout},
 	}
 }
@@ -174,6 +179,7 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "connect to upstream")
 	}
+	limitReceiveBuffer(conn)
 	if t.tls != nil {
 		tlsConn := tls.Client(conn, t.tls)
 		if err := tlsConn.HandshakeContext(ctx); err != nil {
@@ -213,7 +219,9 @@
 	}
 	conn.limited.N = maxHeadBytes
 	x.setReused(conn.reused)
+	conn.head.begin(t.memory)
 	resp, err := roundTrip(conn, req, out.ownsResponse) //nolint:bodyclose // the connection itself is closed or reused
+	conn.head.end()
 	if err != nil {
 		_ = conn.Close()
 		if conn.reused && conn.limited.N == maxHeadBytes && !errors.Is(err, errNothingWritten) {
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -148,7 +148,7 @@
 	if count > 0 {
 		s.bytesSinceEvent = 0
 	}
-	ok = ok && s.bytesSinceEvent <= maxEventBytes
+	ok = ok && s.bytesSinceEvent <= maxEventBytes && f.relay.SetEvent(cap(s.splitter.rest))
 	if at.replaced && count > 0 {
 		f.keepReplaced(at)
 	} else if at.replaced {
@@ -209,7 +209,7 @@
 		}
 		rest = rest[n:]
 	}
-	s.splitter.rest = append(s.splitter.rest[:0], rest...)
+	s.splitter.keep(rest)
 	return out, count, len(rest) <= maxEventBytes
 }
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -23,6 +23,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -35,6 +36,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/sirupsen/logrus"
 
+	"lentilwood.example/lentilwood/internal/governor"
 	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
@@ -51,6 +53,10 @@
 const (
 	readBufferBytes = 16 << 10
 	numPollers      = 2
+	// receiveBufferBytes is the size set for the receive buffer of each connection, which the
+	// kernel doubles. It is what Linux begins with; without the setting the kernel lets the
+	// buffer of each fast sender grow to megabytes, outside the memory account.
+	receiveBufferBytes = 64 << 10
 	// maxConnTableEntries bounds nbio's table of connections, which is indexed by file
 	// descriptor.
 	maxConnTableEntries = 1 << 20
@@ -98,6 +104,8 @@
 	// connections is shed. If it is nil or returns false, each source address counts as one
 	// caller. It must not block.
 	IdentifyCaller func(h http.Header) (caller string, ok bool)
+	// Memory, if set, is the memory account that heads and bodies of requests are charged to.
+	Memory *governor.Governor
 	// Log receives the log lines; nil selects logrus's standard logger.
 	Log *logrus.Logger
 	// Clock measures the timeouts; nil selects the system clock.
@@ -162,7 +170,8 @@
 	setLogger(cfg.Log)
 	// The port is opened before the engine starts: an engine that cannot open it stops its
 	// pollers, which spin for ever if they have not run yet.
-	ln, err := net.Listen("tcp", cfg.Address)
+	lc := net.ListenConfig{Control: setReceiveBuffer}
+	ln, err := lc.Listen(context.Background(), "tcp", cfg.Address)
 	if err != nil {
 		return nil, merry.Prependf(err, "listen on %s for %s", cfg.Address, cfg.Name)
 	}
@@ -212,6 +221,15 @@
 	return l, nil
 }
 
+// setReceiveBuffer sets the receive buffer that the connections of a listening socket inherit.
+func setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+	})
+	return errors.Join(err, failed)
+}
+
 // Addr returns the address on which the port is open.
 func (l *Listener) Addr() string { return l.acceptor.Addr().String() }
 
@@ -331,7 +349,7 @@
 	}
 	parser.Conn = sc.statusConn
 	parser.Processor = &requestProcessor{sc: sc}
-	parser.Execute = sc.execute
+	parser.Execute = sc.executeRequest
 	l.mu.Lock()
 	l.conns[sc] = struct{}{}
 	l.mu.Unlock()
