--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -45,6 +45,9 @@
 	Timeout time.Duration
 	// Objective is the operator's target for the time to first output.
 	Objective time.Duration
+	// PauseLimit is the operator's target for the longest pause between two events of a
+	// stream; zero means none.
+	PauseLimit time.Duration
 	// MaxSends limits the number of upstreams that a request is sent to.
 	MaxSends int
 	// Precedence orders routes; a higher value is served first.
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -30,6 +30,9 @@
 	// Objective is the operator's target for the time from the arrival to the first output;
 	// zero means none.
 	Objective time.Duration
+	// PauseLimit is the operator's target for the longest pause between two events of a stream;
+	// zero means none.
+	PauseLimit time.Duration
 	// Precedence orders waiting requests, highest first. Requests whose class is configured
 	// use the Precedence of that class instead.
 	Precedence int
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -143,7 +143,7 @@
 func (h *Hosted) newArrival(id messenger.RequestID, in *CallerHeaders, route *matcher.Route) messenger.Arrive {
 	a := messenger.Arrive{
 		Request: id, Pool: route.Pool(xxhash.Sum64String(in.RequestID)), Class: callClass,
-		Idempotent: route.Idempotent, Work: in.Work, Objective: route.Objective, Precedence: route.Precedence,
+		Idempotent: route.Idempotent, Work: in.Work, Objective: route.Objective, PauseLimit: route.PauseLimit, Precedence: route.Precedence,
 	}
 	if route.Streaming {
 		a.Class = streamClass
