admitter: a test with long and short prompts on uneven engines; it fails

Simulated engines read prompts in chunks of 2,048 tokens between decoding steps, every fourth at 0.55 of the nominal speed.

--- a/internal/admitter/engine_test.go
+++ b/internal/admitter/engine_test.go
@@ -40,6 +40,9 @@
 	refusesConnections bool
 	// plain makes the engine a plain server, which starts each request immediately.
 	plain bool
+	// chunked makes the engine read prompts in chunks between decoding steps; see
+	// pauseguard_test.go.
+	chunked *chunkedReading
 }
 
 // simRequest is a simulated request.
@@ -56,8 +59,12 @@
 	readDone      time.Time
 	tokens        float64
 	firstOutputAt time.Time
-	refused       bool
-	ended         bool
+	// readTokens, lastEventAt and longestPause are used with chunked reading.
+	readTokens   int
+	lastEventAt  time.Time
+	longestPause time.Duration
+	refused      bool
+	ended        bool
 }
 
 // onTime reports whether the first output came within the objective.
@@ -88,6 +95,8 @@
 	collectors []simCollector
 	messages   []simMessage
 	policy     *messenger.Policy
+	// pauseLimit is the longest pause in the streams of the requests that is in time.
+	pauseLimit time.Duration
 }
 
 func newSim(t *testing.T, routers, engines, slots int, throughput float64) *sim {
@@ -156,7 +165,7 @@
 	s.lastID++
 	r := &simRequest{router: router, arrivedAt: s.now}
 	r.arrive = messenger.Arrive{
-		Request: s.lastID, Account: account, Pool: simPool, Objective: objective,
+		Request: s.lastID, Account: account, Pool: simPool, Objective: objective, PauseLimit: s.pauseLimit,
 		Deadline: s.now.Add(10 * time.Second),
 		Work:     messenger.Work{Prompt: prompt, MaxOutputTokens: output},
 	}
@@ -252,6 +261,10 @@
 	s.now = s.now.Add(simStep)
 	for _, e := range s.engineList {
 		s.startWaiting(e)
+		if e.chunked != nil {
+			s.runSteps(e)
+			continue
+		}
 		s.generate(e)
 	}
 	for i := range s.routers {
