admitter: keep prompts off workers on which reading delays the streams

Cause: a worker that reads prompts reads a chunk with each decoding step, so on slow workers the time between two events of a stream exceeds the limit of the route (tpotTargetMs). Routers knew neither the speed of a worker nor the pauses there.

Change: the dispatcher counts the events of streams with a limit, those that came too late, and the shortest time between two, for each upstream. Routers exchange decaying sums of them in the load messages (UpstreamLoad.Pace, a new last field). The usual time between events, relative to the pool's median, gives the speed of a worker, which enters its forecasts if it differs by a third or more. A worker with 1 late event in 500 gets a prompt only if the backlog is read in half of the time that the limit leaves, or if half of its slots are free.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -24,6 +24,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"lentilwood.example/lentilwood/internal/messenger"
@@ -82,6 +83,8 @@
 	actions  []messenger.Action
 	// forecastCount counts the forecasts made since the start.
 	forecastCount uint64
+	// keptOffCount counts the requests kept off an upstream because of the streams there.
+	keptOffCount atomic.Uint64
 }
 
 // request is a request that is queued or runs on an upstream.
@@ -148,6 +151,8 @@
 		a.handleAbandon(e)
 	case messenger.LoadReport:
 		a.handleLoadReport(e)
+	case messenger.StreamTimes:
+		a.handleStreamTimes(e)
 	case messenger.Pause:
 		a.handlePause(e)
 	case messenger.PeerLoad:
@@ -183,6 +188,7 @@
 	r.queueDeadline = a.now.Add(time.Duration(maxQueueingShare * float64(e.Objective)))
 	if p.hasEngines {
 		r.overShare = a.shares.addDemand(a.now, e.Account, r.cost)
+		p.recordPauseLimit(a.now, e.PauseLimit)
 	}
 	a.requests[e.Request] = r
 	if a.trySend(r) {
@@ -210,7 +216,7 @@
 // why not.
 func (a *Admitter) trySendTo(r *request, u *upstream, f forecast) bool {
 	maxWait := a.maxWait(r, f)
-	if r.overShare && f.onlyReservedSlots || a.now.Sub(r.arrivedAt)+f.queueingTime() > maxWait {
+	if f.delaysStreams || r.overShare && f.onlyReservedSlots || a.now.Sub(r.arrivedAt)+f.queueingTime() > maxWait {
 		r.lastDenial = denial{upstream: u, forecast: f, maxWait: maxWait, decidedAt: a.now}
 		return false
 	}
@@ -395,6 +401,7 @@
 		p.demandShare, p.reservedShare = demandShare, reservedShare
 		p.mergePeerStats(a.peers)
 		p.updateMedianError()
+		p.updateSpeeds(a.now)
 		p.shortRequests = p.model.heldSeconds < peerLoadAge
 	}
 }
--- /dev/null
+++ b/internal/admitter/pace.go
@@ -0,0 +1,193 @@
+package admitter
+
+import (
+	"time"
+
+	"lentilwood.example/lentilwood/internal/averager"
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+const (
+	// paceHalfLife is the time in which the weight of an observation halves. A router sends an
+	// upstream of a large fleet about one request in ten seconds.
+	paceHalfLife = 20 * time.Second
+	// paceInterval is the time between two updates of the speeds, speedWeight the weight of
+	// the last update.
+	paceInterval = 500 * time.Millisecond
+	speedWeight  = 0.3
+	// minPaceEvents is the number of events from which on a speed is derived, about those of
+	// two streams. minRatedUpstreams is the number of upstreams needed to compare speeds.
+	minPaceEvents     = 80
+	minRatedUpstreams = 4
+	// evenSpeed is the ratio to the median of the pool within which an upstream counts as
+	// one of usual speed, so that fleets of equal upstreams do not react to chance.
+	evenSpeed = 4.0 / 3
+	// maxSpeedRatio bounds the ratio of an upstream's time to the median.
+	maxSpeedRatio = 6
+	// restartHoldOff is the number of updates after an upstream's restart in which its speed
+	// is not derived: messages of other routers still describe the previous process.
+	restartHoldOff = 6
+	// maxPaceValue bounds one router's sums in a message.
+	maxPaceValue = 1 << 20
+	// usualGapRise and usualGapFall are the weights of an observation in the usual time
+	// between events: it follows the shortest times, in which no prompt is read.
+	usualGapRise = 0.02
+	usualGapFall = 0.2
+)
+
+// paceSum is a sum of observations of an upstream's speed by several routers.
+type paceSum struct{ events, lateEvents, usualMS int64 }
+
+func newPaceSum(p *messenger.Pace) paceSum {
+	if p == nil {
+		return paceSum{}
+	}
+	return paceSum{events: int64(p.Events), lateEvents: int64(p.LateEvents), usualMS: int64(p.UsualMS)}
+}
+
+func (s *paceSum) add(o paceSum) {
+	s.events += o.events
+	s.lateEvents += o.lateEvents
+	s.usualMS += o.usualMS
+}
+
+func (s *paceSum) subtract(o paceSum) {
+	s.add(paceSum{events: -o.events, lateEvents: -o.lateEvents, usualMS: -o.usualMS})
+}
+
+// upstreamPace is the observed speed of an upstream. The zero value is usual speed.
+type upstreamPace struct {
+	// events and lateEvents are the decaying sums of this router; see messenger.Pace. peers
+	// are those of the other routers.
+	events, lateEvents float64
+	decayedAt          time.Time
+	peers              paceSum
+	// ownUsualGap is the time between two events while no prompt is read, as this router
+	// observes it; usualGap is the mean over all routers. Zero means unknown.
+	ownUsualGap, usualGap time.Duration
+	// factor is the time that work takes, relative to an upstream of usual speed; zero means
+	// 1.
+	factor  float64
+	holdOff int
+	// pausingUntil is the time until which reading is expected to delay streams beyond their
+	// limit.
+	pausingUntil time.Time
+}
+
+// reset discards the observations of a process that has ended.
+func (p *upstreamPace) reset() { *p = upstreamPace{peers: p.peers, holdOff: restartHoldOff} }
+
+// timeFactor returns the time that work takes, relative to an upstream of usual speed.
+func (p *upstreamPace) timeFactor() float64 {
+	if p.factor == 0 {
+		return 1
+	}
+	return p.factor
+}
+
+func (p *upstreamPace) decay(now time.Time) {
+	f := decayFactor(now.Sub(p.decayedAt), paceHalfLife)
+	p.decayedAt = now
+	p.events *= f
+	p.lateEvents *= f
+}
+
+// handleStreamTimes records the times between events at an upstream.
+func (a *Admitter) handleStreamTimes(e messenger.StreamTimes) {
+	if u, ok := a.upstreams[e.Upstream]; ok && e.Events > 0 {
+		u.pace.record(a.now, e)
+	}
+}
+
+// record adds the times between the events of some streams.
+func (p *upstreamPace) record(now time.Time, e messenger.StreamTimes) {
+	p.decay(now)
+	p.events += float64(e.Events)
+	p.lateEvents += float64(e.LateEvents)
+	weight := usualGapRise
+	if e.Shortest < p.ownUsualGap {
+		weight = usualGapFall
+	}
+	if p.ownUsualGap == 0 {
+		weight = 1
+	}
+	p.ownUsualGap += time.Duration(weight * float64(e.Shortest-p.ownUsualGap))
+}
+
+// ownUsualMS returns this router's part of the sum UsualMS.
+func (p *upstreamPace) ownUsualMS() float64 { return p.events * p.ownUsualGap.Seconds() * 1000 }
+
+// message returns the observations of this router for the other routers, or nil if the pool
+// does not use them.
+func (p *upstreamPace) message(now time.Time, pool *pool) *messenger.Pace {
+	if pool.pace.pauseLimit == 0 {
+		return nil
+	}
+	p.decay(now)
+	m := messenger.Pace{Events: paceValue(p.events), LateEvents: paceValue(p.lateEvents), UsualMS: paceValue(p.ownUsualMS())}
+	if m == (messenger.Pace{}) {
+		return nil
+	}
+	return &m
+}
+
+// paceValue rounds a sum for a message.
+func paceValue(v float64) uint32 { return uint32(clamp(v+0.5, 0, maxPaceValue)) }
+
+// poolPace summarizes the speeds of a pool's upstreams. The zero value is usual speed.
+type poolPace struct {
+	// pauseLimit is the shortest pause limit of the requests seen of late, or zero if none has
+	// a limit. nextPauseLimit is the one of the current period, which began at limitsSince.
+	pauseLimit, nextPauseLimit time.Duration
+	limitsSince                time.Time
+	updatedAt                  time.Time
+	// anyPausing is true if reading delays the streams of some upstream beyond their limit.
+	anyPausing bool
+}
+
+// updateSpeeds derives the speeds of the upstreams from the observations of all routers.
+func (p *pool) updateSpeeds(now time.Time) {
+	if p.pace.pauseLimit == 0 || now.Sub(p.pace.updatedAt) < paceInterval {
+		return
+	}
+	p.pace.updatedAt = now
+	p.pace.anyPausing = false
+	gaps := make([]averager.Sample, 0, len(p.members))
+	for _, u := range p.members {
+		u.pace.update(now)
+		p.pace.anyPausing = p.pace.anyPausing || u.pace.pausing(now)
+		if u.pace.usualGap > 0 {
+			gaps = append(gaps, averager.Sample{Value: u.pace.usualGap.Seconds(), Weight: 1})
+		}
+	}
+	if len(gaps) < minRatedUpstreams {
+		return
+	}
+	median := averager.Median(gaps)
+	for _, u := range p.members {
+		u.pace.factor = 1
+		if f := u.pace.usualGap.Seconds() / median; f > evenSpeed || f > 0 && f < 1/evenSpeed {
+			u.pace.factor = clamp(f, 1/float64(maxSpeedRatio), maxSpeedRatio)
+		}
+	}
+}
+
+// update updates the usual time between events and whether reading delays streams.
+func (p *upstreamPace) update(now time.Time) {
+	if p.holdOff > 0 {
+		p.holdOff--
+		return
+	}
+	p.decay(now)
+	events, late := p.events+float64(p.peers.events), p.lateEvents+float64(p.peers.lateEvents)
+	if events >= minPaceEvents {
+		gap := time.Duration((p.ownUsualMS() + float64(p.peers.usualMS)) / events * float64(time.Millisecond))
+		if p.usualGap == 0 {
+			p.usualGap = gap
+		}
+		p.usualGap += time.Duration(speedWeight * float64(gap-p.usualGap))
+	}
+	if late >= minLateEvents && late >= pausingShare*events {
+		p.pausingUntil = now.Add(pausingTime)
+	}
+}
--- /dev/null
+++ b/internal/admitter/pauseguard.go
@@ -0,0 +1,66 @@
+package admitter
+
+import "time"
+
+// The functions in this file keep prompts off upstreams on which reading them would delay the
+// running streams beyond the pause limit of their routes. While an engine reads prompts, each
+// decoding step also reads a chunk, so the time between two events of a stream grows with the
+// time to read a chunk. On fast engines it stays within the limit. On slow ones it does only
+// if all unread prompts are read in less than the limit minus the usual time between events.
+// See docs/design/mixed-prompts.md.
+
+const (
+	// pausingShare is the share of late events, and minLateEvents their number, from which on
+	// reading is taken to delay the streams of an upstream. A stream has about 45 events, so
+	// a late one in 500 spoils nearly a tenth of the streams.
+	pausingShare  = 1.0 / 500
+	minLateEvents = 3
+	// pausingTime is how long that is assumed after the last evidence: with few prompts to
+	// read, an upstream shows none.
+	pausingTime = time.Minute
+	// pauseLimitPeriod is the time after which a pause limit that no request had is dropped.
+	pauseLimitPeriod = time.Minute
+	// backlogShare is the share of the time left by the pause limit that the known backlog may
+	// take to read. The rest allows for prompts that other routers send before their next load
+	// message, and for slowdowns of the upstream that are not reported in time.
+	backlogShare = 0.5
+	// streamDelayPenalty is added to the cost of an upstream whose streams would be delayed.
+	// It exceeds all other costs.
+	streamDelayPenalty = time.Hour
+)
+
+// recordPauseLimit records the pause limit of a request.
+func (p *pool) recordPauseLimit(now time.Time, limit time.Duration) {
+	l := &p.pace
+	if now.Sub(l.limitsSince) >= pauseLimitPeriod {
+		l.pauseLimit, l.nextPauseLimit, l.limitsSince = l.nextPauseLimit, 0, now
+	}
+	if limit <= 0 {
+		return
+	}
+	if l.nextPauseLimit == 0 || limit < l.nextPauseLimit {
+		l.nextPauseLimit = limit
+	}
+	if l.pauseLimit == 0 || limit < l.pauseLimit {
+		l.pauseLimit = limit
+	}
+}
+
+// pausing reports whether reading delays the streams of the upstream beyond their limit.
+func (p *upstreamPace) pausing(now time.Time) bool { return now.Before(p.pausingUntil) }
+
+// delaysStreams reports whether a prompt with the given number of tokens to read would delay
+// the streams that run at the upstream beyond their limit. An upstream of which half the slots
+// are free takes any prompt: few streams run there, and a free fleet refuses nobody.
+func (u *upstream) delaysStreams(now time.Time, unreadTokens int) bool {
+	if !u.pace.pausing(now) || u.pool.pace.pauseLimit == 0 || 2*u.requestCount(now) <= u.slots() {
+		return false
+	}
+	tokens := float64(u.unreadTokens + u.peerLoad.unreadTokens + unreadTokens)
+	seconds := tokens * u.pool.readSpeed.secondsPerToken * u.pace.timeFactor() * u.slowdown(now)
+	return time.Duration(seconds*float64(time.Second)) > time.Duration(backlogShare*float64(u.pool.pace.pauseLimit-u.pace.usualGap))
+}
+
+// KeptOffCount returns the number of decisions since the start in which a request was kept off
+// the upstream that looked best because of the streams there. It is safe for concurrent use.
+func (a *Admitter) KeptOffCount() uint64 { return a.keptOffCount.Load() }
--- a/internal/admitter/pauseguard_test.go
+++ b/internal/admitter/pauseguard_test.go
@@ -92,7 +92,13 @@
 		s.deliver(r.router, messenger.LoadReport{Upstream: e.id, Running: len(e.running), Waiting: len(e.waiting), Slots: e.slots, Slowdown: e.slowdown, Measured: s.now})
 		s.deliver(r.router, messenger.Progress{Request: r.arrive.Request, First: true})
 	} else {
-		r.longestPause = max(r.longestPause, s.now.Sub(r.lastEventAt))
+		gap := s.now.Sub(r.lastEventAt)
+		r.longestPause = max(r.longestPause, gap)
+		times := messenger.StreamTimes{Upstream: e.id, Events: 1, Shortest: gap}
+		if gap > r.arrive.PauseLimit {
+			times.LateEvents = 1
+		}
+		s.deliver(r.router, times)
 	}
 	r.lastEventAt = s.now
 }
--- a/internal/admitter/peers.go
+++ b/internal/admitter/peers.go
@@ -47,6 +47,7 @@
 type peerUpstreamLoad struct {
 	upstream *upstream
 	load
+	pace paceSum
 }
 
 // handlePeerLoad processes the load of another router, or an aggregate of several. The
@@ -73,7 +74,7 @@
 			continue
 		}
 		u.recordPeerParts(a.now, l.Parts)
-		p.loads = append(p.loads, peerUpstreamLoad{upstream: u, load: load{running: int(l.Running), unreadTokens: int(l.UnreadTokens)}})
+		p.loads = append(p.loads, peerUpstreamLoad{upstream: u, load: load{running: int(l.Running), unreadTokens: int(l.UnreadTokens)}, pace: newPaceSum(l.Pace)})
 	}
 	for _, d := range e.Accounts {
 		p.demand[d.Account] = float64(d.Rate)
@@ -91,6 +92,7 @@
 	for _, l := range p.loads {
 		l.upstream.peerLoad.running += l.running
 		l.upstream.peerLoad.unreadTokens += l.unreadTokens
+		l.upstream.pace.peers.add(l.pace)
 	}
 }
 
@@ -133,6 +135,7 @@
 	for _, l := range p.loads {
 		l.upstream.peerLoad.running -= l.running
 		l.upstream.peerLoad.unreadTokens -= l.unreadTokens
+		l.upstream.pace.peers.subtract(l.pace)
 	}
 	p.loadsExpired = true
 	p.loads, p.demand, p.pools, p.servedRate, p.reserve = nil, nil, nil, 0, 0
@@ -229,6 +232,7 @@
 		}
 		out.Upstreams = append(out.Upstreams, messenger.UpstreamLoad{
 			Upstream: key, Running: uint32(u.running), UnreadTokens: uint32(max(0, u.unreadTokens)), Parts: u.unannounced,
+			Pace: u.pace.message(now, u.pool),
 		})
 		u.unannounced = nil
 	}
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -64,6 +64,8 @@
 	reservedShare float64
 	// holders records where shared parts were last sent.
 	holders holderIndex
+	// pace summarizes the speeds of the members and the pause limits of the requests.
+	pace poolPace
 	// homes caches the home upstream of each shared part, before health is considered.
 	homes map[messenger.PartID]*upstream
 	// shortlist is used if there are many members. candidateBuf is the reused buffer of
@@ -215,6 +217,9 @@
 	// onlyReservedSlots is true if the remaining slots are reserved for accounts that have
 	// not used up their share.
 	onlyReservedSlots bool
+	// delaysStreams is true if reading the prompt would delay the streams at the upstream
+	// beyond their limit.
+	delaysStreams bool
 }
 
 // queueingTime returns how long the request waits behind others.
@@ -263,15 +268,24 @@
 	var best *upstream
 	var bestForecast forecast
 	var lowestCost time.Duration
+	lowestKeptOff := streamDelayPenalty
 	for _, u := range candidates {
 		if !u.usable(a.now, allowFailed) || u.id == r.avoid && !allowFailed {
 			continue
 		}
 		f := u.forecast(a, r, u == home, src)
-		if cost := p.cost(u, f); best == nil || cost < lowestCost {
+		cost := p.cost(u, f)
+		if f.delaysStreams {
+			lowestKeptOff = min(lowestKeptOff, cost)
+			cost += streamDelayPenalty
+		}
+		if best == nil || cost < lowestCost {
 			best, bestForecast, lowestCost = u, f, cost
 		}
 	}
+	if best != nil && lowestKeptOff < lowestCost {
+		a.keptOffCount.Add(1)
+	}
 	return best, bestForecast
 }
 
--- a/internal/admitter/refuse.go
+++ b/internal/admitter/refuse.go
@@ -74,6 +74,7 @@
 		FleetDemand: demand, FleetShare: share, LocalServed: servedHere, LocalShare: shareHere,
 		Correction: d.upstream.forecastError / r.pool.medianError, SlotsReserved: r.pool.reservedShare,
 		OnlyReservedSlots: r.overShare && d.forecast.onlyReservedSlots,
+		DelaysStreams:     d.forecast.delaysStreams,
 	}
 }
 
--- a/internal/admitter/shortlist.go
+++ b/internal/admitter/shortlist.go
@@ -14,6 +14,9 @@
 	maxFullScan = 16
 	// shortlistSize is the number of upstreams on the shortlist of a larger pool.
 	shortlistSize = 12
+	// steadyListSize is the number of upstreams that are evaluated besides because reading
+	// does not delay their streams beyond the limit.
+	steadyListSize = 4
 	// shortlistTTL is the lifetime of a shortlist, and shortlistMaxSends the number of sent
 	// requests after which it is rebuilt: each of them changes the ranking.
 	shortlistTTL      = messenger.TickInterval
@@ -28,6 +31,9 @@
 	builtAt time.Time
 	sends   int
 	best    []rankedUpstream
+	// steady lists the best of the upstreams whose streams reading does not delay beyond their
+	// limit. It is empty unless there are others.
+	steady []rankedUpstream
 }
 
 // rankedUpstream is an upstream with its cost.
@@ -41,32 +47,38 @@
 	return len(l.best) > 0 && l.sends < shortlistMaxSends && now.Sub(l.builtAt) < shortlistTTL
 }
 
-// insert adds an upstream to the list if it is among the best.
-func (l *shortlist) insert(r rankedUpstream) {
-	if len(l.best) == shortlistSize && r.cost >= l.best[shortlistSize-1].cost {
-		return
+// insertRanked adds an upstream to a list of at most size upstreams if it is among the best.
+func insertRanked(list []rankedUpstream, r rankedUpstream, size int) []rankedUpstream {
+	if len(list) == size && r.cost >= list[size-1].cost {
+		return list
 	}
-	if len(l.best) < shortlistSize {
-		l.best = append(l.best, r)
+	if len(list) < size {
+		list = append(list, r)
 	}
-	i := len(l.best) - 1
-	for ; i > 0 && l.best[i-1].cost > r.cost; i-- {
-		l.best[i] = l.best[i-1]
+	i := len(list) - 1
+	for ; i > 0 && list[i-1].cost > r.cost; i-- {
+		list[i] = list[i-1]
 	}
-	l.best[i] = r
+	list[i] = r
+	return list
 }
 
 // rebuildShortlist rebuilds the shortlist. Among upstreams of equal cost, each router
 // prefers different ones.
 func (p *pool) rebuildShortlist(a *Admitter) {
 	l := &p.shortlist
-	l.builtAt, l.sends, l.best = a.now, 0, l.best[:0]
+	l.builtAt, l.sends, l.best, l.steady = a.now, 0, l.best[:0], l.steady[:0]
 	n := len(p.members)
 	offset := int(xxhash.Sum64String(string(a.cfg.Self)) % uint64(n))
 	for i := range n {
 		u := p.members[(offset+i)%n]
-		if u.usable(a.now, false) {
-			l.insert(rankedUpstream{upstream: u, cost: u.baseCost(a.now)})
+		if !u.usable(a.now, false) {
+			continue
+		}
+		ranked := rankedUpstream{upstream: u, cost: u.baseCost(a.now)}
+		l.best = insertRanked(l.best, ranked, shortlistSize)
+		if p.pace.anyPausing && !u.pace.pausing(a.now) {
+			l.steady = insertRanked(l.steady, ranked, steadyListSize)
 		}
 	}
 }
@@ -89,6 +101,9 @@
 	for _, r := range p.shortlist.best {
 		p.addCandidate(r.upstream)
 	}
+	for _, r := range p.shortlist.steady {
+		p.addCandidate(r.upstream)
+	}
 	return p.candidateBuf
 }
 
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -89,6 +89,8 @@
 	backoffUntil        time.Time
 	// pausedUntil is the end of the pause that the upstream asked for.
 	pausedUntil time.Time
+	// pace holds the observations of the upstream's speed.
+	pace upstreamPace
 }
 
 // load is the load of one or more routers on an upstream: the number of their requests, and
@@ -123,6 +125,7 @@
 	u.report, u.reportedAt = messenger.LoadReport{}, time.Time{}
 	u.forecastError, u.failureShare, u.consecutiveFailures = 1, 0, 0
 	u.backoffUntil, u.pausedUntil = time.Time{}, time.Time{}
+	u.pace.reset()
 }
 
 // usable reports whether the upstream accepts new requests. With allowFailed, it may be in
@@ -215,7 +218,7 @@
 func (u *upstream) forecast(a *Admitter, r *request, isHome bool, src partSource) forecast {
 	a.forecastCount++
 	speed := u.pool.readSpeed
-	errorFactor := u.forecastError / u.pool.medianError
+	errorFactor := u.correction()
 	var f forecast
 	if src.holds(u) {
 		f.unreadTokens = unsharedTokens(r.arrive.Work.Prompt)
@@ -235,6 +238,7 @@
 	ownSeconds := (fetchSeconds + speed.baseSeconds + float64(f.unreadTokens)*speed.secondsPerToken) * errorFactor * u.slowdown(a.now)
 	f.ownTime = time.Duration(ownSeconds * float64(time.Second))
 	f.firstOutput = max(f.ownTime+q.wait, u.overdue(a.now))
+	f.delaysStreams = u.delaysStreams(a.now, f.unreadTokens)
 	return f
 }
 
@@ -261,18 +265,24 @@
 		slotWaitSeconds = slotWaitFactor * float64(excess) * u.pool.model.heldSeconds / float64(u.slots())
 	}
 	q.nothingAhead = tokensAhead == 0 && slotWaitSeconds == 0
-	waitSeconds := (tokensAhead*u.pool.readSpeed.secondsPerToken*u.forecastError/u.pool.medianError + slotWaitSeconds) * u.slowdown(now)
+	waitSeconds := (tokensAhead*u.pool.readSpeed.secondsPerToken*u.correction() + slotWaitSeconds) * u.slowdown(now)
 	q.wait = time.Duration(waitSeconds * float64(time.Second))
 	return q
 }
 
 // baseCost returns the cost of an upstream for a request without a prompt.
 func (u *upstream) baseCost(now time.Time) time.Duration {
-	ownSeconds := u.pool.readSpeed.baseSeconds * u.forecastError / u.pool.medianError * u.slowdown(now)
+	ownSeconds := u.pool.readSpeed.baseSeconds * u.correction() * u.slowdown(now)
 	firstOutput := max(time.Duration(ownSeconds*float64(time.Second))+u.estimateQueue(now).wait, u.overdue(now))
 	return firstOutput + u.penalty()
 }
 
+// correction returns the factor by which forecasts for the upstream are corrected: its speed,
+// as all routers observe it, and the error that remains at this router.
+func (u *upstream) correction() float64 {
+	return u.forecastError / u.pool.medianError * u.pace.timeFactor()
+}
+
 // penalty returns the part of an upstream's cost that does not depend on its speed.
 func (u *upstream) penalty() time.Duration {
 	cost := time.Duration(u.failureShare * float64(failurePenalty))
--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -150,6 +150,7 @@
 		remaining := &out.Upstreams[agg.upstreamIndex[u.Upstream]]
 		remaining.Running -= u.Running
 		remaining.UnreadTokens -= u.UnreadTokens
+		remaining.Pace = remaining.Pace.Minus(u.Pace)
 	}
 	for _, a := range load.Accounts {
 		remaining := &out.Accounts[agg.accountIndex[a.Account]]
--- a/internal/collector/sum.go
+++ b/internal/collector/sum.go
@@ -71,6 +71,7 @@
 	total.Running += u.Running
 	total.UnreadTokens += u.UnreadTokens
 	total.Parts = append(total.Parts, u.Parts...)
+	total.Pace = total.Pace.Plus(u.Pace)
 }
 
 func (s *sum) addAccount(a messenger.AccountDemand) {
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -144,6 +144,7 @@
 	if at.stream == nil || f.relay.HasRoom() {
 		return true
 	}
+	at.stream.lastEventAt = time.Time{}
 	at.recordProgress(f.now(), f.progressTimeout())
 	return false
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -189,6 +189,8 @@
 	traits    Traits
 	live      liveExchanges
 	counters  Counters
+	// streamTimes holds the times between events since the last TakeStreamTimes.
+	streamTimes streamTimes
 
 	probes probeSet
 
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -191,6 +191,7 @@
 	at.countedTokens += float64(count)
 	if count > 0 {
 		f.reportOutput(at)
+		f.recordStreamTime(at)
 	}
 	if first {
 		f.result.FirstOutputAt = f.now()
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/tracker"
@@ -31,6 +32,9 @@
 	started            bool
 	gotDone            bool
 	broken             bool
+	// lastEventAt is when the last event arrived; zero before the first one and after a time
+	// in which the stream was not read.
+	lastEventAt time.Time
 	// bytesSinceEvent counts the bytes since the last event that advanced the stream.
 	bytesSinceEvent int
 }
--- a/internal/messenger/action.go
+++ b/internal/messenger/action.go
@@ -57,6 +57,9 @@
 	// OnlyReservedSlots is true if all free slots were reserved for accounts that had not used
 	// up their share.
 	OnlyReservedSlots bool
+	// DelaysStreams is true if reading the prompt would have delayed the streams at Upstream
+	// beyond the limit of their routes.
+	DelaysStreams bool
 }
 
 // RefuseReason is the reason for a refusal. Responses and metrics use its text, which stays
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -99,6 +99,17 @@
 	Measured time.Time
 }
 
+// StreamTimes reports the times between the events of the streams of one upstream that had a
+// pause limit, since the last report.
+type StreamTimes struct {
+	Upstream UpstreamID
+	// Events is the number of events after the first of a stream, and LateEvents the number of
+	// those that exceeded the limit of their stream.
+	Events, LateEvents uint32
+	// Shortest is the shortest time between two events.
+	Shortest time.Duration
+}
+
 // CacheReport reports that an upstream has added a prompt prefix to its cache or evicted it.
 // Such reports arrive late and some are lost.
 type CacheReport struct {
@@ -129,6 +140,7 @@
 func (PeersChange) isEvent()    {}
 func (Pause) isEvent()          {}
 func (LoadReport) isEvent()     {}
+func (StreamTimes) isEvent()    {}
 func (CacheReport) isEvent()    {}
 func (Receive) isEvent()        {}
 func (Tick) isEvent()           {}
@@ -182,6 +194,40 @@
 	UnreadTokens uint32
 	// Parts are the shared prompt parts sent to the upstream since the last message.
 	Parts []PartID
+	// Pace holds observations of the upstream's speed, or nil if there are none. Routers with
+	// an older version skip it.
+	Pace *Pace
+}
+
+// Pace holds sums of observations of the streams of one upstream, which decay with time. The
+// sums of several routers can be added.
+type Pace struct {
+	_ struct{} `codec:",toarray"`
+	// Events is the number of events of streams with a pause limit, and LateEvents the number
+	// of those that came later than the limit after the event before.
+	Events, LateEvents uint32
+	// UsualMS is the time between two events while the upstream reads no prompt, in
+	// milliseconds, times Events.
+	UsualMS uint32
+}
+
+// Plus returns the sum of two observations, either of which may be nil.
+func (p *Pace) Plus(other *Pace) *Pace {
+	if p == nil {
+		return other
+	}
+	if other == nil {
+		return p
+	}
+	return &Pace{Events: p.Events + other.Events, LateEvents: p.LateEvents + other.LateEvents, UsualMS: p.UsualMS + other.UsualMS}
+}
+
+// Minus returns the observations in p without those of other, which p includes.
+func (p *Pace) Minus(other *Pace) *Pace {
+	if p == nil || other == nil {
+		return p
+	}
+	return &Pace{Events: p.Events - other.Events, LateEvents: p.LateEvents - other.LateEvents, UsualMS: p.UsualMS - other.UsualMS}
 }
 
 // NameHash is a hash of the name of a router, upstream, pool or client account. Routers
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -181,6 +181,8 @@
 	// number of that message.
 	lastGossip time.Time
 	sequence   uint64
+	// streamTimesAt is when the times between events were last passed to the admitter.
+	streamTimesAt time.Time
 }
 
 // NewHosted returns a Hosted router that has not been started.
@@ -374,6 +376,7 @@
 	h.expireDroppedRegistrations()
 	h.quarantine.tick()
 	h.updateOverload(t)
+	h.reportStreamTimes()
 	h.gossip()
 }
 
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -30,6 +30,8 @@
 	// longWriteDelay is the minimum delay between the choice of an upstream and the writing of
 	// the request for which the request is logged at info level.
 	longWriteDelay = 250 * time.Millisecond
+	// streamTimesInterval is the time between two reports of the times between events.
+	streamTimesInterval = 50 * time.Millisecond
 	// streamClass and callClass are the metric series of streaming and other requests.
 	streamClass messenger.ClassID = "stream"
 	callClass   messenger.ClassID = "call"
@@ -139,6 +141,19 @@
 	return max(streamSilenceTimeout, time.Duration(firstOutputFactor*float64(route.Objective)))
 }
 
+// reportStreamTimes passes the times between the events of streams to the admitter. It runs on
+// the control goroutine.
+func (h *Hosted) reportStreamTimes() {
+	now := h.clock.Now()
+	if now.Sub(h.streamTimesAt) < streamTimesInterval {
+		return
+	}
+	h.streamTimesAt = now
+	for _, t := range h.dispatcher.TakeStreamTimes() {
+		h.control.handle(t)
+	}
+}
+
 // newArrival returns the event that announces a request to the admitter.
 func (h *Hosted) newArrival(id messenger.RequestID, in *CallerHeaders, route *matcher.Route) messenger.Arrive {
 	a := messenger.Arrive{
@@ -227,6 +242,7 @@
 		"reportAgeMs": g.ReportAge.Milliseconds(), "peerAgeMs": g.PeerAge.Milliseconds(),
 		"asked": int(g.FleetDemand), "share": int(g.FleetShare), "servedHere": int(g.LocalServed), "shareHere": int(g.LocalShare),
 		"correction": roundTo2Digits(g.Correction), "slotsReserved": roundTo2Digits(g.SlotsReserved), "slotsKept": g.OnlyReservedSlots,
+		"delaysStreams": g.DelaysStreams,
 	}
 }
 
