--- /dev/null
+++ b/internal/admitter/pace_test.go
@@ -0,0 +1,112 @@
+package admitter
+
+import (
+	"testing"
+	"time"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+)
+
+// newPacedAdmitter returns an Admitter of the given name with 6 engines, on which requests with
+// a pause limit run, and its policy.
+func newPacedAdmitter(name messenger.RouterID) (*Admitter, *messenger.Policy) {
+	policy := &messenger.Policy{
+		Pools:     map[messenger.PoolID]messenger.PoolPolicy{simPool: {Engine: &messenger.EnginePolicy{MemoryTokens: 700_000}}},
+		Upstreams: make(map[messenger.UpstreamID]messenger.UpstreamPolicy),
+	}
+	for _, id := range []messenger.UpstreamID{"A", "B", "C", "D", "E", "F"} {
+		policy.Upstreams[id] = messenger.UpstreamPolicy{Pool: simPool, Window: 16, Started: epoch}
+	}
+	a := New(Config{Self: name})
+	a.Handle(epoch, messenger.PolicyChange{Policy: policy})
+	arrivePaced(a, epoch, 1, 100)
+	return a, policy
+}
+
+// arrivePaced makes a request arrive and returns whether it was sent.
+func arrivePaced(a *Admitter, now time.Time, id messenger.RequestID, tokens int) bool {
+	for _, action := range a.Handle(now, messenger.Arrive{
+		Request: id, Pool: simPool, Objective: time.Second, PauseLimit: simPauseLimit,
+		Work: messenger.Work{Prompt: []messenger.PromptPart{{Chain: uint64(id), Tokens: tokens}}, MaxOutputTokens: 10},
+	}) {
+		if _, ok := action.(messenger.Dispatch); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// observe gives an Admitter the times between events of all engines, of which A is slow, and
+// lets it derive the speeds.
+func observe(a *Admitter, late uint32) {
+	for i := range 100 {
+		for id := range a.upstreams {
+			times := messenger.StreamTimes{Upstream: id, Events: 1, Shortest: time.Duration(30+i%8) * time.Millisecond}
+			if id == "A" {
+				times.Shortest *= 2
+			}
+			if i < int(late) {
+				times.LateEvents = 1
+			}
+			a.Handle(epoch, times)
+		}
+	}
+	settle(a, epoch.Add(paceInterval))
+}
+
+// settle lets an Admitter derive the speeds several times from the time now on.
+func settle(a *Admitter, now time.Time) {
+	for i := range 12 {
+		a.Handle(now.Add(time.Duration(i)*paceInterval), messenger.Tick{})
+	}
+}
+
+// TestSlowUpstreamIsKnownToOtherRouters guards against speeds that each router has to learn
+// for itself, that remain after a restart, and that chance makes up for equal upstreams.
+func TestSlowUpstreamIsKnownToOtherRouters(t *testing.T) {
+	a, _ := newPacedAdmitter("r1")
+	for _, u := range a.upstreams {
+		u.running = 1
+	}
+	observe(a, 0)
+	other, policy := newPacedAdmitter("r2")
+	other.Handle(epoch.Add(time.Second), a.NextPeerLoad(epoch.Add(time.Second)))
+	other.updatePools()
+	for id, u := range other.upstreams {
+		want := 1.0
+		if id == "A" {
+			want = 2
+		}
+		if got := u.pace.timeFactor(); got < 0.9*want || got > 1.1*want {
+			t.Errorf("engine %s: got a time factor of %.2f, want %.1f", id, got, want)
+		}
+	}
+	restarted := policy.Upstreams["A"]
+	restarted.Started = epoch.Add(time.Minute)
+	policy.Upstreams["A"] = restarted
+	other.Handle(epoch.Add(time.Second), messenger.PolicyChange{Policy: policy})
+	other.Handle(epoch.Add(2*time.Second), messenger.Tick{})
+	if got := other.upstreams["A"].pace.timeFactor(); got != 1 {
+		t.Errorf("got a time factor of %.2f after a restart, want 1", got)
+	}
+}
+
+// TestBusySlowUpstreamsTakeShortPrompts has streams come late on all upstreams. A prompt that
+// would delay many streams must be kept off; one that would not, and any prompt on upstreams
+// with half of their slots free, must be sent.
+func TestBusySlowUpstreamsTakeShortPrompts(t *testing.T) {
+	for _, c := range []struct {
+		running, tokens int
+		late            uint32
+		want            bool
+	}{{12, 20_000, 5, false}, {12, 500, 5, true}, {7, 20_000, 5, true}, {12, 20_000, 0, true}} {
+		a, _ := newPacedAdmitter("r")
+		observe(a, c.late)
+		for _, u := range a.upstreams {
+			u.peerLoad.running = c.running
+		}
+		if got := arrivePaced(a, epoch.Add(time.Second), 2, c.tokens); got != c.want {
+			t.Errorf("%+v: got sent %v", c, got)
+		}
+	}
+}
