router: log and count what is believed of a worker's speed

event=speed says when a worker begins or ceases to count as slow or fast, or as one on which reading delays streams, with the observations behind it. The counter lentilwood_prompts_kept_off_total and the gauge lentilwood_upstreams_with_late_streams accompany it.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -85,6 +85,10 @@
 	forecastCount uint64
 	// keptOffCount counts the requests kept off an upstream because of the streams there.
 	keptOffCount atomic.Uint64
+	// lateUpstreams counts the upstreams on which reading delays streams beyond their limit.
+	lateUpstreams atomic.Int64
+	// speedChanges are the changes since the last TakeSpeedChanges.
+	speedChanges []SpeedChange
 }
 
 // request is a request that is queued or runs on an upstream.
@@ -397,13 +401,16 @@
 	demandShare := a.shares.demandShare(1 / float64(a.routerCount()))
 	reservedShare := a.shares.fleetReserve(a.peers)
 	peerLoadAge := a.maxPeerLoadAge().Seconds()
+	late := 0
 	for _, p := range a.pools {
 		p.demandShare, p.reservedShare = demandShare, reservedShare
 		p.mergePeerStats(a.peers)
 		p.updateMedianError()
-		p.updateSpeeds(a.now)
+		p.updateSpeeds(a)
+		late += p.pace.pausingCount
 		p.shortRequests = p.model.heldSeconds < peerLoadAge
 	}
+	a.lateUpstreams.Store(int64(late))
 }
 
 // throughput returns the stated throughput of all engines, in units of Work.Cost per
--- a/internal/admitter/pace.go
+++ b/internal/admitter/pace.go
@@ -29,6 +29,8 @@
 	restartHoldOff = 6
 	// maxPaceValue bounds one router's sums in a message.
 	maxPaceValue = 1 << 20
+	// maxSpeedChanges bounds the changes that nobody has taken.
+	maxSpeedChanges = 64
 	// usualGapRise and usualGapFall are the weights of an observation in the usual time
 	// between events: it follows the shortest times, in which no prompt is read.
 	usualGapRise = 0.02
@@ -72,10 +74,14 @@
 	// pausingUntil is the time until which reading is expected to delay streams beyond their
 	// limit.
 	pausingUntil time.Time
+	// notedUneven and notedPausing are the state in the last SpeedChange.
+	notedUneven, notedPausing bool
 }
 
 // reset discards the observations of a process that has ended.
-func (p *upstreamPace) reset() { *p = upstreamPace{peers: p.peers, holdOff: restartHoldOff} }
+func (p *upstreamPace) reset() {
+	*p = upstreamPace{peers: p.peers, holdOff: restartHoldOff, notedUneven: p.notedUneven, notedPausing: p.notedPausing}
+}
 
 // timeFactor returns the time that work takes, relative to an upstream of usual speed.
 func (p *upstreamPace) timeFactor() float64 {
@@ -141,40 +147,94 @@
 	pauseLimit, nextPauseLimit time.Duration
 	limitsSince                time.Time
 	updatedAt                  time.Time
-	// anyPausing is true if reading delays the streams of some upstream beyond their limit.
-	anyPausing bool
+	// pausingCount is the number of upstreams on which reading delays streams beyond their
+	// limit.
+	pausingCount int
 }
 
 // updateSpeeds derives the speeds of the upstreams from the observations of all routers.
-func (p *pool) updateSpeeds(now time.Time) {
-	if now.Sub(p.pace.updatedAt) < paceInterval {
+func (p *pool) updateSpeeds(a *Admitter) {
+	if a.now.Sub(p.pace.updatedAt) < paceInterval {
 		return
 	}
-	p.pace.updatedAt, p.pace.anyPausing = now, false
+	p.pace.updatedAt, p.pace.pausingCount = a.now, 0
 	if p.pace.pauseLimit == 0 {
 		p.forgetSpeeds()
 		return
 	}
 	gaps := make([]averager.Sample, 0, len(p.members))
 	for _, u := range p.members {
-		u.pace.update(now)
-		p.pace.anyPausing = p.pace.anyPausing || u.pace.pausing(now)
+		u.pace.update(a.now)
+		if u.pace.pausing(a.now) {
+			p.pace.pausingCount++
+		}
 		if u.pace.usualGap > 0 {
 			gaps = append(gaps, averager.Sample{Value: u.pace.usualGap.Seconds(), Weight: 1})
 		}
 	}
-	if len(gaps) < minRatedUpstreams {
-		return
+	median := 0.0
+	if len(gaps) >= minRatedUpstreams {
+		median = averager.Median(gaps)
 	}
-	median := averager.Median(gaps)
 	for _, u := range p.members {
-		u.pace.factor = 1
-		if f := u.pace.usualGap.Seconds() / median; f > evenSpeed || f > 0 && f < 1/evenSpeed {
-			u.pace.factor = clamp(f, 1/float64(maxSpeedRatio), maxSpeedRatio)
-		}
+		u.pace.setFactor(median)
+		a.noteSpeed(u)
+	}
+}
+
+// setFactor derives the time factor from the median of the usual times between events of the
+// pool, which is zero if unknown.
+func (p *upstreamPace) setFactor(median float64) {
+	p.factor = 1
+	if p.usualGap == 0 || median == 0 {
+		return
+	}
+	if f := p.usualGap.Seconds() / median; f > evenSpeed || f < 1/evenSpeed {
+		p.factor = clamp(f, 1/float64(maxSpeedRatio), maxSpeedRatio)
 	}
 }
 
+// SpeedChange reports that an upstream begins or ceases to count as slow or fast, or as one on
+// which reading delays streams.
+type SpeedChange struct {
+	Upstream messenger.UpstreamID
+	// Factor is the time that work takes, relative to an upstream of usual speed.
+	Factor float64
+	// UsualGap is the time between two events of a stream while no prompt is read.
+	UsualGap time.Duration
+	// Events is the number of events observed by all routers, with decay, LateEvents that of
+	// those beyond their limit.
+	Events, LateEvents int
+	// DelaysStreams is true if reading delays streams beyond their limit.
+	DelaysStreams bool
+}
+
+// TakeSpeedChanges returns the changes since the last call.
+func (a *Admitter) TakeSpeedChanges() []SpeedChange {
+	changes := a.speedChanges
+	a.speedChanges = nil
+	return changes
+}
+
+// noteSpeed records a change of what is believed of an upstream's speed.
+func (a *Admitter) noteSpeed(u *upstream) {
+	p := &u.pace
+	uneven, pausing := p.timeFactor() != 1, p.pausing(a.now)
+	if uneven == p.notedUneven && pausing == p.notedPausing || len(a.speedChanges) >= maxSpeedChanges {
+		return
+	}
+	p.notedUneven, p.notedPausing = uneven, pausing
+	events, late := p.totals()
+	a.speedChanges = append(a.speedChanges, SpeedChange{
+		Upstream: u.id, Factor: p.timeFactor(), UsualGap: p.usualGap, Events: int(events), LateEvents: int(late), DelaysStreams: pausing,
+	})
+}
+
+// totals returns the events and the late events that all routers observed.
+func (p *upstreamPace) totals() (events, late float64) {
+	return p.events + float64(p.peers.events), p.lateEvents + float64(p.peers.lateEvents)
+}
+
 // forgetSpeeds makes all upstreams count as of usual speed.
 func (p *pool) forgetSpeeds() {
 	for _, u := range p.members {
@@ -189,7 +249,7 @@
 		return
 	}
 	p.decay(now)
-	events, late := p.events+float64(p.peers.events), p.lateEvents+float64(p.peers.lateEvents)
+	events, late := p.totals()
 	if events >= minPaceEvents {
 		gap := time.Duration((p.ownUsualMS() + float64(p.peers.usualMS)) / events * float64(time.Millisecond))
 		if p.usualGap == 0 {
--- a/internal/admitter/pauseguard.go
+++ b/internal/admitter/pauseguard.go
@@ -63,6 +63,10 @@
 	return time.Duration(seconds*float64(time.Second)) > time.Duration(backlogShare*float64(u.pool.pace.pauseLimit-u.pace.usualGap))
 }
 
+// LateUpstreamCount returns the number of upstreams on which reading delays streams beyond
+// their limit. It is safe for concurrent use.
+func (a *Admitter) LateUpstreamCount() int { return int(a.lateUpstreams.Load()) }
+
 // KeptOffCount returns the number of decisions since the start in which a request was kept off
 // the upstream that looked best because of the streams there. It is safe for concurrent use.
 func (a *Admitter) KeptOffCount() uint64 { return a.keptOffCount.Load() }
--- a/internal/admitter/shortlist.go
+++ b/internal/admitter/shortlist.go
@@ -77,7 +77,7 @@
 		}
 		ranked := rankedUpstream{upstream: u, cost: u.baseCost(a.now)}
 		l.best = insertRanked(l.best, ranked, shortlistSize)
-		if p.pace.anyPausing && !u.pace.pausing(a.now) {
+		if p.pace.pausingCount > 0 && !u.pace.pausing(a.now) {
 			l.steady = insertRanked(l.steady, ranked, steadyListSize)
 		}
 	}
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -152,6 +152,12 @@
 	for _, t := range h.dispatcher.TakeStreamTimes() {
 		h.control.handle(t)
 	}
+	for _, c := range h.admitter.TakeSpeedChanges() {
+		h.log.WithFields(logrus.Fields{
+			eventField: "speed", upstreamField: c.Upstream, "timeFactor": roundTo2Digits(c.Factor), "usualGapMs": c.UsualGap.Milliseconds(),
+			"events": c.Events, "lateEvents": c.LateEvents, "delaysStreams": c.DelaysStreams,
+		}).Info("observed speed of an upstream changed")
+	}
 }
 
 // newArrival returns the event that announces a request to the admitter.
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -24,6 +24,7 @@
 func (h *Hosted) writeMetrics(w io.Writer) {
 	copyPeerCounters(h.meter, h.exchanger.Stats())
 	copyDispatcherCounters(h.meter, h.dispatcher.Counters())
+	h.meter.Counter("lentilwood_prompts_kept_off_total").Set(h.admitter.KeptOffCount())
 	h.meter.WritePrometheus(w)
 }
 
@@ -36,7 +37,7 @@
 	h.meter.Gauge("lentilwood_requests_in_progress", func() float64 { return float64(h.inProgress.Load()) })
 	h.meter.Gauge("lentilwood_configuration_version", func() float64 { return float64(h.version()) })
 	h.meter.Gauge("lentilwood_routers_known", func() float64 { return float64(h.peerCount.Load() + 1) })
-	h.meter.Gauge("lentilwood_prompts_kept_off", func() float64 { return float64(h.admitter.KeptOffCount()) })
+	h.meter.Gauge("lentilwood_upstreams_with_late_streams", func() float64 { return float64(h.admitter.LateUpstreamCount()) })
 	h.meter.Gauge("lentilwood_collecting", func() float64 { return toFloat(h.collecting.Load()) })
 	h.meter.Gauge("lentilwood_store_left_to_others", func() float64 { return toFloat(h.storeDelegated.Load()) })
 	h.meter.Gauge("lentilwood_news_age_seconds", func() float64 {
