admitter: mean pause limit of the requests, and no bound where it can't be met

A single route with a very short limit would have set the bound for all streams of the pool, and a limit below what a worker needs between two events without any reading would have left half of its slots unused for nothing. The limit is now the mean of the requests that have one, and is not applied where it is less than twice the usual time between events.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -192,7 +192,7 @@
 	r.queueDeadline = a.now.Add(time.Duration(maxQueueingShare * float64(e.Objective)))
 	if p.hasEngines {
 		r.overShare = a.shares.addDemand(a.now, e.Account, r.cost)
-		p.recordPauseLimit(a.now, e.PauseLimit)
+		p.pace.recordPauseLimit(a.now, e.PauseLimit)
 	}
 	a.requests[e.Request] = r
 	if a.trySend(r) {
--- a/internal/admitter/pace.go
+++ b/internal/admitter/pace.go
@@ -142,11 +142,11 @@
 
 // poolPace summarizes the speeds of a pool's upstreams. The zero value is usual speed.
 type poolPace struct {
-	// pauseLimit is the shortest pause limit of the requests seen of late, or zero if none has
-	// a limit. nextPauseLimit is the one of the current period, which began at limitsSince.
-	pauseLimit, nextPauseLimit time.Duration
-	limitsSince                time.Time
-	updatedAt                  time.Time
+	// pauseLimit is the mean pause limit of the requests that have one, or zero if none has;
+	// limitSeenAt is when the last of them arrived.
+	pauseLimit  time.Duration
+	limitSeenAt time.Time
+	updatedAt   time.Time
 	// pausingCount is the number of upstreams on which reading delays streams beyond their
 	// limit.
 	pausingCount int
@@ -158,7 +158,8 @@
 		return
 	}
 	p.pace.updatedAt, p.pace.pausingCount = a.now, 0
-	if p.pace.pauseLimit == 0 {
+	if a.now.Sub(p.pace.limitSeenAt) > pauseLimitTTL {
+		p.pace.pauseLimit = 0
 		p.forgetSpeeds()
 		return
 	}
--- a/internal/admitter/pauseguard.go
+++ b/internal/admitter/pauseguard.go
@@ -18,8 +18,13 @@
 	// pausingTime is how long that is assumed after the last evidence: with few prompts to
 	// read, an upstream shows none.
 	pausingTime = time.Minute
-	// pauseLimitPeriod is the time after which a pause limit that no request had is dropped.
-	pauseLimitPeriod = time.Minute
+	// pauseLimitWeight is the weight of a request in the mean pause limit, pauseLimitTTL the
+	// time without a request that has a limit after which there is none.
+	pauseLimitWeight = 1.0 / 64
+	pauseLimitTTL    = time.Minute
+	// minLimitRatio is the ratio of the pause limit to the usual time between events below
+	// which the limit is taken to be out of reach: keeping prompts off would help no stream.
+	minLimitRatio = 2
 	// backlogShare is the share of the time left by the pause limit that the known backlog may
 	// take to read. The rest allows for prompts that other routers send before their next load
 	// message, and for slowdowns of the upstream that are not reported in time.
@@ -32,20 +37,15 @@
 )
 
 // recordPauseLimit records the pause limit of a request.
-func (p *pool) recordPauseLimit(now time.Time, limit time.Duration) {
-	l := &p.pace
-	if now.Sub(l.limitsSince) >= pauseLimitPeriod {
-		l.pauseLimit, l.nextPauseLimit, l.limitsSince = l.nextPauseLimit, 0, now
-	}
+func (p *poolPace) recordPauseLimit(now time.Time, limit time.Duration) {
 	if limit <= 0 {
 		return
 	}
-	if l.nextPauseLimit == 0 || limit < l.nextPauseLimit {
-		l.nextPauseLimit = limit
-	}
-	if l.pauseLimit == 0 || limit < l.pauseLimit {
-		l.pauseLimit = limit
+	p.limitSeenAt = now
+	if p.pauseLimit == 0 {
+		p.pauseLimit = limit
 	}
+	p.pauseLimit += time.Duration(pauseLimitWeight * float64(limit-p.pauseLimit))
 }
 
 // pausing reports whether reading delays the streams of the upstream beyond their limit.
@@ -55,12 +55,13 @@
 // the streams that run at the upstream beyond their limit. An upstream of which half the slots
 // are free takes any prompt: few streams run there, and a free fleet refuses nobody.
 func (u *upstream) delaysStreams(now time.Time, unreadTokens int) bool {
-	if !u.pace.pausing(now) || u.pool.pace.pauseLimit == 0 || 2*u.requestCount(now) <= u.slots() {
+	limit, usualGap := u.pool.pace.pauseLimit, u.pace.usualGap
+	if !u.pace.pausing(now) || limit < minLimitRatio*usualGap || limit == 0 || 2*u.requestCount(now) <= u.slots() {
 		return false
 	}
 	tokens := float64(u.unreadTokens + u.peerLoad.unreadTokens + unreadTokens)
 	seconds := tokens * u.pool.readSpeed.secondsPerToken * u.pace.timeFactor() * u.slowdown(now)
-	return time.Duration(seconds*float64(time.Second)) > time.Duration(backlogShare*float64(u.pool.pace.pauseLimit-u.pace.usualGap))
+	return seconds > backlogShare*(limit-usualGap).Seconds()
 }
 
 // LateUpstreamCount returns the number of upstreams on which reading delays streams beyond
