--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -185,6 +185,8 @@
 	// number of that message.
 	lastGossip time.Time
 	sequence   uint64
+	// streamTimesAt is when the times between events were last passed to the admitter.
+	streamTimesAt time.Time
 }
 
 // NewHosted returns a Hosted router that has not been started.
@@ -393,6 +395,7 @@
 	h.cold.update(h.admitter.ColdStats())
 	h.quarantine.tick()
 	h.updateOverload(t)
+	h.reportStreamTimes()
 	h.gossip()
 }
 
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -27,6 +27,7 @@
 	copyDispatcherCounters(h.meter, h.dispatcher.Counters())
 	h.cold.copyCounters(h.meter)
 	copyMemoryCounters(h.meter, h.memory)
+	h.meter.Counter("lentilwood_prompts_kept_off_total").Set(h.admitter.KeptOffCount())
 	h.meter.WritePrometheus(w)
 }
 
@@ -40,6 +41,7 @@
 	h.meter.Gauge("lentilwood_requests_in_progress", func() float64 { return float64(h.inProgress.Load()) })
 	h.meter.Gauge("lentilwood_configuration_version", func() float64 { return float64(h.version()) })
 	h.meter.Gauge("lentilwood_routers_known", func() float64 { return float64(h.peerCount.Load() + 1) })
+	h.meter.Gauge("lentilwood_upstreams_with_late_streams", func() float64 { return float64(h.admitter.LateUpstreamCount()) })
 	h.meter.Gauge("lentilwood_collecting", func() float64 { return toFloat(h.collecting.Load()) })
 	h.meter.Gauge("lentilwood_store_left_to_others", func() float64 { return toFloat(h.storeDelegated.Load()) })
 	h.cold.registerGauges(h.meter)
