Test Retry-After of a pool whose only upstream has crashed

An upstream whose process has ended counts as cold for ten minutes unless a row or an answer says otherwise. A router without a share of its rate takes that for the time until there is room: the test fails with Retry-After 10m0s where at most 5 s are wanted.

--- a/internal/admitter/cold_test.go
+++ b/internal/admitter/cold_test.go
@@ -153,3 +153,27 @@
 		t.Errorf("got refusals %v, want one for the reason %q", refusals, messenger.RefuseCold)
 	}
 }
+
+// TestRetryAfterOfEndedUpstream guards against callers that are told to wait for ten minutes: the
+// only upstream of a pool has crashed, and counts as cold for as long as nothing says otherwise,
+// while it usually returns within seconds.
+func TestRetryAfterOfEndedUpstream(t *testing.T) {
+	a := New(Config{Self: "r"})
+	a.Join(epoch, []messenger.RouterID{"other"}, false)
+	a.Handle(epoch, messenger.PolicyChange{Policy: &messenger.Policy{
+		Pools: map[messenger.PoolID]messenger.PoolPolicy{simPool: {Cold: messenger.ColdPolicy{PerSecond: 12, Duration: 3 * time.Second}}},
+		Upstreams: map[messenger.UpstreamID]messenger.UpstreamPolicy{
+			"u": {Pool: simPool, Window: 2, ColdLimited: true, ColdAssumed: true, ColdUntil: epoch.Add(10 * time.Minute)},
+		},
+	}})
+	actions := a.Handle(epoch, messenger.Arrive{Request: 1, Pool: simPool, Objective: simObjective})
+	if len(actions) == 0 { // the request is queued
+		actions = a.Handle(epoch.Add(simObjective), messenger.Tick{})
+	}
+	if len(actions) != 1 {
+		t.Fatalf("got actions %v, want one", actions)
+	}
+	if refusal, ok := actions[0].(messenger.Refuse); !ok || refusal.RetryAfter > maxRetryAfter {
+		t.Errorf("got %+v, want a refusal with a Retry-After of at most %v", actions[0], maxRetryAfter)
+	}
+}
