admitter: a crashed upstream's assumed cold time sets no Retry-After

The cold time of an upstream whose process has ended is a bound of ten minutes, since nobody knows when it returns. It entered the time until the pool accepts requests. Such an upstream now counts as closed for the shortest Retry-After only, so that callers are told what they were told before there was a limit for cold upstreams.

--- a/internal/admitter/cold.go
+++ b/internal/admitter/cold.go
@@ -112,6 +112,17 @@
 	return u.gate.Take(a.now)
 }
 
+// coldWait returns the time until a request may be sent to u while it is cold. When an upstream
+// whose process has ended returns is not known: the end of its cold time is only a bound, and no
+// caller may be told to wait for that.
+func (u *upstream) coldWait(now time.Time) time.Duration {
+	wait := u.gate.Wait(now)
+	if u.policy.ColdAssumed {
+		return min(wait, minRetryAfter)
+	}
+	return wait
+}
+
 // coldCost returns what is added to the cost of a request at a cold upstream.
 func (a *Admitter) coldCost(u *upstream, f forecast) time.Duration {
 	if !u.gate.IsCold(a.now) {
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -190,7 +190,7 @@
 		if !u.acceptsWork {
 			continue
 		}
-		remaining := max(u.pausedUntil.Sub(now), u.gate.Wait(now))
+		remaining := max(u.pausedUntil.Sub(now), u.coldWait(now))
 		if remaining <= 0 {
 			return 0
 		}
