Test that routers tell each other of upstreams that have returned

Routers tell each other that an upstream's process has ended, but not that one answers again. While the store is unavailable, a router without a share of its rate gets no answer and no row. The test fails: the upstream is cold there until 9m59.5s after its return, where 3 s are wanted.

--- a/internal/follower/cold_test.go
+++ b/internal/follower/cold_test.go
@@ -115,3 +115,38 @@
 		t.Error("an upstream of a pool without a limit counts as cold")
 	}
 }
+
+// TestReturnIsShared guards against an upstream that the other routers leave unused for ten minutes
+// while the store is unavailable: without a row, only the few routers with a share of its rate get
+// an answer from its new process.
+func TestReturnIsShared(t *testing.T) {
+	a, b := New(coldDecoder{}), New(coldDecoder{})
+	for _, f := range []*Follower{a, b} {
+		f.Merge(epoch, Batch{Table: ConfigurationTable, Full: true, Version: 1, HasEvacuations: true, Rows: []Row{{Key: "c", Value: []byte("x"), Version: 1}}})
+		f.Merge(epoch, Batch{Table: RegistrationTable, Rows: []Row{{Key: "u", Value: []byte("0 0"), Version: 2}}})
+	}
+	now := epoch
+	exchange := func(d time.Duration) {
+		now = now.Add(d)
+		for _, p := range a.EndedProcesses(now) {
+			b.RecordPeerEnd(now, p)
+		}
+		for _, p := range b.EndedProcesses(now) {
+			a.RecordPeerEnd(now, p)
+		}
+	}
+	a.RecordEnd(now, "u", "a")
+	exchange(500 * time.Millisecond)
+	a.RecordReturn(now, "u", "a")
+	returned := now
+	exchange(500 * time.Millisecond)
+	for name, f := range map[string]*Follower{"that got an answer": a, "that got none": b} {
+		u := f.Snapshot().Policy.Upstreams["u"]
+		if at := returned.Add(2900 * time.Millisecond); !u.IsCold(at) {
+			t.Errorf("router %s: upstream is warm %v after its return, want it cold for 3s", name, at.Sub(returned))
+		}
+		if at := returned.Add(4 * time.Second); u.IsCold(at) {
+			t.Errorf("router %s: upstream is still cold %v after its return, until %v after it", name, at.Sub(returned), u.ColdUntil.Sub(returned))
+		}
+	}
+}
