follower: tell other routers that a crashed upstream answers again

A router that was told of an ended process held its upstream for cold until a row came, ten minutes at most; with the store unavailable there is none, and only the routers with a share of the rate get an answer. EndedProcess now also says how long ago the upstream answered again, for 10 s after that. A router that did not know of the end learns both. Without the limit for cold upstreams nothing is sent.

--- a/internal/follower/cold.go
+++ b/internal/follower/cold.go
@@ -13,6 +13,9 @@
 	// maxReturnTime bounds the time for which an upstream whose process has ended counts as
 	// cold without an answer from it.
 	maxReturnTime = 10 * time.Minute
+	// returnNewsTime is how long other routers are told that a process answers again: a few
+	// rounds of messages, of which some may be lost.
+	returnNewsTime = 10 * time.Second
 	// coldTolerance is the change of the end of the cold time, and more, that counts as news.
 	coldTolerance = 200 * time.Millisecond
 )
@@ -24,9 +27,8 @@
 	saidAt time.Time
 	// endedAt is when the upstream's process was last known to have ended; zero if a row or an
 	// answer has said since whether the next process is cold. started is the start time of the
-	// process that ended, returned is true once a process answers again.
-	endedAt, started time.Time
-	returned         bool
+	// process that ended, returnedAt is when a process answered again; zero if none has.
+	endedAt, started, returnedAt time.Time
 	// clearedAt is when a row or an answer last said so.
 	clearedAt time.Time
 }
@@ -40,6 +42,9 @@
 	StartedUnixMs int64
 	// AgeMs is how long ago the process was known to have ended.
 	AgeMs int64
+	// HasReturned is true if a process of the upstream has answered since, ReturnAgeMs ago.
+	HasReturned bool
+	ReturnAgeMs int64
 }
 
 // applyRow applies a row received at now. Its time counts from its receipt, so that the end is
@@ -56,11 +61,11 @@
 	if until.Before(c.until) && !c.saidAt.IsZero() && now.Sub(c.saidAt) < oldRowTime {
 		return
 	}
-	c.until, c.endedAt, c.returned, c.clearedAt = until, time.Time{}, false, now
+	c.until, c.endedAt, c.returnedAt, c.clearedAt = until, time.Time{}, time.Time{}, now
 }
 
 // isEnded reports whether the process has ended and none has answered since.
-func (c *coldState) isEnded() bool { return !c.endedAt.IsZero() && !c.returned }
+func (c *coldState) isEnded() bool { return !c.endedAt.IsZero() && c.returnedAt.IsZero() }
 
 // setPolicy sets until when an upstream is cold in its published policy.
 func (c *coldState) setPolicy(u *messenger.UpstreamPolicy, pool messenger.ColdPolicy) {
@@ -101,34 +106,48 @@
 		return false
 	}
 	known := e.cold.isEnded()
-	e.cold.endedAt, e.cold.started, e.cold.returned = now, e.lastPolicy.Started, false
+	e.cold.endedAt, e.cold.started, e.cold.returnedAt = now, e.lastPolicy.Started, time.Time{}
 	return !known
 }
 
-// RecordPeerEnd is RecordEnd for what another router knows. A process other than that in the row
-// is ignored, and an end from before the last row or answer about the process.
+// RecordPeerEnd is RecordEnd, and RecordReturn, for what another router knows. A process other than
+// that in the row is ignored, an end from before the last row or answer about the process, and a
+// return from before the end that is known here.
 func (f *Follower) RecordPeerEnd(now time.Time, p EndedProcess) bool {
 	e, ok := f.rows[RegistrationTable][string(p.Upstream)]
-	if !ok || startedUnixMs(e.lastPolicy.Started) != p.StartedUnixMs || e.cold.isEnded() {
+	if !ok || startedUnixMs(e.lastPolicy.Started) != p.StartedUnixMs {
 		return false
 	}
-	endedAt := now.Add(-time.Duration(p.AgeMs) * time.Millisecond)
-	if endedAt.Before(e.cold.clearedAt) || e.cold.returned && endedAt.Before(e.cold.endedAt.Add(oldRowTime)) {
-		return false
+	changed := false
+	if !e.cold.isEnded() {
+		endedAt := now.Add(-time.Duration(p.AgeMs) * time.Millisecond)
+		if endedAt.Before(e.cold.clearedAt) || !e.cold.returnedAt.IsZero() && endedAt.Before(e.cold.endedAt.Add(oldRowTime)) {
+			return false
+		}
+		changed = f.RecordEnd(endedAt, p.Upstream, e.lastPolicy.Address)
+	}
+	returnedAt := now.Add(-time.Duration(p.ReturnAgeMs) * time.Millisecond)
+	if p.HasReturned && !returnedAt.Before(e.cold.endedAt) {
+		changed = f.RecordReturn(returnedAt, p.Upstream, e.lastPolicy.Address) || changed
 	}
-	return f.RecordEnd(endedAt, p.Upstream, e.lastPolicy.Address)
+	return changed
 }
 
 // EndedProcesses returns the processes that are known to have ended while their upstreams have
-// not returned. There are none without a limit for cold upstreams.
+// not returned, or not long ago. There are none without a limit for cold upstreams.
 func (f *Follower) EndedProcesses(now time.Time) []EndedProcess {
 	var out []EndedProcess
 	for key, e := range f.rows[RegistrationTable] {
-		if e.cold.isEnded() && e.readable {
-			out = append(out, EndedProcess{
-				Upstream: messenger.UpstreamID(key), StartedUnixMs: startedUnixMs(e.cold.started), AgeMs: now.Sub(e.cold.endedAt).Milliseconds(),
-			})
+		if e.cold.endedAt.IsZero() || !e.readable || !e.cold.isEnded() && now.Sub(e.cold.returnedAt) > returnNewsTime {
+			continue
+		}
+		p := EndedProcess{
+			Upstream: messenger.UpstreamID(key), StartedUnixMs: startedUnixMs(e.cold.started), AgeMs: now.Sub(e.cold.endedAt).Milliseconds(),
+		}
+		if !e.cold.isEnded() {
+			p.HasReturned, p.ReturnAgeMs = true, now.Sub(e.cold.returnedAt).Milliseconds()
 		}
+		out = append(out, p)
 	}
 	return out
 }
@@ -137,10 +156,10 @@
 // had ended. It reports whether this is news.
 func (f *Follower) RecordReturn(now time.Time, id messenger.UpstreamID, address string) bool {
 	e := f.coldEntry(id, address)
-	if e == nil || e.cold.endedAt.IsZero() || e.cold.returned {
+	if e == nil || !e.cold.isEnded() {
 		return false
 	}
-	e.cold.returned = true
+	e.cold.returnedAt = now
 	if until := now.Add(f.configuration.Pools[e.lastPolicy.Pool].Cold.Duration); until.After(e.cold.until) {
 		e.cold.until = until
 	}
--- a/internal/router/hostedcold.go
+++ b/internal/router/hostedcold.go
@@ -89,14 +89,15 @@
 	h.publishSnapshot(sourceUpstream)
 }
 
-// applyEndedProcesses records the processes that another router knows to have ended: this router
-// may have had no request there, and would take the next process for a warm one.
+// applyEndedProcesses records the processes that another router knows to have ended, and which of
+// their upstreams answer again: this router may have had no request there. It would take the next
+// process for a warm one, or leave it unused while the store is unavailable.
 func (h *Hosted) applyEndedProcesses(e hostedEnvelope) {
 	changed := false
 	for _, p := range e.Ended {
 		if h.follower.RecordPeerEnd(h.clock.Now(), p) {
 			h.log.WithFields(logrus.Fields{
-				eventField: "cold", upstreamField: p.Upstream, "cause": "process ended", "peer": e.From.Name, "ageMs": p.AgeMs,
+				eventField: "cold", upstreamField: p.Upstream, "cause": "process ended", "peer": e.From.Name, "ageMs": p.AgeMs, "returned": p.HasReturned,
 			}).Info("time in which an upstream is cold has changed")
 			changed = true
 		}
