Test that an upstream does not count as slow for good

The time factor of an upstream stays when no stream shows its speed any more, and at low load a factor keeps streams away. The test fails: 1.90 ten minutes after the last stream, where 1 is wanted.

--- a/internal/admitter/pace_test.go
+++ b/internal/admitter/pace_test.go
@@ -118,3 +118,27 @@
 		}
 	}
 }
+
+// TestSpeedIsForgotten guards against an upstream that counts as slow for good: it gets hardly any
+// stream at low load because of its time factor, and so nothing shows that it has recovered.
+func TestSpeedIsForgotten(t *testing.T) {
+	a, _ := newPacedAdmitter("r", simPauseLimit)
+	observe(a, 0)
+	if got := a.upstreams["A"].pace.timeFactor(); got < 1.8 {
+		t.Fatalf("got a time factor of %.2f of the slow engine, want about 2", got)
+	}
+	now := epoch
+	for i := range 600 { // 10 minutes
+		now = epoch.Add(time.Duration(i) * time.Second)
+		a.Handle(now, messenger.Arrive{Request: messenger.RequestID(100 + i), Pool: simPool, Objective: time.Second, PauseLimit: simPauseLimit})
+		for id := range a.upstreams {
+			if id != "A" {
+				a.Handle(now, messenger.StreamTimes{Upstream: id, Events: 30, Shortest: 33 * time.Millisecond})
+			}
+		}
+		a.Handle(now, messenger.Tick{})
+	}
+	if got := a.upstreams["A"].pace.timeFactor(); got != 1 {
+		t.Errorf("got a time factor of %.2f ten minutes after the last stream, want 1", got)
+	}
+}
