admitter: forget the speed of an upstream that no stream shows any more

A speed was kept for good once fewer than 80 events were known, while its time factor kept streams away. It now counts as usual a minute after enough events last showed it.

--- a/internal/admitter/pace.go
+++ b/internal/admitter/pace.go
@@ -22,6 +22,10 @@
 	// evenSpeed is the ratio to the median of the pool within which an upstream counts as
 	// one of usual speed, so that fleets of equal upstreams do not react to chance.
 	evenSpeed = 4.0 / 3
+	// speedTTL is how long a speed is used after the last time that enough events showed it. An
+	// upstream that counts as slow gets few streams, which else would never show that it has
+	// recovered.
+	speedTTL = time.Minute
 	// maxSpeedRatio bounds the ratio of an upstream's time to the median.
 	maxSpeedRatio = 6
 	// restartHoldOff is the number of updates after an upstream's restart in which its speed
@@ -67,6 +71,8 @@
 	// ownUsualGap is the time between two events while no prompt is read, as this router
 	// observes it; usualGap is the mean over all routers. Zero means unknown.
 	ownUsualGap, usualGap time.Duration
+	// ratedAt is when usualGap was last updated.
+	ratedAt time.Time
 	// factor is the time that work takes, relative to an upstream of usual speed; zero means
 	// 1.
 	factor  float64
@@ -257,6 +263,9 @@
 			p.usualGap = gap
 		}
 		p.usualGap += time.Duration(speedWeight * float64(gap-p.usualGap))
+		p.ratedAt = now
+	} else if now.Sub(p.ratedAt) > speedTTL {
+		p.usualGap = 0
 	}
 	if late >= minLateEvents && late >= pausingShare*events {
 		p.pausingUntil = now.Add(pausingTime)
