--- a/internal/dispatcher/streamtimes_test.go
+++ b/internal/dispatcher/streamtimes_test.go
@@ -47,3 +47,27 @@
 		}
 	}
 }
+
+// TestStandstillIsNoLateEvent guards against a standstill of the router's own VM that counts as a
+// late event of each of its streams, and so keeps prompts off the upstreams for a minute.
+func TestStandstillIsNoLateEvent(t *testing.T) {
+	c := newFakeCaller()
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		startStream(w, r)
+		for i := 1; i <= 3; i++ {
+			writeEvent(w, numberedEvents(i, i))
+			<-c.wrote
+		}
+	})
+	began := time.Now()
+	d := newTestDispatcher(t, Config{
+		Dialect: resendDialect{}, Upstreams: fixedUpstreams{"a": {Address: address}},
+		LastStandstill: func() Standstill { return Standstill{From: began, To: time.Now()} },
+	})
+	req := resumableStream()
+	req.Arrive.PauseLimit = time.Nanosecond
+	d.Serve(context.Background(), req, newFakeQueue("a"), c)
+	if got := d.TakeStreamTimes(); len(got) != 0 {
+		t.Errorf("got %+v, want nothing: the router stood still between all events", got)
+	}
+}
