dispatcher: a standstill of the router is no late event of an upstream

A router that was frozen reads one event of each stream late. In a small fleet, where each router has several streams at each upstream, that can reach the 3 events and 1 of 500 from which on reading is taken to delay streams, at all routers and for a minute (calculated, not measured). Times between events beyond the limit are left out if the router's VM stood still meanwhile.

--- a/internal/dispatcher/streamtimes.go
+++ b/internal/dispatcher/streamtimes.go
@@ -59,8 +59,15 @@
 		return
 	}
 	now := f.now()
-	if previous := at.stream.lastEventAt; !previous.IsZero() {
-		f.d.streamTimes.record(at.upstream, now.Sub(previous), f.req.Arrive.PauseLimit)
-	}
+	previous, limit := at.stream.lastEventAt, f.req.Arrive.PauseLimit
 	at.stream.lastEventAt = now
+	if gap := now.Sub(previous); !previous.IsZero() && (gap <= limit || !f.stoodStillSince(previous)) {
+		f.d.streamTimes.record(at.upstream, gap, limit)
+	}
+}
+
+// stoodStillSince reports whether the router's VM stood still at some time since t. What it then
+// reads late says nothing about an upstream.
+func (f *inflightRequest) stoodStillSince(t time.Time) bool {
+	return f.d.cfg.LastStandstill != nil && f.d.cfg.LastStandstill().To.After(t)
 }
