--- a/internal/admitter/pace_test.go
+++ b/internal/admitter/pace_test.go
@@ -127,9 +127,8 @@
 	if got := a.upstreams["A"].pace.timeFactor(); got < 1.8 {
 		t.Fatalf("got a time factor of %.2f of the slow engine, want about 2", got)
 	}
-	now := epoch
 	for i := range 600 { // 10 minutes
-		now = epoch.Add(time.Duration(i) * time.Second)
+		now := epoch.Add(time.Duration(i) * time.Second)
 		a.Handle(now, messenger.Arrive{Request: messenger.RequestID(100 + i), Pool: simPool, Objective: time.Second, PauseLimit: simPauseLimit})
 		for id := range a.upstreams {
 			if id != "A" {
