Test that the cold time in health answers is used

Health answers say how much longer an upstream is cold. The only probe of hosted routers, which looks whether a process lives, reads no more than the upstream's id. The test fails: no notice, where one of 456 ms is wanted.

--- a/internal/dispatcher/cold_test.go
+++ b/internal/dispatcher/cold_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -123,3 +124,32 @@
 		}
 	}
 }
+
+// coldDialect is an identifiedDialect whose upstreams say in answers how much longer they are cold.
+type coldDialect struct{ identifiedDialect }
+
+func (coldDialect) Notice(_ int, h http.Header) Notice {
+	left, err := time.ParseDuration(h.Get("X-Cold"))
+	return Notice{Leaving: true, HasCold: err == nil, Cold: left}
+}
+
+// TestHealthAnswerSaysHowLongColdIsLeft guards against health answers whose cold time is not used,
+// and against that of another upstream at the same address.
+func TestHealthAnswerSaysHowLongColdIsLeft(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Instance", "a")
+		w.Header().Set("X-Cold", "456ms")
+	})
+	notices := make(chan Notice, 8)
+	d := newTestDispatcher(t, Config{Dialect: coldDialect{}, OnNotice: func(_ messenger.UpstreamID, _ string, n Notice) { notices <- n }})
+	d.askHealth("a", address, time.Time{})
+	d.askHealth("b", address, time.Time{})
+	close(notices)
+	var got []Notice
+	for n := range notices {
+		got = append(got, n)
+	}
+	if want := []Notice{{HasCold: true, Cold: 456 * time.Millisecond}}; !slices.Equal(got, want) {
+		t.Errorf("got notices %+v, want %+v", got, want)
+	}
+}
