dispatcher: use the cold time in health answers

The health probes of hosted routers pass on how much longer an upstream is cold, if the upstream that was asked has answered. Nothing else in a health answer is used. The test passes.

--- a/internal/dispatcher/endcheck.go
+++ b/internal/dispatcher/endcheck.go
@@ -184,7 +184,13 @@
 		newConn: openedBefore.IsZero(), openedBefore: openedBefore,
 		ownsResponse: func(_ int, h http.Header, _ bool) bool { return d.dialect.AnsweredRequestID(h) == "" },
 	})
-	return status == http.StatusOK && d.dialect.AnsweringUpstream(header) == id
+	if status != http.StatusOK || d.dialect.AnsweringUpstream(header) != id {
+		return false
+	}
+	if n := d.dialect.Notice(status, header); n.HasCold {
+		d.notify(id, address, Notice{HasCold: true, Cold: n.Cold})
+	}
+	return true
 }
 
 // fetchHead sends a request and returns the head of the response after its end. The status is
