--- a/internal/router/doc.go
+++ b/internal/router/doc.go
@@ -15,7 +15,8 @@
 
 const (
 	// eventField is the log field that names the event, upstreamField the one that names the
-	// upstream concerned.
-	eventField    = "event"
-	upstreamField = "upstream"
+	// upstream concerned, rowVersionField the version of a row or table of the platform's store.
+	eventField      = "event"
+	upstreamField   = "upstream"
+	rowVersionField = "rowVersion"
 )
--- a/internal/router/evidencekeeper.go
+++ b/internal/router/evidencekeeper.go
@@ -260,7 +260,7 @@
 		return row, quarantiner.Message{}, err
 	}
 	m, err := quarantiner.DecodeRow(row.Value, row.NowMs)
-	entry := k.entry("read").WithFields(logrus.Fields{"rowVersion": row.Version, "nowMs": row.NowMs, "bytes": len(row.Value)})
+	entry := k.entry("read").WithFields(logrus.Fields{rowVersionField: row.Version, "nowMs": row.NowMs, "bytes": len(row.Value)})
 	if err != nil {
 		entry.WithError(err).Warn("row of evidence ignored")
 		return row, m, nil
@@ -284,7 +284,7 @@
 		return err
 	}
 	k.entry("written").WithFields(logrus.Fields{
-		"rowVersion": row.Version, "nowMs": row.NowMs, "bytes": len(value), "crashes": len(m.Crashes), "parts": m.ConfirmedParts(),
+		rowVersionField: row.Version, "nowMs": row.NowMs, "bytes": len(value), "crashes": len(m.Crashes), "parts": m.ConfirmedParts(),
 	}).Info("evidence written")
 	return nil
 }
--- a/internal/router/hostedcold.go
+++ b/internal/router/hostedcold.go
@@ -84,7 +84,7 @@
 		return
 	}
 	h.log.WithFields(logrus.Fields{
-		eventField: "cold", upstreamField: id, "cause": cause, "saidMs": n.Cold.Milliseconds(), "rowVersion": h.registrationVersion(id),
+		eventField: "cold", upstreamField: id, "cause": cause, "saidMs": n.Cold.Milliseconds(), rowVersionField: h.registrationVersion(id),
 	}).Info("time in which an upstream is cold has changed")
 	h.publishSnapshot(sourceUpstream)
 }
--- a/internal/router/hostedevacuation.go
+++ b/internal/router/hostedevacuation.go
@@ -35,7 +35,7 @@
 func (h *Hosted) logEvacuation(s *follower.Snapshot, domain string, emptied bool, source string) {
 	h.log.WithFields(logrus.Fields{
 		eventField: "evacuation", "domain": domain, "emptied": emptied, "upstreams": upstreamsIn(s, domain),
-		"rowVersion": h.follower.EvacuationVersion(domain), "from": source,
+		rowVersionField: h.follower.EvacuationVersion(domain), "from": source,
 	}).Info("failure domain emptied or reinstated")
 }
 
--- a/internal/router/hostedstore.go
+++ b/internal/router/hostedstore.go
@@ -79,7 +79,7 @@
 // logRejectedRows logs the rows that could not be parsed.
 func (h *Hosted) logRejectedRows() {
 	for _, r := range h.follower.TakeRejected() {
-		h.log.WithFields(logrus.Fields{eventField: "rowRejected", "table": r.Table, "key": r.Key, "rowVersion": r.Version}).
+		h.log.WithFields(logrus.Fields{eventField: "rowRejected", "table": r.Table, "key": r.Key, rowVersionField: r.Version}).
 			WithError(r.Err).Warn("row rejected")
 	}
 }
@@ -102,7 +102,7 @@
 	if before == nil || before.Table.Version() != after.Table.Version() {
 		h.log.WithFields(logrus.Fields{
 			eventField: "configuration", "version": after.Table.Version(),
-			"rowVersion": h.follower.Version(follower.ConfigurationTable), "from": source,
+			rowVersionField: h.follower.Version(follower.ConfigurationTable), "from": source,
 		}).Info("configuration applied")
 	}
 	h.logEvacuations(before, after, source)
@@ -116,8 +116,8 @@
 		}
 		h.log.WithFields(logrus.Fields{
 			eventField: "upstream", upstreamField: id, "pool": u.Pool, "address": u.Address, "leaving": u.Leaving,
-			"coldLeftMs": max(0, u.ColdUntil.Sub(h.clock.Now())).Milliseconds(),
-			"rowVersion": h.registrationVersion(id), "from": source,
+			"coldLeftMs":    max(0, u.ColdUntil.Sub(h.clock.Now())).Milliseconds(),
+			rowVersionField: h.registrationVersion(id), "from": source,
 		}).Info("upstream added or changed")
 	}
 	if before == nil {
@@ -126,7 +126,7 @@
 	for id := range before.Policy.Upstreams {
 		if _, ok := after.Policy.Upstreams[id]; !ok {
 			h.log.WithFields(logrus.Fields{
-				eventField: "upstream", upstreamField: id, "gone": true, "rowVersion": h.registrationVersion(id), "from": source,
+				eventField: "upstream", upstreamField: id, "gone": true, rowVersionField: h.registrationVersion(id), "from": source,
 			}).Info("upstream removed")
 		}
 	}
