Test the speed in messages about upstreams with many streams

A sum in a load message was cut off at 2^20. The time between events times the number of events passes that with 37 streams of one router at an upstream.

--- a/internal/admitter/pace_test.go
+++ b/internal/admitter/pace_test.go
@@ -141,3 +141,17 @@
 		t.Errorf("got a time factor of %.2f ten minutes after the last stream, want 1", got)
 	}
 }
+
+// TestPaceOfManyStreams guards against sums that are cut off in messages, each at its own number, so
+// that an upstream with many streams of one router looks faster to the others than it is.
+func TestPaceOfManyStreams(t *testing.T) {
+	a, _ := newPacedAdmitter("r", simPauseLimit)
+	u := a.upstreams["A"]
+	const streams, gap = 100, 100 * time.Millisecond
+	events := uint32(streams * paceHalfLife.Seconds() * 1.44 / gap.Seconds()) // with decay
+	u.pace.record(epoch, messenger.StreamTimes{Upstream: "A", Events: events, Shortest: gap})
+	m := u.pace.message(epoch, u.pool)
+	if got, want := float64(m.UsualMS)/float64(m.Events), gap.Seconds()*1000; got < 0.99*want || got > 1.01*want {
+		t.Errorf("got a time of %.0f ms between two events of %d streams, want %.0f", got, streams, want)
+	}
+}
