admitter: a higher bound of the sums of observed speeds in messages

The sums of 400 routers still fit into 32 bits. UsualMS, the largest, reaches the bound with 145 streams of one router at an upstream instead of 36.

--- a/internal/admitter/pace.go
+++ b/internal/admitter/pace.go
@@ -31,8 +31,9 @@
 	// restartHoldOff is the number of updates after an upstream's restart in which its speed
 	// is not derived: messages of other routers still describe the previous process.
 	restartHoldOff = 6
-	// maxPaceValue bounds one router's sums in a message.
-	maxPaceValue = 1 << 20
+	// maxPaceValue bounds one router's sums in a message, so that those of 400 routers fit into 32
+	// bits. UsualMS reaches it with 145 streams at one upstream.
+	maxPaceValue = 1 << 22
 	// maxSpeedChanges bounds the changes that nobody has taken.
 	maxSpeedChanges = 64
 	// usualGapRise and usualGapFall are the weights of an observation in the usual time
