Test that returns which credit can't admit are refused at once

docs/design/overload.md says that returns are refused at once while new requests use up the credit. The test fails: the first return is queued, though its account's credit can't reach nine tenths in the time that it may wait.

--- a/internal/admitter/returning_test.go
+++ b/internal/admitter/returning_test.go
@@ -92,3 +92,34 @@
 		t.Errorf("got %.2f of %d requests that came back served, want at least half: two thirds come between the bursts, when there is room", got, len(returned))
 	}
 }
+
+// TestReturnIsRefusedAtOnce guards against returns that are queued although their account's credit
+// can't admit them in time: each is evaluated with every tick, and they keep new requests of the
+// account out of the queue.
+func TestReturnIsRefusedAtOnce(t *testing.T) {
+	a, _ := newPacedAdmitter("r", 0)
+	account := a.shares.accountOf("flood")
+	account.capped, account.creditRate, account.credit = true, 1000, 0
+	a.pools[simPool].reservedShare = maxReserve
+	for _, u := range a.upstreams {
+		u.peerLoad.running = 40 // more than its slots
+	}
+	arrive := func(id messenger.RequestID, spentShare float64) []messenger.Action {
+		return a.Handle(epoch, messenger.Arrive{
+			Request: id, Pool: simPool, Account: "flood", Objective: time.Second, SpentShare: spentShare,
+			Work: messenger.Work{Prompt: []messenger.PromptPart{{Chain: uint64(id), Tokens: 100}}, MaxOutputTokens: 10},
+		})
+	}
+	for id := messenger.RequestID(10); id < 30; id++ {
+		actions := arrive(id, 0.9)
+		if len(actions) != 1 {
+			t.Fatalf("got return %d queued, want it refused at once", id)
+		}
+		if _, ok := actions[0].(messenger.Refuse); !ok {
+			t.Fatalf("got %+v for return %d, want a refusal", actions[0], id)
+		}
+	}
+	if actions := arrive(30, 0); len(actions) != 0 {
+		t.Errorf("got %+v for a new request, want it queued: the credit of the next %v covers it", actions[0], time.Second/8)
+	}
+}
