admitter: returns wait only for credit that admits them

Whether a request over its account's share can be served within its maximum queueing time now depends on the time that it has spent, like the charge itself, and queued requests that have spent more do not count before it. Requests that have spent nothing are decided as before, but for queued returns.

--- a/internal/admitter/refuse.go
+++ b/internal/admitter/refuse.go
@@ -40,7 +40,8 @@
 // cannotBeServed reports whether a request that was not sent cannot be served within its
 // maximum queueing time either: the request is over its account's share, almost all slots
 // are reserved for accounts within theirs, and queued requests of the same account will use
-// up the credit that accrues in that time. Without this check, a flood from one account
+// up the credit that accrues in that time. Those of the account that have spent more of their
+// time are no obstacle, as they need more credit. Without this check, a flood from one account
 // would queue thousands of requests, each evaluated again with every tick.
 func (a *Admitter) cannotBeServed(r *request) bool {
 	if !r.overShare || r.lastDenial.upstream == nil || r.lastDenial.maxWait >= 0 {
@@ -48,11 +49,11 @@
 	}
 	queuedCost := 0.0
 	for _, other := range r.pool.waiting {
-		if other.overShare && other.arrive.Account == r.arrive.Account {
+		if other.overShare && other.arrive.Account == r.arrive.Account && other.arrive.SpentShare <= r.arrive.SpentShare {
 			queuedCost += other.cost
 		}
 	}
-	return !a.shares.creditCovers(r.arrive.Account, queuedCost, r.queueDeadline.Sub(a.now))
+	return !a.shares.creditCovers(r.arrive.Account, queuedCost, r.arrive.SpentShare, r.queueDeadline.Sub(a.now))
 }
 
 // denial is the forecast for a request at the best upstream when it was not sent.
--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -160,11 +160,12 @@
 	a.servedRate += rateIncrement(cost)
 }
 
-// creditCovers reports whether the account's credit will reach a request within the given
-// wait if requests of queuedCost are charged before it.
-func (s *shares) creditCovers(id messenger.AccountID, queuedCost float64, wait time.Duration) bool {
+// creditCovers reports whether the account's credit will reach a request that has spent the given
+// fraction of its time within the given wait, if requests of queuedCost are charged before it.
+func (s *shares) creditCovers(id messenger.AccountID, queuedCost, spentShare float64, wait time.Duration) bool {
 	a := s.accountOf(id)
-	return queuedCost < a.credit+a.creditRate*(wait+shareInterval).Seconds()
+	left := a.credit + a.creditRate*(wait+shareInterval).Seconds() - queuedCost
+	return left > 0 && left >= spentShare*a.maxCredit()
 }
 
 // removeServed reverts addServed for an attempt, sent at the given time, that gave the
