--- a/internal/follower/cold.go
+++ b/internal/follower/cold.go
@@ -29,7 +29,7 @@
 	// answer has said since whether the next process is cold. started is the start time of the
 	// process that ended, returnedAt is when a process answered again; zero if none has.
 	endedAt, started, returnedAt time.Time
-	// clearedAt is when a row or an answer last said so.
+	// clearedAt is when a row or an answer last said how long the upstream is cold.
 	clearedAt time.Time
 }
 
--- a/internal/pacer/gate.go
+++ b/internal/pacer/gate.go
@@ -12,8 +12,9 @@
 	// there are, stay under the bound.
 	shareCount   = 4
 	burstPerRate = 0.3
-	// maxBurst bounds the memory of a share.
-	maxBurst = 4096
+	// maxBurst bounds the memory of a share, 6 KB. It limits the fleet to 853 requests per second to
+	// one cold upstream.
+	maxBurst = 256
 	// minWindow and maxWindow bound the window of a share.
 	minWindow = 1200 * time.Millisecond
 	maxWindow = time.Hour
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -3,11 +3,11 @@
 // limit holds without messages about single requests, and also while routers can't reach each
 // other.
 //
-// The allowed rate of each cold upstream is divided into four shares. Each share belongs to
-// the router that ranks highest for it by rendezvous hashing over the known routers, so that
-// all routers with the same list agree on the holders. Within a sliding window that is longer
-// than a second, the holder of a share sends a fixed number of requests. The numbers are
-// chosen so that the fleet stays under the bound even if one share has two holders.
+// The allowed rate of each cold upstream is divided into four shares, each the right to send
+// a fixed number of requests in each sliding window, which is longer than a second. A share
+// belongs to the router that ranks highest for it by rendezvous hashing over the known routers, so
+// that all routers with the same list agree on the holders. The numbers are chosen so that the
+// fleet stays under the bound even if one share has two holders.
 //
 // A router gains a share late and gives one up at once: a router that just started or stood
 // still has no share at first, and a router that is out of sight keeps its shares for a long
