--- a/internal/configurer/resolve.go
+++ b/internal/configurer/resolve.go
@@ -132,7 +132,7 @@
 		var p messenger.UpstreamPolicy
 		c.apply(&p)
 		for _, e := range r.exceptions {
-			if e.Upstream != nil && e.Scope.includesUpstream(id, c) {
+			if e.Upstream != nil && e.Scope.IncludesUpstream(id, c) {
 				e.Upstream.apply(&p)
 			}
 		}
@@ -168,7 +168,7 @@
 		if e.Pool != nil && (e.Scope.Pool == "" || e.Scope.Pool == p.Pool) && u.State == nil {
 			replaceIfSet(&want, e.Pool.State)
 		}
-		if e.Upstream != nil && e.Scope.includesUpstream(id, u) {
+		if e.Upstream != nil && e.Scope.IncludesUpstream(id, u) {
 			replaceIfSet(&want, e.Upstream.State)
 		}
 	}
@@ -182,9 +182,9 @@
 	}
 }
 
-// includesUpstream reports whether the scope includes an upstream. Only the pool and
+// IncludesUpstream reports whether the scope includes an upstream. Only the pool and
 // failure domain in the document count, not those set by exceptions.
-func (s Scope) includesUpstream(id messenger.UpstreamID, u UpstreamSettings) bool {
+func (s Scope) IncludesUpstream(id messenger.UpstreamID, u UpstreamSettings) bool {
 	return (s.Upstream == "" || s.Upstream == id) &&
 		(s.Pool == "" || s.Pool == u.Pool) &&
 		(s.Domain == "" || s.Domain == u.Domain)
--- a/internal/configurer/scope.go
+++ b/internal/configurer/scope.go
@@ -12,8 +12,8 @@
 	return []string{string(s.Account), string(s.Class), string(s.Pool), string(s.Upstream), string(s.Router), s.Domain}
 }
 
-// narrowedFieldCount returns how many fields restrict the scope.
-func (s Scope) narrowedFieldCount() int {
+// NarrowedFieldCount returns how many fields restrict the scope.
+func (s Scope) NarrowedFieldCount() int {
 	n := 0
 	for _, p := range s.fieldValues() {
 		if p != "" {
@@ -39,7 +39,7 @@
 func (d *Document) exceptionOrder() []string {
 	ids := sortedKeys(d.Exceptions)
 	slices.SortStableFunc(ids, func(a, b string) int {
-		return cmp.Compare(d.Exceptions[a].Scope.narrowedFieldCount(), d.Exceptions[b].Scope.narrowedFieldCount())
+		return cmp.Compare(d.Exceptions[a].Scope.NarrowedFieldCount(), d.Exceptions[b].Scope.NarrowedFieldCount())
 	})
 	return ids
 }
@@ -52,7 +52,7 @@
 		e := d.Exceptions[id]
 		for _, other := range ids[:i] {
 			o := d.Exceptions[other]
-			if e.Scope.narrowedFieldCount() != o.Scope.narrowedFieldCount() || !e.Scope.overlaps(o.Scope) {
+			if e.Scope.NarrowedFieldCount() != o.Scope.NarrowedFieldCount() || !e.Scope.overlaps(o.Scope) {
 				continue
 			}
 			for _, field := range commonFields(e, o) {
@@ -63,14 +63,14 @@
 }
 
 func commonFields(a, b Exception) []string {
-	fields, otherFields := a.fields(), b.fields()
+	fields, otherFields := a.Fields(), b.Fields()
 	maps.DeleteFunc(fields, func(name string, _ bool) bool { return !otherFields[name] })
 	return slices.Sorted(maps.Keys(fields))
 }
 
-// fields returns the names of the fields that an exception changes, such as
+// Fields returns the names of the fields that an exception changes, such as
 // "account.weight".
-func (e Exception) fields() map[string]bool {
+func (e Exception) Fields() map[string]bool {
 	names := make(map[string]bool)
 	addFields(names, "account", e.Account)
 	addFields(names, "class", e.Class)
