cli: config check FILE, against a file or the configuration in force

Cause: operators had to send a document to learn everything that config set refuses: the router's parser refuses negative precedences and null, which settings check accepts.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -15,6 +15,7 @@
 
 type configCommands struct {
 	Show    configShowCommand    `cmd:"" help:"Print the configuration in force."`
+	Check   configCheckCommand   `cmd:"" help:"Check a document before it is sent."`
 	Set     configSetCommand     `cmd:"" help:"Replace the configuration by a document."`
 	Except  configExceptCommand  `cmd:"" help:"Add, replace or remove an exception to the defaults."`
 	History configHistoryCommand `cmd:"" help:"List the newest changes."`
--- a/internal/cli/document.go
+++ b/internal/cli/document.go
@@ -13,14 +13,26 @@
 // readConfiguration checks a fleet configuration document and returns it as
 // the API takes it, with the version that it was made from.
 func readConfiguration(s *streams, file string) (json.RawMessage, uint64, error) {
-	kind, findings := loader.CheckFile(file)
-	if findings.Len() == 0 && kind != loader.KindConfiguration {
-		findings.Add("kind", "is "+string(kind), string(loader.KindConfiguration))
-	}
+	findings := checkConfiguration(file)
 	if findings.Len() > 0 {
 		fmt.Fprintln(s.err, findings.String())
 		return nil, 0, merry.Errorf("nothing was changed: %d findings in %s", findings.Len(), file)
 	}
+	return encodeConfiguration(file)
+}
+
+// checkConfiguration checks a file that must be a fleet configuration document.
+func checkConfiguration(file string) parser.Findings {
+	kind, findings := loader.CheckFile(file)
+	if findings.Len() == 0 && kind != loader.KindConfiguration {
+		findings.Add("kind", "is "+string(kind), string(loader.KindConfiguration))
+	}
+	return findings
+}
+
+// encodeConfiguration returns a document as the API takes it, with the version
+// that it was made from.
+func encodeConfiguration(file string) (json.RawMessage, uint64, error) {
 	data, findings := loader.Read(file)
 	if err := findings.Err(); err != nil {
 		return nil, 0, err
