Test that a takeover before the first write is charged

Cause: a request that goes to a second upstream while the connection to the first is still being opened needs no permit, although both may get it. Change: a test with both arrivals and a retry after them. Measured: fails, 1 arrival is charged where 2 are.

--- a/internal/dispatcher/arrival_test.go
+++ b/internal/dispatcher/arrival_test.go
@@ -159,3 +159,46 @@
 		}
 	}
 }
+
+// TestTakeoverBeforeWriteIsCharged guards against an arrival outside of the retry budget: a request
+// goes to a second upstream while the connection to the first is being opened, both get it, and the
+// retry after that uses the permit of the takeover once more.
+func TestTakeoverBeforeWriteIsCharged(t *testing.T) {
+	var arrived atomic.Int32
+	began, fail, connect := make(chan struct{}, 2), make(chan struct{}), make(chan struct{})
+	failing := func(http.ResponseWriter, *http.Request) {
+		arrived.Add(1)
+		began <- struct{}{}
+		<-fail
+		panic(http.ErrAbortHandler)
+	}
+	first, second := serve(t, failing), serve(t, failing)
+	third := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived.Add(1)
+		startStream(w, r)
+		writeEvent(w, numberedEvents(1, 1))
+	})
+	clock, budget := timekeeper.NewManual(time.Unix(1_800_000_000, 0)), &countingBudget{room: 9}
+	d := newTestDispatcher(t, Config{
+		Dialect: resendDialect{}, Clock: clock, RetryBudget: budget,
+		Upstreams: fixedUpstreams{"a": {Address: first}, "b": {Address: second}, "c": {Address: third}},
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			if address == first {
+				<-connect
+			}
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		},
+	})
+	req, done := resumableStream(), make(chan Result, 1)
+	req.Class.ProgressTimeout = time.Second
+	go func() { done <- d.Serve(context.Background(), req, newFakeQueue("a", "b", "c"), newFakeCaller()) }()
+	awaitSilence(d, clock, req.Class.ProgressTimeout)
+	<-began
+	close(connect)
+	<-began
+	close(fail)
+	res := advanceUntil(clock, 10*time.Millisecond, done)
+	if got, want := budget.used, int(arrived.Load())-1; res.Status != http.StatusOK || got != want {
+		t.Errorf("status %d, %d arrivals charged, want %d: one for each arrival beyond the first", res.Status, got, want)
+	}
+}
