dispatcher: charge a takeover before the first write to the retry budget

Cause: the permit of a takeover was kept if nothing had been sent yet. Where both upstreams got the request in the end, a retry after that used it again. Change: an attempt needs no permit only if no other one is open. Measured: TestTakeoverBeforeWriteIsCharged passes; 2 of 2 arrivals beyond the first are charged.

--- a/internal/dispatcher/arrival.go
+++ b/internal/dispatcher/arrival.go
@@ -58,9 +58,10 @@
 }
 
 // takePermit uses the permit for an attempt that is about to start, and reports whether the
-// attempt may start. The first arrival needs none.
+// attempt may start. The first arrival needs none; beside an open attempt of which nothing was
+// sent yet, it may be the second.
 func (f *inflightRequest) takePermit(at *attempt) bool {
-	if at.hedge && !at.sameUpstream || f.sends == 0 {
+	if at.hedge && !at.sameUpstream || f.sends == 0 && len(f.attempts) == 0 {
 		return true
 	}
 	if !f.hasPermit() && !f.admitArrival(arrivalDispatch, at) {
