Test that a request whose takeover is not used does not hang

Cause: the scheduler forgets a request whose Dispatch is not used, but a retry of the replaced attempt may still be waiting for its delay. Change: a test of such a Dispatch when its permit has lapsed.

--- a/internal/dispatcher/arrival_test.go
+++ b/internal/dispatcher/arrival_test.go
@@ -13,6 +13,7 @@
 
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/timekeeper"
+	"lentilwood.example/lentilwood/internal/tracker"
 )
 
 // countingBudget is a RetryBudget with room for a number of retries. Only one request uses it at a
@@ -202,3 +203,25 @@
 		t.Errorf("status %d, %d arrivals charged, want %d: one for each arrival beyond the first", res.Status, got, want)
 	}
 }
+
+// TestUnusedTakeoverEndsWaitingRetry guards against a request that hangs without an attempt: the
+// scheduler has given up a silent upstream for another one, and forgets a request whose Dispatch
+// is not used, so it answers no retry of the first one.
+func TestUnusedTakeoverEndsWaitingRetry(t *testing.T) {
+	clock := timekeeper.NewManual(time.Unix(1000, 0))
+	d := newTestDispatcher(t, Config{
+		Dialect: resendDialect{}, Clock: clock, RetryBudget: &countingBudget{}, Upstreams: fixedUpstreams{"b": {}},
+	})
+	q := newFakeQueue()
+	f := newInflightRequest(d, completion(), q, newFakeCaller())
+	at := &attempt{upstream: "a", exchange: &exchange{updated: f.exchangeUpdated}}
+	f.attempts = []*attempt{at}
+	f.track(tracker.Open)
+	f.recordSend(at)
+	f.closeAttempt(at, false)
+	f.failedAttempt, f.retryAt = at, clock.Now().Add(time.Second)
+	f.handleDispatch(context.Background(), messenger.Dispatch{Request: 1, Upstream: "b", Replaces: "a"})
+	if !f.concluded || f.failedAttempt != nil {
+		t.Errorf("concluded %v, finishes %+v, want the request to end", f.concluded, q.finishes())
+	}
+}
