dispatcher: end a request whose takeover came too late to be used

Cause: an attempt failed while its replacement was being dispatched, and waited for its retry delay. If the permit lapsed meanwhile, the Dispatch was not used, the scheduler forgot the request, and its later retry was not answered. Change: such a Dispatch ends the waiting retry and with it the request. Measured: TestUnusedTakeoverEndsWaitingRetry passes.

--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -238,6 +238,9 @@
 func (f *inflightRequest) startAttempt(a messenger.Dispatch, policy messenger.UpstreamPolicy, known bool) {
 	at := &attempt{upstream: a.Upstream, policy: policy, hedge: a.Hedge, fetchFrom: a.FetchFrom, writeBy: a.WriteBy}
 	if !f.takePermit(at) {
+		if a.Replaces != "" {
+			f.cancelRetry() // the scheduler has given up that upstream and would not answer
+		}
 		f.reportUnused(a)
 		f.endAfterUnusedDispatch(false)
 		return
