dispatcher: do not fail an attempt that a failed write has ended

Cause: if writing an event to the caller failed, the attempt was canceled; if the same bytes broke the stream, it was ended again, with a second Finish and a problem that nobody gets. Change: the handling of events stops once the request has ended. Measured: TestFailedWriteEndsAttemptOnce passes.

--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -156,6 +156,9 @@
 	}
 	first := len(out) > 0 && f.result.FirstOutputAt.IsZero()
 	f.deliver(at, out)
+	if f.concluded { // the caller has disconnected
+		return false
+	}
 	f.lastEvent, f.hasLastEvent = s.lastEventID, s.hasLastEventID
 	at.countedTokens += float64(count)
 	if count > 0 {
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -121,6 +121,9 @@
 		at.recordProgress(f.now(), f.progressTimeout())
 	}
 	f.deliver(at, out)
+	if f.concluded { // the caller has disconnected
+		return false
+	}
 	if tokens > 0 {
 		f.reportProgress(at, float64(tokens))
 	}
