Test that a response is recorded after a failed write to the caller

Cause: completeAttempt keeps the response for the record after it has been written, and a failed write ends the request before that. Change: a test with a request that has an idempotency key. Measured: fails, the record has no status and no body.

--- a/internal/dispatcher/callerwrite_test.go
+++ b/internal/dispatcher/callerwrite_test.go
@@ -5,6 +5,9 @@
 	"net"
 	"net/http"
 	"testing"
+
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/recorder"
 )
 
 // closedCaller is a caller whose connection fails at the first write of a body.
@@ -32,3 +35,36 @@
 		})
 	}
 }
+
+// keyRecorder is a Recorder that grants every claim.
+type keyRecorder struct{ outcomes chan recorder.Outcome }
+
+func (keyRecorder) Claim(context.Context, recorder.Request) (recorder.Claim, error) {
+	return recorder.Claim{Status: recorder.Claimed}, nil
+}
+
+func (r keyRecorder) RecordOutcome(_ context.Context, _ recorder.Claim, o recorder.Outcome) error {
+	r.outcomes <- o
+	return nil
+}
+
+func (keyRecorder) Release(context.Context, recorder.Claim) error { return nil }
+
+// TestOutcomeIsRecordedAfterFailedWrite guards against losing a response that was received
+// completely: its caller has disconnected, and a repeat with the same key would get no response.
+func TestOutcomeIsRecordedAfterFailedWrite(t *testing.T) {
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		echoID(w, r)
+		w.WriteHeader(http.StatusCreated)
+		_, _ = w.Write([]byte("reserved"))
+	})
+	rec := keyRecorder{outcomes: make(chan recorder.Outcome, 1)}
+	d := newTestDispatcher(t, Config{Recorder: rec, Upstreams: fixedUpstreams{"a": {Address: addr}}})
+	req := reservation()
+	req.Key = "k1"
+	res := d.Serve(context.Background(), req, newFakeQueue("a"), closedCaller{newFakeCaller()})
+	got := <-rec.outcomes
+	if got.Status != http.StatusCreated || string(got.Body) != "reserved" || got.Unknown || res.Run != messenger.StateRun {
+		t.Errorf("recorded %+v, run %q, want the response", got, res.Run)
+	}
+}
