dispatcher: record a response although writing it to the caller fails

Cause: the failed write ended the request before the response was kept, so that repeats with the same idempotency key were told that the outcome is unknown. Change: the response is kept before it is written. Measured: TestOutcomeIsRecordedAfterFailedWrite passes.

--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -230,6 +230,7 @@
 	f.relay.Reserve(-cap(at.buffered))
 	f.result.Upstream, f.result.Tokens = at.upstream, at.tokens()
 	f.reportFinish(at.upstream, at.tokens(), false, false)
+	f.saveResponse(at) // before the write: if that fails, it ends the request
 	if !f.callerGone {
 		if !f.responseStarted {
 			f.writeHead(at, len(at.buffered))
@@ -237,7 +238,6 @@
 		f.relay.Push(at.buffered)
 		f.flushRelay()
 	}
-	f.saveResponse(at)
 	f.conclude(tracker.Complete)
 }
 
