dispatcher: set the deadline for the end of a body before the connection is reused

Cause: a connection could get the read deadline of its last response after it was back in the pool, and a response there that took over 1 s broke off. One whose reading was paused at that time was neither read nor closed. Change: both are done under the lock of the exchange, and a pause ends. Measured: TestLingerLeavesReusedConnectionAlone and TestLingerEndsPause pass.

--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -181,12 +181,15 @@
 // response is complete for the caller, so that the connection can be reused.
 func (x *exchange) linger() {
 	x.mu.Lock()
+	defer x.mu.Unlock()
 	x.lingering = true
 	x.takeBody()
-	linger := x.control.linger
-	x.mu.Unlock()
-	if linger != nil {
-		linger()
+	if x.control.linger != nil {
+		x.control.linger() // under the lock, so that the connection still belongs to the exchange
+	}
+	if x.paused && x.control.resume != nil {
+		x.paused = false
+		x.control.resume()
 	}
 }
 
