dispatcher: charge the unfinished events of all open attempts

Cause: the end of one attempt released the charge for the unfinished event that another one still held. Change: the sum over the open attempts is charged. Measured: TestUnfinishedEventStaysCharged passes.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -361,13 +361,13 @@
 	f.cancelProbe(at)
 	f.cancelExchange(at)
 	f.relay.Reserve(-cap(at.buffered))
-	f.relay.SetEvent(0)
 	for i, open := range f.attempts {
 		if open == at {
 			f.attempts = append(f.attempts[:i], f.attempts[i+1:]...)
 			break
 		}
 	}
+	f.chargeEvents()
 	if !at.sent {
 		f.returnPermit(at)
 		f.track(tracker.Unsent)
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -148,7 +148,7 @@
 	if count > 0 {
 		s.bytesSinceEvent = 0
 	}
-	ok = ok && s.bytesSinceEvent <= maxEventBytes && f.relay.SetEvent(cap(s.splitter.rest))
+	ok = ok && s.bytesSinceEvent <= maxEventBytes && f.chargeEvents()
 	if at.replaced && count > 0 {
 		f.keepReplaced(at)
 	} else if at.replaced {
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -127,7 +127,7 @@
 	if tokens > 0 {
 		f.reportProgress(at, float64(tokens))
 	}
-	ok = ok && f.relay.SetEvent(cap(at.stream.splitter.rest))
+	ok = ok && f.chargeEvents()
 	if !ok || at.stream.broken {
 		at.stream.broken = false
 		f.attemptFailed(at, ProblemStreamBroken, true)
@@ -136,6 +136,18 @@
 	return true
 }
 
+// chargeEvents charges the unfinished events of all open attempts. It returns false if there is no
+// room for them.
+func (f *inflightRequest) chargeEvents() bool {
+	n := 0
+	for _, at := range f.attempts {
+		if at.stream != nil {
+			n += cap(at.stream.splitter.rest)
+		}
+	}
+	return f.relay.SetEvent(n)
+}
+
 // filterEvent returns the bytes of an event to relay and whether the event is a token. An
 // event that was relayed before a resume is dropped. An event that does not follow the
 // last one breaks the stream.
