Test that a short standstill does not replace a longer one

Cause: only the last standstill is kept. The end of a connection that the longer one before hid arrives later, and counts as noticed in time. Change: a test of two standstills; Standstill.HidesUntil, which it needs.

--- a/internal/dispatcher/standstill.go
+++ b/internal/dispatcher/standstill.go
@@ -19,10 +19,14 @@
 // Standstill is a time during which the router's VM did not run. The zero value means none.
 type Standstill struct{ From, To time.Time }
 
+// HidesUntil returns until when the end of a connection that happened during the standstill may be
+// received. TCP repeats what was lost after at most as long again.
+func (s Standstill) HidesUntil() time.Time { return s.To.Add(s.To.Sub(s.From)) }
+
 // mayHide reports whether the end of a connection that was received at t may have happened
-// during the standstill. TCP repeats what was lost after at most as long again.
+// during the standstill.
 func (s Standstill) mayHide(t time.Time) bool {
-	return !s.To.IsZero() && !t.After(s.To.Add(s.To.Sub(s.From)))
+	return !s.To.IsZero() && !t.After(s.HidesUntil())
 }
 
 // noteStandstill records a standstill of the router's VM that the request's timer shows, or
--- a/internal/router/standstill_test.go
+++ b/internal/router/standstill_test.go
@@ -30,3 +30,19 @@
 		t.Errorf("after the next tick: %v, want %v", got, want)
 	}
 }
+
+// TestShorterStandstillKeepsLongerOne guards against taking a truncated response for a complete
+// one: after a standstill of 3.5 s, the end of a connection may arrive as late as 3.5 s after it,
+// also if a short standstill follows.
+func TestShorterStandstillKeepsLongerOne(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	var s standstills
+	s.recordTick(start)
+	for _, ms := range []int{3500, 3510, 3900, 3910} { // the last standstill is from 3510 to 3900
+		s.recordTick(start.Add(time.Duration(ms) * time.Millisecond))
+	}
+	got := s.last(start.Add(3920 * time.Millisecond))
+	if want := start.Add(7 * time.Second); !got.HidesUntil().Equal(want) {
+		t.Errorf("ends may be hidden until %v after the start, want %v", got.HidesUntil().Sub(start), want.Sub(start))
+	}
+}
