A short standstill no longer hides a longer one from the check of ends

Cause: the end of a connection that a standstill of 3.5 s hid may be received up to 3.5 s after it. A standstill of 0.3 s meanwhile replaced the longer one, so that a truncated response counted as proven complete. Change: a standstill keeps until when earlier ones may hide an end.

--- a/internal/dispatcher/endcheck.go
+++ b/internal/dispatcher/endcheck.go
@@ -69,7 +69,7 @@
 		return "registration gone"
 	case e.endedAt.IsZero():
 		return "time of the end unknown"
-	case e.standstill.From.Before(e.health.answeredAt) && e.standstill.mayHide(e.endedAt):
+	case e.standstill.mayHide(e.endedAt, e.health.answeredAt):
 		return "router stood still"
 	case e.health.answeredAt.Sub(e.endedAt) > maxUnseenRestart:
 		return "end noticed late"
@@ -97,7 +97,7 @@
 		return
 	}
 	now := f.now()
-	if !f.lastStandstill().mayHide(now) && at.exchange.isConnOpen() {
+	if !f.lastStandstill().mayHide(now, now) && at.exchange.isConnOpen() {
 		at.openUntil = now
 	}
 	if at.witnessed || now.Sub(at.headAt) < witnessDelay {
--- a/internal/dispatcher/endcheck_test.go
+++ b/internal/dispatcher/endcheck_test.go
@@ -337,6 +337,8 @@
 	older.olderConn = true
 	late.answeredAt = end.Add(2 * time.Second)
 	frozen := Standstill{From: end.Add(-time.Second), To: end.Add(time.Second)}
+	twice := Standstill{From: end.Add(-4 * time.Second), To: end.Add(-2 * time.Second)}.Then(end.Add(-1500*time.Millisecond), end.Add(-time.Second))
+	twoApart := Standstill{From: end.Add(-4 * time.Second), To: end.Add(-2 * time.Second)}.Then(end.Add(time.Second), end.Add(1500*time.Millisecond))
 	for _, tc := range []struct {
 		name string
 		e    endEvidence
@@ -354,6 +356,8 @@
 		{"end repeated after a standstill", endEvidence{current: sent, health: answer, endedAt: end, standstill: Standstill{From: end.Add(-3 * time.Second), To: end.Add(-time.Second)}}, "router stood still"},
 		{"standstill after the health answer", endEvidence{current: sent, health: answer, endedAt: end, standstill: Standstill{From: end.Add(time.Second), To: end.Add(2 * time.Second)}}, ""},
 		{"end after a standstill", endEvidence{current: sent, health: answer, endedAt: end, standstill: Standstill{From: end.Add(-4 * time.Second), To: end.Add(-3 * time.Second)}}, ""},
+		{"end repeated after a standstill that a shorter one followed", endEvidence{current: sent, health: answer, endedAt: end, standstill: twice}, "router stood still"},
+		{"end repeated after a standstill that one after the health answer followed", endEvidence{current: sent, health: answer, endedAt: end, standstill: twoApart}, "router stood still"},
 		{"end during a standstill, older connection", endEvidence{current: sent, health: older, endedAt: end, standstill: frozen}, ""},
 	} {
 		tc.e.sent = sent
--- a/internal/dispatcher/standstill.go
+++ b/internal/dispatcher/standstill.go
@@ -17,16 +17,39 @@
 )
 
 // Standstill is a time during which the router's VM did not run. The zero value means none.
-type Standstill struct{ From, To time.Time }
+type Standstill struct {
+	From, To time.Time
+	// earlierHidesUntil is the latest HidesUntil of the standstills before.
+	earlierHidesUntil time.Time
+}
 
-// HidesUntil returns until when the end of a connection that happened during the standstill may be
-// received. TCP repeats what was lost after at most as long again.
-func (s Standstill) HidesUntil() time.Time { return s.To.Add(s.To.Sub(s.From)) }
+// Then returns the standstill that follows s, or continues it if both begin at the same time.
+func (s Standstill) Then(from, to time.Time) Standstill {
+	next := Standstill{From: from, To: to, earlierHidesUntil: s.HidesUntil()}
+	if from.Equal(s.From) {
+		next.earlierHidesUntil = s.earlierHidesUntil
+	}
+	return next
+}
+
+// HidesUntil returns until when the end of a connection that happened during the standstill, or one
+// before it, may be received. TCP repeats what was lost after at most as long again.
+func (s Standstill) HidesUntil() time.Time {
+	until := s.To.Add(s.To.Sub(s.From))
+	if s.earlierHidesUntil.After(until) {
+		return s.earlierHidesUntil
+	}
+	return until
+}
 
 // mayHide reports whether the end of a connection that was received at t may have happened
-// during the standstill.
-func (s Standstill) mayHide(t time.Time) bool {
-	return !s.To.IsZero() && !t.After(s.HidesUntil())
+// during a standstill that began before now.
+func (s Standstill) mayHide(t, now time.Time) bool {
+	until := s.HidesUntil()
+	if !s.From.Before(now) {
+		until = s.earlierHidesUntil
+	}
+	return !until.IsZero() && !t.After(until)
 }
 
 // noteStandstill records a standstill of the router's VM that the request's timer shows, or
--- a/internal/router/standstill.go
+++ b/internal/router/standstill.go
@@ -37,6 +37,6 @@
 
 func (s *standstills) update(now time.Time) {
 	if !s.lastTick.IsZero() && now.Sub(s.lastTick) >= minStandstill {
-		s.recorded = dispatcher.Standstill{From: s.lastTick, To: now}
+		s.recorded = s.recorded.Then(s.lastTick, now)
 	}
 }
