Test that a stream without event ids is not begun anew

Cause: where no event had an id, a stream that broke off was sent to another upstream without a last event id, and all of it was passed on. Change: a test with two upstreams.

--- a/internal/dispatcher/eventnumbers_test.go
+++ b/internal/dispatcher/eventnumbers_test.go
@@ -42,3 +42,25 @@
 		t.Errorf("got %q, aborted %v, want %q", got, res.Aborted, text)
 	}
 }
+
+// TestUnnumberedStreamIsNotSentTwice guards against events that the caller gets twice: a stream
+// whose events have no ids breaks off, and another upstream would begin it anew.
+func TestUnnumberedStreamIsNotSentTwice(t *testing.T) {
+	first := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		startStream(w, r)
+		writeEvent(w, "data: a\n\n")
+		panic(http.ErrAbortHandler)
+	})
+	second := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		startStream(w, r)
+		writeEvent(w, "data: a\n\ndata: b\n\n")
+	})
+	d := newTestDispatcher(t, Config{
+		Dialect: resendDialect{}, Upstreams: fixedUpstreams{"a": {Address: first}, "b": {Address: second}},
+	})
+	c := newFakeCaller()
+	res := d.Serve(context.Background(), resumableStream(), newFakeQueue("a", "b"), c)
+	if got, want := c.text(), "data: a\n\n"; got != want || !res.Aborted {
+		t.Errorf("response = %q, aborted %v, want %q, aborted", got, res.Aborted, want)
+	}
+}
