dispatcher: do not send a stream again after events without an id

Cause: without the id of the last event, another upstream begins the stream anew, and the caller got events twice in a response that ended as complete. Change: after such events no other upstream is asked for; a stream that breaks off is aborted.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -316,7 +316,7 @@
 
 // mayRetry reports whether the request may be sent to another upstream.
 func (f *inflightRequest) mayRetry() bool {
-	if f.callerGone || f.deadlinePassed() || len(f.attempts) > 1 || f.retries+1 >= f.d.cfg.MaxAttempts {
+	if f.callerGone || f.unnumbered || f.deadlinePassed() || len(f.attempts) > 1 || f.retries+1 >= f.d.cfg.MaxAttempts {
 		return false
 	}
 	if f.req.MaxSends > 0 && f.sends >= f.req.MaxSends {
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -59,6 +59,9 @@
 	// hasLastEvent is set.
 	lastEvent    uint64
 	hasLastEvent bool
+	// unnumbered is true if the caller received events of which none had an id. No other upstream
+	// can continue after them.
+	unnumbered bool
 
 	// deadline is when the caller stops waiting. Zero means that there is no deadline, or
 	// that it has passed and handleDeadline has handled it.
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -124,7 +124,7 @@
 // current one is silent.
 func (f *inflightRequest) mayFailOver() bool {
 	return (f.req.Arrive.Idempotent || f.req.Resumable) && len(f.attempts) == 1 &&
-		(f.req.Resumable || !f.outcome.Delivered()) && !f.callerGone && !f.deadlinePassed() && f.retries+1 < f.d.cfg.MaxAttempts &&
+		(f.req.Resumable || !f.outcome.Delivered()) && !f.unnumbered && !f.callerGone && !f.deadlinePassed() && f.retries+1 < f.d.cfg.MaxAttempts &&
 		(f.req.MaxSends == 0 || f.sends < f.req.MaxSends)
 }
 
@@ -160,6 +160,7 @@
 		return false
 	}
 	f.lastEvent, f.hasLastEvent = s.lastEventID, s.hasLastEventID
+	f.unnumbered = !s.hasLastEventID && (f.unnumbered || count > 0)
 	at.countedTokens += float64(count)
 	if count > 0 {
 		f.reportOutput(at)
