--- a/internal/dispatcher/arrival_test.go
+++ b/internal/dispatcher/arrival_test.go
@@ -13,6 +13,7 @@
 
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/timekeeper"
+	"lentilwood.example/lentilwood/internal/tracker"
 )
 
 // countingBudget is a RetryBudget with room for a number of retries. Only one request uses it at a
@@ -159,3 +160,68 @@
 		}
 	}
 }
+
+// TestTakeoverBeforeWriteIsCharged guards against an arrival outside of the retry budget: a request
+// goes to a second upstream while the connection to the first is being opened, both get it, and the
+// retry after that uses the permit of the takeover once more.
+func TestTakeoverBeforeWriteIsCharged(t *testing.T) {
+	var arrived atomic.Int32
+	began, fail, connect := make(chan struct{}, 2), make(chan struct{}), make(chan struct{})
+	failing := func(http.ResponseWriter, *http.Request) {
+		arrived.Add(1)
+		began <- struct{}{}
+		<-fail
+		panic(http.ErrAbortHandler)
+	}
+	first, second := serve(t, failing), serve(t, failing)
+	third := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived.Add(1)
+		startStream(w, r)
+		writeEvent(w, numberedEvents(1, 1))
+	})
+	clock, budget := timekeeper.NewManual(time.Unix(1_800_000_000, 0)), &countingBudget{room: 9}
+	d := newTestDispatcher(t, Config{
+		Dialect: resendDialect{}, Clock: clock, RetryBudget: budget,
+		Upstreams: fixedUpstreams{"a": {Address: first}, "b": {Address: second}, "c": {Address: third}},
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			if address == first {
+				<-connect
+			}
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		},
+	})
+	req, done := resumableStream(), make(chan Result, 1)
+	req.Class.ProgressTimeout = time.Second
+	go func() { done <- d.Serve(context.Background(), req, newFakeQueue("a", "b", "c"), newFakeCaller()) }()
+	awaitSilence(d, clock, req.Class.ProgressTimeout)
+	<-began
+	close(connect)
+	<-began
+	close(fail)
+	res := advanceUntil(clock, 10*time.Millisecond, done)
+	if got, want := budget.used, int(arrived.Load())-1; res.Status != http.StatusOK || got != want {
+		t.Errorf("status %d, %d arrivals charged, want %d: one for each arrival beyond the first", res.Status, got, want)
+	}
+}
+
+// TestUnusedTakeoverEndsWaitingRetry guards against a request that hangs without an attempt: the
+// scheduler has given up a silent upstream for another one, and forgets a request whose Dispatch
+// is not used, so it answers no retry of the first one.
+func TestUnusedTakeoverEndsWaitingRetry(t *testing.T) {
+	clock := timekeeper.NewManual(time.Unix(1000, 0))
+	d := newTestDispatcher(t, Config{
+		Dialect: resendDialect{}, Clock: clock, RetryBudget: &countingBudget{}, Upstreams: fixedUpstreams{"b": {}},
+	})
+	q := newFakeQueue()
+	f := newInflightRequest(d, completion(), q, newFakeCaller())
+	at := &attempt{upstream: "a", exchange: &exchange{updated: f.exchangeUpdated}}
+	f.attempts = []*attempt{at}
+	f.track(tracker.Open)
+	f.recordSend(at)
+	f.closeAttempt(at, false)
+	f.failedAttempt, f.retryAt = at, clock.Now().Add(time.Second)
+	f.handleDispatch(context.Background(), messenger.Dispatch{Request: 1, Upstream: "b", Replaces: "a"})
+	if !f.concluded || f.failedAttempt != nil {
+		t.Errorf("concluded %v, finishes %+v, want the request to end", f.concluded, q.finishes())
+	}
+}
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -316,7 +316,7 @@
 
 // mayRetry reports whether the request may be sent to another upstream.
 func (f *inflightRequest) mayRetry() bool {
-	if f.callerGone || f.deadlinePassed() || len(f.attempts) > 1 || f.retries+1 >= f.d.cfg.MaxAttempts {
+	if f.callerGone || f.unnumbered || f.deadlinePassed() || len(f.attempts) > 1 || f.retries+1 >= f.d.cfg.MaxAttempts {
 		return false
 	}
 	if f.req.MaxSends > 0 && f.sends >= f.req.MaxSends {
@@ -361,13 +361,13 @@
 	f.cancelProbe(at)
 	f.cancelExchange(at)
 	f.relay.Reserve(-cap(at.buffered))
-	f.relay.SetEvent(0)
 	for i, open := range f.attempts {
 		if open == at {
 			f.attempts = append(f.attempts[:i], f.attempts[i+1:]...)
 			break
 		}
 	}
+	f.chargeEvents()
 	if !at.sent {
 		f.returnPermit(at)
 		f.track(tracker.Unsent)
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -59,6 +59,9 @@
 	// hasLastEvent is set.
 	lastEvent    uint64
 	hasLastEvent bool
+	// unnumbered is true if the caller received events of which none had an id. No other upstream
+	// can continue after them.
+	unnumbered bool
 
 	// deadline is when the caller stops waiting. Zero means that there is no deadline, or
 	// that it has passed and handleDeadline has handled it.
@@ -238,6 +241,9 @@
 func (f *inflightRequest) startAttempt(a messenger.Dispatch, policy messenger.UpstreamPolicy, known bool) {
 	at := &attempt{upstream: a.Upstream, policy: policy, hedge: a.Hedge, fetchFrom: a.FetchFrom, writeBy: a.WriteBy}
 	if !f.takePermit(at) {
+		if a.Replaces != "" {
+			f.cancelRetry() // the scheduler has given up that upstream and would not answer
+		}
 		f.reportUnused(a)
 		f.endAfterUnusedDispatch(false)
 		return
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -124,7 +124,7 @@
 // current one is silent.
 func (f *inflightRequest) mayFailOver() bool {
 	return (f.req.Arrive.Idempotent || f.req.Resumable) && len(f.attempts) == 1 &&
-		(f.req.Resumable || !f.outcome.Delivered()) && !f.callerGone && !f.deadlinePassed() && f.retries+1 < f.d.cfg.MaxAttempts &&
+		(f.req.Resumable || !f.outcome.Delivered()) && !f.unnumbered && !f.callerGone && !f.deadlinePassed() && f.retries+1 < f.d.cfg.MaxAttempts &&
 		(f.req.MaxSends == 0 || f.sends < f.req.MaxSends)
 }
 
@@ -148,7 +148,7 @@
 	if count > 0 {
 		s.bytesSinceEvent = 0
 	}
-	ok = ok && s.bytesSinceEvent <= maxEventBytes && f.relay.SetEvent(cap(s.splitter.rest))
+	ok = ok && s.bytesSinceEvent <= maxEventBytes && f.chargeEvents()
 	if at.replaced && count > 0 {
 		f.keepReplaced(at)
 	} else if at.replaced {
@@ -156,7 +156,11 @@
 	}
 	first := len(out) > 0 && f.result.FirstOutputAt.IsZero()
 	f.deliver(at, out)
+	if f.concluded { // the caller has disconnected
+		return false
+	}
 	f.lastEvent, f.hasLastEvent = s.lastEventID, s.hasLastEventID
+	f.unnumbered = !s.hasLastEventID && (f.unnumbered || count > 0)
 	at.countedTokens += float64(count)
 	if count > 0 {
 		f.reportOutput(at)
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -121,10 +121,13 @@
 		at.recordProgress(f.now(), f.progressTimeout())
 	}
 	f.deliver(at, out)
+	if f.concluded { // the caller has disconnected
+		return false
+	}
 	if tokens > 0 {
 		f.reportProgress(at, float64(tokens))
 	}
-	ok = ok && f.relay.SetEvent(cap(at.stream.splitter.rest))
+	ok = ok && f.chargeEvents()
 	if !ok || at.stream.broken {
 		at.stream.broken = false
 		f.attemptFailed(at, ProblemStreamBroken, true)
@@ -133,6 +136,18 @@
 	return true
 }
 
+// chargeEvents charges the unfinished events of all open attempts. It returns false if there is no
+// room for them.
+func (f *inflightRequest) chargeEvents() bool {
+	n := 0
+	for _, at := range f.attempts {
+		if at.stream != nil {
+			n += cap(at.stream.splitter.rest)
+		}
+	}
+	return f.relay.SetEvent(n)
+}
+
 // filterEvent returns the bytes of an event to relay and whether the event is a token. An
 // event that was relayed before a resume is dropped. An event that does not follow the
 // last one breaks the stream.
@@ -227,6 +242,7 @@
 	f.relay.Reserve(-cap(at.buffered))
 	f.result.Upstream, f.result.Tokens = at.upstream, at.tokens()
 	f.reportFinish(at.upstream, at.tokens(), false, false)
+	f.saveResponse(at) // before the write: if that fails, it ends the request
 	if !f.callerGone {
 		if !f.responseStarted {
 			f.writeHead(at, len(at.buffered))
@@ -234,7 +250,6 @@
 		f.relay.Push(at.buffered)
 		f.flushRelay()
 	}
-	f.saveResponse(at)
 	f.conclude(tracker.Complete)
 }
 
