--- a/internal/dispatcher/arrival.go
+++ b/internal/dispatcher/arrival.go
@@ -28,24 +28,24 @@
 	arrivalMove   arrivalKind = "move"
 )
 
-// permitTTL is how long an admitted retry can be used. One that is used later would arrive in a
+// retryPermitTTL is how long an admitted retry can be used. One that is used later would arrive in a
 // window in which it does not count. The budget of the hosted routers leaves 30% for that:
 // what is charged in 14 s then is at most 0.98 of what may arrive in the window of 10 s.
-const permitTTL = 4 * time.Second
+const retryPermitTTL = 4 * time.Second
 
 // isCharged reports whether arrivals of this kind count against the retry budget. Requesting the
 // rest of a stream starts no run, so it does not.
 func (k arrivalKind) isCharged() bool { return k != arrivalResume && k != arrivalMove }
 
 // admitArrival decides whether the request may reach an upstream once more. Each arrival beyond
-// the first passes here, except hedges, which have a budget of their own. A retry is taken from
+// the first passes here when it is asked for, and takeRetryPermit when its attempt starts, except hedges, which have a budget of their own. A retry is taken from
 // the budget unless an earlier one was not used. at is the attempt that it follows.
 func (f *inflightRequest) admitArrival(kind arrivalKind, at *attempt) bool {
-	charged := kind.isCharged() && !f.hasPermit() && f.d.spendRetry(f.req.Arrive.Pool)
+	charged := kind.isCharged() && !f.hasRetryPermit() && f.d.spendRetry(f.req.Arrive.Pool)
 	if charged {
-		f.permitted = f.now()
+		f.retryPermit = f.now()
 	}
-	admitted := !kind.isCharged() || f.hasPermit()
+	admitted := !kind.isCharged() || f.hasRetryPermit()
 	entry := f.log("resend").WithFields(logrus.Fields{
 		"kind": kind, "admitted": admitted, "charged": charged,
 		"sends": f.sends, "lastEvent": f.lastEvent, "run": f.outcome.RunState(),
@@ -57,31 +57,31 @@
 	return admitted
 }
 
-// takePermit uses the permit for an attempt that is about to start, and reports whether the
+// takeRetryPermit uses the permit for an attempt that is about to start, and reports whether the
 // attempt may start. The first arrival needs none; beside an open attempt of which nothing was
 // sent yet, it may be the second.
-func (f *inflightRequest) takePermit(at *attempt) bool {
+func (f *inflightRequest) takeRetryPermit(at *attempt) bool {
 	if at.hedge && !at.sameUpstream || f.sends == 0 && len(f.attempts) == 0 {
 		return true
 	}
-	if !f.hasPermit() && !f.admitArrival(arrivalDispatch, at) {
+	if !f.hasRetryPermit() && !f.admitArrival(arrivalDispatch, at) {
 		return false
 	}
-	f.permitted, at.permitted = time.Time{}, f.permitted
+	f.retryPermit, at.retryPermit = time.Time{}, f.retryPermit
 	return true
 }
 
-// returnPermit gives back the permit of an attempt of which nothing was sent.
-func (f *inflightRequest) returnPermit(at *attempt) {
-	if at.permitted.After(f.permitted) {
-		f.permitted = at.permitted
+// returnRetryPermit gives back the permit of an attempt of which nothing was sent.
+func (f *inflightRequest) returnRetryPermit(at *attempt) {
+	if at.retryPermit.After(f.retryPermit) {
+		f.retryPermit = at.retryPermit
 	}
-	at.permitted = time.Time{}
+	at.retryPermit = time.Time{}
 }
 
-// hasPermit reports whether an admitted retry can be used.
-func (f *inflightRequest) hasPermit() bool {
-	return !f.permitted.IsZero() && f.now().Sub(f.permitted) < permitTTL
+// hasRetryPermit reports whether an admitted retry can be used.
+func (f *inflightRequest) hasRetryPermit() bool {
+	return !f.retryPermit.IsZero() && f.now().Sub(f.retryPermit) < retryPermitTTL
 }
 
 // resendOnNewConnection sends the request to the same upstream again if its kept connection broke
@@ -93,7 +93,7 @@
 // for requests that may run twice. Where it is certain that nothing arrived, the transport has
 // used another connection already, see connTransport.sendRequest.
 func (f *inflightRequest) resendOnNewConnection(at *attempt, u exchangeUpdate) bool {
-	askedForOther := f.hasPermit() || len(f.attempts) > 1
+	askedForOther := f.hasRetryPermit() || len(f.attempts) > 1
 	if !u.unanswered || askedForOther || !f.req.Arrive.Idempotent || f.callerGone || !f.outcome.MaySend() {
 		return false
 	}
@@ -103,7 +103,7 @@
 	}
 	f.closeAttempt(at, false)
 	again := &attempt{upstream: at.upstream, policy: at.policy, hedge: at.hedge, fetchFrom: at.fetchFrom, sameUpstream: true}
-	f.takePermit(again)
+	f.takeRetryPermit(again)
 	f.openAttempt(again, true)
 	return true
 }
--- a/internal/dispatcher/arrival_test.go
+++ b/internal/dispatcher/arrival_test.go
@@ -155,7 +155,7 @@
 		at := &attempt{upstream: "a"}
 		f.admitArrival(arrivalFailover, at)
 		clock.Advance(tt.wait)
-		if !f.takePermit(at) || budget.used != tt.used {
+		if !f.takeRetryPermit(at) || budget.used != tt.used {
 			t.Errorf("%d charged for an arrival %v after its admission, want %d", budget.used, tt.wait, tt.used)
 		}
 	}
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -45,8 +45,9 @@
 	// resuming is true while the rest of the stream is being requested.
 	resuming bool
 	resumes  int
-	// permitted is when a retry was taken from the budget for the attempt; zero if none was.
-	permitted time.Time
+	// retryPermit is when the retry that the attempt uses was taken from the budget; zero if it uses
+	// none. It is given back if nothing is sent.
+	retryPermit time.Time
 	// retryDenied is true if the budget had no room for an arrival after the attempt.
 	retryDenied bool
 	// sameUpstream is true if the request is sent to the upstream of the attempt before.
@@ -70,8 +71,8 @@
 	// that the engine reports.
 	countedTokens, reportedTokens float64
 
-	// replaced is true while another attempt is to take over. Its slot is then already freed.
-	replaced bool
+	// beingReplaced is true while another attempt is to take over. Its slot is then already freed.
+	beingReplaced bool
 
 	// move is the transfer of the stream to another engine in progress. moved is true
 	// once the stream comes from that engine. nextMoveAt is when the next transfer may
@@ -209,8 +210,8 @@
 		at.stream = f.newStream(at)
 	}
 	switch {
-	case at.replaced && at.stream != nil: // only an event shows that the upstream goes on
-	case at.replaced:
+	case at.beingReplaced && at.stream != nil: // only an event shows that the upstream goes on
+	case at.beingReplaced:
 		f.keepReplaced(at)
 	case f.outcome.State() != tracker.Answered:
 		f.selectAttempt(at)
@@ -271,16 +272,6 @@
 	return f.d.traits.AllowsCloseDelimited && (at.stream == nil || at.countedTokens > 0)
 }
 
-// endUnwrittenAttempt ends an attempt whose request was not written because the caller
-// had disconnected.
-func (f *inflightRequest) endUnwrittenAttempt(at *attempt) {
-	f.closeAttempt(at, false)
-	f.reportFinish(at.upstream, 0, false, false)
-	if !f.callerGone {
-		f.handleCallerGone()
-	}
-}
-
 // attemptFailed handles an attempt that did not yield a complete response: it resumes the
 // stream, retries, or ends the request. If resumable is false, it does not try to resume.
 func (f *inflightRequest) attemptFailed(at *attempt, problem string, resumable bool) {
@@ -346,53 +337,6 @@
 	f.reportFinish(at.upstream, at.tokens(), !at.upstreamWithdrawn(), true)
 }
 
-// cancelAttempt ends an attempt whose response is not needed and frees its slot.
-func (f *inflightRequest) cancelAttempt(at *attempt) {
-	if at.selected && f.outcome.State() == tracker.Answered {
-		f.track(tracker.Break)
-	}
-	f.closeAttempt(at, true)
-	f.reportEnd(at, false)
-}
-
-// closeAttempt ends the exchanges of an attempt. If cancel is true, an engine is sent a
-// request to stop the stream.
-func (f *inflightRequest) closeAttempt(at *attempt, cancel bool) {
-	f.cancelProbe(at)
-	f.cancelExchange(at)
-	f.relay.Reserve(-cap(at.buffered))
-	for i, open := range f.attempts {
-		if open == at {
-			f.attempts = append(f.attempts[:i], f.attempts[i+1:]...)
-			break
-		}
-	}
-	f.chargeEvents()
-	if !at.sent {
-		f.returnPermit(at)
-		f.track(tracker.Unsent)
-		return
-	}
-	if at.declined {
-		f.track(tracker.Reject)
-	} else {
-		f.track(tracker.Fail)
-	}
-	if cancel && at.policy.Engine && !f.d.traits.CloseCancels {
-		f.d.cancelStream(at.policy.Address, f.req.WireID)
-	}
-}
-
-// cancelExchange cancels the exchange of an attempt. Its connection is reused only if the
-// response was complete.
-func (f *inflightRequest) cancelExchange(at *attempt) {
-	sent := at.exchange.cancel()
-	f.d.live.remove(at.policy.Address, at.exchange)
-	if sent && !at.sent {
-		f.recordSend(at)
-	}
-}
-
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -42,9 +42,9 @@
 	retryAt       time.Time
 	failedAttempt *attempt
 	retries       int
-	// permitted is when a retry was taken from the budget that no attempt has used yet; zero if
+	// retryPermit is when a retry was taken from the budget that no attempt has used yet; zero if
 	// there is none. It is set while the scheduler is asked for another upstream.
-	permitted time.Time
+	retryPermit time.Time
 	// takeoverCheckAt is when to check next how long a replaced attempt and the one that is to
 	// take over have both been open.
 	takeoverCheckAt time.Time
@@ -240,7 +240,7 @@
 // unknown.
 func (f *inflightRequest) startAttempt(a messenger.Dispatch, policy messenger.UpstreamPolicy, known bool) {
 	at := &attempt{upstream: a.Upstream, policy: policy, hedge: a.Hedge, fetchFrom: a.FetchFrom, writeBy: a.WriteBy}
-	if !f.takePermit(at) {
+	if !f.takeRetryPermit(at) {
 		if a.Replaces != "" {
 			f.cancelRetry() // the scheduler has given up that upstream and would not answer
 		}
@@ -304,65 +304,6 @@
 	return !f.deadline.IsZero() && !f.now().Before(f.deadline)
 }
 
-// handleCallerGone handles a disconnected caller. It cancels the work, except for
-// requests that must not be repeated: their outcome is still worth recording.
-func (f *inflightRequest) handleCallerGone() {
-	f.callerGone = true
-	if f.concluded {
-		f.result.CallerGone = f.result.CallerGone || f.relay.HasQueued()
-		f.result.Aborted = f.result.Aborted || f.relay.HasQueued()
-		return
-	}
-	f.result.CallerGone, f.result.Aborted = true, true
-	f.d.counters.CallersGone.Add(1)
-	if f.pendingDispatch != nil {
-		return
-	}
-	if len(f.attempts) == 0 && f.failedAttempt == nil {
-		f.queue.Notify(messenger.Abandon{Request: f.req.ID})
-		f.conclude(tracker.Refuse)
-		return
-	}
-	if f.continuesWithoutCaller() {
-		return
-	}
-	f.cancelAllAttempts()
-	f.conclude(tracker.Refuse)
-}
-
-// continuesWithoutCaller reports whether the attempts continue after the caller is gone.
-func (f *inflightRequest) continuesWithoutCaller() bool {
-	for _, at := range f.attempts {
-		if !f.req.Arrive.Idempotent && !at.policy.Engine && !f.d.traits.CloseCancels {
-			return true
-		}
-	}
-	return false
-}
-
-// shutDown ends the request because the router is shutting down.
-func (f *inflightRequest) shutDown() {
-	if f.concluded {
-		f.callerGone = true
-		f.result.Aborted = f.result.Aborted || f.relay.HasQueued()
-		return
-	}
-	f.withdraw()
-	f.fail(ProblemShuttingDown)
-}
-
-// withdraw takes the request out of the scheduler's queue and cancels its attempts.
-func (f *inflightRequest) withdraw() {
-	if len(f.attempts) == 0 && f.failedAttempt == nil && f.pendingDispatch == nil {
-		f.queue.Notify(messenger.Abandon{Request: f.req.ID})
-	}
-	if f.pendingDispatch != nil {
-		f.reportFinish(f.pendingDispatch.Upstream, 0, false, false)
-		f.pendingDispatch = nil
-	}
-	f.cancelAllAttempts()
-}
-
 // cancelAllAttempts cancels every open attempt and frees its slot.
 func (f *inflightRequest) cancelAllAttempts() {
 	f.cancelRetry()
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -149,9 +149,9 @@
 		s.bytesSinceEvent = 0
 	}
 	ok = ok && s.bytesSinceEvent <= maxEventBytes && f.chargeEvents()
-	if at.replaced && count > 0 {
+	if at.beingReplaced && count > 0 {
 		f.keepReplaced(at)
-	} else if at.replaced {
+	} else if at.beingReplaced {
 		out = nil // nothing but events shows that the upstream goes on
 	}
 	first := len(out) > 0 && f.result.FirstOutputAt.IsZero()
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -69,7 +69,7 @@
 	if at.stream != nil {
 		return f.handleEvents(at, p)
 	}
-	if at.replaced {
+	if at.beingReplaced {
 		f.keepReplaced(at)
 	}
 	if len(at.buffered)+len(p) > f.d.cfg.MaxResponseBytes {
@@ -223,7 +223,7 @@
 
 // completeAttempt relays a complete response and frees the slot.
 func (f *inflightRequest) completeAttempt(at *attempt) {
-	if at.replaced {
+	if at.beingReplaced {
 		f.keepReplaced(at)
 	}
 	f.cancelOtherAttempts(at)
--- a/internal/dispatcher/takeover.go
+++ b/internal/dispatcher/takeover.go
@@ -31,7 +31,7 @@
 	}
 	f.retries++
 	f.takeoverCheckAt = f.now().Add(takeoverWindow)
-	old.replaced = true
+	old.beingReplaced = true
 	if old.selected && f.outcome.State() == tracker.Answered {
 		f.track(tracker.Break)
 	}
@@ -52,7 +52,7 @@
 // replacedAttempt returns the open attempt that another one is to replace, or nil.
 func (f *inflightRequest) replacedAttempt() *attempt {
 	for _, at := range f.attempts {
-		if at.replaced {
+		if at.beingReplaced {
 			return at
 		}
 	}
@@ -72,10 +72,10 @@
 // reportEnd reports the end of an attempt that is not retried. If it was to replace another
 // one, the request goes on there. The slot of a replaced attempt was freed before.
 func (f *inflightRequest) reportEnd(at *attempt, failed bool) {
-	if at.replaced {
+	if at.beingReplaced {
 		return
 	}
-	f.reportReturn(messenger.Finish{Upstream: at.upstream, Tokens: at.tokens(), Failed: failed})
+	f.returnToReplaced(messenger.Finish{Upstream: at.upstream, Tokens: at.tokens(), Failed: failed})
 }
 
 // reportUnused reports that a Dispatch was not used.
@@ -84,14 +84,14 @@
 	if a.Replaces != "" && f.attemptAt(a.Replaces) != nil {
 		finish.ContinuesAt = a.Replaces
 	}
-	f.reportReturn(finish)
+	f.returnToReplaced(finish)
 }
 
-// reportReturn reports a Finish after which the replaced attempt, if there is one, is the
-// request's only attempt again.
-func (f *inflightRequest) reportReturn(finish messenger.Finish) {
+// returnToReplaced makes the replaced attempt, if there is one, the request's only attempt again,
+// and reports the Finish of the other one.
+func (f *inflightRequest) returnToReplaced(finish messenger.Finish) {
 	if old := f.replacedAttempt(); old != nil {
-		old.replaced = false
+		old.beingReplaced = false
 		finish.ContinuesAt = old.upstream
 		f.log("takeoverEnded").WithField("upstream", finish.Upstream).WithField("continuesAt", old.upstream).
 			WithField("failed", finish.Failed).Info("request goes on at its previous upstream")
