--- a/internal/listener/chunks.go
+++ b/internal/listener/chunks.go
@@ -92,10 +92,7 @@
 	}
 	size := 0
 	for i := range len(digits) {
-		value := bytes.IndexByte([]byte("0123456789abcdef"), digits[i]|0x20)
-		if digits[i] >= '0' && digits[i] <= '9' {
-			value = int(digits[i] - '0')
-		}
+		value := hexValue(digits[i])
 		if value < 0 {
 			return 0, malformed("A chunk's size is not a hexadecimal number.")
 		}
@@ -103,3 +100,16 @@
 	}
 	return size, nil
 }
+
+// hexValue returns the value of a hexadecimal digit, or -1.
+func hexValue(c byte) int {
+	switch {
+	case c >= '0' && c <= '9':
+		return int(c - '0')
+	case c >= 'a' && c <= 'f':
+		return int(c-'a') + 10
+	case c >= 'A' && c <= 'F':
+		return int(c-'A') + 10
+	}
+	return -1
+}
