listener: a test that a chunked body of 72 KB counts as small

It fails: while the buffer of a body in chunks doubles from 64 to 128 KB, the connection holds more than SmallBytes (192 KB), so that an ordinary request is refused as a large one.

--- a/internal/listener/memory_test.go
+++ b/internal/listener/memory_test.go
@@ -147,3 +147,23 @@
 		t.Errorf("shed: got %d, want 1", g.Shed())
 	}
 }
+
+// TestChunkedBodyOfTheSheetsIsSmall guards against an ordinary request in chunks that is refused
+// as a large one because its buffer doubles beyond SmallBytes.
+func TestChunkedBodyOfTheSheetsIsSmall(t *testing.T) {
+	g := governor.New(governor.Config{TotalBytes: 50 << 20})
+	g.Squeeze(true)
+	l, err := Start(Config{Name: "test", Address: "127.0.0.1:0", Memory: g, Handler: func(c *Caller, _ *http.Request) {
+		_, _ = fmt.Fprintf(c, "%d bytes", len(c.Body()))
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.stop)
+	const size = 72 << 10
+	head := "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\nX: " + strings.Repeat("x", 15<<10) + "\r\n\r\n"
+	got := exchangeRaw(t, l, head+chunked(strings.Repeat("x", 1<<10), size>>10)+"0\r\n\r\n", true)
+	if want := fmt.Sprintf("%d bytes", size); !strings.Contains(got, want) {
+		t.Errorf("got %.200q, want %q", got, want)
+	}
+}
