--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -29,9 +29,9 @@
 const (
 	// DefaultTotalBytes is used where neither a setting nor the memory of the machine is known.
 	DefaultTotalBytes = 256 << 20
-	// DefaultSmallBytes has room for the largest body on the present sheets, 72 KB, twice, as it
-	// is copied when its buffer grows, and for its head.
-	DefaultSmallBytes = 192 << 10
+	// DefaultSmallBytes has room for the largest body on the present sheets, 72 KB, three times, as
+	// the buffer of a body in chunks doubles while the old one is copied, and for a head of 16 KB.
+	DefaultSmallBytes = 256 << 10
 )
 
 // Shares of Config.TotalBytes. The rest above largePercent is for small holders; from
