governor: a test that arriving small requests are spared

It fails: while running requests and answers take more than 80% of the account, every unfinished request is chosen, down to those of 72 KB that have been arriving for 20 ms. They can't relieve the account, and a fifth of it is free for them.

--- a/internal/governor/governor_test.go
+++ b/internal/governor/governor_test.go
@@ -101,3 +101,22 @@
 		t.Errorf("after a large body found no room: got %v, want %v", got, want)
 	}
 }
+
+// TestArrivingSmallRequestsAreSpared guards against ordinary requests that are all refused while
+// running requests and answers take most of the account: to shed them gives no room.
+func TestArrivingSmallRequestsAreSpared(t *testing.T) {
+	g := New(Config{TotalBytes: 100 * mb})
+	g.Charge(KindAnswers, 85*mb)
+	candidates := []Candidate{
+		{Index: 0, Bytes: 72 << 10, Age: 20 * time.Millisecond},
+		{Index: 1, Bytes: 72 << 10, Age: time.Second, Idle: stallTime},
+		{Index: 2, Bytes: mb, Age: time.Second},
+	}
+	if got, want := g.ChooseShed(time.Unix(1000, 0), candidates), []int{1, 2}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	g.Charge(KindAnswers, 14*mb)
+	if got, want := g.ChooseShed(time.Unix(1001, 0), candidates), []int{1, 2, 0}; !slices.Equal(got, want) {
+		t.Errorf("almost full: got %v, want %v", got, want)
+	}
+}
