governor: spare small requests that still arrive

Shedding ended all unfinished requests whenever running requests and answers held more than 80% of the account. Small ones that still arrive are now shed only above 90%, and only as many as bring it back there.

--- a/internal/governor/decision.go
+++ b/internal/governor/decision.go
@@ -89,8 +89,11 @@
 	// shedInterval is the shortest time between two choices, so that connections chosen last
 	// have ended and released what they held.
 	shedInterval = 100 * time.Millisecond
-	// relievedPercent of the total is what shedding leaves in use under pressure.
-	relievedPercent = 70
+	// relievedPercent of the total is what shedding leaves in use under pressure. Small requests
+	// that still arrive are shed only down to spareSmallPercent: where running requests and answers
+	// take the account, shedding them all would not relieve it.
+	relievedPercent   = 70
+	spareSmallPercent = 90
 )
 
 // Candidate is a connection that is receiving an unfinished request.
@@ -110,10 +113,11 @@
 func (c Candidate) cost() float64 { return float64(c.Bytes) * c.Age.Seconds() }
 
 // ChooseShed returns the candidates to shed, by Index. Under pressure these are as many as
-// relieve the account: first those that have stopped, then those that cost most. Without
-// pressure, if a large request found no room, they are all large ones that have stopped, so that
-// these don't keep the room for large requests until they time out. It returns nil if candidates
-// were chosen within the last shedInterval.
+// relieve the account: first those that have stopped, then those that cost most; small ones that
+// still arrive only while the account is almost full. Without pressure, if a large request found
+// no room, they are all large ones that have stopped, so that these don't keep the room for large
+// requests until they time out. It returns nil if candidates were chosen within the last
+// shedInterval.
 func (g *Governor) ChooseShed(now time.Time, candidates []Candidate) []int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -128,7 +132,7 @@
 		})
 	}
 	g.largeRefused.Store(false)
-	chosen := choose(candidates, excess)
+	chosen := g.cfg.choose(candidates, excess)
 	if len(chosen) > 0 {
 		g.shedAt = now
 		g.shed.Add(uint64(len(chosen)))
@@ -136,8 +140,8 @@
 	return chosen
 }
 
-// choose returns candidates that hold at least the excess together, or all of them.
-func choose(candidates []Candidate, excess int64) []int {
+// choose returns candidates that hold at least the excess together, or all that may be shed.
+func (c *Config) choose(candidates []Candidate, excess int64) []int {
 	sorted := slices.Clone(candidates)
 	slices.SortFunc(sorted, func(a, b Candidate) int {
 		if a.Stopped() != b.Stopped() {
@@ -148,13 +152,18 @@
 		}
 		return cmp.Compare(b.cost(), a.cost())
 	})
+	spared := c.TotalBytes * (spareSmallPercent - relievedPercent) / percent
 	var chosen []int
-	for _, c := range sorted {
-		if excess <= 0 {
-			break
+	for _, next := range sorted {
+		bound := int64(0)
+		if next.Bytes <= c.SmallBytes && !next.Stopped() {
+			bound = spared
 		}
-		excess -= c.Bytes
-		chosen = append(chosen, c.Index)
+		if excess <= bound {
+			continue
+		}
+		excess -= next.Bytes
+		chosen = append(chosen, next.Index)
 	}
 	return chosen
 }
