governor: a test that closed connections count for their client

It fails: an address whose last connection is closed is forgotten although requests of that connection still run, so that the next connection starts with an empty bound.

--- a/internal/governor/governor_test.go
+++ b/internal/governor/governor_test.go
@@ -120,3 +120,25 @@
 		t.Errorf("almost full: got %v, want %v", got, want)
 	}
 }
+
+// TestClosedConnectionCountsForItsClient guards against a client that passes its bound by closing
+// connections whose requests still run.
+func TestClosedConnectionCountsForItsClient(t *testing.T) {
+	g := New(Config{TotalBytes: 100 * mb, ClientBytes: 10 * mb})
+	first := g.Open("a")
+	first.Grow(8 * mb)
+	first.Close()
+	second := g.Open("a")
+	if got := second.Grow(4 * mb); got != OverClient {
+		t.Errorf("got %v, want %v", got, OverClient)
+	}
+	first.Shrink(8 * mb)
+	if got := second.Grow(4 * mb); got != Admitted {
+		t.Errorf("after the request has ended: got %v, want %v", got, Admitted)
+	}
+	second.Shrink(4 * mb)
+	second.Close()
+	if g.Clients() != 0 {
+		t.Errorf("got %d clients, want none", g.Clients())
+	}
+}
