governor: a closed connection counts for its client until it holds nothing

An address was forgotten with its last connection, also while requests of it still ran. It is now forgotten when nothing is charged to it any more. TestClosedConnectionCountsForItsClient passes.

--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -86,6 +86,7 @@
 
 // client sums the large holders of one client address.
 type client struct {
+	// conns counts the connections that are open or hold something.
 	conns int
 	large atomic.Int64
 }
@@ -157,7 +158,7 @@
 	return &Holder{g: g, client: c, address: address}
 }
 
-// Clients returns the number of addresses with an open Holder.
+// Clients returns the number of addresses with a Holder that is open or holds something.
 func (g *Governor) Clients() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -170,8 +171,9 @@
 	client  *client
 	address string
 	// bytes is what the connection holds.
-	bytes  atomic.Int64
-	closed atomic.Bool
+	bytes atomic.Int64
+	// closed is set by Close, forgotten once the client has one connection less.
+	closed, forgotten atomic.Bool
 }
 
 // Bytes returns what the connection holds.
@@ -227,11 +229,24 @@
 		h.client.large.Add(large)
 	}
 	h.g.Charge(KindRequests, n)
+	if after == 0 {
+		h.forgetIfEnded()
+	}
 }
 
-// Close ends the connection. What was not released yet stays charged until it is.
+// Close ends the connection. What was not released yet stays charged until it is, also to the
+// client.
 func (h *Holder) Close() {
-	if h == nil || h.closed.Swap(true) {
+	if h == nil {
+		return
+	}
+	h.closed.Store(true)
+	h.forgetIfEnded()
+}
+
+// forgetIfEnded forgets the connection once it is closed and holds nothing.
+func (h *Holder) forgetIfEnded() {
+	if !h.closed.Load() || h.bytes.Load() != 0 || h.forgotten.Swap(true) {
 		return
 	}
 	h.g.mu.Lock()
