listener: no panic if a connection closes while a head is taken in

The request that is received is dropped by the goroutine that closes the connection. startBody read it a second time after reserve and used it without a check, so that a close between the two made the poller's goroutine dereference nil. Found by reading; there is no test, as nothing can be made to happen between the two statements.

--- a/internal/listener/serverconn.go
+++ b/internal/listener/serverconn.go
@@ -241,7 +241,9 @@
 		sc.completeRequest(raw)
 		return
 	}
-	sc.receiving.Load().setHead(raw)
+	if b := sc.receiving.Load(); b != nil { // nil if the connection was closed meanwhile
+		b.setHead(raw)
+	}
 	if h.expectContinue {
 		sc.sendContinue()
 	}
