listener: a test that a body behind a running request is shed

It fails: a connection whose earlier request still runs is no candidate, and its timeout (408) is queued behind that request. So an unfinished body keeps its room as long as the request before it runs, and one client can keep large requests of all others out for that time.

--- a/internal/listener/memory_test.go
+++ b/internal/listener/memory_test.go
@@ -167,3 +167,45 @@
 		t.Errorf("got %.200q, want %q", got, want)
 	}
 }
+
+// TestBodyBehindRunningRequestIsShed guards against clients whose unfinished body follows a
+// request that still runs: it kept the room of others as long as that request ran.
+func TestBodyBehindRunningRequestIsShed(t *testing.T) {
+	release := make(chan struct{})
+	l, g := startWithMemory(t, 4<<20, func(c *Caller, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+		_, _ = io.WriteString(c, "served")
+	})
+	conn, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close() //nolint:errcheck // a test
+	const post = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n"
+	_, _ = io.WriteString(conn, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n"+fmt.Sprintf(post, 1_000_000)+"\r\n"+strings.Repeat("x", 990_000))
+	for g.UsedBytes() < 990_000 {
+		time.Sleep(time.Millisecond)
+	}
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		got := exchangeRaw(t, l, fmt.Sprintf(post, 1_000_000)+"Connection: close\r\n\r\n"+strings.Repeat("y", 1_000_000), true)
+		if strings.Contains(got, "served") {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Error("the body kept its room while the request before it ran")
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	// The request before it is answered, and the body is refused and does not run.
+	close(release)
+	_, _ = io.WriteString(conn, strings.Repeat("x", 10_000)+"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second)) // ends a test whose connection stays open
+	answer, _ := io.ReadAll(conn)
+	if got := string(answer); strings.Count(got, "served") != 1 || !strings.Contains(got, "HTTP/1.1 503 ") {
+		t.Errorf("got %q, want one answer and then 503", got)
+	}
+}
