listener: shed bodies behind running requests

Shedding passed over connections whose earlier request still runs, and a timeout behind one kept what was received. Both now release it at once; what follows on the connection is discarded, and the refusal is sent after the earlier answers. An earlier answer that is not sent yet is no longer cut by the close that follows the refusal. TestBodyBehindRunningRequestIsShed passes.

--- a/internal/listener/serverconn.go
+++ b/internal/listener/serverconn.go
@@ -68,6 +68,8 @@
 	// arrives, or nil; it is dropped when the connection closes.
 	holder    *governor.Holder
 	receiving atomic.Pointer[requestBytes]
+	// abandoned is true once the request that arrives was refused by the sweeper.
+	abandoned atomic.Bool
 	// receivedBytes counts the bytes of bodies.
 	receivedBytes atomic.Int64
 
@@ -149,6 +151,9 @@
 	if !sc.initialized.Load() {
 		return net.ErrClosed
 	}
+	if sc.abandoned.Load() {
+		sc.stopReading()
+	}
 	for len(data) > 0 {
 		switch sc.state {
 		case stateHead:
@@ -277,9 +282,7 @@
 	if sc.state == stateRejected {
 		return
 	}
-	sc.state = stateRejected
-	sc.partial = nil
-	sc.dropReceiving()
+	sc.stopReading()
 	sc.l.cfg.OnRejected(p.kind)
 	sc.l.cfg.Log.WithFields(map[string]any{
 		"port": sc.l.cfg.Name, "remote": sc.nbc.RemoteAddr().String(), "status": p.status, "problem": p.kind,
@@ -290,6 +293,13 @@
 	})
 }
 
+// stopReading makes the connection discard what it receives from now on.
+func (sc *serverConn) stopReading() {
+	sc.state = stateRejected
+	sc.partial = nil
+	sc.dropReceiving()
+}
+
 func (sc *serverConn) sendContinue() {
 	sc.mu.Lock()
 	idle := !sc.running
--- a/internal/listener/shedder.go
+++ b/internal/listener/shedder.go
@@ -41,34 +41,45 @@
 	}
 }
 
-// candidate describes the request that the connection is receiving. ok is false if there is none
-// or an earlier request on the connection still runs.
+// candidate describes the request that the connection is receiving. ok is false if there is none.
 func (sc *serverConn) candidate(now time.Time) (c governor.Candidate, ok bool) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	if sc.running || sc.closing || sc.readingSince.IsZero() {
+	b := sc.receiving.Load()
+	if b == nil || sc.closing || sc.readingSince.IsZero() {
 		return c, false
 	}
 	progressAt := sc.readingSince
 	if sc.lastReceivedAt.After(progressAt) {
 		progressAt = sc.lastReceivedAt
 	}
-	return governor.Candidate{Bytes: sc.holder.Bytes(), Age: now.Sub(sc.readingSince), Idle: now.Sub(progressAt)}, true
+	return governor.Candidate{Bytes: b.charged.Load(), Age: now.Sub(sc.readingSince), Idle: now.Sub(progressAt)}, true
 }
 
 // shed refuses the request that the connection is receiving and closes the connection. A request
-// that completes at this moment is queued behind the refusal and dropped.
+// that completes at this moment is queued behind the refusal and dropped. Requests before it are
+// answered first.
 func (sc *serverConn) shed() {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	if sc.running || sc.closing || sc.readingSince.IsZero() {
+	if sc.closing || sc.readingSince.IsZero() {
 		return
 	}
+	answering := sc.running || sc.pendingBytes() > 0
 	sc.l.cfg.OnRejected(problemNoRoom.kind)
 	sc.enqueue(job{run: func() {
 		sc.requestClose(causeShed)
 		_, _ = sc.parser.Conn.Write(problemNoRoom.response())
-		sc.dropReceiving()
-		sc.closeNow(causeShed)
+		if !answering { // an earlier answer that is not sent yet would be lost
+			sc.closeNow(causeShed)
+		}
 	}})
+	sc.abandonRequest()
+}
+
+// abandonRequest releases the request that the connection is receiving, after its refusal was
+// queued. The bytes that follow are discarded.
+func (sc *serverConn) abandonRequest() {
+	sc.abandoned.Store(true)
+	sc.dropReceiving()
 }
--- a/internal/listener/sweeper.go
+++ b/internal/listener/sweeper.go
@@ -57,11 +57,16 @@
 
 // timeOutRequest answers a request that was not received within ReadTimeout. It queues the
 // response while holding sc.mu, which the caller has locked: if the request's last bytes
-// arrive at this moment, the request is queued behind the response and dropped.
+// arrive at this moment, the request is queued behind the response and dropped. Behind a request
+// that still runs the response may wait for long, so what was received is released at once.
 func (sc *serverConn) timeOutRequest() {
+	answering := sc.running
 	sc.l.cfg.OnRejected(problemTimeout.kind)
 	sc.enqueue(job{run: func() {
 		sc.requestClose(causeTimeout)
 		_, _ = sc.parser.Conn.Write(problemTimeout.response())
 	}})
+	if answering {
+		sc.abandonRequest()
+	}
 }
