listener: a test that a refusal reaches the sender of a legal body

It fails after a few requests: after 256 KB beyond the refusal the connection is closed with bytes unread, and the client gets a reset before it reads the answer.

--- a/internal/listener/memory_test.go
+++ b/internal/listener/memory_test.go
@@ -209,3 +209,21 @@
 		t.Errorf("got %q, want one answer and then 503", got)
 	}
 }
+
+// TestRefusalReachesSenderOfLegalBody guards against refusals that are lost: a connection on which
+// a client goes on sending was closed at once, so that half of the callers saw a reset, which
+// proves nothing, in place of 503.
+func TestRefusalReachesSenderOfLegalBody(t *testing.T) {
+	l, g := startWithMemory(t, 4<<20, nil)
+	g.Squeeze(true)
+	for i := range 50 {
+		resp, err := http.Post("http://"+l.Addr(), "text/plain", strings.NewReader(strings.Repeat("x", 900_000)))
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		if resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("request %d: got status %d, want 503", i, resp.StatusCode)
+		}
+		_ = resp.Body.Close()
+	}
+}
