listener: read as much after a refusal as a legal body has

After a refusal 256 KB were read, then the connection was closed with the answer unsent or unread. It is now MaxBodyBytes if that is more; nothing of it is kept.

--- a/internal/listener/body.go
+++ b/internal/listener/body.go
@@ -19,9 +19,10 @@
 	// received and in the parsed fields.
 	headFixedCost = 4 << 10
 	headCopies    = 2
-	// maxDiscardBytes is how much is read from a client after its request was rejected. One that
-	// sends more has its connection closed, and may lose the answer.
-	maxDiscardBytes = 256 << 10
+	// minDiscardBytes and Config.MaxBodyBytes, whichever is more, are read from a client after its
+	// request was rejected, so that one that sends its whole body before it reads gets the answer.
+	// One that sends more has its connection closed, and may lose the answer.
+	minDiscardBytes = 256 << 10
 )
 
 // headCost is what a request with a head of n bytes is charged before its body.
@@ -167,7 +168,7 @@
 // goes on sending.
 func (sc *serverConn) discard(n int) {
 	sc.discardedBytes += n
-	if sc.discardedBytes > maxDiscardBytes {
+	if sc.discardedBytes > max(minDiscardBytes, sc.l.cfg.MaxBodyBytes) {
 		sc.closeNow(causeUnwanted)
 	}
 }
--- a/internal/listener/memory_test.go
+++ b/internal/listener/memory_test.go
@@ -69,7 +69,7 @@
 		post + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 5) + "z\r\n":                                                                          true,
 		post + "X: " + strings.Repeat("x", 9000):                                                                                                          false,
 		post + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 20):                                                                                   true,
-		post + "Content-Length: 99999999\r\n\r\n" + strings.Repeat("x", 2*maxDiscardBytes):                                                                false,
+		post + "Content-Length: 99999999\r\n\r\n" + strings.Repeat("x", 2<<20):                                                                            false,
 		"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n":                                                                                          true,
 		post + "Expect: 100-continue\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc":                                                                true,
 		post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcX":                                                                                              true,
