governor: a test that slow large bodies are shed

It fails: a request counts as stopped only if it has brought no byte for 750 ms. One byte every 700 ms keeps 60% of the account, and with it the room of all large requests, until the read timeout (30 s where the settings name none), as there is no pressure below 80%.

--- a/internal/governor/governor_test.go
+++ b/internal/governor/governor_test.go
@@ -142,3 +142,18 @@
 		t.Errorf("got %d clients, want none", g.Clients())
 	}
 }
+
+// TestSlowLargeBodiesAreShed guards against clients that send a byte of a large body now and then:
+// they never stop, and kept others out until the read timeout, which is 30 s by default.
+func TestSlowLargeBodiesAreShed(t *testing.T) {
+	g := New(Config{TotalBytes: 10 * mb})
+	g.Charge(KindRequests, 6*mb)
+	g.Open("a").Grow(mb)
+	candidates := []Candidate{
+		{Index: 0, Bytes: 3 * mb, Age: 3500 * time.Millisecond, Idle: 100 * time.Millisecond},
+		{Index: 1, Bytes: 3 * mb, Age: 2900 * time.Millisecond, Idle: 100 * time.Millisecond},
+	}
+	if got, want := g.ChooseShed(time.Unix(1000, 0), candidates), []int{0}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
