governor: requests that arrive for more than 3 s count as stopped

A client could keep its room by sending a byte now and then. The specified limits let a request arrive within 3 s.

--- a/internal/governor/decision.go
+++ b/internal/governor/decision.go
@@ -84,8 +84,10 @@
 
 const (
 	// stallTime is how long an unfinished request may bring no byte before it counts as
-	// stopped. It is well below the 3 s in which a request arrives.
-	stallTime = 750 * time.Millisecond
+	// stopped. It is well below arrivalLimit, within which a request arrives by the specified
+	// limits; one that takes longer counts as stopped, however often it brings a byte.
+	stallTime    = 750 * time.Millisecond
+	arrivalLimit = 3 * time.Second
 	// shedInterval is the shortest time between two choices, so that connections chosen last
 	// have ended and released what they held.
 	shedInterval = 100 * time.Millisecond
@@ -105,8 +107,8 @@
 	Age, Idle time.Duration
 }
 
-// Stopped reports whether the request has stopped short of its end.
-func (c Candidate) Stopped() bool { return c.Idle >= stallTime }
+// Stopped reports whether the request has stopped short of its end, or arrives too slowly.
+func (c Candidate) Stopped() bool { return c.Idle >= stallTime || c.Age > arrivalLimit }
 
 // cost is the memory that a connection holds times the time that it has held it. It is high for
 // slow connections and for those that hold most.
