router: a test that an old clearing keeps a new verdict

It fails: a router that leaves the writing to others remembers the parts that were cleared without end. When it writes another verdict later, it takes a part that was confirmed again since out of the row.

--- a/internal/router/evidencekeeper_test.go
+++ b/internal/router/evidencekeeper_test.go
@@ -155,3 +155,29 @@
 		}
 	}
 }
+
+// TestOldClearingKeepsNewVerdict guards against a router that removes a verdict of others from the
+// row because it saw the part cleared long before the crashes of that verdict.
+func TestOldClearingKeepsNewVerdict(t *testing.T) {
+	s := &faultyEvidence{Manual: timekeeper.NewManual(time.Unix(1_800_000_000, 0))}
+	k, other := s.newKeeper(), s.newKeeper()
+	k.setRouters(1 << 30) // leaves the writing to others
+	k.confirm(1)
+	k.quarantine.Observe(quarantiner.Output{Parts: []messenger.ContentID{1}})
+	s.Advance(time.Hour)
+	k.quarantine.tick()
+	other.confirm(1)
+	if err := other.sync(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	k.setRouters(1)
+	k.confirm(2)
+	if err := k.sync(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	later := s.newKeeper()
+	_ = later.sync(context.Background())
+	if got, want := fmt.Sprint(later.quarantine.quarantined()), "[1 2]"; got != want {
+		t.Errorf("stored %s, want %s", got, want)
+	}
+}
