router: a clearing of a part counts only for crashes before it

The parts that were cleared since the last writing were cleared in the whole row, whenever their crashes happened. The time of the clearing is now kept and compared with that of each crash. TestOldClearingKeepsNewVerdict passes.

--- a/internal/quarantiner/row.go
+++ b/internal/quarantiner/row.go
@@ -64,20 +64,33 @@
 	return slices.Compact(parts)
 }
 
-// Combine returns what a row is to hold, given what it holds, this router's verdicts and the parts
-// that were cleared since. changed is true if the verdicts in the row become other ones; only
-// then need it be written.
-func Combine(now time.Time, stored, own Message, cleared []messenger.ContentID) (combined Message, changed bool) {
+// Combine returns what a row is to hold, given what it holds, this router's verdicts and when parts
+// were cleared since. changed is true if the verdicts in the row become other ones; only then need
+// it be written.
+func Combine(now time.Time, stored, own Message, cleared map[messenger.ContentID]time.Time) (combined Message, changed bool) {
 	var t Table
-	t.Merge(now, stored)
+	t.Merge(now, withCleared(now, stored, cleared))
 	t.Merge(now, own)
-	for _, part := range cleared {
-		t.clear(part)
-	}
 	combined = t.Verdicts(now)
 	return combined, !slices.Equal(stored.ConfirmedParts(), combined.ConfirmedParts())
 }
 
+// withCleared returns m with the parts cleared in the crashes that happened before their clearing.
+func withCleared(now time.Time, m Message, cleared map[messenger.ContentID]time.Time) Message {
+	m.Crashes = slices.Clone(m.Crashes)
+	for i := range m.Crashes {
+		c := &m.Crashes[i]
+		at := now.Add(-time.Duration(c.AgeMs) * time.Millisecond)
+		c.Suspects = slices.Clone(c.Suspects)
+		for j := range c.Suspects {
+			if clearedAt, ok := cleared[c.Suspects[j].Part]; ok && !at.After(clearedAt) {
+				c.Suspects[j].Cleared = true
+			}
+		}
+	}
+	return m
+}
+
 // EncodeRow returns the value of a row with the evidence; nowMs is the time of the store. If it
 // would be too large, suspects that are not confirmed are left out, and then the oldest crashes.
 func EncodeRow(m Message, nowMs int64) ([]byte, error) {
--- a/internal/router/evidencekeeper.go
+++ b/internal/router/evidencekeeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -75,8 +76,8 @@
 	routers int
 	// dueAt is when verdicts are to be written; zero if they are not.
 	dueAt time.Time
-	// cleared are the parts that were cleared since the row was last read.
-	cleared map[messenger.ContentID]bool
+	// cleared says when parts were cleared since this router last wrote the row.
+	cleared map[messenger.ContentID]time.Time
 	// changes counts the calls of handleChanges that were relevant.
 	changes int
 }
@@ -85,7 +86,7 @@
 	k := &evidenceKeeper{
 		store: cfg.Evidence, clock: cfg.Clock, log: cfg.Log, quarantine: q, meter: m,
 		wake: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(seed, seed)),
-		routers: 1, cleared: make(map[messenger.ContentID]bool),
+		routers: 1, cleared: make(map[messenger.ContentID]time.Time),
 	}
 	m.Gauge("lentilwood_evidence_unsaved", func() float64 { return toFloat(k.unsaved.Load()) })
 	return k
@@ -120,7 +121,7 @@
 	for _, c := range changes {
 		delete(k.cleared, c.Part)
 		if c.Cleared && len(k.cleared) < maxClearedParts {
-			k.cleared[c.Part] = true
+			k.cleared[c.Part] = k.clock.Now()
 		}
 		relevant = relevant || c.Quarantined || c.Cleared
 	}
@@ -227,14 +228,11 @@
 }
 
 // pending returns whether verdicts are to be written now, how many changes of verdicts there were,
-// and the parts that were cleared.
-func (k *evidenceKeeper) pending(now time.Time) (due bool, changes int, cleared []messenger.ContentID) {
+// and when parts were cleared.
+func (k *evidenceKeeper) pending(now time.Time) (due bool, changes int, cleared map[messenger.ContentID]time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for part := range k.cleared {
-		cleared = append(cleared, part)
-	}
-	return !k.dueAt.IsZero() && !now.Before(k.dueAt), k.changes, cleared
+	return !k.dueAt.IsZero() && !now.Before(k.dueAt), k.changes, maps.Clone(k.cleared)
 }
 
 // finish records that the row has the verdicts as of a number of changes. If they have changed
