listener: a test that answers held for HTTP/1.0 clients are charged

It fails: such an answer is kept by nbhttp until it is complete, up to MaxPendingBytes for each connection, and neither Pending nor the memory account counts it.

--- a/internal/listener/memory_test.go
+++ b/internal/listener/memory_test.go
@@ -227,3 +227,24 @@
 		_ = resp.Body.Close()
 	}
 }
+
+// TestHeldAnswersAreCharged guards against answers to HTTP/1.0 clients, which are held until they
+// are complete, outside the account.
+func TestHeldAnswersAreCharged(t *testing.T) {
+	var g *governor.Governor
+	held, ready := make(chan int64, 1), make(chan struct{})
+	l, account := startWithMemory(t, 4<<20, func(c *Caller, _ *http.Request) {
+		_, _ = c.Write(make([]byte, 1<<20))
+		<-ready
+		held <- g.KindBytes(governor.KindAnswers)
+	})
+	g = account
+	close(ready)
+	exchangeRaw(t, l, "GET / HTTP/1.0\r\n\r\n", true)
+	if got := <-held; got < 1<<20 {
+		t.Errorf("charged: got %d bytes, want at least %d", got, 1<<20)
+	}
+	for g.UsedBytes() != 0 {
+		time.Sleep(time.Millisecond) // the timeout of go test ends a test whose count stays up
+	}
+}
