--- a/internal/listener/caller.go
+++ b/internal/listener/caller.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
+
+	"lentilwood.example/lentilwood/internal/governor"
 )
 
 const (
@@ -28,13 +30,15 @@
 	// bufferedBytes is the amount that nbhttp buffers until the next flush.
 	bufferedBytes int
 	bodyBytes     int
-	status        int
-	wroteHeader   bool
-	noBody        bool
-	isHead        bool
-	http10        bool
-	closeConn     bool
-	connReused    bool
+	// heldBytes is what is charged for an answer to an HTTP/1.0 client until it is complete.
+	heldBytes   int
+	status      int
+	wroteHeader bool
+	noBody      bool
+	isHead      bool
+	http10      bool
+	closeConn   bool
+	connReused  bool
 }
 
 // Header returns the header fields of the response; changes after the first Write or
@@ -104,6 +108,9 @@
 	if c.http10 && c.bodyBytes > c.sc.l.cfg.MaxPendingBytes {
 		return io.ErrShortBuffer
 	}
+	if c.http10 {
+		c.hold(len(piece))
+	}
 	if c.bufferedBytes+len(piece) > maxBufferedBytes {
 		c.Flush()
 	}
@@ -112,6 +119,14 @@
 	return err
 }
 
+// hold charges n more bytes of an answer that nbhttp keeps, or releases them if n is negative.
+func (c *Caller) hold(n int) {
+	c.heldBytes += n
+	if g := c.sc.l.cfg.Memory; g != nil && n != 0 {
+		g.Charge(governor.KindAnswers, int64(n))
+	}
+}
+
 // Flush sends what was written so far. A response to an HTTP/1.0 client is sent only when
 // complete, because that version has no chunked coding to mark the end of a stream.
 func (c *Caller) Flush() {
@@ -176,6 +191,7 @@
 	if c.closeConn {
 		c.CloseAfterResponse()
 	}
+	defer func() { c.hold(-c.heldBytes) }()
 	l.cfg.Handler(c, copyRequest(r, processor.sc))
 	if l.acceptStopped.Load() {
 		c.CloseAfterResponse() // the client may send its next request as soon as it has this response
