--- a/internal/governor/governor_test.go
+++ b/internal/governor/governor_test.go
@@ -101,3 +101,59 @@
 		t.Errorf("after a large body found no room: got %v, want %v", got, want)
 	}
 }
+
+// TestArrivingSmallRequestsAreSpared guards against ordinary requests that are all refused while
+// running requests and answers take most of the account: to shed them gives no room.
+func TestArrivingSmallRequestsAreSpared(t *testing.T) {
+	g := New(Config{TotalBytes: 100 * mb})
+	g.Charge(KindAnswers, 85*mb)
+	candidates := []Candidate{
+		{Index: 0, Bytes: 72 << 10, Age: 20 * time.Millisecond},
+		{Index: 1, Bytes: 72 << 10, Age: time.Second, Idle: stallTime},
+		{Index: 2, Bytes: mb, Age: time.Second},
+	}
+	if got, want := g.ChooseShed(time.Unix(1000, 0), candidates), []int{1, 2}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	g.Charge(KindAnswers, 14*mb)
+	if got, want := g.ChooseShed(time.Unix(1001, 0), candidates), []int{1, 2, 0}; !slices.Equal(got, want) {
+		t.Errorf("almost full: got %v, want %v", got, want)
+	}
+}
+
+// TestClosedConnectionCountsForItsClient guards against a client that passes its bound by closing
+// connections whose requests still run.
+func TestClosedConnectionCountsForItsClient(t *testing.T) {
+	g := New(Config{TotalBytes: 100 * mb, ClientBytes: 10 * mb})
+	first := g.Open("a")
+	first.Grow(8 * mb)
+	first.Close()
+	second := g.Open("a")
+	if got := second.Grow(4 * mb); got != OverClient {
+		t.Errorf("got %v, want %v", got, OverClient)
+	}
+	first.Shrink(8 * mb)
+	if got := second.Grow(4 * mb); got != Admitted {
+		t.Errorf("after the request has ended: got %v, want %v", got, Admitted)
+	}
+	second.Shrink(4 * mb)
+	second.Close()
+	if g.Clients() != 0 {
+		t.Errorf("got %d clients, want none", g.Clients())
+	}
+}
+
+// TestSlowLargeBodiesAreShed guards against clients that send a byte of a large body now and then:
+// they never stop, and kept others out until the read timeout, which is 30 s by default.
+func TestSlowLargeBodiesAreShed(t *testing.T) {
+	g := New(Config{TotalBytes: 10 * mb})
+	g.Charge(KindRequests, 6*mb)
+	g.Open("a").Grow(mb)
+	candidates := []Candidate{
+		{Index: 0, Bytes: 3 * mb, Age: 3500 * time.Millisecond, Idle: 100 * time.Millisecond},
+		{Index: 1, Bytes: 3 * mb, Age: 2900 * time.Millisecond, Idle: 100 * time.Millisecond},
+	}
+	if got, want := g.ChooseShed(time.Unix(1000, 0), candidates), []int{0}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/internal/listener/memory_test.go
+++ b/internal/listener/memory_test.go
@@ -69,7 +69,7 @@
 		post + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 5) + "z\r\n":                                                                          true,
 		post + "X: " + strings.Repeat("x", 9000):                                                                                                          false,
 		post + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 20):                                                                                   true,
-		post + "Content-Length: 99999999\r\n\r\n" + strings.Repeat("x", 2*maxDiscardBytes):                                                                false,
+		post + "Content-Length: 99999999\r\n\r\n" + strings.Repeat("x", 2<<20):                                                                            false,
 		"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n":                                                                                          true,
 		post + "Expect: 100-continue\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc":                                                                true,
 		post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcX":                                                                                              true,
@@ -147,3 +147,104 @@
 		t.Errorf("shed: got %d, want 1", g.Shed())
 	}
 }
+
+// TestChunkedBodyOfTheSheetsIsSmall guards against an ordinary request in chunks that is refused
+// as a large one because its buffer doubles beyond SmallBytes.
+func TestChunkedBodyOfTheSheetsIsSmall(t *testing.T) {
+	g := governor.New(governor.Config{TotalBytes: 50 << 20})
+	g.Squeeze(true)
+	l, err := Start(Config{Name: "test", Address: "127.0.0.1:0", Memory: g, Handler: func(c *Caller, _ *http.Request) {
+		_, _ = fmt.Fprintf(c, "%d bytes", len(c.Body()))
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.stop)
+	const size = 72 << 10
+	head := "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\nX: " + strings.Repeat("x", 15<<10) + "\r\n\r\n"
+	got := exchangeRaw(t, l, head+chunked(strings.Repeat("x", 1<<10), size>>10)+"0\r\n\r\n", true)
+	if want := fmt.Sprintf("%d bytes", size); !strings.Contains(got, want) {
+		t.Errorf("got %.200q, want %q", got, want)
+	}
+}
+
+// TestBodyBehindRunningRequestIsShed guards against clients whose unfinished body follows a
+// request that still runs: it kept the room of others as long as that request ran.
+func TestBodyBehindRunningRequestIsShed(t *testing.T) {
+	release := make(chan struct{})
+	l, g := startWithMemory(t, 4<<20, func(c *Caller, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+		_, _ = io.WriteString(c, "served")
+	})
+	conn, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close() //nolint:errcheck // a test
+	const post = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n"
+	_, _ = io.WriteString(conn, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n"+fmt.Sprintf(post, 1_000_000)+"\r\n"+strings.Repeat("x", 990_000))
+	for g.UsedBytes() < 990_000 {
+		time.Sleep(time.Millisecond)
+	}
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		got := exchangeRaw(t, l, fmt.Sprintf(post, 1_000_000)+"Connection: close\r\n\r\n"+strings.Repeat("y", 1_000_000), true)
+		if strings.Contains(got, "served") {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Error("the body kept its room while the request before it ran")
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	// The request before it is answered, and the body is refused and does not run.
+	close(release)
+	_, _ = io.WriteString(conn, strings.Repeat("x", 10_000)+"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second)) // ends a test whose connection stays open
+	answer, _ := io.ReadAll(conn)
+	if got := string(answer); strings.Count(got, "served") != 1 || !strings.Contains(got, "HTTP/1.1 503 ") {
+		t.Errorf("got %q, want one answer and then 503", got)
+	}
+}
+
+// TestRefusalReachesSenderOfLegalBody guards against refusals that are lost: a connection on which
+// a client goes on sending was closed at once, so that half of the callers saw a reset, which
+// proves nothing, in place of 503.
+func TestRefusalReachesSenderOfLegalBody(t *testing.T) {
+	l, g := startWithMemory(t, 4<<20, nil)
+	g.Squeeze(true)
+	for i := range 50 {
+		resp, err := http.Post("http://"+l.Addr(), "text/plain", strings.NewReader(strings.Repeat("x", 900_000)))
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		if resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("request %d: got status %d, want 503", i, resp.StatusCode)
+		}
+		_ = resp.Body.Close()
+	}
+}
+
+// TestHeldAnswersAreCharged guards against answers to HTTP/1.0 clients, which are held until they
+// are complete, outside the account.
+func TestHeldAnswersAreCharged(t *testing.T) {
+	var g *governor.Governor
+	held, ready := make(chan int64, 1), make(chan struct{})
+	l, account := startWithMemory(t, 4<<20, func(c *Caller, _ *http.Request) {
+		_, _ = c.Write(make([]byte, 1<<20))
+		<-ready
+		held <- g.KindBytes(governor.KindAnswers)
+	})
+	g = account
+	close(ready)
+	exchangeRaw(t, l, "GET / HTTP/1.0\r\n\r\n", true)
+	if got := <-held; got < 1<<20 {
+		t.Errorf("charged: got %d bytes, want at least %d", got, 1<<20)
+	}
+	for g.UsedBytes() != 0 {
+		time.Sleep(time.Millisecond) // the timeout of go test ends a test whose count stays up
+	}
+}
