router: the operators' port takes small bodies only; wording of the review

Cause: bodies on the operators' port are outside the memory account and had the callers' limit. Change: 4 KB, as the handler reads none; Check in place of Ask; plainer sentences in the note. Measured: tests of listener, governor, router, dispatcher, quarantiner, linter, cli and platform pass with -race.

--- a/internal/governor/decision.go
+++ b/internal/governor/decision.go
@@ -100,7 +100,7 @@
 
 // Candidate is a connection that is receiving an unfinished request.
 type Candidate struct {
-	// Index is the caller's name of the connection.
+	// Index identifies the connection to the user of ChooseShed.
 	Index int
 	Bytes int64
 	// Age is how long the request has been arriving, Idle how long it has brought no byte.
--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -5,7 +5,7 @@
 // There are three bounds: in total, per connection and per client address. Small holders, whose
 // connection holds at most Config.SmallBytes, may use the whole total; larger ones only a share
 // of it, so that ordinary requests are admitted while large bodies are refused. Bytes of answers
-// are charged without a question, because an answer that exists is delivered; the relayer's
+// are charged unconditionally, because an answer that exists is delivered; the relayer's
 // budget bounds them.
 //
 // # Usage
@@ -130,7 +130,7 @@
 	return g.used.Load() >= g.cfg.TotalBytes*pressurePercent/percent
 }
 
-// Charge adds n bytes of a kind, or subtracts them if n is negative, without a question.
+// Charge adds n bytes of a kind, or subtracts them if n is negative, unconditionally.
 func (g *Governor) Charge(k Kind, n int64) {
 	g.kinds[k].Add(n)
 	g.add(n)
@@ -189,15 +189,15 @@
 	if h == nil {
 		return Admitted
 	}
-	verdict := h.Ask(n)
+	verdict := h.Check(n)
 	if verdict == Admitted {
 		h.add(n)
 	}
 	return verdict
 }
 
-// Ask returns what Grow would answer, and charges nothing. A refusal is counted.
-func (h *Holder) Ask(n int64) Verdict {
+// Check returns the verdict that Grow would return, without charging. A refusal is counted.
+func (h *Holder) Check(n int64) Verdict {
 	if h == nil {
 		return Admitted
 	}
--- a/internal/listener/body.go
+++ b/internal/listener/body.go
@@ -80,7 +80,7 @@
 		}
 	}
 	more := max(0, n-b.charged.Load())
-	verdict := sc.holder.Ask(more + int64(announced))
+	verdict := sc.holder.Check(more + int64(announced))
 	if verdict == governor.Admitted {
 		verdict = sc.holder.Grow(more)
 	}
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -33,6 +33,9 @@
 	// upstreamIdleTimeout is how long an idle connection to an upstream is kept for reuse if
 	// the upstream announces no keep-alive timeout.
 	upstreamIdleTimeout = 3 * time.Second
+	// maxOperatorBodyBytes bounds the bodies on the operators' port, whose handler reads none.
+	// They are not in the memory account, so that a readiness check is never refused for it.
+	maxOperatorBodyBytes = 4 << 10
 	// maxAttempts bounds the attempts of one request, including those that an upstream
 	// declined.
 	maxAttempts = 4
@@ -319,7 +322,9 @@
 	if err != nil {
 		return err
 	}
-	h.operators, err = listener.Start(h.listenerConfig("operators", h.settings.Listeners.Operators, h.serveOperator))
+	operators := h.listenerConfig("operators", h.settings.Listeners.Operators, h.serveOperator)
+	operators.MaxBodyBytes = maxOperatorBodyBytes
+	h.operators, err = listener.Start(operators)
 	return err
 }
 
