--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -29,7 +29,8 @@
 const caseLimit = 115 * time.Second
 
 var cases = map[string]func(*recorder) (broken bool, err error){
-	"parts": playParts,
+	"parts":   playParts,
+	"release": playRelease,
 }
 
 // recorder writes the record of a case.
