--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]func(*recorder) (broken bool, err error){
 	"parts":   playParts,
 	"release": playRelease,
+	"leave":   playLeave,
 }
 
 // recorder writes the record of a case.
