--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -32,6 +32,7 @@
 	"parts":   playParts,
 	"release": playRelease,
 	"leave":   playLeave,
+	"target":  playTarget,
 }
 
 // recorder writes the record of a case.
