review/10: connections without a request shut a ready router to all callers

Cause: half of the descriptors are the bound of open connections; one without a request is kept for ten minutes whatever the configuration says, no client is bounded, and readiness does not know of it.

Changed: a case under review/10. No product code.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -33,6 +33,7 @@
 	"release": playRelease,
 	"leave":   playLeave,
 	"target":  playTarget,
+	"idle":    playIdle,
 }
 
 // recorder writes the record of a case.
