dispatcher: a response whose status is none of HTTP is no answer

What callers saw: an upstream's 600 or 999 as an answer, with the upstream's seal. A response with status 000 (001, 099, +20) was skipped as an interim one, so that what stood in its body could reach the caller as the answer.

Cause: the parser of net/http takes any three digits, and a sign, as a status; the loop that reads heads took everything below 200 for an interim response.

Change: verifier.CheckStatus, 100 to 599, for every head that is read from an upstream: final and interim answers, answers to other requests, streams and their rests, health probes, both compositions.

Known already: a plain 000 got 502, tests kept. Unknown statuses from 200 to 599, no reason phrase and empty values still pass (TestUnusualAnswerIsPassedOn).

--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -16,6 +16,7 @@
 
 	"lentilwood.example/lentilwood/internal/governor"
 	"lentilwood.example/lentilwood/internal/timekeeper"
+	"lentilwood.example/lentilwood/internal/verifier"
 )
 
 const (
@@ -292,6 +293,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := verifier.CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errProtocolSwitch
 		}
