storer, operator: an answer whose status is none of HTTP is no success

What was seen: the store's client took an answer with status 000 or 099 for a commit that was done, and its body for an object; the operators' client took it for a change that was made.

Cause: the same as with upstreams: net/http passes any three digits on, and the clients take each status below 300 (below 400) for success.

Change: verifier.Transport, around the transports of all clients by which a router reads answers: the stores of both compositions, the operators' interface, polls of upstreams and orders to them. What fails is handled as an answer that was lost: a write is unknown, and looked up.

The platform's store, polls and orders take status 200 only; they were right already.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -32,6 +32,7 @@
 	"lentilwood.example/lentilwood/internal/orderer"
 	"lentilwood.example/lentilwood/internal/storer"
 	"lentilwood.example/lentilwood/internal/timekeeper"
+	"lentilwood.example/lentilwood/internal/verifier"
 )
 
 const (
@@ -104,9 +105,12 @@
 
 // New returns a Conductor that has yet to be Run.
 func New(cfg Config) *Conductor {
+	if cfg.Transport == nil {
+		cfg.Transport = http.DefaultTransport
+	}
 	return &Conductor{
 		cfg:     cfg,
-		engines: engines{client: &http.Client{Transport: cfg.Transport}},
+		engines: engines{client: &http.Client{Transport: verifier.Transport{Base: cfg.Transport}}},
 		inbox:   make(chan func(), backlog),
 		lease:   leaser.New(leaser.Config{Self: cfg.Self, Name: LeaseName, TTL: cfg.TTL, Seed: cfg.Seed}),
 		orderer: orderer.New(cfg.Orders),
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -19,6 +19,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"lentilwood.example/lentilwood/internal/identifier"
+	"lentilwood.example/lentilwood/internal/verifier"
 )
 
 // Errors that callers tell apart with errors.Is.
@@ -55,7 +56,7 @@
 func NewClient(cfg ClientConfig) *Client {
 	c := &Client{token: cfg.Token, http: &http.Client{
 		Timeout:   cfg.Timeout,
-		Transport: &http.Transport{TLSClientConfig: cfg.TLS},
+		Transport: verifier.Transport{Base: &http.Transport{TLSClientConfig: cfg.TLS}},
 	}}
 	for _, router := range cfg.Routers {
 		if !strings.Contains(router, "://") {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -108,6 +109,23 @@
 	}
 }
 
+// TestBrokenAnswerIsNoChange guards against taking a change for made on an answer that is none.
+func TestBrokenAnswerIsNoChange(t *testing.T) {
+	broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Errorf("hijack: %v", err)
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}")
+		_ = conn.Close()
+	}))
+	defer broken.Close()
+	if got, err := newClient(broken.URL).SetConfig(context.Background(), setRequest(0)); !errors.Is(err, ErrUnknown) {
+		t.Errorf("SetConfig() = %+v, %v, want ErrUnknown", got, err)
+	}
+}
+
 func TestNoRouterAnswers(t *testing.T) {
 	garbage := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("<html>"))
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -25,6 +25,7 @@
 
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/timekeeper"
+	"lentilwood.example/lentilwood/internal/verifier"
 )
 
 // Times and bounds of a Poller.
@@ -99,7 +100,7 @@
 	}
 	return &Poller{
 		cfg:     cfg,
-		client:  &http.Client{Transport: cfg.Transport, Timeout: requestTimeout},
+		client:  &http.Client{Transport: verifier.Transport{Base: cfg.Transport}, Timeout: requestTimeout},
 		targets: make(map[messenger.UpstreamID]*target),
 	}
 }
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"lentilwood.example/lentilwood/internal/verifier"
 )
 
 // Paths of the platform's HTTP interface. Parameters travel in the query.
@@ -65,7 +67,9 @@
 			IdleConnTimeout:     30 * time.Second,
 		}
 	}
-	return &Client{base: cfg.URL, token: cfg.Token, http: &http.Client{Transport: cfg.Transport, Timeout: cfg.Timeout}}
+	return &Client{base: cfg.URL, token: cfg.Token, http: &http.Client{
+		Transport: verifier.Transport{Base: cfg.Transport}, Timeout: cfg.Timeout,
+	}}
 }
 
 // Read returns a row, or ErrNotFound.
--- /dev/null
+++ b/internal/verifier/transport_test.go
@@ -0,0 +1,64 @@
+package verifier
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// answering returns a client of a server that answers each request with raw.
+func answering(t *testing.T, raw string) (client *http.Client, url string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, raw)
+			}
+			_ = conn.Close()
+		}
+	}()
+	transport := Transport{Base: &http.Transport{}}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}, "http://" + l.Addr().String()
+}
+
+func TestTransport(t *testing.T) {
+	for name, tc := range map[string]struct {
+		raw  string
+		want error
+	}{
+		"sound":            {"HTTP/1.1 200 OK\r\nX-Empty:\r\nContent-Length: 2\r\n\r\nok", nil},
+		"unknown status":   {"HTTP/1.1 299\r\nContent-Length: 2\r\n\r\nok", nil},
+		"interim response": {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", nil},
+		"status 000":       {"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok", ErrStatus},
+		"status 600":       {"HTTP/1.1 600 None\r\nContent-Length: 2\r\n\r\nok", ErrStatus},
+		"other protocol":   {"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", ErrStatus},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, url := answering(t, tc.raw)
+			resp, err := client.Get(url)
+			if !errors.Is(err, tc.want) {
+				t.Errorf("got error %v, want %v", err, tc.want)
+			}
+			if err != nil {
+				return
+			}
+			defer resp.Body.Close()
+			if got, err := io.ReadAll(resp.Body); string(got) != "ok" || err != nil {
+				t.Errorf("got body %q, error %v, want ok", got, err)
+			}
+		})
+	}
+}
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -8,6 +8,10 @@
 //	if err == nil {
 //		err = verifier.CheckStatus(resp.StatusCode)
 //	}
+//
+// Clients of net/http use Transport:
+//
+//	client := &http.Client{Transport: verifier.Transport{Base: &http.Transport{}}}
 package verifier
 
 import (
