dispatcher: a response with a malformed field name is no answer

What callers saw: an upstream's answer with a blank in, before or after the name of a field, as a success with the upstream's seal. 'Content-Length : 2' was not taken for the length, so that the body had other bytes than the upstream's; a line that began with a blank or a tab was added to the value before it, and passed on; one that began with a line feed ended the head, and became the body.

Cause: the parser of net/http lets blanks in names pass, joins continued lines, and takes a lone LF for the end of a line, the last one of a head included.

Change: verifier.HeadReader checks the bytes of each head below the parser: names are tokens, no line is continued, no control bytes but tabs, all lines end alike (CRLF; a head that has LF alone throughout still passes). Names in a trailer are checked after the body. It stands in the one place that reads upstreams: requests, streams and their rests, interim answers, answers to other requests, health probes; both compositions. Each such answer counts as broken off.

Control bytes other than tab and LF were refused already; tests kept.

--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -37,6 +37,7 @@
 type upstreamConn struct {
 	net.Conn
 	head    headMeter
+	checked *verifier.HeadReader
 	limited io.LimitedReader
 	reader  *bufio.Reader
 	reused  bool
@@ -51,7 +52,8 @@
 func newUpstreamConn(conn net.Conn) *upstreamConn {
 	c := &upstreamConn{Conn: conn}
 	c.head.r = conn
-	c.limited.R = &c.head
+	c.checked = verifier.NewHeadReader(&c.head)
+	c.limited.R = c.checked
 	c.reader = bufio.NewReaderSize(&c.limited, connReadBytes)
 	return c
 }
@@ -109,7 +111,7 @@
 type bodyReader struct {
 	conn    *upstreamConn
 	address string
-	body    io.Reader
+	resp    *http.Response
 	// closeAfter is true if the connection cannot be used after this response.
 	closeAfter bool
 	// closeDelimited is true if only the end of the connection ends the body.
@@ -232,7 +234,7 @@
 	}
 	conn.limited.N = math.MaxInt64
 	resp.Request = nil // the body keeps resp alive
-	r.body, r.closeAfter = resp.Body, resp.Close
+	r.resp, r.closeAfter = resp, resp.Close
 	conn.keepAlive = keepAliveTimeout(resp.Header)
 	r.closeDelimited = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 	x.setHead(resp.StatusCode, resp.Header, r.closeDelimited)
@@ -289,13 +291,10 @@
 		return nil, err
 	}
 	for {
-		resp, err := http.ReadResponse(conn.reader, req)
+		resp, err := readHead(conn, req)
 		if err != nil {
 			return nil, err
 		}
-		if err := verifier.CheckStatus(resp.StatusCode); err != nil {
-			return nil, err
-		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errProtocolSwitch
 		}
@@ -311,6 +310,22 @@
 	}
 }
 
+// readHead reads the head of the next response on a connection. It fails if that is malformed.
+func readHead(conn *upstreamConn, req *http.Request) (*http.Response, error) {
+	buffered, err := conn.reader.Peek(conn.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.checked.Begin(buffered); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(conn.reader, req)
+	if err != nil {
+		return nil, err
+	}
+	return resp, verifier.CheckStatus(resp.StatusCode)
+}
+
 // skipResponse discards a response that does not belong to the request. It returns an
 // error if no other response can follow on the connection.
 func skipResponse(resp *http.Response) error {
@@ -322,16 +337,17 @@
 	return err
 }
 
-// copyTo copies a body to an exchange, no faster than the exchange is polled.
+// copyTo copies a body to an exchange, no faster than the exchange is polled. It fails at the end
+// if the trailer is malformed.
 func (r *bodyReader) copyTo(x *exchange) error {
 	buf := make([]byte, minReadBytes)
 	for {
-		n, err := r.body.Read(buf)
+		n, err := r.resp.Body.Read(buf)
 		if n > 0 && !x.addBody(buf[:n]) && !r.awaitWake(x) {
 			return errCanceled
 		}
 		if err == io.EOF {
-			return nil
+			return verifier.CheckNames(r.resp.Trailer)
 		}
 		if err != nil {
 			return err
--- a/internal/verifier/transport_test.go
+++ b/internal/verifier/transport_test.go
@@ -55,7 +55,7 @@
 			if err != nil {
 				return
 			}
-			defer resp.Body.Close()
+			defer resp.Body.Close() //nolint:errcheck // a test
 			if got, err := io.ReadAll(resp.Body); string(got) != "ok" || err != nil {
 				t.Errorf("got body %q, error %v, want ok", got, err)
 			}
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -1,13 +1,17 @@
 // Package verifier checks that the bytes of a server are a response as RFC 9110 and RFC 9112
-// define it. The parser of net/http accepts more than that: any three digits as the status, for
-// example. A response that it accepts may thus be one that no caller must get.
+// define it. The parser of net/http accepts more than that: any three digits as the status, and
+// names of fields that contain a blank, for example. A response that it accepts may thus be one
+// that no caller must get.
 //
 // # Usage
 //
+//	checked := verifier.NewHeadReader(conn)
+//	reader := bufio.NewReader(checked)
+//	err := checked.Begin(nil)
 //	resp, err := http.ReadResponse(reader, req)
-//	if err == nil {
-//		err = verifier.CheckStatus(resp.StatusCode)
-//	}
+//	err = verifier.CheckStatus(resp.StatusCode)
+//	_, err = io.Copy(w, resp.Body)
+//	err = verifier.CheckNames(resp.Trailer)
 //
 // Clients of net/http use Transport:
 //
