storer: an answer with a malformed field name is no success

What was seen: the store's client took an answer whose head held a blank in a name for a commit that was done, and its body for an object.

Cause: the same as with upstreams; net/http lets such names pass.

Change: verifier.Transport checks the names of each final answer, for all clients by which a router reads answers (both stores, operators' interface, polls, orders).

Evidence: two new cases of TestTransport ("got error <nil>", "got body ok!") and one of TestBrokenAnswerIsNoCommit failed before and pass now. Left: net/http shows these clients neither continued lines nor a lone LF; what they read is JSON, which fails to decode if its head is shifted into it.

--- a/internal/storer/client_test.go
+++ b/internal/storer/client_test.go
@@ -28,7 +28,7 @@
 
 // TestBrokenAnswerIsNoCommit guards against taking a write for done on an answer that is none.
 func TestBrokenAnswerIsNoCommit(t *testing.T) {
-	for _, head := range []string{"HTTP/1.1 000 None\r\n", "HTTP/1.1 099 None\r\n", "HTTP/1.1 999 None\r\n"} {
+	for _, head := range []string{"HTTP/1.1 000 None\r\n", "HTTP/1.1 099 None\r\n", "HTTP/1.1 999 None\r\n", "HTTP/1.1 200 OK\r\nX Foo: 1\r\n"} {
 		client := answeringStore(t, head+"Content-Length: 2\r\n\r\n{}")
 		if err := client.Commit(context.Background(), nil); !errors.Is(err, ErrUnknown) {
 			t.Errorf("%q: commit got error %v, want %v", head, err, ErrUnknown)
--- a/internal/verifier/transport.go
+++ b/internal/verifier/transport.go
@@ -27,7 +27,10 @@
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return ErrStatus
 	}
-	return CheckStatus(resp.StatusCode)
+	if err := CheckStatus(resp.StatusCode); err != nil {
+		return err
+	}
+	return CheckNames(resp.Header)
 }
 
 // CloseIdleConnections closes the idle connections of Base, on behalf of http.Client.
--- a/internal/verifier/transport_test.go
+++ b/internal/verifier/transport_test.go
@@ -44,6 +44,8 @@
 		"interim response": {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", nil},
 		"status 000":       {"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok", ErrStatus},
 		"status 600":       {"HTTP/1.1 600 None\r\nContent-Length: 2\r\n\r\nok", ErrStatus},
+		"blank in a name":  {"HTTP/1.1 200 OK\r\nX Foo: 1\r\nContent-Length: 2\r\n\r\nok", ErrHead},
+		"blank after name": {"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok!", ErrHead},
 		"other protocol":   {"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", ErrStatus},
 	} {
 		t.Run(name, func(t *testing.T) {
