dispatcher: an answer without a length ends only once its request was received

What callers saw: a part of an answer without a length as the whole, with the seal, if its upstream ended its side of the connection and then reset it while the request was still being written. A plain reset was handled already.

Cause: the write of a request ends when the system has taken it, not when the upstream has it. If the upstream's end and its reset both arrive before they are read, the system reports the end only; the reset shows in nothing but the state of the connection. The health probe that follows such an end is answered, since the upstream lives.

Change: after the end of a response without a length, the exchange waits until the upstream has acknowledged the whole request, and fails if the connection is reset before. An upstream that ends its answer early and reads on is still right.

Evidence: TestResetDuringUploadIsNoAnswer ('got 200 "done"', 3 of 3), TestResetDuringUploadIsNoEnd (end then reset 4 of 5, reset later 5 of 5) and TestResetDuringUploadIsNoEndWithTLS (end then reset, 5 of 5 each) failed before; 20 plays of each pass now, 3 with the race detector. Handled already, tests kept: a reset at once, one after 20 ms, a close with bytes unread, bodies of 1 MiB and of 32 MiB, plain and TLS.

--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -269,6 +269,10 @@
 	}
 	if r.closeDelimited {
 		x.setEndedAt(endReceivedAt(r.conn.Conn, t.pool.clock.Now()))
+		if err := r.awaitAcknowledged(); err != nil {
+			_ = r.conn.Close()
+			return err
+		}
 	}
 	if r.closeAfter || r.conn.reader.Buffered() > 0 || !x.detach() || r.conn.SetReadDeadline(time.Time{}) != nil {
 		_ = r.conn.Close()
