storer: a write whose answer is cut short is not done

Cause: the answer to a write was not read as such; only the status counted. A store that answers a long write at once and breaks off has not read it, and net/http, which writes and reads at the same time, may see an end in order after a reset.

Change: the answer to a write must be the whole JSON document that the protocols have, as for reads. What fails is an unknown outcome.

--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -29,6 +29,8 @@
 // maxAnswerBytes bounds an answer of the platform.
 const maxAnswerBytes = 64 << 20
 
+var errCutAnswer = merry.Sentinel("answer of the platform is cut short")
+
 // Client speaks to the platform over HTTP and implements Store.
 //
 // It uses net/http rather than nbhttp.Client: a commit must tell a failure
@@ -96,14 +98,12 @@
 	if err != nil {
 		return merry.Prepend(err, "encode the transaction")
 	}
-	_, err = c.call(ctx, http.MethodPost, CommitPath, nil, body)
-	return err
+	return c.write(ctx, http.MethodPost, CommitPath, nil, body)
 }
 
 // PutObject writes an object whole.
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
-	_, err := c.call(ctx, http.MethodPut, ObjectPath, url.Values{"name": {name}}, data)
-	return err
+	return c.write(ctx, http.MethodPut, ObjectPath, url.Values{"name": {name}}, data)
 }
 
 // GetObject returns an object, or ErrNotFound.
@@ -129,6 +129,19 @@
 	return nil
 }
 
+// write makes a call that changes something. Part of an answer does not count: without a length, it
+// may have ended because the platform did, before it had read the whole call.
+func (c *Client) write(ctx context.Context, method, path string, q url.Values, body []byte) error {
+	data, err := c.call(ctx, method, path, q, body)
+	if err != nil {
+		return err
+	}
+	if !json.Valid(data) {
+		return failure(method, path, true, errCutAnswer)
+	}
+	return nil
+}
+
 func (c *Client) call(ctx context.Context, method, path string, q url.Values, body []byte) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path+"?"+q.Encode(), bytes.NewReader(body))
 	if err != nil {
