dispatcher: an exported stream state without end takes no more memory than there is

What was seen: an engine whose answer to an export has no end made the router keep up to 256 MiB of it, outside the memory account: routers have 134 MB. The answer to an import was kept as well, although nothing reads it.

Cause: the bytes were appended to a slice that only a fixed limit bounded.

Change: the state is reserved in the budget of buffers, which is a third of the memory account, before it is held; a move that finds no room fails, and the stream goes on where it is. Of answers of which only the head counts, imports and health probes, 64 KiB are read and none kept. The loop that fetches, and the growth of a reserved buffer, stood twice and stand once now.

--- a/internal/dispatcher/endcheck.go
+++ b/internal/dispatcher/endcheck.go
@@ -183,7 +183,7 @@
 		address: address, method: http.MethodGet, uri: healthPath, header: make(http.Header),
 		newConn: openedBefore.IsZero(), openedBefore: openedBefore,
 		ownsResponse: func(_ int, h http.Header, _ bool) bool { return d.dialect.AnsweredRequestID(h) == "" },
-	})
+	}, d.cfg.ConnectTimeout)
 	if status != http.StatusOK || d.dialect.AnsweringUpstream(header) != id {
 		return false
 	}
@@ -193,30 +193,6 @@
 	return true
 }
 
-// fetchHead sends a request and returns the head of the response after its end. The status is
-// 0 if there was none within ConnectTimeout.
-func (d *Dispatcher) fetchHead(out *upstreamRequest) (int, http.Header) {
-	updated := make(chan struct{}, 1)
-	x := &exchange{updated: updated, maxBuffered: readAheadBytes}
-	defer x.cancel()
-	d.transport.Start(x, out)
-	timeout := d.cfg.Clock.After(d.cfg.ConnectTimeout)
-	for {
-		select {
-		case <-updated:
-		case <-timeout:
-			return 0, nil
-		}
-		u := x.poll(true)
-		if u.done && u.err == nil {
-			return u.status, u.header
-		}
-		if u.done {
-			return 0, nil
-		}
-	}
-}
-
 // awaitWake waits until reading may continue. It returns false if the exchange was canceled.
 // Meanwhile it watches for the end of a connection that alone ends the body: whether the
 // process that sent the body is alive has to be found out when the end arrives.
--- /dev/null
+++ b/internal/dispatcher/fetch.go
@@ -0,0 +1,61 @@
+package dispatcher
+
+import (
+	"net/http"
+	"time"
+)
+
+// maxUnusedBodyBytes limits a body that is read only to see that the response ends.
+const maxUnusedBodyBytes = 64 << 10
+
+// fetch sends a request that serves no caller and passes the body of the response to consume,
+// which returns false if it takes no more. It returns the head after the end of the response. The
+// status is 0 if that did not end within timeout, or was not taken to its end.
+func (d *Dispatcher) fetch(out *upstreamRequest, timeout time.Duration, consume func(p []byte) bool) (int, http.Header) {
+	updated := make(chan struct{}, 1)
+	x := &exchange{updated: updated, maxBuffered: readAheadBytes}
+	defer x.cancel()
+	d.transport.Start(x, out)
+	expired := d.cfg.Clock.After(timeout)
+	for {
+		select {
+		case <-updated:
+		case <-expired:
+			return 0, nil
+		}
+		u := x.poll(true)
+		switch {
+		case !consume(u.body), u.done && u.err != nil:
+			return 0, nil
+		case u.done:
+			return u.status, u.header
+		}
+	}
+}
+
+// fetchHead sends a request and returns the head of the response after its end. The status is 0
+// if there was none within timeout.
+func (d *Dispatcher) fetchHead(out *upstreamRequest, timeout time.Duration) (int, http.Header) {
+	n := 0
+	return d.fetch(out, timeout, func(p []byte) bool {
+		n += len(p)
+		return n <= maxUnusedBodyBytes
+	})
+}
+
+// appendReserved appends p to buf. It reserves a larger buffer before it allocates one, as both
+// exist while the bytes are copied, and then releases the old one. The size of a buffer is at most
+// limit. If there is no room, appendReserved returns buf and false.
+func appendReserved(buf, p []byte, limit int, reserve func(n int) bool) ([]byte, bool) {
+	need := len(buf) + len(p)
+	if need <= cap(buf) {
+		return append(buf, p...), true
+	}
+	size := min(max(need, 2*cap(buf)), limit)
+	if need > limit || !reserve(size) {
+		return buf, false
+	}
+	grown := append(make([]byte, 0, size), buf...)
+	reserve(-cap(buf))
+	return append(grown, p...), true
+}
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -80,18 +80,24 @@
 	f.d.cancelStream(old.Address, f.req.WireID)
 }
 
-// copyStreamState copies the state of a stream from one engine to another.
+// copyStreamState copies the state of a stream from one engine to another. The state is charged to
+// the budget of buffers; if that has no room for it, it is not copied.
 func (d *Dispatcher) copyStreamState(from, to, wireID string) bool {
-	status, state := d.fetchResponse(&upstreamRequest{
+	var state []byte
+	defer func() { d.cfg.BufferBudget.Reserve(-cap(state)) }()
+	status, _ := d.fetch(&upstreamRequest{
 		address: from, method: http.MethodPost, uri: streamURI(wireID) + "/export", header: requestIDHeader(wireID), newConn: true,
+	}, moveTimeout, func(p []byte) (ok bool) {
+		state, ok = appendReserved(state, p, maxMoveBytes, d.cfg.BufferBudget.Reserve)
+		return ok
 	})
 	if status != http.StatusOK {
 		return false
 	}
-	status, _ = d.fetchResponse(&upstreamRequest{
+	status, _ = d.fetchHead(&upstreamRequest{
 		address: to, method: http.MethodPost, uri: streamURI(wireID) + "/import",
 		header: requestIDHeader(wireID), body: state, newConn: true,
-	})
+	}, moveTimeout)
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
 
@@ -100,28 +106,3 @@
 	header.Set(messenger.RequestIDHeader, wireID)
 	return header
 }
-
-// fetchResponse sends a request and returns the complete response. The status is 0 if
-// there was none.
-func (d *Dispatcher) fetchResponse(out *upstreamRequest) (status int, body []byte) {
-	updated := make(chan struct{}, 1)
-	x := &exchange{updated: updated, maxBuffered: readAheadBytes}
-	defer x.cancel()
-	d.transport.Start(x, out)
-	timeout := d.cfg.Clock.After(moveTimeout)
-	for {
-		select {
-		case <-updated:
-		case <-timeout:
-			return 0, nil
-		}
-		u := x.poll(true)
-		body = append(body, u.body...)
-		switch {
-		case len(body) > maxMoveBytes || u.done && u.err != nil:
-			return 0, nil
-		case u.done:
-			return u.status, body
-		}
-	}
-}
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -76,18 +76,11 @@
 		f.rejectResponse(at, ProblemAnswerTooLarge)
 		return false
 	}
-	if need := len(at.buffered) + len(p); need > cap(at.buffered) {
-		// Old and new buffer exist together while the bytes are copied.
-		size := min(max(need, 2*cap(at.buffered)), f.d.cfg.MaxResponseBytes)
-		if !f.relay.Reserve(size) {
-			f.rejectResponse(at, ProblemMemoryExhausted)
-			return false
-		}
-		old := cap(at.buffered)
-		at.buffered = append(make([]byte, 0, size), at.buffered...)
-		f.relay.Reserve(-old)
+	var ok bool
+	if at.buffered, ok = appendReserved(at.buffered, p, f.d.cfg.MaxResponseBytes, f.relay.Reserve); !ok {
+		f.rejectResponse(at, ProblemMemoryExhausted)
+		return false
 	}
-	at.buffered = append(at.buffered, p...)
 	at.recordProgress(f.now(), f.progressTimeout())
 	return true
 }
--- a/internal/dispatcher/unboundedresponse_test.go
+++ b/internal/dispatcher/unboundedresponse_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/relayer"
 )
 
 // maxWritten limits how many bytes an upstream that never stops may be able to write: the
@@ -147,6 +148,29 @@
 	}
 }
 
+// TestStreamStateWithoutEndIsGivenUp checks that neither the exported state of a stream nor the
+// answer to its import takes more memory than the budget of buffers has.
+func TestStreamStateWithoutEndIsGivenUp(t *testing.T) {
+	filler := strings.Repeat("a", 4<<10)
+	endless := &unboundedUpstream{prefix: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeated: "1000\r\n" + filler + "\r\n"}
+	sound := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, "state") })
+	from := endless.serve(t)
+	budget := relayer.NewBudget(8 << 20)
+	d := newTestDispatcher(t, Config{Upstreams: fixedUpstreams{}, BufferBudget: budget})
+	if d.copyStreamState(from, sound, wireID) {
+		t.Error("got a state without end as copied")
+	}
+	if got := endless.written.Load(); got > maxWritten {
+		t.Errorf("%d bytes were read of a state without end, want at most %d", got, maxWritten)
+	}
+	if got, limit := budget.PeakBytes(), int64(8<<20); got == 0 || got > limit {
+		t.Errorf("the budget's peak is %d bytes, want some, and at most %d", got, limit)
+	}
+	if got := budget.UsedBytes(); got != 0 {
+		t.Errorf("%d bytes stay charged, want none", got)
+	}
+}
+
 // TestStreamWithoutEndGoesOnElsewhere checks that a stream continues at another upstream
 // if the first one keeps sending bytes, continuously or intermittently, that complete no
 // new event.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -97,6 +97,19 @@
 // so that slow callers cannot make them fail.
 func (b *Budget) Exhausted() bool { return b.used.Load() >= b.limit-b.limit/4 }
 
+// Reserve charges n bytes that no stream buffers; a negative n releases them. If they exceed the
+// budget, it returns false and charges nothing.
+func (b *Budget) Reserve(n int) bool {
+	if !b.hasRoom(n) {
+		return false
+	}
+	b.charge(int64(n))
+	return true
+}
+
+// hasRoom reports whether n bytes may be reserved. It is true if n is not positive.
+func (b *Budget) hasRoom(n int) bool { return n <= 0 || b.used.Load()+int64(n) <= b.limit }
+
 func (b *Budget) charge(n int64) {
 	if b.account != nil {
 		b.account.Charge(n)
@@ -155,7 +168,7 @@
 // response; a negative n releases them. If they exceed the budget, it returns false and
 // charges nothing.
 func (s *Stream) Reserve(n int) bool {
-	if n > 0 && s.budget.used.Load()+int64(n) > s.budget.limit {
+	if !s.budget.hasRoom(n) {
 		return false
 	}
 	s.reservedBytes += n
