poller, conductor: heads of answers take 64 KiB at most

What was seen: polls of upstreams and orders to engines read heads of up to 10 MiB, so that some faulty upstreams take the memory of a router (134 MB), which asks dozens of them at a time.

Cause: the default limit of net/http; the dispatcher's connections have 64 KiB.

Change: verifier.NewTransport sets the dispatcher's limit for all clients by which a router reads answers, both stores and the operators' interface included. The conductor has a transport of its own in place of the process's default one.

Evidence: TestResponseWithLongHeadIsNotKept of both packages failed before ('got a response whose head has 1 MiB, want an error') and passes now, as does TestTransportLimitsHeads. Bodies were bounded already (1 MiB; 4 MiB and 64 MiB from the stores).

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -47,6 +47,8 @@
 	lookInterval = 3 * time.Second
 	// callTimeout bounds one use of the store.
 	callTimeout = 10 * time.Second
+	// idleTimeout is how long an unused connection to an upstream is kept.
+	idleTimeout = 30 * time.Second
 	// resignTime is for how long a router that met a later holder stays out.
 	resignTime = 2 * leaser.DefaultTTL
 	// backlog is how many answers may wait for the goroutine of the jobs.
@@ -62,7 +64,7 @@
 	Store storer.Store
 	Log   *logrus.Logger
 	// Transport replaces the default transport; for tests and TLS.
-	Transport http.RoundTripper
+	Transport *http.Transport
 	// Orders says how fast the weight store is used.
 	Orders orderer.Config
 	// TTL is the time of the lease; zero means leaser.DefaultTTL.
@@ -106,11 +108,11 @@
 // New returns a Conductor that has yet to be Run.
 func New(cfg Config) *Conductor {
 	if cfg.Transport == nil {
-		cfg.Transport = http.DefaultTransport
+		cfg.Transport = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}
 	}
 	return &Conductor{
 		cfg:     cfg,
-		engines: engines{client: &http.Client{Transport: verifier.Transport{Base: cfg.Transport}}},
+		engines: engines{client: &http.Client{Transport: verifier.NewTransport(cfg.Transport)}},
 		inbox:   make(chan func(), backlog),
 		lease:   leaser.New(leaser.Config{Self: cfg.Self, Name: LeaseName, TTL: cfg.TTL, Seed: cfg.Seed}),
 		orderer: orderer.New(cfg.Orders),
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -220,6 +223,18 @@
 	return ""
 }
 
+// TestResponseWithLongHeadIsNotKept guards against engines whose heads take the router's memory.
+func TestResponseWithLongHeadIsNotKept(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("a", 1<<20))
+		_, _ = w.Write([]byte("{}"))
+	}))
+	defer server.Close()
+	if _, err := New(Config{Self: "r1"}).engines.state(t.Context(), strings.TrimPrefix(server.URL, "http://")); err == nil {
+		t.Error("got a response whose head has 1 MiB, want an error")
+	}
+}
+
 func TestCandidatesAreFewAndStable(t *testing.T) {
 	var live []messenger.RouterID
 	for i := range 400 {
--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -20,8 +20,6 @@
 )
 
 const (
-	// maxHeadBytes limits the status line and header of a response.
-	maxHeadBytes = 64 << 10
 	// connReadBytes is the size of a connection's read buffer.
 	connReadBytes = 1 << 10
 	// minReadBytes and maxReadBytes limit the buffer that copies a body from a connection
@@ -220,14 +218,14 @@
 		_ = conn.Close()
 		return nil, errCanceled
 	}
-	conn.limited.N = maxHeadBytes
+	conn.limited.N = verifier.MaxHeadBytes
 	x.setReused(conn.reused)
 	conn.head.begin(t.memory)
 	resp, err := roundTrip(conn, req, out.ownsResponse) //nolint:bodyclose // the connection itself is closed or reused
 	conn.head.end()
 	if err != nil {
 		_ = conn.Close()
-		if conn.reused && conn.limited.N == maxHeadBytes && !errors.Is(err, errNothingWritten) {
+		if conn.reused && conn.limited.N == verifier.MaxHeadBytes && !errors.Is(err, errNothingWritten) {
 			x.setUnanswered()
 		}
 		return nil, err
--- a/internal/dispatcher/connection_test.go
+++ b/internal/dispatcher/connection_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lentilwood.example/lentilwood/internal/timekeeper"
+	"lentilwood.example/lentilwood/internal/verifier"
 )
 
 // responses lists responses of an upstream, complete or broken, and the expected results.
@@ -53,7 +54,7 @@
 	{name: "trailer", raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n", wantStatus: 200, wantBody: "ok"},
 	{name: "lines that end in a line feed", raw: "HTTP/1.1 200 OK\nContent-Length: 2\n\nok", wantStatus: 200, wantBody: "ok"},
 	{name: "two lengths", raw: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok!", wantErr: true},
-	{name: "header without end", raw: "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*maxHeadBytes) + "\r\n\r\n", wantErr: true},
+	{name: "header without end", raw: "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*verifier.MaxHeadBytes) + "\r\n\r\n", wantErr: true},
 }
 
 // TestTransportResponses sends each response through each transport. It checks only the
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -56,7 +56,7 @@
 func NewClient(cfg ClientConfig) *Client {
 	c := &Client{token: cfg.Token, http: &http.Client{
 		Timeout:   cfg.Timeout,
-		Transport: verifier.Transport{Base: &http.Transport{TLSClientConfig: cfg.TLS}},
+		Transport: verifier.NewTransport(&http.Transport{TLSClientConfig: cfg.TLS}),
 	}}
 	for _, router := range cfg.Routers {
 		if !strings.Contains(router, "://") {
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -53,7 +53,7 @@
 	// OnCache receives each change of a worker's prompt cache.
 	OnCache func(messenger.CacheReport)
 	// Transport replaces the default transport in tests.
-	Transport http.RoundTripper
+	Transport *http.Transport
 }
 
 // Poller polls the upstreams assigned to this router.
@@ -100,7 +100,7 @@
 	}
 	return &Poller{
 		cfg:     cfg,
-		client:  &http.Client{Transport: verifier.Transport{Base: cfg.Transport}, Timeout: requestTimeout},
+		client:  &http.Client{Transport: verifier.NewTransport(cfg.Transport), Timeout: requestTimeout},
 		targets: make(map[messenger.UpstreamID]*target),
 	}
 }
--- a/internal/poller/poller_test.go
+++ b/internal/poller/poller_test.go
@@ -79,6 +79,20 @@
 	}
 }
 
+// TestResponseWithLongHeadIsNotKept guards against upstreams whose heads take the router's memory.
+func TestResponseWithLongHeadIsNotKept(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("a", 1<<20))
+		_, _ = fmt.Fprint(w, "{}")
+	}))
+	defer server.Close()
+	var load loadResponse
+	err := New(Config{Self: "r1"}).get(context.Background(), strings.TrimPrefix(server.URL, "http://"), "/v1/load", &load)
+	if err == nil {
+		t.Error("got a response whose head has 1 MiB, want an error")
+	}
+}
+
 func TestTargetIsNotPolledTwiceAtOnce(t *testing.T) {
 	p := New(Config{Self: "r1"})
 	p.Assign([]messenger.RouterID{"r1"}, map[messenger.UpstreamID]messenger.UpstreamPolicy{"w1": {Address: "127.0.0.1:1"}})
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -51,7 +51,7 @@
 	// Timeout bounds a whole call; zero means DefaultTimeout.
 	Timeout time.Duration
 	// Transport replaces the default transport; for tests and TLS.
-	Transport http.RoundTripper
+	Transport *http.Transport
 }
 
 // DefaultTimeout bounds a call where the settings name no other limit.
@@ -70,7 +70,7 @@
 		}
 	}
 	return &Client{base: cfg.URL, token: cfg.Token, http: &http.Client{
-		Transport: verifier.Transport{Base: cfg.Transport}, Timeout: cfg.Timeout,
+		Transport: verifier.NewTransport(cfg.Transport), Timeout: cfg.Timeout,
 	}}
 }
 
--- a/internal/verifier/transport.go
+++ b/internal/verifier/transport.go
@@ -2,16 +2,20 @@
 
 import "net/http"
 
-// Transport is a RoundTripper that fails requests whose response is none of HTTP. It is for
-// clients that expect no change of protocol: status 101 fails as well.
-type Transport struct {
-	// Base performs the requests.
-	Base http.RoundTripper
+// Transport is a RoundTripper that fails requests whose response has a malformed head, or one of
+// more than MaxHeadBytes. It is for clients that expect no change of protocol: status 101 fails as
+// well.
+type Transport struct{ base *http.Transport }
+
+// NewTransport returns a Transport that performs requests with base, whose limit for heads it sets.
+func NewTransport(base *http.Transport) Transport {
+	base.MaxResponseHeaderBytes = MaxHeadBytes
+	return Transport{base: base}
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.Base.RoundTrip(req)
+	resp, err := t.base.RoundTrip(req)
 	if err != nil {
 		return nil, err
 	}
@@ -22,7 +26,7 @@
 	return resp, nil
 }
 
-// checkFinal returns why a response is none, or nil.
+// checkFinal returns why a response is malformed, or nil.
 func checkFinal(resp *http.Response) error {
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return ErrStatus
@@ -33,9 +37,5 @@
 	return CheckNames(resp.Header)
 }
 
-// CloseIdleConnections closes the idle connections of Base, on behalf of http.Client.
-func (t Transport) CloseIdleConnections() {
-	if base, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
-		base.CloseIdleConnections()
-	}
-}
+// CloseIdleConnections closes the idle connections, on behalf of http.Client.
+func (t Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/internal/verifier/transport_test.go
+++ b/internal/verifier/transport_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -29,7 +30,7 @@
 			_ = conn.Close()
 		}
 	}()
-	transport := Transport{Base: &http.Transport{}}
+	transport := NewTransport(&http.Transport{})
 	t.Cleanup(transport.CloseIdleConnections)
 	return &http.Client{Transport: transport}, "http://" + l.Addr().String()
 }
@@ -64,3 +65,16 @@
 		})
 	}
 }
+
+func TestTransportLimitsHeads(t *testing.T) {
+	for size, wantErr := range map[int]bool{MaxHeadBytes / 2: false, 2 * MaxHeadBytes: true} {
+		client, url := answering(t, "HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("a", size)+"\r\nContent-Length: 2\r\n\r\nok")
+		resp, err := client.Get(url)
+		if (err != nil) != wantErr {
+			t.Errorf("%d bytes: got error %v, want one %v", size, err, wantErr)
+		}
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}
+}
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -15,7 +15,7 @@
 //
 // Clients of net/http use Transport:
 //
-//	client := &http.Client{Transport: verifier.Transport{Base: &http.Transport{}}}
+//	client := &http.Client{Transport: verifier.NewTransport(&http.Transport{})}
 package verifier
 
 import (
@@ -24,6 +24,9 @@
 	"github.com/ansel1/merry/v2"
 )
 
+// MaxHeadBytes limits the status line and the header of a response.
+const MaxHeadBytes = 64 << 10
+
 // maxStatus is the highest status code of HTTP. Those of 500 and above are failures of a server.
 const maxStatus = 599
 
