--- a/internal/exchanger/peer.go
+++ b/internal/exchanger/peer.go
@@ -29,6 +29,7 @@
 
 	// The fields below are used by the peer's goroutine only.
 	client *rpc.Client
+	conn   *ackConn
 	// epoch distinguishes the sequence numbers of this peer from those of earlier
 	// ones. nextSequence is the number of the next message.
 	epoch, nextSequence uint64
@@ -160,6 +161,7 @@
 func (p *peer[M]) call(batch *Batch[M]) error {
 	timeout := time.NewTimer(p.exchanger.cfg.CallTimeout)
 	defer timeout.Stop()
+	p.conn.beginCall()
 	call := p.client.Go(methodName, batch, &Ack{}, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -195,7 +197,8 @@
 	}
 	_ = conn.SetReadDeadline(time.Time{})
 	p.exchanger.counters.connections.Add(1)
-	p.client = rpc.NewClientWithCodec(codec.GoRpc.ClientCodec(transport, p.exchanger.handle))
+	p.conn = newAckConn(transport)
+	p.client = rpc.NewClientWithCodec(codec.GoRpc.ClientCodec(p.conn, p.exchanger.handle))
 	return nil
 }
 
