dispatcher: a part of an exported stream state is not imported

What was seen: a state that an engine exported without a length was imported at another engine although the first may have ended in the middle of it.

Cause: the end of such an answer was taken for that of the state, without the checks that answers to callers get.

Change: a state without a length counts as not exported; the stream goes on where it is, as when a move fails otherwise.

Evidence: TestPartOfStreamStateIsNotImported, 'without a length', failed before ('copied true, imported true') and passes now; a state cut short of its length was refused already.

--- a/internal/dispatcher/fetch.go
+++ b/internal/dispatcher/fetch.go
@@ -9,9 +9,9 @@
 const maxUnusedBodyBytes = 64 << 10
 
 // fetch sends a request that serves no caller and passes the body of the response to consume,
-// which returns false if it takes no more. It returns the head after the end of the response. The
+// which returns false if it takes no more. It returns the state at the end of the response. The
 // status is 0 if that did not end within timeout, or was not taken to its end.
-func (d *Dispatcher) fetch(out *upstreamRequest, timeout time.Duration, consume func(p []byte) bool) (int, http.Header) {
+func (d *Dispatcher) fetch(out *upstreamRequest, timeout time.Duration, consume func(p []byte) bool) exchangeUpdate {
 	updated := make(chan struct{}, 1)
 	x := &exchange{updated: updated, maxBuffered: readAheadBytes}
 	defer x.cancel()
@@ -21,14 +21,14 @@
 		select {
 		case <-updated:
 		case <-expired:
-			return 0, nil
+			return exchangeUpdate{}
 		}
 		u := x.poll(true)
 		switch {
 		case !consume(u.body), u.done && u.err != nil:
-			return 0, nil
+			return exchangeUpdate{}
 		case u.done:
-			return u.status, u.header
+			return u
 		}
 	}
 }
@@ -37,10 +37,11 @@
 // if there was none within timeout.
 func (d *Dispatcher) fetchHead(out *upstreamRequest, timeout time.Duration) (int, http.Header) {
 	n := 0
-	return d.fetch(out, timeout, func(p []byte) bool {
+	u := d.fetch(out, timeout, func(p []byte) bool {
 		n += len(p)
 		return n <= maxUnusedBodyBytes
 	})
+	return u.status, u.header
 }
 
 // appendReserved appends p to buf. It reserves a larger buffer before it allocates one, as both
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -85,16 +85,17 @@
 func (d *Dispatcher) copyStreamState(from, to, wireID string) bool {
 	var state []byte
 	defer func() { d.cfg.BufferBudget.Reserve(-cap(state)) }()
-	status, _ := d.fetch(&upstreamRequest{
+	exported := d.fetch(&upstreamRequest{
 		address: from, method: http.MethodPost, uri: streamURI(wireID) + "/export", header: requestIDHeader(wireID), newConn: true,
 	}, moveTimeout, func(p []byte) (ok bool) {
 		state, ok = appendReserved(state, p, maxMoveBytes, d.cfg.BufferBudget.Reserve)
 		return ok
 	})
-	if status != http.StatusOK {
+	// Without a length, a state may be a part of one whose engine has ended.
+	if exported.status != http.StatusOK || exported.closeDelimited {
 		return false
 	}
-	status, _ = d.fetchHead(&upstreamRequest{
+	status, _ := d.fetchHead(&upstreamRequest{
 		address: to, method: http.MethodPost, uri: streamURI(wireID) + "/import",
 		header: requestIDHeader(wireID), body: state, newConn: true,
 	}, moveTimeout)
--- a/internal/dispatcher/move_test.go
+++ b/internal/dispatcher/move_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -96,6 +99,29 @@
 	}
 }
 
+// TestPartOfStreamStateIsNotImported guards against importing a part of an exported state: without a
+// length, its end looks the same whether the state is complete or its engine has ended.
+func TestPartOfStreamStateIsNotImported(t *testing.T) {
+	for name, tc := range map[string]struct {
+		raw  string
+		want bool
+	}{
+		"with a length":    {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstate", true},
+		"without a length": {"HTTP/1.1 200 OK\r\n\r\nstate", false},
+		"cut":              {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nstate", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			from := serveRaw(t, func(conn net.Conn, _ *http.Request) { _, _ = io.WriteString(conn, tc.raw) })
+			imported := false
+			to := serve(t, func(http.ResponseWriter, *http.Request) { imported = true })
+			d := newTestDispatcher(t, Config{Upstreams: fixedUpstreams{}})
+			if got := d.copyStreamState(from, to, wireID); got != tc.want || imported != tc.want {
+				t.Errorf("copied %v, imported %v, want both %v", got, imported, tc.want)
+			}
+		})
+	}
+}
+
 // checkTokens checks that every token arrived once and in order.
 func checkTokens(t *testing.T, text, wireID string, tokens int) {
 	t.Helper()
