--- a/internal/verifier/transport_test.go
+++ b/internal/verifier/transport_test.go
@@ -1,11 +1,10 @@
 package verifier
 
 import (
-	"bufio"
 	"errors"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 )
@@ -13,26 +12,17 @@
 // answering returns a client of a server that answers each request with raw.
 func answering(t *testing.T, raw string) (client *http.Client, url string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatalf("listen: %v", err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.WriteString(conn, raw)
-			}
-			_ = conn.Close()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Errorf("hijack: %v", err)
+			return
 		}
-	}()
-	transport := NewTransport(&http.Transport{})
-	t.Cleanup(transport.CloseIdleConnections)
-	return &http.Client{Transport: transport}, "http://" + l.Addr().String()
+		_, _ = io.WriteString(conn, raw)
+		_ = conn.Close()
+	}))
+	t.Cleanup(server.Close)
+	return &http.Client{Transport: NewTransport(&http.Transport{})}, server.URL
 }
 
 func TestTransport(t *testing.T) {
