dispatcher: a malformed head on a kept connection is not sent for again

What was seen: an idempotent request whose answer on a kept connection had a malformed head was sent to the same upstream once more, as if the connection had broken off before any answer.

Change: the bytes are counted first and checked then.

Evidence: TestMalformedHeadIsAResponse failed before ('unanswered true') and passes now.

--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -35,8 +35,8 @@
 type upstreamConn struct {
 	net.Conn
 	head    headMeter
-	checked *verifier.HeadReader
 	limited io.LimitedReader
+	checked *verifier.HeadReader
 	reader  *bufio.Reader
 	reused  bool
 	// openedAt is when the connection was opened.
@@ -50,9 +50,9 @@
 func newUpstreamConn(conn net.Conn) *upstreamConn {
 	c := &upstreamConn{Conn: conn}
 	c.head.r = conn
-	c.checked = verifier.NewHeadReader(&c.head)
-	c.limited.R = c.checked
-	c.reader = bufio.NewReaderSize(&c.limited, connReadBytes)
+	c.limited.R = &c.head
+	c.checked = verifier.NewHeadReader(&c.limited)
+	c.reader = bufio.NewReaderSize(c.checked, connReadBytes)
 	return c
 }
 
--- a/internal/dispatcher/connection_test.go
+++ b/internal/dispatcher/connection_test.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -148,6 +150,36 @@
 	<-closed
 }
 
+// TestMalformedHeadIsAResponse checks that a kept connection with a malformed head does not count as
+// one that broke off unanswered, after which the same upstream gets the request once more.
+func TestMalformedHeadIsAResponse(t *testing.T) {
+	addr := serveConns(t, func(conn net.Conn) {
+		br := bufio.NewReader(conn)
+		for _, head := range []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX Foo: 1\r\n"} {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, head+"Content-Length: 2\r\n\r\nok")
+		}
+	})
+	tr := newConnTransport(timekeeper.System{}, Config{ConnectTimeout: time.Second, IdleTimeout: time.Minute})
+	defer tr.Close()
+	out := &upstreamRequest{address: addr, method: http.MethodGet, uri: "/", header: make(http.Header)}
+	if _, _, err := fetch(t, tr, out); err != nil {
+		t.Fatal(err)
+	}
+	updated := make(chan struct{}, 1)
+	x := &exchange{updated: updated, maxBuffered: readAheadBytes}
+	tr.Start(x, out)
+	u := x.poll(true)
+	for ; !u.done; u = x.poll(true) {
+		<-updated
+	}
+	if !u.reused || u.unanswered || !errors.Is(u.err, verifier.ErrHead) {
+		t.Errorf("reused %v, unanswered %v, error %v; want a reused connection, answered with %v", u.reused, u.unanswered, u.err, verifier.ErrHead)
+	}
+}
+
 // TestBackPressure checks that an upstream is read no faster than its response is
 // consumed.
 func TestBackPressure(t *testing.T) {
