--- a/internal/dispatcher/acknowledgment.go
+++ b/internal/dispatcher/acknowledgment.go
@@ -3,8 +3,6 @@
 import (
 	"net"
 	"time"
-
-	"github.com/ansel1/merry/v2"
 )
 
 const (
@@ -15,8 +13,6 @@
 	acknowledgmentPollInterval = 10 * time.Millisecond
 )
 
-var errResetAfterEnd = merry.Sentinel("upstream reset the connection after the end of its response")
-
 // awaitAcknowledged waits until the upstream has received the whole request. It fails if the
 // connection is reset before.
 //
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -18,6 +18,7 @@
 	errStrayResponse  = merry.Sentinel("upstream answered another request and closed")
 	errUnexpectedData = merry.Sentinel("upstream closed or answered before it was asked")
 	errNothingWritten = merry.Sentinel("connection accepted no byte of the request")
+	errResetAfterEnd  = merry.Sentinel("upstream reset the connection after the end of its response")
 	errProtocolSwitch = merry.Sentinel("upstream switched protocols")
 	errNoRecorder     = merry.Sentinel("no store for idempotency keys")
 	errNoOlderConn    = merry.Sentinel("no idle connection opened early enough")
