--- a/internal/dispatcher/faultyupstream_test.go
+++ b/internal/dispatcher/faultyupstream_test.go
@@ -55,6 +55,8 @@
 	noReasonPhrase
 	closeDelimitedResponse
 	forgetStream
+	statusZero
+	blankInName
 	faultCount
 )
 
@@ -157,6 +159,11 @@
 	case cutHead:
 		write(conn, "HTTP/1.1 200 OK\r\nX-Requ")
 		return false
+	case statusZero:
+		whole := head("200 OK", requestIDOf(r), "Content-Length: 2") + "no"
+		return write(conn, head("000 None", requestIDOf(r), "Content-Length: "+strconv.Itoa(len(whole)))+whole)
+	case blankInName:
+		return write(conn, head("200 OK", requestIDOf(r), "Content-Length : 2")+"no")
 	}
 	if u.engine {
 		u.mu.Lock()
