--- a/internal/dispatcher/acknowledgment.go
+++ b/internal/dispatcher/acknowledgment.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// tcpClose is the state of a connection that was reset.
+	// tcpClose is the state of a connection that was reset; this side has not closed it yet.
 	tcpClose = 7
 	// acknowledgmentPollInterval is how often a connection is checked for the acknowledgment of a
 	// request.
@@ -16,9 +16,9 @@
 // awaitAcknowledged waits until the upstream has received the whole request. It fails if the
 // connection is reset before.
 //
-// A response that only the end of its connection ends may arrive, with that end, before the request
-// was received. If the upstream then resets the connection, the response was broken off, but the
-// system reports its end as if nothing had happened: only the state of the connection tells.
+// A response without a length may end before its request was received. If the upstream resets the
+// connection then, the response was cut short. But if its FIN and its RST both arrive before they
+// are read, the read returns io.EOF, and only the state of the connection shows the reset.
 func (r *bodyReader) awaitAcknowledged() error {
 	ticker := time.NewTicker(acknowledgmentPollInterval)
 	defer ticker.Stop()
--- a/internal/verifier/head.go
+++ b/internal/verifier/head.go
@@ -8,7 +8,7 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// ErrHead means that the bytes of a response are no head as RFC 9112 defines it.
+// ErrHead means that the status line or the header of a response violates RFC 9112.
 var ErrHead = merry.Sentinel("head of the response is malformed")
 
 // headState is what the next byte of a head belongs to.
@@ -21,21 +21,23 @@
 	atLineStart
 	inName
 	inValue
-	// afterCR and afterLastCR are the states between the two bytes that end a line, or the head.
-	afterCR
-	afterLastCR
+	// expectLF and expectLastLF are the states between the CR and the LF of a line, or of the blank
+	// line that ends the head.
+	expectLF
+	expectLastLF
 	headMalformed
 )
 
 // HeadReader passes on what it reads and checks the heads of responses in it. It fails with
 // ErrHead if a line
-//   - has a field name that is empty or contains a blank or a control byte,
-//   - starts with a blank, as a line does that continues the one before (RFC 9112 section 5.2),
-//   - contains a control byte other than a tab, or
-//   - ends in LF although the lines before end in CRLF, or the reverse.
+//   - has a field name that is no token (RFC 9110 section 5.1), because it is empty or contains a
+//     space or a control character, for example,
+//   - is folded: it starts with a space or a tab (obs-fold, RFC 9112 section 5.2),
+//   - contains a control character other than a tab, or
+//   - ends in a bare LF although the lines before end in CRLF, or the reverse.
 //
-// A parser that does not see such lines as the server does may take a field for another one, or
-// a part of the head for the body.
+// Parsers differ in what they make of such lines. The parser of net/http may take one for another
+// field than the server meant, or take a part of the head for the body.
 type HeadReader struct {
 	r     io.Reader
 	state headState
@@ -88,7 +90,7 @@
 		return h.afterCR()
 	case c == '\n':
 		return h.afterLF()
-	case h.state == afterCR, h.state == afterLastCR:
+	case h.state == expectLF, h.state == expectLastLF:
 		return headMalformed
 	case h.state == atLineStart, h.state == inName:
 		return afterNameByte(c, h.state)
@@ -105,16 +107,16 @@
 	}
 	switch h.state {
 	case inStatusLine, inValue:
-		return afterCR
+		return expectLF
 	case atLineStart:
-		return afterLastCR
+		return expectLastLF
 	}
 	return headMalformed
 }
 
 // afterLF returns the state after a LF.
 func (h *HeadReader) afterLF() headState {
-	withCR := h.state == afterCR || h.state == afterLastCR
+	withCR := h.state == expectLF || h.state == expectLastLF
 	if !h.lineEndKnown {
 		h.lineEndKnown, h.bareLF = true, !withCR
 	}
@@ -122,9 +124,9 @@
 		return headMalformed
 	}
 	switch h.state {
-	case inStatusLine, inValue, afterCR:
+	case inStatusLine, inValue, expectLF:
 		return atLineStart
-	case atLineStart, afterLastCR:
+	case atLineStart, expectLastLF:
 		return headDone
 	}
 	return headMalformed
@@ -150,8 +152,8 @@
 	return strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
 }
 
-// CheckNames returns ErrHead if the name of a field is none. The parser of net/http lets names
-// with a blank pass.
+// CheckNames returns ErrHead if a field name is no token. The parser of net/http accepts names that
+// contain a space.
 func CheckNames(h http.Header) error {
 	for name := range h {
 		for i := range len(name) {
--- a/internal/verifier/transport.go
+++ b/internal/verifier/transport.go
@@ -2,12 +2,13 @@
 
 import "net/http"
 
-// Transport is a RoundTripper that fails requests whose response has a malformed head, or one of
-// more than MaxHeadBytes. It is for clients that expect no change of protocol: status 101 fails as
-// well.
+// Transport is an http.RoundTripper that fails if the response has an invalid status code or field
+// name, or a head of more than MaxHeadBytes. It is for clients that never request an upgrade of the
+// protocol: status 101 fails as well.
 type Transport struct{ base *http.Transport }
 
-// NewTransport returns a Transport that performs requests with base, whose limit for heads it sets.
+// NewTransport returns a Transport that performs requests with base. It sets the limit of base for
+// the size of heads.
 func NewTransport(base *http.Transport) Transport {
 	base.MaxResponseHeaderBytes = MaxHeadBytes
 	return Transport{base: base}
@@ -26,7 +27,7 @@
 	return resp, nil
 }
 
-// checkFinal returns why a response is malformed, or nil.
+// checkFinal returns why a response is invalid, or nil.
 func checkFinal(resp *http.Response) error {
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return ErrStatus
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -1,7 +1,7 @@
-// Package verifier checks that the bytes of a server are a response as RFC 9110 and RFC 9112
-// define it. The parser of net/http accepts more than that: any three digits as the status, and
-// names of fields that contain a blank, for example. A response that it accepts may thus be one
-// that no caller must get.
+// Package verifier checks the heads of HTTP/1.1 responses: the status line and the header. The
+// parser of net/http is more lenient than RFC 9110 and RFC 9112; it accepts any three digits as the
+// status code, and field names that contain a space, for example. Passed on, such a response may
+// have another meaning for the next recipient.
 //
 // # Usage
 //
@@ -27,14 +27,14 @@
 // MaxHeadBytes limits the status line and the header of a response.
 const MaxHeadBytes = 64 << 10
 
-// maxStatus is the highest status code of HTTP. Those of 500 and above are failures of a server.
+// maxStatus is the highest valid status code.
 const maxStatus = 599
 
-// ErrStatus means that the status code of a response is none of HTTP.
-var ErrStatus = merry.Sentinel("status of the response is none of HTTP")
+// ErrStatus means that the status code of a response is invalid.
+var ErrStatus = merry.Sentinel("status code of the response is invalid")
 
-// CheckStatus returns ErrStatus unless status is between 100 and 599. Whether it is a known one
-// does not matter.
+// CheckStatus returns ErrStatus unless status is between 100 and 599 (RFC 9110 section 15). It need
+// not be a registered one.
 func CheckStatus(status int) error {
 	if status < http.StatusContinue || status > maxStatus {
 		return merry.Prependf(ErrStatus, "%03d", status)
