dispatcher: a request that is never read holds no connection

What was seen: after an engine's stream that is complete by its last event, an upstream that ended its side and never read the rest of its request held the connection and a goroutine for ever, looked at every 10 ms.

Cause: the wait for the acknowledgment of the request ended with the exchange's cancellation only, and an exchange whose response is complete is not cancelled but left to linger for a second.

Change: the wait ends once the response is complete for the caller. Before that, deadlines and timeouts of the request cancel it, as they did.

Evidence: TestUnreadRequestHoldsNoConnection failed before ('stays open' after 10 s) and passes now; the tests of resets during uploads pass as before, 5 plays each with the race detector.

--- a/internal/dispatcher/acknowledgment.go
+++ b/internal/dispatcher/acknowledgment.go
@@ -13,25 +13,24 @@
 	acknowledgmentPollInterval = 10 * time.Millisecond
 )
 
-// awaitAcknowledged waits until the upstream has received the whole request. It fails if the
-// connection is reset before.
+// awaitAcknowledged waits until the upstream has received the whole request, or the response is
+// complete for the caller whatever the upstream does. It fails if the connection is reset before.
 //
 // A response without a length may end before its request was received. If the upstream resets the
 // connection then, the response was cut short. But if its FIN and its RST both arrive before they
 // are read, the read returns io.EOF, and only the state of the connection shows the reset.
-func (r *bodyReader) awaitAcknowledged() error {
-	ticker := time.NewTicker(acknowledgmentPollInterval)
-	defer ticker.Stop()
-	for {
+func (r *bodyReader) awaitAcknowledged(x *exchange) error {
+	for !x.isLingering() {
 		if done, err := isAcknowledged(r.conn.Conn); done || err != nil {
 			return err
 		}
 		select {
-		case <-ticker.C:
+		case <-time.After(acknowledgmentPollInterval):
 		case <-r.stopped:
 			return errCanceled
 		}
 	}
+	return nil
 }
 
 // isAcknowledged reports whether the other end has acknowledged all that was written to a
--- a/internal/dispatcher/connection.go
+++ b/internal/dispatcher/connection.go
@@ -267,7 +267,7 @@
 	}
 	if r.closeDelimited {
 		x.setEndedAt(endReceivedAt(r.conn.Conn, t.pool.clock.Now()))
-		if err := r.awaitAcknowledged(); err != nil {
+		if err := r.awaitAcknowledged(x); err != nil {
 			_ = r.conn.Close()
 			return err
 		}
--- a/internal/dispatcher/earlyanswer_test.go
+++ b/internal/dispatcher/earlyanswer_test.go
@@ -99,6 +99,41 @@
 	}
 }
 
+// TestUnreadRequestHoldsNoConnection checks that a connection is closed soon after its response is
+// complete for the caller, even if the upstream never reads the rest of the request.
+func TestUnreadRequestHoldsNoConnection(t *testing.T) {
+	over, closed := make(chan struct{}), make(chan struct{})
+	defer close(over)
+	address := answerEarly(t, func(conn *net.TCPConn, _ *http.Request) {
+		_ = conn.CloseWrite()
+		<-over
+	})
+	tr := newConnTransport(timekeeper.System{}, Config{ConnectTimeout: time.Second})
+	defer tr.Close()
+	updated := make(chan struct{}, 1)
+	x := &exchange{updated: updated, maxBuffered: readAheadBytes}
+	tr.Start(x, &upstreamRequest{
+		address: address, method: http.MethodPost, uri: "/", header: make(http.Header), newConn: true, body: make([]byte, uploadSizes["buffered"]),
+	})
+	for len(x.poll(true).body) == 0 {
+		<-updated
+	}
+	x.linger()
+	go func() {
+		for !x.poll(true).done {
+			<-updated
+		}
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(10 * lingerTimeout):
+		t.Error("the connection of a complete response stays open")
+		x.cancel()
+		<-closed
+	}
+}
+
 // TestResetDuringUploadIsNoEndWithTLS is TestResetDuringUploadIsNoEnd over TLS.
 func TestResetDuringUploadIsNoEndWithTLS(t *testing.T) {
 	server := httptest.NewUnstartedServer(nil)
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -194,6 +194,13 @@
 	}
 }
 
+// isLingering reports whether the response is complete for the caller.
+func (x *exchange) isLingering() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.lingering
+}
+
 // setReused records whether the connection carried other requests before.
 func (x *exchange) setReused(reused bool) {
 	x.mu.Lock()
