dispatcher: the test of states without end tries imports as well

Its comment said so, but only exports were tried; the answer to an import was bounded without a test. The bounds are as they were, now for both.

--- a/internal/dispatcher/unboundedresponse_test.go
+++ b/internal/dispatcher/unboundedresponse_test.go
@@ -151,23 +151,31 @@
 // TestStreamStateWithoutEndIsGivenUp checks that neither the exported state of a stream nor the
 // answer to its import takes more memory than the budget of buffers has.
 func TestStreamStateWithoutEndIsGivenUp(t *testing.T) {
+	const limit = 8 << 20
 	filler := strings.Repeat("a", 4<<10)
-	endless := &unboundedUpstream{prefix: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeated: "1000\r\n" + filler + "\r\n"}
-	sound := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, "state") })
-	from := endless.serve(t)
-	budget := relayer.NewBudget(8 << 20)
-	d := newTestDispatcher(t, Config{Upstreams: fixedUpstreams{}, BufferBudget: budget})
-	if d.copyStreamState(from, sound, wireID) {
-		t.Error("got a state without end as copied")
-	}
-	if got := endless.written.Load(); got > maxWritten {
-		t.Errorf("%d bytes were read of a state without end, want at most %d", got, maxWritten)
-	}
-	if got, limit := budget.PeakBytes(), int64(8<<20); got == 0 || got > limit {
-		t.Errorf("the budget's peak is %d bytes, want some, and at most %d", got, limit)
-	}
-	if got := budget.UsedBytes(); got != 0 {
-		t.Errorf("%d bytes stay charged, want none", got)
+	for name, exports := range map[string]bool{"export": true, "import": false} {
+		t.Run(name, func(t *testing.T) {
+			endless := &unboundedUpstream{prefix: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeated: "1000\r\n" + filler + "\r\n"}
+			from := endless.serve(t)
+			to := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, "state") })
+			if !exports {
+				from, to = to, from
+			}
+			budget := relayer.NewBudget(limit)
+			d := newTestDispatcher(t, Config{Upstreams: fixedUpstreams{}, BufferBudget: budget})
+			if d.copyStreamState(from, to, wireID) {
+				t.Error("got a state as copied whose answer has no end")
+			}
+			if got := endless.written.Load(); got > maxWritten {
+				t.Errorf("%d bytes were read of an answer without end, want at most %d", got, maxWritten)
+			}
+			if got := budget.PeakBytes(); got == 0 || got > limit {
+				t.Errorf("the budget's peak is %d bytes, want some, and at most %d", got, limit)
+			}
+			if got := budget.UsedBytes(); got != 0 {
+				t.Errorf("%d bytes stay charged, want none", got)
+			}
+		})
 	}
 }
 
