--- a/internal/dispatcher/connection_test.go
+++ b/internal/dispatcher/connection_test.go
@@ -168,13 +168,7 @@
 	if _, _, err := fetch(t, tr, out); err != nil {
 		t.Fatal(err)
 	}
-	updated := make(chan struct{}, 1)
-	x := &exchange{updated: updated, maxBuffered: readAheadBytes}
-	tr.Start(x, out)
-	u := x.poll(true)
-	for ; !u.done; u = x.poll(true) {
-		<-updated
-	}
+	u := fetchUpdate(tr, out)
 	if !u.reused || u.unanswered || !errors.Is(u.err, verifier.ErrHead) {
 		t.Errorf("reused %v, unanswered %v, error %v; want a reused connection, answered with %v", u.reused, u.unanswered, u.err, verifier.ErrHead)
 	}
--- a/internal/dispatcher/transport_test.go
+++ b/internal/dispatcher/transport_test.go
@@ -38,14 +38,22 @@
 // fetch runs one exchange to its end.
 func fetch(tb testing.TB, t transport, out *upstreamRequest) (status int, body []byte, err error) {
 	tb.Helper()
+	u := fetchUpdate(t, out)
+	return u.status, u.body, u.err
+}
+
+// fetchUpdate runs one exchange to its end and returns its state, with the whole body.
+func fetchUpdate(t transport, out *upstreamRequest) exchangeUpdate {
 	ready := make(chan struct{}, 1)
 	x := &exchange{updated: ready, maxBuffered: readAheadBytes}
 	t.Start(x, out)
+	var body []byte
 	for {
 		u := x.poll(true)
 		body = append(body, u.body...)
 		if u.done {
-			return u.status, body, u.err
+			u.body = body
+			return u
 		}
 		<-ready
 	}
