dispatcher: an answer that ends while its upstream leaves is whole

Cause: such an answer is whole only if its upstream then answers a health probe with its id, and only status 200 counted. An upstream that leaves or is unhealthy answers 503 with its id. Evidence: event=endUnproven with reason="no health answer of the upstream", healthNamed=false for each of them.

Change: any status will do; the id shows that the process is alive. A refused connection, another id and no answer still prove nothing; another upstream that leaves at the same address is a new case of the test for that.

--- a/internal/dispatcher/endcheck.go
+++ b/internal/dispatcher/endcheck.go
@@ -176,15 +176,16 @@
 	return a
 }
 
-// isNamedInHealthAnswer reports whether an upstream answers a health probe with its id. If
-// openedBefore is not zero, the probe is sent over an idle connection opened before that.
+// isNamedInHealthAnswer reports whether an upstream answers a health probe with its id. Any status
+// will do: one that drains or fails answers 503, and its process is alive. If openedBefore is not
+// zero, the probe is sent over an idle connection opened before that.
 func (d *Dispatcher) isNamedInHealthAnswer(id messenger.UpstreamID, address string, openedBefore time.Time) bool {
 	status, header := d.fetchHead(&upstreamRequest{
 		address: address, method: http.MethodGet, uri: healthPath, header: make(http.Header),
 		newConn: openedBefore.IsZero(), openedBefore: openedBefore,
 		ownsResponse: func(_ int, h http.Header, _ bool) bool { return d.dialect.AnsweredRequestID(h) == "" },
 	}, d.cfg.ConnectTimeout)
-	if status != http.StatusOK || d.dialect.AnsweringUpstream(header) != id {
+	if status == 0 || d.dialect.AnsweringUpstream(header) != id {
 		return false
 	}
 	if n := d.dialect.Notice(status, header); n.HasCold {
--- a/internal/dispatcher/endcheck_test.go
+++ b/internal/dispatcher/endcheck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -57,6 +58,8 @@
 	// streamed is sent a value for each stream; mute is true if health probes get no answer.
 	streamed chan struct{}
 	mute     bool
+	// healthStatus is the status of health answers; zero means 200.
+	healthStatus int
 	// events is the number of events in a stream.
 	events int
 	// next, if set, is received from before each further event of a stream, and its end.
@@ -91,6 +94,12 @@
 
 func (p *process) address() string { return p.l.Addr().String() }
 
+func (p *process) setHealthStatus(status int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.healthStatus = status
+}
+
 // crash closes the port and all connections, as the end of a process does.
 func (p *process) crash() {
 	p.mu.Lock()
@@ -113,10 +122,10 @@
 		case healthPath:
 			p.mu.Lock()
 			p.healthProbes++
-			mute := p.mute
+			mute, status := p.mute, cmp.Or(p.healthStatus, http.StatusOK)
 			p.mu.Unlock()
 			if !mute {
-				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance: %s\r\nContent-Length: 0\r\n\r\n", p.id)
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nX-Instance: %s\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), p.id)
 			}
 		case "/small":
 			p.small.Done()
@@ -215,6 +224,10 @@
 			p.mute = true
 			p.mu.Unlock()
 		},
+		"as another upstream that leaves": func(u *unframedCase) {
+			p := startProcess(t, u.first.address(), "a-again")
+			p.setHealthStatus(http.StatusServiceUnavailable)
+		},
 		"not at all": func(*unframedCase) {},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -265,6 +278,19 @@
 	}
 }
 
+// TestUnframedResponseOfLeavingUpstreamIsComplete guards against reporting a complete response without
+// a length as broken, and its request as run without an answer, because its upstream is leaving or
+// unhealthy at the end, and says so in its health answer.
+func TestUnframedResponseOfLeavingUpstreamIsComplete(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusInternalServerError} {
+		u := startUnframed(t, func(u *unframedCase) { u.first.setHealthStatus(status) })
+		close(u.release)
+		if res := <-u.result; res.Aborted || res.Problem != "" || u.caller.text() != numberedEvents(1, 3) {
+			t.Errorf("health status %d: response = %q, result %+v, want the complete response", status, u.caller.text(), res)
+		}
+	}
+}
+
 // TestUnframedResponseOfSlowCallerIsComplete guards against reporting a complete response as
 // broken because its caller reads slowly: the end arrives long before the router reads it.
 func TestUnframedResponseOfSlowCallerIsComplete(t *testing.T) {
