dispatcher: an answer that ends after its upstream's registration is whole

What callers saw: a stream without a length that ended after the registration of its worker was gone was broken off after its last event; an order got 502.

Cause: over a new connection a health answer counted only while the upstream was registered (event=endUnproven reason="registration gone"). The registration adds nothing there: that no other process answers under the same id follows from the time between the end and the health answer (at most 1 s) and from the router not having stood still. A registration with another start still rules it out.

Change: the case is gone.

--- a/internal/dispatcher/endcheck.go
+++ b/internal/dispatcher/endcheck.go
@@ -33,7 +33,8 @@
 // process has ended.
 type endEvidence struct {
 	// sent is the registration when the request was sent, current the latest one; its address
-	// is empty if there is none.
+	// is empty if there is none. An upstream may go on serving without one, so that alone says
+	// nothing.
 	sent, current messenger.UpstreamPolicy
 	health        healthAnswer
 	// endedAt is when the end of the connection was received; zero if unknown.
@@ -65,8 +66,6 @@
 		// Whichever process opened that connection was alive together with the one that sent
 		// the response, at the same address.
 		return ""
-	case !registered:
-		return "registration gone"
 	case e.endedAt.IsZero():
 		return "time of the end unknown"
 	case e.standstill.mayHide(e.endedAt, e.health.answeredAt):
