dispatcher: health is asked at the path of the service

What callers saw: with a service whose configuration has another `healthPath` than /healthz, each answer without a length was broken off or became a 502.

Cause: the path of health probes was a constant; the platform's configuration was not read for it.

--- a/internal/dispatcher/cold_test.go
+++ b/internal/dispatcher/cold_test.go
@@ -142,8 +142,8 @@
 	})
 	notices := make(chan Notice, 8)
 	d := newTestDispatcher(t, Config{Dialect: coldDialect{}, OnNotice: func(_ messenger.UpstreamID, _ string, n Notice) { notices <- n }})
-	d.askHealth("a", address, time.Time{})
-	d.askHealth("b", address, time.Time{})
+	d.askHealth("a", messenger.UpstreamPolicy{Address: address}, time.Time{})
+	d.askHealth("b", messenger.UpstreamPolicy{Address: address}, time.Time{})
 	close(notices)
 	var got []Notice
 	for n := range notices {
--- a/internal/dispatcher/endcheck.go
+++ b/internal/dispatcher/endcheck.go
@@ -103,8 +103,8 @@
 		return
 	}
 	at.witnessed = true
-	upstream, address := at.upstream, at.policy.Address
-	f.d.background.Go(func() { f.d.askHealth(upstream, address, now) })
+	upstream, policy := at.upstream, at.policy
+	f.d.background.Go(func() { f.d.askHealth(upstream, policy, now) })
 }
 
 // lastStandstill returns the last standstill of the router's VM.
@@ -136,9 +136,9 @@
 	if at.openUntil.After(before) {
 		before = at.openUntil
 	}
-	upstream, address, x := at.upstream, at.policy.Address, at.exchange
+	upstream, policy, x := at.upstream, at.policy, at.exchange
 	f.d.background.Go(func() {
-		c.health = f.d.askHealth(upstream, address, before)
+		c.health = f.d.askHealth(upstream, policy, before)
 		c.done.Store(true)
 		x.signal()
 	})
@@ -165,11 +165,11 @@
 
 // askHealth sends a health probe to an upstream: over an idle connection opened before a given
 // time if there is one that works, otherwise over a new one.
-func (d *Dispatcher) askHealth(id messenger.UpstreamID, address string, before time.Time) healthAnswer {
+func (d *Dispatcher) askHealth(id messenger.UpstreamID, policy messenger.UpstreamPolicy, before time.Time) healthAnswer {
 	a := healthAnswer{olderConn: true}
-	if a.named = d.isNamedInHealthAnswer(id, address, before); !a.named {
+	if a.named = d.isNamedInHealthAnswer(id, policy, before); !a.named {
 		a.olderConn = false
-		a.named = d.isNamedInHealthAnswer(id, address, time.Time{})
+		a.named = d.isNamedInHealthAnswer(id, policy, time.Time{})
 	}
 	a.answeredAt = d.cfg.Clock.Now()
 	return a
@@ -178,9 +178,9 @@
 // isNamedInHealthAnswer reports whether an upstream answers a health probe with its id. Any status
 // will do: one that drains or fails answers 503, and its process is alive. If openedBefore is not
 // zero, the probe is sent over an idle connection opened before that.
-func (d *Dispatcher) isNamedInHealthAnswer(id messenger.UpstreamID, address string, openedBefore time.Time) bool {
+func (d *Dispatcher) isNamedInHealthAnswer(id messenger.UpstreamID, policy messenger.UpstreamPolicy, openedBefore time.Time) bool {
 	status, header := d.fetchHead(&upstreamRequest{
-		address: address, method: http.MethodGet, uri: healthPath, header: make(http.Header),
+		address: policy.Address, method: http.MethodGet, uri: healthURI(policy), header: make(http.Header),
 		newConn: openedBefore.IsZero(), openedBefore: openedBefore,
 		ownsResponse: func(_ int, h http.Header, _ bool) bool { return d.dialect.AnsweredRequestID(h) == "" },
 	}, d.cfg.ConnectTimeout)
@@ -188,7 +188,7 @@
 		return false
 	}
 	if n := d.dialect.Notice(status, header); n.HasCold {
-		d.notify(id, address, Notice{HasCold: true, Cold: n.Cold})
+		d.notify(id, policy.Address, Notice{HasCold: true, Cold: n.Cold})
 	}
 	return true
 }
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -21,6 +22,9 @@
 	cancelTimeout = 2 * time.Second
 )
 
+// healthURI returns where an upstream answers health probes.
+func healthURI(policy messenger.UpstreamPolicy) string { return cmp.Or(policy.HealthPath, healthPath) }
+
 func streamURI(wireID string) string { return streamsPath + url.PathEscape(wireID) }
 
 // resume requests the rest of a stream from its engine, after the last event relayed,
@@ -115,7 +119,7 @@
 	at.probe = &exchange{updated: f.exchangeUpdated, maxBuffered: readAheadBytes}
 	at.deadline = f.now().Add(min(f.progressTimeout(), f.d.cfg.ConnectTimeout))
 	f.d.transport.Start(at.probe, &upstreamRequest{
-		address: at.policy.Address, method: http.MethodGet, uri: healthPath,
+		address: at.policy.Address, method: http.MethodGet, uri: healthURI(at.policy),
 		header: make(http.Header), newConn: true,
 	})
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -367,7 +367,7 @@
 		if !ok {
 			continue
 		}
-		u.Engine = pool.Engine != nil
+		u.Engine, u.HealthPath = pool.Engine != nil, pool.HealthPath
 		e.cold.setPolicy(&u, pool.Cold)
 		u.Leaving = u.Leaving || f.isDeparting(key, u)
 		_, u.Evacuated = evacuated[u.Domain]
--- a/internal/messenger/policy.go
+++ b/internal/messenger/policy.go
@@ -77,6 +77,8 @@
 	Engine *EnginePolicy
 	// Cold limits the requests to upstreams that are cold; the zero value means no limit.
 	Cold ColdPolicy
+	// HealthPath is the path of the health probes of the pool's upstreams; "" means the usual one.
+	HealthPath string
 }
 
 // ColdPolicy describes upstreams that are cold after their start.
@@ -105,6 +107,8 @@
 	Window int
 	// Engine is true for a model engine and false for a plain service.
 	Engine bool
+	// HealthPath is that of the upstream's pool.
+	HealthPath string
 	// Started is the start time of the upstream's process, which distinguishes restarts; zero
 	// if not reported.
 	Started time.Time
