dispatcher: a silent upstream that drains is not given up for that

What callers saw (own interface): a request that must run once, at an upstream that worked on it longer than the progress timeout and drained meanwhile, ended as of unknown outcome although the answer was to come.

Cause: only status 200 of a health answer showed that the upstream is alive.

Change: any status shows it where the request cannot go on elsewhere. A request that may be repeated still leaves an upstream that is not healthy.

Measured: TestSilentService/leaving failed before (given up after one timeout) and passes.

--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -125,7 +125,8 @@
 }
 
 // processProbe handles the response to a health probe. A healthy upstream gets another
-// progress timeout; otherwise the attempt fails.
+// progress timeout, and so does one that drains or is unhealthy if the request cannot go on
+// elsewhere: its process is alive. Otherwise the attempt fails.
 func (f *inflightRequest) processProbe(at *attempt) {
 	if at.probe == nil {
 		return
@@ -135,7 +136,7 @@
 		f.d.notify(at.upstream, at.policy.Address, f.d.dialect.Notice(u.status, u.header))
 	}
 	switch {
-	case u.status == http.StatusOK:
+	case u.status == http.StatusOK, u.status != 0 && !f.mayRetry():
 		f.cancelProbe(at)
 		at.deadline = f.now().Add(f.progressTimeout())
 	case u.status != 0 || u.done:
