budgeter: a retry counts for the whole window

Cause: a window had 20 slices, of which the newest is not over yet, so a retry at the end of a slice was forgotten up to half a second before the window was over. A second burst 9.55 to 9.95 s after the first had the whole budget again: 133 retries in a window of 10 s where 96 are allowed. The part of the budget that is left unused (0.3) doesn't cover that.

Change: one slice more is kept. Retries are counted in all of them (10 to 10.5 s), requests in all but the oldest (9.5 to 10 s).

Measured: TestTwoBurstsStayWithinBounds failed before for 9 of 20 gaps, passes.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -29,8 +29,11 @@
 	// number of routers: with safetyFactor one retry in each window. Without any, a stream that
 	// breaks in the first moments of a router is lost.
 	unknownExtra = 1.5
-	// slicesPerWindow is the number of slices in which the requests of a window are counted.
+	// slicesPerWindow is the number of slices of a window.
 	slicesPerWindow = 20
+	// keptSlices is the number of slices that are kept. The newest one is not over yet, so all of
+	// them cover a window or more, and all but the oldest a window or less.
+	keptSlices = slicesPerWindow + 1
 )
 
 // Bounds limits the retries in each window.
@@ -58,8 +61,21 @@
 
 // window counts the requests and retries of a pool in slices of time.
 type window struct {
+	// slice is the number of the newest slice.
 	slice             int64
-	requests, retries [slicesPerWindow]float64
+	requests, retries [keptSlices]float64
+}
+
+// counts returns the requests of a window at most, and the retries of a window at least.
+func (w *window) counts() (requests, retries float64) {
+	oldest := (w.slice + 1) % keptSlices
+	for i := range int64(keptSlices) {
+		retries += w.retries[i]
+		if i != oldest {
+			requests += w.requests[i]
+		}
+	}
+	return requests, retries
 }
 
 // New returns a Budgeter for a fleet of one router.
@@ -89,7 +105,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.current(pool)
-	w.requests[w.slice%slicesPerWindow]++
+	w.requests[w.slice%keptSlices]++
 }
 
 // Spend reports whether a retry is within the budget, and counts it if so.
@@ -97,16 +113,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.current(pool)
-	var requests, retries float64
-	for i := range slicesPerWindow {
-		requests += w.requests[i]
-		retries += w.retries[i]
-	}
+	requests, retries := w.counts()
 	limit := safetyFactor * (b.bounds.Ratio*requests + b.extra())
 	if retries+1 > limit {
 		return false
 	}
-	w.retries[w.slice%slicesPerWindow]++
+	w.retries[w.slice%keptSlices]++
 	return true
 }
 
@@ -119,8 +131,8 @@
 	}
 	length := max(int64(b.bounds.Window)/slicesPerWindow, 1)
 	slice := int64(b.clock.Now().Sub(b.start)) / length
-	for i := max(w.slice+1, slice-slicesPerWindow+1); i <= slice; i++ {
-		w.requests[i%slicesPerWindow], w.retries[i%slicesPerWindow] = 0, 0
+	for i := max(w.slice+1, slice-keptSlices+1); i <= slice; i++ {
+		w.requests[i%keptSlices], w.retries[i%keptSlices] = 0, 0
 	}
 	w.slice = max(w.slice, slice)
 	return w
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -49,6 +49,40 @@
 	}
 }
 
+// TestTwoBurstsStayWithinBounds guards against a window that ends early: a burst of retries at the end
+// of one of its slices was forgotten up to half a second before the window was over, and the next
+// burst had the whole budget again.
+func TestTwoBurstsStayWithinBounds(t *testing.T) {
+	bounds := Bounds{Ratio: 0.2, Extra: 56, Window: 10 * time.Second}
+	const step = 50 * time.Millisecond
+	for gap := 9 * time.Second; gap < bounds.Window; gap += step {
+		clock := timekeeper.NewManual(time.Unix(1000, 0))
+		b := New(clock, bounds)
+		advance := func(d time.Duration) {
+			for range d / step {
+				b.Earn("p")
+				clock.Advance(step)
+			}
+		}
+		advance(bounds.Window - step)
+		retries := spendAll(b)
+		advance(gap)
+		retries += spendAll(b)
+		if limit := bounds.Ratio*float64(bounds.Window/step) + bounds.Extra; float64(retries) > limit {
+			t.Errorf("bursts %v apart: got %d retries, want at most %.0f", gap, retries, limit)
+		}
+	}
+}
+
+// spendAll spends what is left of the budget and returns how much that was.
+func spendAll(b *Budgeter) int {
+	n := 0
+	for b.Spend("p") {
+		n++
+	}
+	return n
+}
+
 func TestPoolsHaveSeparateBudgets(t *testing.T) {
 	b := New(timekeeper.NewManual(time.Unix(1000, 0)), Bounds{Extra: 4, Window: time.Second})
 	for b.Spend("a") {
