dispatcher: a retry counts in the window in which it is sent

Cause: a retry was counted when it was admitted, and could be used for 4 s.

Change: a retry that is used is counted anew at that time (RetryBudget.Postpone), in place of the count at its admission. What is admitted and not yet used counts all the while, so what is used in any window stays within its bound.

Measured: TestLateRetriesStayWithinBudget failed before (78 retries in 10 s where 56 are allowed) and passes.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -11,6 +11,7 @@
 //	b.SetRouters(8)
 //	b.Earn("desk")
 //	if b.Spend("desk") { ... }
+//	b.Postpone("desk", spentAt) // when that retry is sent later
 package budgeter
 
 import (
@@ -22,8 +23,8 @@
 )
 
 const (
-	// safetyFactor is the part of the budget that is used. A request may reach its upstream in
-	// a later window than the one in which it was counted here.
+	// safetyFactor is the part of the budget that is used. A request reaches its upstream somewhat
+	// later than it is counted here, and the traffic of a router changes from window to window.
 	safetyFactor = 0.7
 	// unknownExtra is the part of Bounds.Extra that a router takes while it does not know the
 	// number of routers: with safetyFactor one retry in each window. Without any, a stream that
@@ -122,6 +123,27 @@
 	return true
 }
 
+// Postpone counts a retry that was spent at a given time as spent now: it is sent only now.
+func (b *Budgeter) Postpone(pool messenger.PoolID, spent time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.current(pool)
+	slice := b.sliceAt(spent)
+	if slice == w.slice {
+		return
+	}
+	if isKept := slice > w.slice-keptSlices; isKept {
+		w.retries[slice%keptSlices]--
+	}
+	w.retries[w.slice%keptSlices]++
+}
+
+// sliceAt returns the number of the slice at a time.
+func (b *Budgeter) sliceAt(t time.Time) int64 {
+	length := max(int64(b.bounds.Window)/slicesPerWindow, 1)
+	return int64(t.Sub(b.start)) / length
+}
+
 // current returns the window of a pool after clearing the slices that have expired.
 func (b *Budgeter) current(pool messenger.PoolID) *window {
 	w, ok := b.pools[pool]
@@ -129,8 +151,7 @@
 		w = &window{}
 		b.pools[pool] = w
 	}
-	length := max(int64(b.bounds.Window)/slicesPerWindow, 1)
-	slice := int64(b.clock.Now().Sub(b.start)) / length
+	slice := b.sliceAt(b.clock.Now())
 	for i := max(w.slice+1, slice-keptSlices+1); i <= slice; i++ {
 		w.requests[i%keptSlices], w.retries[i%keptSlices] = 0, 0
 	}
--- a/internal/dispatcher/arrival.go
+++ b/internal/dispatcher/arrival.go
@@ -28,9 +28,7 @@
 	arrivalMove   arrivalKind = "move"
 )
 
-// retryPermitTTL is how long an admitted retry can be used. One that is used later would arrive in a
-// window in which it does not count. The budget of the hosted routers leaves 30% for that:
-// what is charged in 14 s then is at most 0.98 of what may arrive in the window of 10 s.
+// retryPermitTTL is how long an admitted retry can be used. Meanwhile no other request has it.
 const retryPermitTTL = 4 * time.Second
 
 // isCharged reports whether arrivals of this kind count against the retry budget. Requesting the
@@ -38,8 +36,9 @@
 func (k arrivalKind) isCharged() bool { return k != arrivalResume && k != arrivalMove }
 
 // admitArrival decides whether the request may reach an upstream once more. Each arrival beyond
-// the first passes here when it is asked for, and takeRetryPermit when its attempt starts, except hedges, which have a budget of their own. A retry is taken from
-// the budget unless an earlier one was not used. at is the attempt that it follows.
+// the first passes here when it is asked for, and takeRetryPermit when its attempt starts, except
+// hedges, which have a budget of their own. A retry is taken from the budget unless an earlier one
+// was not used. at is the attempt that it follows.
 func (f *inflightRequest) admitArrival(kind arrivalKind, at *attempt) bool {
 	charged := kind.isCharged() && !f.hasRetryPermit() && f.d.spendRetry(f.req.Arrive.Pool)
 	if charged {
@@ -58,8 +57,8 @@
 }
 
 // takeRetryPermit uses the permit for an attempt that is about to start, and reports whether the
-// attempt may start. The first arrival needs none; beside an open attempt of which nothing was
-// sent yet, it may be the second.
+// attempt may start. The retry counts in the window in which it is used. The first arrival needs
+// no permit; beside an open attempt of which nothing was sent yet, it may be the second.
 func (f *inflightRequest) takeRetryPermit(at *attempt) bool {
 	if at.hedge && !at.sameUpstream || f.sends == 0 && len(f.attempts) == 0 {
 		return true
@@ -67,7 +66,8 @@
 	if !f.hasRetryPermit() && !f.admitArrival(arrivalDispatch, at) {
 		return false
 	}
-	f.retryPermit, at.retryPermit = time.Time{}, f.retryPermit
+	f.d.budget.Postpone(f.req.Arrive.Pool, f.retryPermit)
+	f.retryPermit, at.retryPermit = time.Time{}, f.now()
 	return true
 }
 
--- a/internal/dispatcher/arrival_test.go
+++ b/internal/dispatcher/arrival_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"lentilwood.example/lentilwood/internal/budgeter"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/timekeeper"
 	"lentilwood.example/lentilwood/internal/tracker"
@@ -30,6 +31,8 @@
 	return true
 }
 
+func (b *countingBudget) Postpone(messenger.PoolID, time.Time) {}
+
 // serveThenReset starts an upstream that answers the first request and reads and resets every
 // later one on the same connection. It counts the requests that it read.
 func serveThenReset(t *testing.T, arrived *atomic.Int32) string {
@@ -161,6 +164,42 @@
 	}
 }
 
+// TestLateRetriesStayWithinBudget guards against retries that count in the window in which they were
+// admitted, although they arrive in the next one: that one had the whole budget again.
+func TestLateRetriesStayWithinBudget(t *testing.T) {
+	clock, window := timekeeper.NewManual(time.Unix(1000, 0)), 10*time.Second
+	bounds := budgeter.Bounds{Extra: 56, Window: window}
+	d := newTestDispatcher(t, Config{Clock: clock, RetryBudget: budgeter.New(clock, bounds), Upstreams: fixedUpstreams{}})
+	admit := func() (admitted []*inflightRequest) {
+		for range 2 * int(bounds.Extra) {
+			f := newInflightRequest(d, completion(), newFakeQueue(), newFakeCaller())
+			f.sends = 1
+			if f.admitArrival(arrivalFailover, nil) {
+				admitted = append(admitted, f)
+			}
+		}
+		return admitted
+	}
+	arrivals := 0
+	use := func(admitted []*inflightRequest) {
+		for _, f := range admitted {
+			if f.takeRetryPermit(&attempt{}) {
+				arrivals++
+			}
+		}
+	}
+	late := admit()
+	clock.Advance(retryPermitTTL - time.Millisecond)
+	use(late)
+	for range 7 { // the window that began with the late ones
+		clock.Advance(time.Second)
+		use(admit())
+	}
+	if arrivals == 0 || arrivals > int(bounds.Extra) {
+		t.Errorf("got %d retries within %v, want at most %.0f, and some", arrivals, window, bounds.Extra)
+	}
+}
+
 // TestTakeoverBeforeWriteIsCharged guards against an arrival outside of the retry budget: a request
 // goes to a second upstream while the connection to the first is being opened, both get it, and the
 // retry after that uses the permit of the takeover once more.
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -45,8 +45,8 @@
 	// resuming is true while the rest of the stream is being requested.
 	resuming bool
 	resumes  int
-	// retryPermit is when the retry that the attempt uses was taken from the budget; zero if it uses
-	// none. It is given back if nothing is sent.
+	// retryPermit is when the retry that the attempt uses was last counted; zero if it uses none. It
+	// is given back if nothing is sent.
 	retryPermit time.Time
 	// retryDenied is true if the budget had no room for an arrival after the attempt.
 	retryDenied bool
--- a/internal/dispatcher/dialect.go
+++ b/internal/dispatcher/dialect.go
@@ -140,4 +140,6 @@
 	Earn(messenger.PoolID)
 	// Spend takes one retry from the pool's budget and reports whether one was left.
 	Spend(messenger.PoolID) bool
+	// Postpone counts a retry that was taken at a given time as taken now.
+	Postpone(pool messenger.PoolID, taken time.Time)
 }
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -41,6 +41,9 @@
 	return true
 }
 
+// Postpone does nothing: tokens do not expire.
+func (b *tokenBucketBudget) Postpone(messenger.PoolID, time.Time) {}
+
 // retryDelay returns the maximum delay before the n-th retry.
 func retryDelay(n int) time.Duration {
 	return retryBase << min(max(n-1, 0), 6)
--- a/internal/dispatcher/silentfailover_test.go
+++ b/internal/dispatcher/silentfailover_test.go
@@ -18,6 +18,8 @@
 
 func (noRetries) Spend(messenger.PoolID) bool { return false }
 
+func (noRetries) Postpone(messenger.PoolID, time.Time) {}
+
 // silenceDuration is how long the upstreams of these tests stay silent. It is several
 // times the progress timeout of shortTimeoutStream.
 const silenceDuration = 150 * time.Millisecond
