budgeter: a restarted router leaves what the process before it may have spent

What callers saw: nothing; upstreams in trouble could get more than the retry budget allows (BUDGET).

Cause: a process that starts has forgotten what was spent in the window. After a burst and a restart of all routers the whole budget was there again.

Change: in its first window a process takes 0.3 of the ratio, which is what the one before it has left unused, and one retry of the fixed part.

TestEachArrivalIsCharged is new and held before as well: declined, failed, broken off before the head and in a stream.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -26,9 +26,12 @@
 	// safetyFactor is the part of the budget that is used. A request reaches its upstream somewhat
 	// later than it is counted here, and the traffic of a router changes from window to window.
 	safetyFactor = 0.7
-	// unknownExtra is the part of Bounds.Extra that a router takes while it does not know the
-	// number of routers: with safetyFactor one retry in each window. Without any, a stream that
-	// breaks in the first moments of a router is lost.
+	// startFactor replaces safetyFactor for the requests in the first window of a process: the
+	// process before it may have spent the rest.
+	startFactor = 1 - safetyFactor
+	// unknownExtra is the part of Bounds.Extra that a router takes in its first window and while
+	// it does not know the number of routers: with safetyFactor one retry in each window. Without
+	// any, a stream that breaks in the first moments of a router is lost.
 	unknownExtra = 1.5
 	// slicesPerWindow is the number of slices of a window.
 	slicesPerWindow = 20
@@ -93,12 +96,18 @@
 	b.routers = n
 }
 
-// extra returns this router's part of Extra.
-func (b *Budgeter) extra() float64 {
-	if b.routers <= 0 {
-		return min(unknownExtra, b.bounds.Extra)
+// limit returns how many retries may be sent in a window with a number of requests.
+func (b *Budgeter) limit(requests float64) float64 {
+	ratio := safetyFactor * b.bounds.Ratio
+	extra := b.bounds.Extra / float64(max(b.routers, 1))
+	isFirstWindow := b.clock.Now().Sub(b.start) < b.bounds.Window
+	if isFirstWindow {
+		ratio = startFactor * b.bounds.Ratio
 	}
-	return b.bounds.Extra / float64(b.routers)
+	if isFirstWindow || b.routers <= 0 {
+		extra = min(unknownExtra, extra)
+	}
+	return ratio*requests + safetyFactor*extra
 }
 
 // Earn counts the first attempt of a request.
@@ -115,8 +124,7 @@
 	defer b.mu.Unlock()
 	w := b.current(pool)
 	requests, retries := w.counts()
-	limit := safetyFactor * (b.bounds.Ratio*requests + b.extra())
-	if retries+1 > limit {
+	if retries+1 > b.limit(requests) {
 		return false
 	}
 	w.retries[w.slice%keptSlices]++
--- a/internal/dispatcher/arrival_test.go
+++ b/internal/dispatcher/arrival_test.go
@@ -89,6 +89,45 @@
 	}
 }
 
+// TestEachArrivalIsCharged guards against a way to a second upstream past the retry budget: what
+// arrives beyond the first is charged, and does not arrive if there is no room.
+func TestEachArrivalIsCharged(t *testing.T) {
+	for name, first := range map[string]http.HandlerFunc{
+		"declined": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"failed": func(w http.ResponseWriter, r *http.Request) {
+			echoID(w, r)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"broken off before the head": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"broken off in the stream": func(w http.ResponseWriter, r *http.Request) {
+			startStream(w, r)
+			writeEvent(w, numberedEvents(1, 2))
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		},
+	} {
+		for room := range 2 {
+			var arrived atomic.Int32
+			counted := func(h http.HandlerFunc) string {
+				return serve(t, func(w http.ResponseWriter, r *http.Request) { arrived.Add(1); h(w, r) })
+			}
+			second := counted(func(w http.ResponseWriter, r *http.Request) { startStream(w, r); writeEvent(w, numberedEvents(1, 3)) })
+			budget := &countingBudget{room: room}
+			d := newTestDispatcher(t, Config{
+				Dialect: resendDialect{}, RetryBudget: budget,
+				Upstreams: fixedUpstreams{"a": {Address: counted(first)}, "b": {Address: second}},
+			})
+			d.Serve(context.Background(), resumableStream(), newFakeQueue("a", "b"), newFakeCaller())
+			if int(arrived.Load()) != 1+room || budget.used != room {
+				t.Errorf("%s, room for %d: got %d arrivals, %d charged, want %d and %d", name, room, arrived.Load(), budget.used, 1+room, room)
+			}
+		}
+	}
+}
+
 // limitedConn is a connection on which only some writes succeed. The next one accepts a number
 // of bytes and fails.
 type limitedConn struct {
@@ -188,6 +227,7 @@
 			}
 		}
 	}
+	clock.Advance(2 * window) // no longer within the first window of the process
 	late := admit()
 	clock.Advance(retryPermitTTL - time.Millisecond)
 	use(late)
