--- a/internal/dispatcher/acknowledgment.go
+++ b/internal/dispatcher/acknowledgment.go
@@ -5,13 +5,8 @@
 	"time"
 )
 
-const (
-	// tcpClose is the state of a connection that was reset; this side has not closed it yet.
-	tcpClose = 7
-	// acknowledgmentPollInterval is how often a connection is checked for the acknowledgment of a
-	// request.
-	acknowledgmentPollInterval = 10 * time.Millisecond
-)
+// acknowledgmentPollInterval is how often a connection is checked for the acknowledgment of a request.
+const acknowledgmentPollInterval = 10 * time.Millisecond
 
 // awaitAcknowledged waits until the upstream has received the whole request, or the response is
 // complete for the caller whatever the upstream does. It fails if the connection is reset before.
