--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -140,7 +140,7 @@
 	if slice == w.slice {
 		return
 	}
-	if isKept := slice > w.slice-keptSlices; isKept {
+	if slice > w.slice-keptSlices { // otherwise it is cleared already
 		w.retries[slice%keptSlices]--
 	}
 	w.retries[w.slice%keptSlices]++
