--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -81,7 +81,11 @@
 	WireID string
 	// Arrive is the first event sent to the scheduler.
 	Arrive messenger.Arrive
-	Method string
+	// Route names the route of the request, and ConfigVersion the version of the configuration that
+	// has it. They are for logs.
+	Route         string
+	ConfigVersion uint64
+	Method        string
 	// Host is the host name that the client requested.
 	Host string
 	// URI is the path and query sent to the upstream.
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -46,7 +46,7 @@
 	in := h.cfg.HeaderReader.Read(req.Header)
 	out, refused := h.accept(&in, req, c.Body())
 	if refused != nil {
-		h.refuseAtEntry(c, refused, in.RequestID)
+		h.refuseAtEntry(c, refused, in.RequestID, req)
 		return
 	}
 	h.serveRequest(c, out)
@@ -67,13 +67,16 @@
 }
 
 // refuseAtEntry answers a request that was refused before it was queued.
-func (h *Hosted) refuseAtEntry(c *listener.Caller, p *refusal, id string) {
+func (h *Hosted) refuseAtEntry(c *listener.Caller, p *refusal, id string, req *http.Request) {
 	d := explainer.New(p.name, p.title, p.status, messenger.StateNotRun)
 	if p.status == http.StatusServiceUnavailable {
 		d.RetryAfter = notReadyRetryAfter
 	}
 	h.meter.Counter(p.metric()).Inc()
-	h.log.WithFields(logrus.Fields{eventField: "refused", "request": id, "reason": p.name, "status": p.status, "version": h.version()}).Info("request refused before it was queued")
+	h.log.WithFields(logrus.Fields{
+		eventField: "refused", "request": id, "reason": p.name, "status": p.status, "version": h.version(),
+		"host": req.Host, "path": req.URL.Path,
+	}).Info("request refused before it was queued")
 	if err := h.cfg.Dialect.WriteProblem(c, &dispatcher.Request{WireID: id}, d); err != nil {
 		h.log.WithFields(logrus.Fields{eventField: "callerGone", "request": id}).WithError(err).Debug("refusal not delivered")
 	}
@@ -103,7 +106,7 @@
 		return nil, refuseToken
 	}
 	out := &dispatcher.Request{
-		ID: messenger.RequestID(h.lastRequestID.Add(1)), WireID: in.RequestID,
+		ID: messenger.RequestID(h.lastRequestID.Add(1)), WireID: in.RequestID, Route: route.Name, ConfigVersion: s.Table.Version(),
 		Host: req.Host, Method: req.Method, URI: req.URL.RequestURI(), Header: req.Header, Body: body,
 		Streaming: route.Streaming, Resumable: route.Resumable,
 		LastEvent: in.LastEvent, HasLastEvent: in.HasLastEvent, MaxSends: route.MaxSends,
@@ -216,7 +219,7 @@
 	h.log.WithFields(logrus.Fields{
 		eventField: "request", "request": out.WireID, "account": out.Arrive.Account, "pool": out.Arrive.Pool,
 		upstreamField: result.Upstream, "status": result.Status, "run": result.Run, "problem": result.Problem,
-		"attempts": result.Attempts, "callerGone": result.CallerGone, "version": h.version(),
+		"attempts": result.Attempts, "callerGone": result.CallerGone, "version": out.ConfigVersion, "route": out.Route,
 		"ms": result.FinishedAt.Sub(arrived).Milliseconds(), "heldMs": result.MaxWriteDelay.Milliseconds(),
 		"parts": out.Arrive.SharedParts(),
 	}).WithFields(refusalFields(result.Grounds)).WithFields(endingFields(c, result)).Log(level, "request ended")
