follower: a store that comes back from an older copy starts a new era

Cause: versions of rows were compared as if the store had one history. After the restore they are given out again: the newest row looks older than the one from before and is dropped, and every read of changes asks for a version that the store doesn't have, gets 410, reads the table and asks for the same version again. The class: a number is compared outside the history that it counts in.

A read from another era's version is told from a lost history (ErrStoreRestored) and reads the table as after an outage; upstreams that were draining stay so. A configuration below the one in force is not taken, as before.

--- a/internal/follower/departure.go
+++ b/internal/follower/departure.go
@@ -45,6 +45,16 @@
 	return f.recordDeparture(d.Upstream, e)
 }
 
+// recordLeavingAsDepartures records the upstreams that are leaving by their rows as departures, so that
+// an older copy of these rows doesn't return them to use.
+func (f *Follower) recordLeavingAsDepartures() {
+	for key, e := range f.rows[RegistrationTable] {
+		if e.lastPolicy.Leaving {
+			f.recordDeparture(messenger.UpstreamID(key), e)
+		}
+	}
+}
+
 // Departures returns the upstreams that announced that they are leaving while their rows do
 // not say so yet.
 func (f *Follower) Departures() []Departure {
--- a/internal/follower/feed.go
+++ b/internal/follower/feed.go
@@ -15,6 +15,10 @@
 // the table must be read in full.
 var ErrHistoryGone = merry.Sentinel("store no longer has the requested change history of the table")
 
+// ErrStoreRestored means that the store came back from an older copy of itself, which lacks its last
+// writes. The table must be read in full; versions of the new era are above all earlier ones.
+var ErrStoreRestored = merry.Sentinel("store came back from an older copy")
+
 const (
 	// DefaultPollWait is how long the store may hold a long-poll for changes. A change is
 	// delayed by as much if the connection has silently failed.
@@ -77,6 +81,8 @@
 	// deliveredVersion is the version up to which rows were passed to OnBatch.
 	deliveredVersion uint64
 	initialized      bool
+	// restored is true until the table was read in full after the store came back from an older copy.
+	restored bool
 	// failures counts the failed calls since the last successful one, and failingSince is when
 	// the first of them began.
 	failures     int
@@ -134,8 +140,8 @@
 	return !woken
 }
 
-// poll makes one call and reports whether it returned changed rows. A full read counts as no
-// change.
+// poll makes one call and reports whether it returned changed rows. The first read of the table
+// counts as no change.
 func (f *Feed) poll(ctx context.Context) (bool, error) {
 	if !f.initialized {
 		return false, f.readTable(ctx)
@@ -150,10 +156,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
 	b, err := f.Source.Changes(callCtx, f.Table, f.sinceVersion, wait)
-	if errors.Is(err, ErrHistoryGone) {
-		f.Log.WithFields(logrus.Fields{"event": "historyGone", "table": f.Table, "since": f.sinceVersion}).Info("store no longer has the changes since this version; reading the full table")
-		f.initialized = false
-		return false, f.readTable(ctx)
+	if errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrStoreRestored) {
+		f.Log.WithFields(logrus.Fields{"event": "historyGone", "table": f.Table, "since": f.sinceVersion}).WithError(err).Info("reading the full table")
+		f.initialized, f.restored = false, f.restored || errors.Is(err, ErrStoreRestored)
+		return true, f.readTable(ctx) // a store that can't tell the changes once more is not asked at once
 	}
 	if err != nil {
 		return false, err
@@ -181,14 +187,15 @@
 	if err != nil {
 		return err
 	}
-	f.initialized = true
+	b.Restored = f.restored
+	f.initialized, f.restored = true, false
 	f.deliver(b)
 	return nil
 }
 
 func (f *Feed) deliver(b Batch) {
 	f.sinceVersion = max(f.sinceVersion, b.Version)
-	b.AfterOutage = f.afterOutage()
+	b.AfterOutage = b.Restored || f.afterOutage()
 	if len(b.Rows) == 0 && !b.Full {
 		return
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -3,7 +3,8 @@
 // each with the version that the store gave it.
 //
 // Rows come from the store and from other routers, in any order and more than once. For
-// each row the highest version wins, so that a router never returns to older state. The
+// each row the highest version wins, so that a router never returns to older state. A store that
+// came back from an older copy starts a new era, whose versions are above those of all earlier ones. The
 // version of a table is the one up to which all its rows are known: rows received after a
 // gap are used but do not raise it, so that the missing rows are sent again.
 //
@@ -54,7 +55,8 @@
 	Table Table
 	Key   string
 	Value []byte
-	// Version is assigned by the store and grows with each write to any table.
+	// Version is assigned by the store and grows with each write to any table, over all eras of the
+	// store.
 	Version uint64
 	Deleted bool
 }
@@ -78,6 +80,9 @@
 	// HasEvacuations is true if the sender follows the rows that empty failure domains. Releases
 	// before those rows leave it out; see WithoutVersion.
 	HasEvacuations bool
+	// Restored is true for the first read after the store came back from an older copy: until they
+	// are written again, rows may be older than those before.
+	Restored bool
 }
 
 // Configuration is one version of the fleet's configuration.
@@ -196,6 +201,9 @@
 	}
 	changed, wasComplete := false, f.isComplete()
 	seen := make(map[string]bool, len(b.Rows))
+	if b.Restored && b.Table == RegistrationTable {
+		f.recordLeavingAsDepartures()
+	}
 	for _, row := range b.Rows {
 		row.Table = b.Table
 		seen[row.Key] = true
