router: logs name the software version of upstreams and what a stream resumes

The fields are read from registrations and the header Resumes, and logged only; no change of behaviour.

--- a/internal/dispatcher/arrival.go
+++ b/internal/dispatcher/arrival.go
@@ -47,7 +47,7 @@
 	admitted := !kind.isCharged() || f.hasRetryPermit()
 	entry := f.log("resend").WithFields(logrus.Fields{
 		"kind": kind, "admitted": admitted, "charged": charged,
-		"sends": f.sends, "lastEvent": f.lastEvent, "run": f.outcome.RunState(),
+		"sends": f.sends, "lastEvent": f.lastEvent, "run": f.outcome.RunState(), "softwareVersion": f.result.SoftwareVersion,
 	})
 	if at != nil {
 		entry = entry.WithFields(logrus.Fields{"avoid": at.upstream, "silentMs": f.now().Sub(at.lastProgressAt).Milliseconds()})
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -107,6 +107,9 @@
 	// valid if HasLastEvent is set.
 	LastEvent    uint64
 	HasLastEvent bool
+	// Resumes is the id of the attempt that began the stream which the client resumes; "" if it begins
+	// a new one or doesn't say.
+	Resumes string
 	// MaxSends limits the number of upstreams the request is sent to; zero means that
 	// only Config.MaxAttempts applies.
 	MaxSends int
@@ -120,6 +123,8 @@
 	// upstream's response was relayed.
 	Problem  string
 	Upstream messenger.UpstreamID
+	// SoftwareVersion is that of the last upstream that sent output; "" if none did.
+	SoftwareVersion string
 	// Tokens is the number of tokens that the upstream produced, as far as known.
 	Tokens   float64
 	Attempts int
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -204,6 +204,7 @@
 		return
 	}
 	at.stream.started = true
+	f.result.SoftwareVersion = at.policy.SoftwareVersion
 	if !f.responseStarted {
 		f.writeHead(at, -1)
 	}
--- a/internal/messenger/policy.go
+++ b/internal/messenger/policy.go
@@ -109,6 +109,9 @@
 	Engine bool
 	// HealthPath is that of the upstream's pool.
 	HealthPath string
+	// SoftwareVersion is the version of the upstream's software; "" if not reported. What two versions
+	// write in a stream doesn't fit together.
+	SoftwareVersion string
 	// Started is the start time of the upstream's process, which distinguishes restarts; zero
 	// if not reported.
 	Started time.Time
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -71,7 +71,10 @@
 	// HasLastEvent is set.
 	LastEvent    uint64
 	HasLastEvent bool
-	Work         messenger.Work
+	// Resumes is the id of the attempt that brought the first event of the stream that the caller
+	// resumes; "" if it begins a new one or doesn't say.
+	Resumes string
+	Work    messenger.Work
 }
 
 // HostedConfig holds the settings and dependencies of a Hosted router. Clock and Log may be
--- a/internal/router/hostedstore.go
+++ b/internal/router/hostedstore.go
@@ -115,7 +115,7 @@
 			}
 		}
 		h.log.WithFields(logrus.Fields{
-			eventField: "upstream", upstreamField: id, "pool": u.Pool, "address": u.Address, "leaving": u.Leaving,
+			eventField: "upstream", upstreamField: id, "pool": u.Pool, "address": u.Address, "leaving": u.Leaving, "softwareVersion": u.SoftwareVersion,
 			"coldLeftMs":    max(0, u.ColdUntil.Sub(h.clock.Now())).Milliseconds(),
 			rowVersionField: h.registrationVersion(id), "from": source,
 		}).Info("upstream added or changed")
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -109,7 +109,7 @@
 		ID: messenger.RequestID(h.lastRequestID.Add(1)), WireID: in.RequestID, Route: route.Name, ConfigVersion: s.Table.Version(),
 		Host: req.Host, Method: req.Method, URI: req.URL.RequestURI(), Header: req.Header, Body: body,
 		Streaming: route.Streaming, Resumable: route.Resumable,
-		LastEvent: in.LastEvent, HasLastEvent: in.HasLastEvent, MaxSends: route.MaxSends,
+		LastEvent: in.LastEvent, HasLastEvent: in.HasLastEvent, Resumes: in.Resumes, MaxSends: route.MaxSends,
 		Class:              messenger.ClassPolicy{ProgressTimeout: silenceTimeout(route)},
 		FirstOutputTimeout: firstOutputTimeout(route),
 	}
@@ -221,8 +221,16 @@
 		upstreamField: result.Upstream, "status": result.Status, "run": result.Run, "problem": result.Problem,
 		"attempts": result.Attempts, "callerGone": result.CallerGone, "version": out.ConfigVersion, "route": out.Route,
 		"ms": result.FinishedAt.Sub(arrived).Milliseconds(), "heldMs": result.MaxWriteDelay.Milliseconds(),
-		"parts": out.Arrive.SharedParts(),
-	}).WithFields(refusalFields(result.Grounds)).WithFields(endingFields(c, result)).Log(level, "request ended")
+		"parts": out.Arrive.SharedParts(), "softwareVersion": result.SoftwareVersion,
+	}).WithFields(resumeFields(out)).WithFields(refusalFields(result.Grounds)).WithFields(endingFields(c, result)).Log(level, "request ended")
+}
+
+// resumeFields returns log fields for a request that resumes a stream.
+func resumeFields(out *dispatcher.Request) logrus.Fields {
+	if !out.HasLastEvent && out.Resumes == "" {
+		return nil
+	}
+	return logrus.Fields{"resumes": out.Resumes, "lastEvent": out.LastEvent}
 }
 
 // endingFields returns log fields for a request whose caller did not receive a complete
