admitter, dispatcher: the rest of a stream goes to its own software version only

Seen by callers: an answer whose first events come from one version of the workers' software and whose rest from another, after a crash, a silence or a move.

Cause: a missing notion. The admitter chose among all upstreams of a pool, the dispatcher took any 200 with events as the rest, a move took any engine.

Change: a request can be bound to a software version (Arrive.SoftwareVersion). The admitter then considers no other upstream, whether new, waiting, retried or relocated, and refuses at once (version-gone) when none of that version takes requests. The dispatcher asks the same before each attempt and each write, and holds a stream that has sent events to the version they came from. Kept parts of prompts are fetched, and streams moved, between upstreams of one version only; the product's own interface has softwareVersion in an upstream's settings.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -210,7 +210,7 @@
 	if a.trySend(r) {
 		return
 	}
-	if p.evacuated || p.pauseRemaining(a.now) > r.queueDeadline.Sub(a.now) || a.cannotBeServed(r) {
+	if p.evacuated || !p.hasVersionOf(r) || p.pauseRemaining(a.now) > r.queueDeadline.Sub(a.now) || a.cannotBeServed(r) {
 		delete(a.requests, e.Request)
 		a.refuse(r)
 		return
@@ -322,7 +322,7 @@
 	}
 	r.avoid = e.Upstream
 	r.queueDeadline = a.now.Add(time.Duration(maxQueueingShare * float64(r.arrive.Objective)))
-	if a.pools[r.pool.id] != r.pool || r.pool.evacuated {
+	if a.pools[r.pool.id] != r.pool || r.pool.evacuated || !r.pool.hasVersionOf(r) {
 		delete(a.requests, e.Request)
 		a.refuse(r)
 		return
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -275,7 +275,7 @@
 	var lowestCost time.Duration
 	lowestKeptOff := streamDelayPenalty
 	for _, u := range candidates {
-		if !u.usable(a.now, allowFailed) || u.id == r.avoid && !allowFailed {
+		if !u.serves(r) || !u.usable(a.now, allowFailed) || u.id == r.avoid && !allowFailed {
 			continue
 		}
 		f := u.forecast(a, r, u == home, src)
@@ -300,7 +300,7 @@
 func (p *pool) findParts(a *Admitter, r *request, home *upstream) partSource {
 	s := partSource{holders: p.holders.find(a.now, r.arrive.Work.Prompt)}
 	for _, h := range s.holders {
-		if h.upstream != nil && h.upstream.pool == p && h.upstream.healthy(a.now) {
+		if h.upstream != nil && h.upstream.pool == p && h.upstream.serves(r) && h.upstream.healthy(a.now) {
 			s.fetchFrom, s.keptShare = h.upstream, 1
 			return s
 		}
@@ -331,10 +331,10 @@
 		home = p.highestRanked(shared, func(*upstream) bool { return true })
 		p.cacheHome(shared, home)
 	}
-	if home != nil && home.healthy(a.now) {
+	if home != nil && home.serves(r) && home.healthy(a.now) {
 		return home
 	}
-	return p.highestRanked(shared, func(u *upstream) bool { return u.healthy(a.now) })
+	return p.highestRanked(shared, func(u *upstream) bool { return u.serves(r) && u.healthy(a.now) })
 }
 
 // highestRanked returns the eligible upstream that ranks highest for a shared part, by an
--- a/internal/admitter/refuse.go
+++ b/internal/admitter/refuse.go
@@ -29,6 +29,9 @@
 	if a.countColdRefusal(r) {
 		reason = messenger.RefuseCold
 	}
+	if !r.pool.hasVersionOf(r) {
+		reason = messenger.RefuseVersionGone
+	}
 	if r.pool.evacuated {
 		reason = messenger.RefuseEvacuated
 	}
--- a/internal/admitter/upstream.go
+++ b/internal/admitter/upstream.go
@@ -229,7 +229,8 @@
 		f.unreadTokens, f.unreadSharedTokens = u.cache.uncached(a.now, u.pool.holders.retention, r.arrive.Work.Prompt, isHome)
 	}
 	fetchSeconds := 0.0
-	if src.fetchFrom != nil && src.fetchFrom != u && f.unreadSharedTokens >= minFetchTokens {
+	if src.fetchFrom != nil && src.fetchFrom != u && f.unreadSharedTokens >= minFetchTokens &&
+		src.fetchFrom.policy.SoftwareVersion == u.policy.SoftwareVersion {
 		f.fetchFrom = src.fetchFrom
 		f.fetchedTokens = int(src.keptShare * float64(f.unreadSharedTokens))
 		f.unreadTokens -= f.fetchedTokens
--- a/internal/admitter/waiting.go
+++ b/internal/admitter/waiting.go
@@ -25,7 +25,7 @@
 	}
 	p.sortWaiting(a)
 	for i, r := range p.waiting {
-		if r.avoid == u.id {
+		if r.avoid == u.id || !u.serves(r) {
 			continue
 		}
 		home := p.home(a, r)
--- a/internal/configurer/document.go
+++ b/internal/configurer/document.go
@@ -96,6 +96,9 @@
 	// MoveTo is the engine to which streams in progress are moved.
 	MoveTo      messenger.UpstreamID `json:"moveTo,omitempty"`
 	ChecksFence *bool                `json:"checksFence,omitempty"`
+	// SoftwareVersion is the version of the upstream's software. Streams are moved between engines
+	// with the same one only.
+	SoftwareVersion string `json:"softwareVersion,omitempty"`
 	// State replaces the pool's state completely.
 	State *orderer.State `json:"state,omitempty"`
 }
--- a/internal/configurer/resolve.go
+++ b/internal/configurer/resolve.go
@@ -233,6 +233,9 @@
 	if s.MoveTo != "" {
 		p.MoveTo = s.MoveTo
 	}
+	if s.SoftwareVersion != "" {
+		p.SoftwareVersion = s.SoftwareVersion
+	}
 	overrideIfSet(&p.Window, s.Window)
 	overrideIfSet(&p.Engine, s.Engine)
 	overrideIfSet(&p.Leaving, s.Leaving)
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -220,7 +220,7 @@
 		return
 	}
 	policy, known := f.d.cfg.Upstreams.Upstream(a.Upstream)
-	f.startAttempt(a, policy, known)
+	f.startAttempt(a, policy, known && f.mayServe(policy))
 }
 
 // endAfterUnusedDispatch ends a request whose Dispatch was not used, unless an attempt, a
@@ -272,7 +272,7 @@
 			return errCallerGone
 		}
 		current, known := f.d.cfg.Upstreams.Upstream(at.upstream)
-		if !known || current.Address != at.policy.Address || current.Pool != at.policy.Pool {
+		if !known || current.Address != at.policy.Address || current.Pool != at.policy.Pool || !f.mayServe(current) {
 			return errNoUpstream
 		}
 		return permit.use(f.now(), current)
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -40,7 +40,7 @@
 		return
 	}
 	target, ok := f.d.cfg.Upstreams.Upstream(policy.MoveTo)
-	if !ok || !target.Engine || target.IsCold(f.now()) {
+	if !ok || !target.Engine || target.IsCold(f.now()) || target.SoftwareVersion != policy.SoftwareVersion {
 		return
 	}
 	at.move = &move{target: target, done: make(chan bool, 1)}
--- a/internal/dispatcher/move_test.go
+++ b/internal/dispatcher/move_test.go
@@ -59,16 +59,18 @@
 	tests := []struct {
 		name      string
 		target    emulator.Faults
+		version   string
 		wantMoves uint64
 	}{
 		{name: "other engine accepts the stream", wantMoves: 1},
 		{name: "other engine refuses the stream", target: emulator.Faults{Refuse: true}},
+		{name: "other engine has other software", version: "v2"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			old, next := startWorker(t, emulator.Faults{}), startWorker(t, tt.target)
 			upstreams := &mutableUpstreams{policies: map[messenger.UpstreamID]messenger.UpstreamPolicy{
-				"old": {Address: old.Addr(), Engine: true}, "next": {Address: next.Addr(), Engine: true},
+				"old": {Address: old.Addr(), Engine: true}, "next": {Address: next.Addr(), Engine: true, SoftwareVersion: tt.version},
 			}}
 			d := newTestDispatcher(t, Config{Upstreams: upstreams})
 			req := completion()
--- a/internal/dispatcher/problem.go
+++ b/internal/dispatcher/problem.go
@@ -41,6 +41,7 @@
 	string(messenger.RefuseNoUpstream):  {http.StatusServiceUnavailable, "No upstream can take the request"},
 	string(messenger.RefuseCold):        {http.StatusServiceUnavailable, "Only upstreams that have just started were left, and they take no more yet"},
 	string(messenger.RefuseEvacuated):   {http.StatusServiceUnavailable, "All upstreams of the pool are in emptied failure domains"},
+	string(messenger.RefuseVersionGone): {http.StatusServiceUnavailable, "No upstream with the software version of the stream takes requests"},
 	string(messenger.RefuseUnknownPool): {http.StatusNotFound, "No pool serves the request"},
 	ProblemUpstreamFailed:               {http.StatusBadGateway, "The upstream failed"},
 	ProblemUpstreamSilent:               {http.StatusGatewayTimeout, "The upstream went silent"},
--- a/internal/dispatcher/resend.go
+++ b/internal/dispatcher/resend.go
@@ -33,7 +33,7 @@
 func (f *inflightRequest) requestHeader(at *attempt) http.Header {
 	info := AttemptInfo{Upstream: at.upstream, Resumed: f.hasLastEvent, LastEvent: f.lastEvent}
 	if at.fetchFrom != "" {
-		if source, ok := f.d.cfg.Upstreams.Upstream(at.fetchFrom); ok {
+		if source, ok := f.d.cfg.Upstreams.Upstream(at.fetchFrom); ok && source.SoftwareVersion == at.policy.SoftwareVersion {
 			info.FetchFrom = source.Address
 		}
 	}
--- a/internal/messenger/action.go
+++ b/internal/messenger/action.go
@@ -82,6 +82,9 @@
 	// RefuseEvacuated means that all upstreams of the pool that could take requests are in
 	// failure domains that the operator has emptied.
 	RefuseEvacuated RefuseReason = "evacuated"
+	// RefuseVersionGone means that no upstream with the software version that the request is bound to
+	// takes requests.
+	RefuseVersionGone RefuseReason = "version-gone"
 )
 
 // Send sends a control message to another router.
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -23,6 +23,9 @@
 	// SpentShare is the fraction, 0 to 1, of the time its caller waits at most that had passed
 	// when the request arrived: the caller was refused before and has come back.
 	SpentShare float64
+	// SoftwareVersion is that of the only upstreams which may serve the request, because its stream
+	// begins or began there; "" means any.
+	SoftwareVersion string
 	// Idempotent is true if the request may be sent to upstreams more than once.
 	Idempotent bool
 	// Prefix is a hash of the prompt prefix, or 0 if there is none.
