assigner, router: a stream is resumed at the software version that began it

Cause: only the router that began a stream could know its version, and nothing that a caller sends back says it.

Change: the version follows from the stream's id and a plan that divides the ids among the versions in service. Plans stand in the platform's store, one row a pool, and are made when capacities change; the streams in progress that a new plan assigns differently are stored once by each router.

--- a/internal/cli/processes.go
+++ b/internal/cli/processes.go
@@ -39,7 +39,7 @@
 	if settings.Platform.Interface == loader.InterfaceRows {
 		client := platform.NewClient(settings.Platform.Address)
 		return router.NewHosted(router.HostedConfig{
-			Settings: settings, Source: client, Directory: client, Evidence: client, Decoder: platform.Decoder{},
+			Settings: settings, Source: client, Directory: client, Evidence: client, Streams: client, Decoder: platform.Decoder{},
 			Dialect: platform.Dialect{}, HeaderReader: platform.Entrance{}, Log: log,
 		})
 	}
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -90,6 +90,8 @@
 	routesByHost  map[string]map[string]*Route
 	accountsByKey map[string]*Account
 	requiresKeys  bool
+	// resumablePools are the pools of routes whose streams may be resumed.
+	resumablePools map[messenger.PoolID]bool
 }
 
 // New returns the Table of a version. Routes without a pool are omitted.
@@ -97,6 +99,7 @@
 	t := &Table{
 		version: version, requiresKeys: len(accounts) > 0,
 		routesByHost: make(map[string]map[string]*Route), accountsByKey: make(map[string]*Account),
+		resumablePools: make(map[messenger.PoolID]bool),
 	}
 	for i := range routes {
 		r := &routes[i]
@@ -108,6 +111,9 @@
 			t.routesByHost[host] = make(map[string]*Route)
 		}
 		t.routesByHost[host][r.Prefix] = r
+		for _, share := range r.Shares {
+			t.resumablePools[share.Pool] = t.resumablePools[share.Pool] || r.Resumable
+		}
 	}
 	for _, a := range accounts {
 		for _, key := range a.Keys {
@@ -120,6 +126,9 @@
 // Version returns the version that the Table was built from.
 func (t *Table) Version() uint64 { return t.version }
 
+// IsResumable reports whether some route has streams in a pool that may be resumed.
+func (t *Table) IsResumable(pool messenger.PoolID) bool { return t.resumablePools[pool] }
+
 // RequiresKeys reports whether requests need an API key. Requests of public routes never
 // do.
 func (t *Table) RequiresKeys() bool { return t.requiresKeys }
--- a/internal/router/closing_test.go
+++ b/internal/router/closing_test.go
@@ -141,7 +141,7 @@
 		Handler: func(c *listener.Caller, req *http.Request) {
 			out := &dispatcher.Request{ID: messenger.RequestID(h.lastRequestID.Add(1)), Header: req.Header}
 			out.Arrive = messenger.Arrive{Request: out.ID, Account: messenger.AccountID(req.Header.Get("Account"))}
-			h.serveRequest(c, out)
+			h.serveRequest(c, out, &CallerHeaders{})
 		},
 	})
 	if err != nil {
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -84,7 +84,9 @@
 	Source    follower.Source
 	Directory Directory
 	// Evidence, if set, keeps the evidence on quarantined prompt parts.
-	Evidence     EvidenceStore
+	Evidence EvidenceStore
+	// Streams, if set, keeps the plans by which routers find the software versions of streams.
+	Streams      StreamStore
 	Decoder      follower.Decoder
 	Dialect      dispatcher.Dialect
 	HeaderReader HeaderReader
@@ -110,6 +112,7 @@
 	meter      *meter.Meter
 	exchanger  *exchanger.Exchanger[hostedEnvelope]
 	quarantine *quarantine
+	streams    *streamKeeper
 	// evidence keeps the evidence of the quarantine in the store; nil if there is no store for it.
 	evidence  *evidenceKeeper
 	memory    *governor.Governor
@@ -240,6 +243,7 @@
 	})
 	h.quarantine.onBegin = h.dispatcher.RecheckQuarantine
 	h.keepEvidence()
+	h.streams = newStreamKeeper(h.cfg, h.meter, h.incarnation)
 	return h
 }
 
@@ -297,6 +301,7 @@
 	}
 	h.goroutines.Go(h.join)
 	h.startEvidence()
+	h.goroutines.Go(func() { h.streams.run(h.backgroundCtx) })
 	h.goroutines.Go(func() { watchMemory(h.backgroundCtx, h.clock, h.log, h.memory, h.settings.Memory) })
 	h.log.WithFields(logrus.Fields{
 		eventField: "started", "router": h.self, "incarnation": h.incarnation, "callers": h.callers.Addr(),
--- a/internal/router/hostedgossip.go
+++ b/internal/router/hostedgossip.go
@@ -30,6 +30,7 @@
 		return
 	}
 	h.markSilentPeers(now)
+	h.updateFleetView()
 	h.updateCollecting()
 	h.assignStoreFollowers()
 	h.peersOutOfRotation = h.countPeersOutOfRotation()
@@ -106,6 +107,7 @@
 	e.RoutersOutOfRotation = uint32(h.countReportersOutOfRotation()) //nolint:gosec // a count of routers
 	live := h.liveCollectors()
 	h.attachEvidence(&e, h.peersOf(live)...)
+	h.attachPlans(&e, h.peersOf(live)...)
 	near, relays := gossiper.Targets(h.selfMember().gossipMember(), live, h.sequence)
 	h.send(near, e)
 	h.probeSilentCollectors(now, e)
@@ -135,6 +137,7 @@
 		if p, ok := h.peers[string(id)]; ok {
 			e.Evidence = nil
 			h.attachEvidence(&e, p)
+			h.attachPlans(&e, p)
 			_ = h.exchanger.Send(p.member.Address, e) // best effort: repeated in the next round
 		}
 	}
@@ -152,6 +155,7 @@
 	if p, ok := h.peers[to.Name]; ok {
 		e := h.newEnvelope(kindReport, load)
 		h.attachEvidence(&e, p)
+		h.attachPlans(&e, p)
 		_ = h.exchanger.Send(p.member.Address, e) // best effort: repeated with the next report
 	}
 }
--- a/internal/router/hostedjoin.go
+++ b/internal/router/hostedjoin.go
@@ -101,6 +101,7 @@
 			h.upsertPeer(m)
 		}
 		h.joined = true
+		h.updateFleetView()
 		h.joinAdmitter()
 		h.setFleetSize(1 + max(len(h.peers), int(h.peerCount.Load())))
 	})
@@ -112,7 +113,7 @@
 	return Member{
 		Name: string(h.self), Address: h.exchanger.Addr(),
 		Domain: h.settings.FailureDomain, Incarnation: h.incarnation,
-		Weight: int(h.settings.Processor * weightPerCore),
+		Weight: int(h.settings.Processor * weightPerCore), AssignsVersions: true,
 	}
 }
 
@@ -169,5 +170,6 @@
 func (h *Hosted) sendIntroduction(p *hostedPeer) {
 	e := hostedEnvelope{From: h.selfMember(), Kind: kindIntroduction, Collectors: h.knownCollectors()}
 	h.attachEvidence(&e, p)
+	h.attachPlans(&e, p)
 	_ = h.exchanger.Send(p.member.Address, e) // best effort: the router sends another greeting if it still knows no other
 }
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lentilwood.example/lentilwood/internal/assigner"
 	"lentilwood.example/lentilwood/internal/follower"
 	"lentilwood.example/lentilwood/internal/gossiper"
 	"lentilwood.example/lentilwood/internal/messenger"
@@ -45,6 +46,9 @@
 	Incarnation uint64   `json:"incarnation"`
 	// Weight is the CPU capacity of the router's VM, in thousandths of a core.
 	Weight int `json:"weight"`
+	// AssignsVersions is true if the router assigns streams to software versions by plans, which earlier
+	// releases do not.
+	AssignsVersions bool `json:"assignsVersions"`
 }
 
 // hostedEnvelope is a message between hosted routers. It is encoded as an array, so the order
@@ -82,6 +86,10 @@
 	Evidence         *quarantiner.Message
 	// Ended are processes of upstreams that are known to have ended.
 	Ended []follower.EndedProcess
+	// PlanEpochs is the sum of the epochs of the sender's plans for streams, Plans those plans if a
+	// receiver lacks some.
+	PlanEpochs uint64
+	Plans      map[messenger.PoolID]assigner.History
 }
 
 // messageKind is the purpose of a message between routers.
@@ -128,6 +136,8 @@
 	rowSender   follower.PeerSync
 	// evidence tells whether the router lacks some of this one's evidence.
 	evidence evidenceSync
+	// planEpochs is the sum of the epochs of the router's plans for streams.
+	planEpochs uint64
 }
 
 // gossipMember returns the entry in the form used by the gossiper.
@@ -156,6 +166,7 @@
 	h.recordCollectors(e.Collectors)
 	if e.Kind != kindDetach {
 		h.receiveEvidence(p, e.EvidenceChecksum, e.Evidence)
+		h.receivePlans(p, e)
 	}
 	switch {
 	case e.Kind == kindGreeting:
--- a/internal/router/hostedquarantine.go
+++ b/internal/router/hostedquarantine.go
@@ -27,7 +27,7 @@
 }
 
 // urgentGossipInterval is the time between two updates to the other routers while there is new
-// evidence.
+// evidence or a new plan for streams.
 const urgentGossipInterval = 30 * time.Millisecond
 
 // isGossipDue reports whether the other routers are to be sent an update now.
@@ -35,9 +35,10 @@
 	passed := now.Sub(h.lastGossip)
 	if passed >= h.currentGossipInterval() {
 		h.quarantine.takeNews()
+		h.streams.takeNews()
 		return true
 	}
-	return passed >= urgentGossipInterval && h.quarantine.takeNews()
+	return passed >= urgentGossipInterval && (h.quarantine.takeNews() || h.streams.takeNews())
 }
 
 // attachEvidence adds this router's evidence to a message if one of the receivers lacks it.
--- a/internal/router/hostedstore.go
+++ b/internal/router/hostedstore.go
@@ -71,6 +71,9 @@
 	changed := h.follower.Merge(h.clock.Now(), b)
 	h.pulls[b.Table].version.Store(h.follower.Version(b.Table))
 	h.logRejectedRows()
+	if b.Restored {
+		h.streams.forgetStored()
+	}
 	if changed {
 		h.publishSnapshot(source)
 	}
@@ -94,6 +97,7 @@
 	before := h.snapshot.Swap(s)
 	h.control.handle(messenger.PolicyChange{Policy: s.Policy})
 	h.quarantine.setUpstreams(s.Policy.Upstreams)
+	h.streams.setUpstreams(s)
 	h.logChange(before, s, source)
 }
 
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -6,7 +6,6 @@
 	"runtime/debug"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"lentilwood.example/lentilwood/internal/dispatcher"
@@ -49,7 +48,7 @@
 		h.refuseAtEntry(c, refused, in.RequestID, req)
 		return
 	}
-	h.serveRequest(c, out)
+	h.serveRequest(c, out, &in)
 }
 
 // accountName returns the client account of a request from its header, or "" if the account is
@@ -120,7 +119,7 @@
 	if account != nil && account.HasPrecedence {
 		out.Arrive.Precedence = account.Precedence
 	}
-	return out, nil
+	return out, h.bindStream(out, in, route.Timeout)
 }
 
 // silenceTimeout returns how long an upstream may send nothing while it serves a request.
@@ -161,7 +160,7 @@
 // newArrival returns the event that announces a request to the admitter.
 func (h *Hosted) newArrival(id messenger.RequestID, in *CallerHeaders, route *matcher.Route) messenger.Arrive {
 	a := messenger.Arrive{
-		Request: id, Pool: route.Pool(xxhash.Sum64String(in.RequestID)), Class: callClass,
+		Request: id, Pool: poolOf(route, in), Class: callClass,
 		Idempotent: route.Idempotent, Work: in.Work, Objective: route.Objective, PauseLimit: route.PauseLimit, Precedence: route.Precedence,
 	}
 	if route.Streaming {
@@ -181,7 +180,7 @@
 }
 
 // serveRequest serves an accepted request until it ends.
-func (h *Hosted) serveRequest(c *listener.Caller, out *dispatcher.Request) {
+func (h *Hosted) serveRequest(c *listener.Caller, out *dispatcher.Request, in *CallerHeaders) {
 	arrived := h.clock.Now()
 	if h.atMinAdmission.Load() && h.callers.IsDominantCaller(string(out.Arrive.Account)) {
 		c.CloseAfterResponse()
@@ -189,6 +188,7 @@
 	queue := h.control.openQueue(out.ID)
 	result := h.dispatcher.Serve(h.requestsCtx, out, queue, c)
 	h.control.closeQueue(out.ID)
+	h.endStream(out, in, result)
 	h.workload.record(result)
 	h.recordResult(out, c, arrived, result)
 	if result.Aborted {
--- /dev/null
+++ b/internal/router/streamkeeper.go
@@ -0,0 +1,414 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lentilwood.example/lentilwood/internal/assigner"
+	"lentilwood.example/lentilwood/internal/follower"
+	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/meter"
+	"lentilwood.example/lentilwood/internal/timekeeper"
+)
+
+const (
+	// planInterval is the minimum time between two plans of a pool; each router adds planIntervalPerRouter,
+	// as each of them writes a row for each plan.
+	planInterval          = time.Second
+	planIntervalPerRouter = 25 * time.Millisecond
+	// planTurn is the time between the turns of two routers to make a plan.
+	planTurn = 150 * time.Millisecond
+	// streamStep is the time between two looks at what is to be done, idleStreamStep if that is nothing.
+	streamStep     = 50 * time.Millisecond
+	idleStreamStep = 5 * time.Second
+	// streamRetryDelay is the time between two calls of the store of which the first failed.
+	streamRetryDelay = 200 * time.Millisecond
+	// streamCallTimeout bounds a call of the store in the background, findTimeout one for which a caller waits.
+	streamCallTimeout = 2 * time.Second
+	findTimeout       = 400 * time.Millisecond
+	// rowsTTL is how long rows that were read are used to look streams up; each router adds
+	// rowsTTLPerRouter, as all of them may have to.
+	rowsTTL          = 250 * time.Millisecond
+	rowsTTLPerRouter = 5 * time.Millisecond
+	// planNewsTTL is how old the last news of other routers or of the store may be for the known plans to
+	// count as the newest.
+	planNewsTTL = time.Second
+)
+
+// fleetView is what the control goroutine knows of the other routers.
+type fleetView struct {
+	// names are those of all known routers, this one included.
+	names []string
+	// turn is this router's place in the order in which routers make a plan.
+	turn int
+	// joined is true once the directory of routers was read.
+	joined bool
+	// unassigned is true if some router doesn't follow plans, as routers of earlier releases.
+	unassigned bool
+	// newsAt is when the last message of another router that follows the store was received, and epochs the
+	// largest sum of epochs in a message.
+	newsAt time.Time
+	epochs uint64
+}
+
+// streamKeeper keeps the plans and rows of an Assigner in a StreamStore. It is safe for concurrent use.
+type streamKeeper struct {
+	assigner.Assigner
+	// store is nil if nothing outlives this router.
+	store       StreamStore
+	clock       timekeeper.Clock
+	log         *logrus.Logger
+	meter       *meter.Meter
+	name        string
+	incarnation uint64
+	firstStart  bool
+	startedAt   time.Time
+	wake        chan struct{}
+
+	// readMu is held while the rows are read, so that callers who wait share one call.
+	readMu sync.Mutex
+
+	mu         sync.Mutex
+	capacities map[messenger.PoolID]map[string]int
+	// patience is the longest that the callers of each pool are known to wait.
+	patience map[messenger.PoolID]time.Duration
+	fleet    fleetView
+	// stored is what was read last, at readAt; zero if nothing was.
+	stored storedStreams
+	readAt time.Time
+	// misfitSince is when the plan of a pool was first seen not to fit.
+	misfitSince map[messenger.PoolID]time.Time
+	// savedEpochs is the sum of epochs in the row that this router wrote last.
+	savedEpochs uint64
+	saved       bool
+	// reload is true if the rows must be read before anything is written, restoring if the store may have
+	// lost plans.
+	reload, restoring bool
+	// news is true while there are plans that were not sent to other routers at once.
+	news bool
+}
+
+func newStreamKeeper(cfg HostedConfig, m *meter.Meter, incarnation uint64) *streamKeeper {
+	k := &streamKeeper{
+		store: cfg.Streams, clock: cfg.Clock, log: cfg.Log, meter: m, name: cfg.Settings.Name, incarnation: incarnation,
+		firstStart: cfg.Settings.FirstStart, startedAt: cfg.Clock.Now(), wake: make(chan struct{}, 1),
+		misfitSince: make(map[messenger.PoolID]time.Time), patience: make(map[messenger.PoolID]time.Duration), reload: true,
+	}
+	m.Gauge("lentilwood_stream_plan_epochs", func() float64 { return float64(k.Epochs()) })
+	return k
+}
+
+// setUpstreams sets the upstreams that streams can be assigned to. Only pools with streams that may be
+// resumed have plans.
+func (k *streamKeeper) setUpstreams(s *follower.Snapshot) {
+	capacities := make(map[messenger.PoolID]map[string]int)
+	for _, u := range s.Policy.Upstreams {
+		if !s.Table.IsResumable(u.Pool) || !u.AcceptsWork() {
+			continue
+		}
+		if capacities[u.Pool] == nil {
+			capacities[u.Pool] = make(map[string]int)
+		}
+		capacities[u.Pool][u.SoftwareVersion] += max(1, u.Window)
+	}
+	k.mu.Lock()
+	k.capacities = capacities
+	k.mu.Unlock()
+	k.signal()
+}
+
+// recordPatience records that a caller of a pool waits for some time.
+func (k *streamKeeper) recordPatience(pool messenger.PoolID, d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.patience[pool] = max(k.patience[pool], min(d, assigner.Lifetime))
+}
+
+// setFleet sets what is known of the other routers.
+func (k *streamKeeper) setFleet(v fleetView) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.fleet = v
+}
+
+// mergeAll takes over newer plans of another router or of the store.
+func (k *streamKeeper) mergeAll(histories map[messenger.PoolID]assigner.History, source string) {
+	for pool, history := range histories {
+		if len(history.Plans) == 0 || !k.Merge(pool, history) {
+			continue
+		}
+		newest := history.Plans[len(history.Plans)-1]
+		k.entry("plan").WithFields(logrus.Fields{
+			"pool": pool, "epoch": newest.Epoch, "versions": newest.Versions, "from": source,
+		}).Info("streams are assigned to software versions by a new plan")
+		k.mu.Lock()
+		k.news = true
+		k.mu.Unlock()
+		k.signal()
+	}
+}
+
+// takeNews reports whether there are new plans since the last call.
+func (k *streamKeeper) takeNews() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	news := k.news
+	k.news = false
+	return news
+}
+
+// forgetStored has the rows read and written again, after the store came back from an older copy.
+func (k *streamKeeper) forgetStored() {
+	k.mu.Lock()
+	k.reload, k.restoring, k.saved = true, true, false
+	k.mu.Unlock()
+	k.signal()
+}
+
+func (k *streamKeeper) signal() {
+	select {
+	case k.wake <- struct{}{}:
+	default: // already signaled
+	}
+}
+
+// run keeps plans and rows until ctx ends.
+func (k *streamKeeper) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait, err := k.step(ctx)
+		if err != nil {
+			k.meter.Counter("lentilwood_stream_store_failures_total").Inc()
+			k.entry("failed").WithError(err).Info("plans of streams not read or not written; retrying")
+			wait = streamRetryDelay
+		}
+		k.Expire(k.clock.Now())
+		wake := k.wake
+		if err != nil {
+			wake = nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-wake:
+		case <-k.clock.After(wait):
+		}
+	}
+}
+
+// step does what is due: it reads the rows, makes plans and writes this router's row. It returns when
+// to look again.
+func (k *streamKeeper) step(ctx context.Context) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
+	defer cancel()
+	if k.needsReload() {
+		if err := k.read(ctx, 0); err != nil {
+			return 0, err
+		}
+	}
+	wait := idleStreamStep
+	for _, pool := range k.misfits() {
+		wait = streamStep
+		if !k.isTurn(pool) {
+			continue
+		}
+		if err := k.makePlan(ctx, pool); err != nil {
+			return 0, err
+		}
+	}
+	if err := k.restorePlans(ctx); err != nil {
+		return 0, err
+	}
+	return wait, k.saveRow(ctx)
+}
+
+func (k *streamKeeper) needsReload() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.reload && k.store != nil
+}
+
+// storeTime returns the store's time at t. The caller holds mu.
+func (k *streamKeeper) storeTime(t time.Time) int64 {
+	if k.readAt.IsZero() {
+		return t.Sub(k.startedAt).Milliseconds()
+	}
+	return k.stored.nowMs + t.Sub(k.readAt).Milliseconds()
+}
+
+// nextPlan returns the history of a pool with the plan that its upstreams call for, and whether they do.
+func (k *streamKeeper) nextPlan(pool messenger.PoolID) (assigner.History, bool) {
+	k.mu.Lock()
+	nowMs := k.storeTime(k.clock.Now())
+	demand := assigner.Demand{
+		Capacity: k.capacities[pool], Patience: k.patience[pool],
+		MinInterval: planInterval + planIntervalPerRouter*time.Duration(len(k.fleet.names)),
+	}
+	k.mu.Unlock()
+	return k.History(pool).Next(nowMs, demand)
+}
+
+// misfits returns the pools whose plans don't fit their upstreams, and notes since when.
+func (k *streamKeeper) misfits() []messenger.PoolID {
+	k.mu.Lock()
+	var pools []messenger.PoolID
+	for pool := range k.capacities {
+		pools = append(pools, pool)
+	}
+	k.mu.Unlock()
+	pools = slices.DeleteFunc(pools, func(pool messenger.PoolID) bool {
+		_, needed := k.nextPlan(pool)
+		return !needed
+	})
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.clock.Now()
+	for pool := range k.misfitSince {
+		if !slices.Contains(pools, pool) {
+			delete(k.misfitSince, pool)
+		}
+	}
+	for _, pool := range pools {
+		if k.misfitSince[pool].IsZero() {
+			k.misfitSince[pool] = now
+		}
+	}
+	return pools
+}
+
+// isTurn reports whether it is this router's turn to make a plan for a pool.
+func (k *streamKeeper) isTurn(pool messenger.PoolID) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.firstStart && !k.fleet.joined {
+		return false
+	}
+	return k.clock.Now().Sub(k.misfitSince[pool]) >= planTurn*time.Duration(k.fleet.turn)
+}
+
+// makePlan makes a new plan for a pool. If another router has changed the plans meanwhile, they are read.
+func (k *streamKeeper) makePlan(ctx context.Context, pool messenger.PoolID) error {
+	next, needed := k.nextPlan(pool)
+	if !needed {
+		return nil
+	}
+	err := k.replacePlans(ctx, pool, next)
+	if errors.Is(err, ErrRowChanged) {
+		return k.read(ctx, 0)
+	}
+	if err != nil {
+		k.mu.Lock()
+		k.reload = true // the plan may have been written
+		k.mu.Unlock()
+		return err
+	}
+	k.mergeAll(map[messenger.PoolID]assigner.History{pool: next}, sourceSelf)
+	return nil
+}
+
+// sourceSelf names this router as the origin of a plan.
+const sourceSelf = "self"
+
+// replacePlans writes the plans of a pool if the store has those that were read last.
+func (k *streamKeeper) replacePlans(ctx context.Context, pool messenger.PoolID, history assigner.History) error {
+	if k.store == nil {
+		return nil
+	}
+	value, err := json.Marshal(history)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	version, known := k.stored.planVersions[pool], k.stored.histories[pool].Epoch()
+	k.mu.Unlock()
+	if known >= history.Epoch() {
+		return ErrRowChanged
+	}
+	k.meter.Counter("lentilwood_stream_plans_written_total").Inc()
+	if err := k.store.ReplaceRow(ctx, planKey(pool), version, value); err != nil {
+		return err
+	}
+	return k.read(ctx, 0) // the row has a new version
+}
+
+// restorePlans writes the plans that the store had before it came back from an older copy.
+func (k *streamKeeper) restorePlans(ctx context.Context) error {
+	k.mu.Lock()
+	restoring := k.restoring
+	k.mu.Unlock()
+	if !restoring {
+		return nil
+	}
+	for pool, history := range k.Histories() {
+		if err := k.replacePlans(ctx, pool, history); err != nil && !errors.Is(err, ErrRowChanged) {
+			return err
+		}
+	}
+	k.mu.Lock()
+	k.restoring = false
+	k.mu.Unlock()
+	return nil
+}
+
+// saveRow writes this router's row if it does not name the newest plans.
+func (k *streamKeeper) saveRow(ctx context.Context) error {
+	row := assigner.RouterRow{Router: k.name, Incarnation: k.incarnation, First: k.firstStart}
+	epochs := k.Epochs()
+	k.mu.Lock()
+	due := k.store != nil && epochs > 0 && (!k.saved || k.savedEpochs < epochs)
+	row.StartedMs = k.storeTime(k.startedAt)
+	outdated := k.stored.outdated(k.name)
+	k.mu.Unlock()
+	if !due {
+		return nil
+	}
+	row.Pools = k.PoolStreams()
+	value, err := json.Marshal(row)
+	if err != nil {
+		return err
+	}
+	k.meter.Counter("lentilwood_stream_rows_written_total").Inc()
+	if err := k.store.WriteRow(ctx, routerKey(k.name, k.incarnation), value, outdated); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.saved, k.savedEpochs = true, epochs
+	k.mu.Unlock()
+	k.entry("row").WithFields(logrus.Fields{"epochs": epochs, "bytes": len(value), "removed": len(outdated)}).Info("plans confirmed, with the streams that they assign differently")
+	return nil
+}
+
+// read reads the rows unless they were read within the last maxAge.
+func (k *streamKeeper) read(ctx context.Context, maxAge time.Duration) error {
+	k.readMu.Lock()
+	defer k.readMu.Unlock()
+	k.mu.Lock()
+	fresh := !k.readAt.IsZero() && k.clock.Now().Sub(k.readAt) < maxAge
+	k.mu.Unlock()
+	if fresh || k.store == nil {
+		return nil
+	}
+	k.meter.Counter("lentilwood_stream_rows_reads_total").Inc()
+	rows, err := k.store.ReadRows(ctx)
+	if err != nil {
+		return err
+	}
+	stored, err := parseStreams(rows)
+	if err != nil {
+		k.entry("unreadable").WithError(err).Warn("row about streams ignored")
+	}
+	k.mu.Lock()
+	k.stored, k.readAt, k.reload = stored, k.clock.Now(), false
+	k.mu.Unlock()
+	k.mergeAll(stored.histories, sourceStore)
+	return nil
+}
+
+// entry returns a log entry for an event of the keeper.
+func (k *streamKeeper) entry(state string) *logrus.Entry {
+	return k.log.WithFields(logrus.Fields{eventField: "streams", "state": state})
+}
