admitter: a stream that is resumed is admitted as work that was admitted before

Cause: a take-up was new work to the admitter: its whole cost was charged to its account a second time, and it was refused for the share (token-limit) or a forecast (deadline) like any other. Right after a kill the demand of every account jumps at the routers that are left.

A stream whose version is gone gets no Retry-After: it never comes back.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -43,6 +43,9 @@
 	// served nothing of its share, and in part if it is served too little: a late answer is
 	// better than none.
 	underservedForecastShare = 2
+	// resumedForecastShare replaces forecastShare for a request that resumes a stream: its caller waits for
+	// the rest of what it has, for about as long as for several first outputs.
+	resumedForecastShare = 3
 	// minWaitShare is the fraction of its objective that a request may always wait behind
 	// others, even if reading its own prompt takes the rest. Without it, requests with large
 	// prompts would never be sent.
@@ -201,9 +204,12 @@
 		e.Objective = defaultObjective
 	}
 	r := &request{arrive: e, pool: p, arrivedAt: a.now, cost: e.Work.Cost()}
-	r.queueDeadline = a.now.Add(time.Duration(maxQueueingShare * float64(e.Objective)))
+	if e.Resumed {
+		r.cost = e.Work.RestCost(e.ReceivedTokens)
+	}
+	r.queueDeadline = a.now.Add(r.maxQueueing())
 	if p.hasEngines {
-		r.overShare = a.shares.addDemand(a.now, e.Account, r.cost, e.SpentShare)
+		r.overShare = a.addDemand(r)
 		p.pace.recordPauseLimit(a.now, e.PauseLimit)
 	}
 	a.requests[e.Request] = r
@@ -252,6 +258,9 @@
 		return time.Duration(forecastShare*objective*(1-r.pool.reservedShare/maxReserve)) - f.ownTime
 	}
 	limitShare := forecastShare + a.shares.shortfall(r.arrive.Account)*(underservedForecastShare-forecastShare)
+	if r.arrive.Resumed {
+		limitShare = resumedForecastShare
+	}
 	return max(time.Duration(limitShare*objective)-f.ownTime, time.Duration(minWaitShare*objective))
 }
 
--- a/internal/admitter/pool.go
+++ b/internal/admitter/pool.go
@@ -99,7 +99,7 @@
 }
 
 // sortWaiting sorts the queue in the order of service: requests within their account's
-// share first, then by precedence and by arrival.
+// share first, then those that resume a stream, then by precedence and by arrival.
 func (p *pool) sortWaiting(a *Admitter) {
 	for _, r := range p.waiting {
 		if p.hasEngines && r.overShare {
@@ -113,6 +113,12 @@
 			}
 			return 1
 		}
+		if x.arrive.Resumed != y.arrive.Resumed {
+			if x.arrive.Resumed {
+				return -1
+			}
+			return 1
+		}
 		if x.arrive.Precedence != y.arrive.Precedence {
 			return cmp.Compare(y.arrive.Precedence, x.arrive.Precedence)
 		}
--- a/internal/admitter/refuse.go
+++ b/internal/admitter/refuse.go
@@ -35,8 +35,12 @@
 	if r.pool.evacuated {
 		reason = messenger.RefuseEvacuated
 	}
+	retryAfter := a.retryAfter(r)
+	if reason == messenger.RefuseVersionGone && r.arrive.Resumed {
+		retryAfter = 0 // the version of a stream never changes
+	}
 	a.emit(messenger.Refuse{
-		Request: r.arrive.Request, Reason: reason, RetryAfter: a.retryAfter(r), Grounds: a.grounds(r),
+		Request: r.arrive.Request, Reason: reason, RetryAfter: retryAfter, Grounds: a.grounds(r),
 	})
 }
 
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -325,7 +325,8 @@
 func (f *inflightRequest) refuse(reason string, retryAfter time.Duration) {
 	p := newProblem(reason, f.outcome.RunState())
 	p.RetryAfter = retryAfter
-	if p.Run == messenger.StateNotRun && p.Status != http.StatusNotFound && retryAfter <= 0 {
+	gone := reason == string(messenger.RefuseVersionGone) // for good, if no time is given
+	if p.Run == messenger.StateNotRun && p.Status != http.StatusNotFound && retryAfter <= 0 && !gone {
 		p.RetryAfter = time.Second
 	}
 	f.endWithProblem(reason, p)
--- a/internal/messenger/event.go
+++ b/internal/messenger/event.go
@@ -26,6 +26,10 @@
 	// SoftwareVersion is that of the only upstreams which may serve the request, because its stream
 	// begins or began there; "" means any.
 	SoftwareVersion string
+	// Resumed is true if the request resumes a stream of which the caller has received some events, and
+	// ReceivedTokens is how many tokens these have at least.
+	Resumed        bool
+	ReceivedTokens int
 	// Idempotent is true if the request may be sent to upstreams more than once.
 	Idempotent bool
 	// Prefix is a hash of the prompt prefix, or 0 if there is none.
--- a/internal/messenger/prompt.go
+++ b/internal/messenger/prompt.go
@@ -37,6 +37,12 @@
 // may be generated. Throughput and demand are measured in this unit per second.
 func (w Work) Cost() float64 { return float64(w.PromptTokens() + 2*w.MaxOutputTokens) }
 
+// RestCost returns the relative cost of the work that is left to serve a stream once some tokens were
+// generated. What was spent on the prompt is not counted again.
+func (w Work) RestCost(generated int) float64 {
+	return float64(2 * max(0, w.MaxOutputTokens-generated))
+}
+
 // ContentID identifies the content of a prompt part for one model. Zero means none. Its text
 // form, as in logs, is hexadecimal.
 type ContentID uint64
--- a/internal/router/hostedtraffic.go
+++ b/internal/router/hostedtraffic.go
@@ -166,6 +166,9 @@
 	if route.Streaming {
 		a.Class = streamClass
 	}
+	if route.Resumable && in.HasLastEvent {
+		a.Resumed, a.ReceivedTokens = true, int(min(in.LastEvent, math.MaxInt32)) // an event has a token or more
+	}
 	if in.Deadline > 0 && in.Deadline < route.Timeout {
 		a.SpentShare = 1 - float64(in.Deadline)/float64(route.Timeout)
 	}
