listener: a connection that is reset before it is accepted ends no router

Cause: a client can reset its connection between its arrival and accept; the connection then has no remote address, and the account of memory asked for its text. The class: a value of the system is taken for granted.

Change: one function gives the text of an address, or none; the log lines that had the same call use it, and the line of the peers' listener leaves the text to the logger.

--- a/internal/exchanger/receiver.go
+++ b/internal/exchanger/receiver.go
@@ -127,7 +127,7 @@
 	from, err := serverHandshake(transport, x.cfg.Key, x.cfg.Name)
 	if err != nil {
 		x.counters.rejectedConnections.Add(1)
-		x.cfg.Log.WithField("remote", conn.RemoteAddr().String()).WithError(err).Warn("peer connection rejected: handshake failed")
+		x.cfg.Log.WithField("remote", conn.RemoteAddr()).WithError(err).Warn("peer connection rejected: handshake failed")
 		return
 	}
 	_ = conn.SetDeadline(time.Time{})
--- a/internal/listener/body.go
+++ b/internal/listener/body.go
@@ -173,11 +173,20 @@
 	}
 }
 
-// addressOf returns the client address of a connection without the port.
+// addressOf returns the client address of a connection without the port, or "" if it has none.
 func addressOf(c *nbio.Conn) string {
-	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	host, _, err := net.SplitHostPort(remoteText(c))
 	if err != nil {
 		return ""
 	}
 	return host
 }
+
+// remoteText returns the client address of a connection for logs, or "" if it has none: a client may
+// have reset it before it was accepted.
+func remoteText(c *nbio.Conn) string {
+	if address := c.RemoteAddr(); address != nil {
+		return address.String()
+	}
+	return ""
+}
--- a/internal/listener/closereason.go
+++ b/internal/listener/closereason.go
@@ -78,7 +78,7 @@
 		level = logrus.InfoLevel
 	}
 	sc.l.cfg.Log.WithFields(logrus.Fields{
-		"event": event, "port": sc.l.cfg.Name, "remote": sc.nbc.RemoteAddr().String(), "side": reason.side, "cause": reason.cause,
+		"event": event, "port": sc.l.cfg.Name, "remote": remoteText(sc.nbc), "side": reason.side, "cause": reason.cause,
 		"requests": requests, "openMs": sc.l.cfg.Clock.Now().Sub(sc.openedAt).Milliseconds(),
 		"unsentBytes": sc.pendingBytes(), "answers": sc.answered.Load(),
 	}).Log(level, message)
--- a/internal/listener/jobs.go
+++ b/internal/listener/jobs.go
@@ -213,7 +213,7 @@
 // closeNow closes the connection and discards unsent data.
 func (sc *serverConn) closeNow(cause string) {
 	sc.l.cfg.Log.WithField("port", sc.l.cfg.Name).
-		WithField("remote", sc.nbc.RemoteAddr().String()).
+		WithField("remote", remoteText(sc.nbc)).
 		WithField("cause", cause).
 		Debug("connection closed")
 	sc.setCloseReason(SideRouter, cause)
--- a/internal/listener/serverconn.go
+++ b/internal/listener/serverconn.go
@@ -285,7 +285,7 @@
 	sc.stopReading()
 	sc.l.cfg.OnRejected(p.kind)
 	sc.l.cfg.Log.WithFields(map[string]any{
-		"port": sc.l.cfg.Name, "remote": sc.nbc.RemoteAddr().String(), "status": p.status, "problem": p.kind,
+		"port": sc.l.cfg.Name, "remote": remoteText(sc.nbc), "status": p.status, "problem": p.kind,
 	}).Debug("request rejected")
 	sc.execute(func() {
 		sc.requestClose(causeRejected)
