router: fewer rows and reads for the versions of streams

A router that starts read the rows of all routers, and wrote one of its own although nothing had changed: in a fleet of 400 that is 400 reads of 400 rows at once. It now reads the plans alone; the rows of routers are read when a stream has to be looked up. A row is written only while the newest plan is younger than a stream can be: without a row, a router may have used any plan, and old plans don't matter. A stream that broke off is remembered for as long as callers of its pool wait, not for a minute whatever they wait.

No change in what is answered: the tests of the assigner and the keeper pass as they were, with the random orders of plans, rows and restarts.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -79,8 +79,8 @@
 	s.attempts++
 }
 
-// End records how an attempt at a stream ended.
-func (a *Assigner) End(now time.Time, pool messenger.PoolID, id StreamID, o Outcome) {
+// End records how an attempt at a stream ended. Its caller waits until then at the longest.
+func (a *Assigner) End(now time.Time, pool messenger.PoolID, id StreamID, o Outcome, until time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	key := streamKey{pool, id}
@@ -93,7 +93,7 @@
 	case Complete:
 		s.expiresAt = now.Add(completeTTL)
 	case Broken:
-		s.expiresAt = now.Add(Lifetime)
+		s.expiresAt = until
 	case Undelivered:
 		if s.attempts == 0 && s.expiresAt.IsZero() {
 			delete(a.streams, key)
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -119,7 +119,7 @@
 	version, _ := r.a.Begin(testPool, id)
 	f.streams = append(f.streams, simStream{id, version, f.nowMs})
 	if breaks {
-		r.a.End(f.now(), testPool, id, Broken)
+		r.a.End(f.now(), testPool, id, Broken, f.now().Add(Lifetime))
 	}
 }
 
--- a/internal/assigner/plan.go
+++ b/internal/assigner/plan.go
@@ -93,6 +93,9 @@
 	return h.newest().Epoch
 }
 
+// ChangedSince reports whether the newest plan has replaced another one at a time or later.
+func (h History) ChangedSince(ms int64) bool { return len(h.Plans) > 1 && h.newest().SinceMs >= ms }
+
 // Patience returns the longest that callers are known to wait, by the plans.
 func (h History) Patience() time.Duration {
 	longest := int64(0)
--- a/internal/router/hostedstreams.go
+++ b/internal/router/hostedstreams.go
@@ -71,7 +71,8 @@
 	case result.Problem == "" && !result.Aborted && !result.CallerGone:
 		outcome = assigner.Complete
 	}
-	h.streams.End(h.clock.Now(), out.Arrive.Pool, assigner.HashStream(originOf(in)), outcome)
+	now := h.clock.Now()
+	h.streams.End(now, out.Arrive.Pool, assigner.HashStream(originOf(in)), outcome, now.Add(h.streams.longestWait(out.Arrive.Pool)))
 }
 
 // updateFleetView tells the keeper of streams what is known of the other routers. It runs on the control
--- a/internal/router/streamfind.go
+++ b/internal/router/streamfind.go
@@ -63,16 +63,23 @@
 // earliestBegin returns the earliest time of the store at which a stream may have begun whose caller still
 // waits for some time: callers wait for a stream no longer than the most patient ones of its pool.
 func (k *streamKeeper) earliestBegin(pool messenger.PoolID, left time.Duration) int64 {
-	planned := k.History(pool).Patience()
-	k.mu.Lock()
-	defer k.mu.Unlock()
 	age := assigner.Lifetime
-	if longest := max(k.patience[pool], planned); left > 0 && left <= longest {
+	if longest := k.longestWait(pool); left > 0 && left <= longest {
 		age = longest - left + ageMargin
 	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	return k.storeTime(k.clock.Now()) - age.Milliseconds()
 }
 
+// longestWait returns the longest that callers of a pool are known to wait.
+func (k *streamKeeper) longestWait(pool messenger.PoolID) time.Duration {
+	planned := k.History(pool).Patience()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return max(k.patience[pool], planned)
+}
+
 // hasOtherRouters reports whether some routers begin streams without following plans.
 func (k *streamKeeper) hasOtherRouters() bool {
 	k.mu.Lock()
@@ -110,7 +117,7 @@
 	k.mu.Lock()
 	maxAge := rowsTTL + rowsTTLPerRouter*time.Duration(len(k.fleet.names))
 	k.mu.Unlock()
-	if err := k.read(ctx, maxAge); err != nil {
+	if err := k.read(ctx, allRows, maxAge); err != nil {
 		k.entry("failed").WithError(err).Info("rows about streams not read for a caller")
 		return false
 	}
@@ -124,7 +131,7 @@
 	defer k.mu.Unlock()
 	return assigner.View{
 		EarliestMs: earliest, Rows: append([]assigner.RouterRow(nil), k.stored.routers...),
-		HasRows: k.store != nil && !k.readAt.IsZero(), Routers: k.fleet.names,
+		HasRows: !k.rowsReadAt.IsZero(), Routers: k.fleet.names,
 	}
 }
 
--- a/internal/router/streamkeeper.go
+++ b/internal/router/streamkeeper.go
@@ -79,9 +79,10 @@
 	// patience is the longest that the callers of each pool are known to wait.
 	patience map[messenger.PoolID]time.Duration
 	fleet    fleetView
-	// stored is what was read last, at readAt; zero if nothing was.
-	stored storedStreams
-	readAt time.Time
+	// stored is what was read last; zero if nothing was. Its plans were read at readAt, the rows of routers
+	// at rowsReadAt.
+	stored             storedStreams
+	readAt, rowsReadAt time.Time
 	// misfitSince is when the plan of a pool was first seen not to fit.
 	misfitSince map[messenger.PoolID]time.Time
 	// savedEpochs is the sum of epochs in the row that this router wrote last.
@@ -206,7 +207,7 @@
 	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
 	defer cancel()
 	if k.needsReload() {
-		if err := k.read(ctx, 0); err != nil {
+		if err := k.read(ctx, planKeyPrefix, 0); err != nil {
 			return 0, err
 		}
 	}
@@ -298,7 +299,7 @@
 	}
 	err := k.replacePlans(ctx, pool, next)
 	if errors.Is(err, ErrRowChanged) {
-		return k.read(ctx, 0)
+		return k.read(ctx, planKeyPrefix, 0)
 	}
 	if err != nil {
 		k.mu.Lock()
@@ -332,7 +333,7 @@
 	if err := k.store.ReplaceRow(ctx, planKey(pool), version, value); err != nil {
 		return err
 	}
-	return k.read(ctx, 0) // the row has a new version
+	return k.read(ctx, planKeyPrefix, 0) // the row has a new version
 }
 
 // restorePlans writes the plans that the store had before it came back from an older copy.
@@ -354,12 +355,17 @@
 	return nil
 }
 
-// saveRow writes this router's row if it does not name the newest plans.
+// saveRow writes this router's row if it does not name the newest plans, and some of them are so new
+// that streams may have begun under others.
 func (k *streamKeeper) saveRow(ctx context.Context) error {
 	row := assigner.RouterRow{Router: k.name, Incarnation: k.incarnation, First: k.firstStart}
-	epochs := k.Epochs()
+	epochs, histories := k.Epochs(), k.Histories()
 	k.mu.Lock()
-	due := k.store != nil && epochs > 0 && (!k.saved || k.savedEpochs < epochs)
+	recent, changed := k.storeTime(k.clock.Now())-assigner.Lifetime.Milliseconds(), false
+	for _, history := range histories {
+		changed = changed || history.ChangedSince(recent)
+	}
+	due := k.store != nil && changed && (!k.saved || k.savedEpochs < epochs)
 	row.StartedMs = k.storeTime(k.startedAt)
 	outdated := k.stored.outdated(k.name)
 	k.mu.Unlock()
@@ -382,18 +388,22 @@
 	return nil
 }
 
-// read reads the rows unless they were read within the last maxAge.
-func (k *streamKeeper) read(ctx context.Context, maxAge time.Duration) error {
+// read reads the rows whose keys have a prefix unless they were read within the last maxAge.
+func (k *streamKeeper) read(ctx context.Context, prefix string, maxAge time.Duration) error {
 	k.readMu.Lock()
 	defer k.readMu.Unlock()
 	k.mu.Lock()
-	fresh := !k.readAt.IsZero() && k.clock.Now().Sub(k.readAt) < maxAge
+	readAt := k.readAt
+	if prefix == allRows {
+		readAt = k.rowsReadAt
+	}
+	fresh := !readAt.IsZero() && k.clock.Now().Sub(readAt) < maxAge
 	k.mu.Unlock()
 	if fresh || k.store == nil {
 		return nil
 	}
 	k.meter.Counter("lentilwood_stream_rows_reads_total").Inc()
-	rows, err := k.store.ReadRows(ctx)
+	rows, err := k.store.ReadRows(ctx, prefix)
 	if err != nil {
 		return err
 	}
@@ -401,13 +411,24 @@
 	if err != nil {
 		k.entry("unreadable").WithError(err).Warn("row about streams ignored")
 	}
-	k.mu.Lock()
-	k.stored, k.readAt, k.reload = stored, k.clock.Now(), false
-	k.mu.Unlock()
+	k.keep(stored, prefix)
 	k.mergeAll(stored.histories, sourceStore)
 	return nil
 }
 
+// keep replaces what is known of the rows that were read.
+func (k *streamKeeper) keep(stored storedStreams, prefix string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.clock.Now()
+	if prefix == allRows {
+		k.rowsReadAt = now
+	} else {
+		stored.routers, stored.routerKeys = k.stored.routers, k.stored.routerKeys
+	}
+	k.stored, k.readAt, k.reload = stored, now, false
+}
+
 // entry returns a log entry for an event of the keeper.
 func (k *streamKeeper) entry(state string) *logrus.Entry {
 	return k.log.WithFields(logrus.Fields{eventField: "streams", "state": state})
--- a/internal/router/streamkeeper_test.go
+++ b/internal/router/streamkeeper_test.go
@@ -5,7 +5,7 @@
 	"errors"
 	"io"
 	"maps"
-	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,11 +30,17 @@
 
 var errStoreDown = errors.New("store is down")
 
-func (s *memoryStreams) ReadRows(context.Context) (StreamRows, error) {
+func (s *memoryStreams) ReadRows(_ context.Context, prefix string) (StreamRows, error) {
 	if s.down {
 		return StreamRows{}, errStoreDown
 	}
-	return StreamRows{Rows: slices.Collect(maps.Values(s.rows)), NowMs: s.clock.Now().UnixMilli()}, nil
+	rows := StreamRows{NowMs: s.clock.Now().UnixMilli()}
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows.Rows = append(rows.Rows, row)
+		}
+	}
+	return rows, nil
 }
 
 func (s *memoryStreams) ReplaceRow(ctx context.Context, key string, version uint64, value []byte) error {
--- a/internal/router/streamstore.go
+++ b/internal/router/streamstore.go
@@ -14,8 +14,8 @@
 // StreamStore keeps the rows by which routers find the software versions of streams, also once all
 // routers have restarted: the plans of each pool, and what each router says of its streams.
 type StreamStore interface {
-	// ReadRows returns all rows.
-	ReadRows(ctx context.Context) (StreamRows, error)
+	// ReadRows returns the rows whose keys have a prefix.
+	ReadRows(ctx context.Context, prefix string) (StreamRows, error)
 	// ReplaceRow replaces a row if it still has the given version, which is 0 for one that does not exist,
 	// and returns ErrRowChanged if it has not. After another error it may be replaced or not.
 	ReplaceRow(ctx context.Context, key string, version uint64, value []byte) error
@@ -30,7 +30,7 @@
 	Version uint64
 }
 
-// StreamRows are all rows of a StreamStore at a time of its monotonic clock, in milliseconds.
+// StreamRows are rows of a StreamStore at a time of its monotonic clock, in milliseconds.
 type StreamRows struct {
 	Rows  []StreamRow
 	NowMs int64
@@ -43,6 +43,8 @@
 const (
 	planKeyPrefix   = "plan/"
 	routerKeyPrefix = "router/"
+	// allRows is the prefix of all keys.
+	allRows = ""
 )
 
 func planKey(pool messenger.PoolID) string { return planKeyPrefix + string(pool) }
