--- a/internal/router/evidencesize_test.go
+++ b/internal/router/evidencesize_test.go
@@ -6,14 +6,25 @@
 
 	"github.com/ugorji/go/codec"
 
+	"lentilwood.example/lentilwood/internal/assigner"
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/quarantiner"
 )
 
-// oldEnvelope is the beginning of a hostedEnvelope, as routers of the version before know it.
+// oldMember is a Member and oldEnvelope the beginning of a hostedEnvelope, as routers of earlier releases
+// know them.
+type oldMember struct {
+	_           struct{} `codec:",toarray"`
+	Name        string
+	Address     string
+	Domain      string
+	Incarnation uint64
+	Weight      int
+}
+
 type oldEnvelope struct {
 	_        struct{} `codec:",toarray"`
-	From     Member
+	From     oldMember
 	Kind     messageKind
 	Sequence uint64
 }
@@ -69,11 +80,16 @@
 	}
 }
 
-// TestOlderRouterReadsNewMessages checks that a router that doesn't know the evidence still
-// reads the rest of a message.
+// TestOlderRouterReadsNewMessages checks that a router that doesn't know the evidence, or plans for
+// streams, still reads the rest of a message, and that it is told apart by its own messages.
 func TestOlderRouterReadsNewMessages(t *testing.T) {
 	m := newEvidence(2)
-	data := encode(t, hostedEnvelope{From: Member{Name: "r1"}, Kind: kindReport, Sequence: 7, Evidence: &m})
+	var history assigner.History
+	history, _ = history.Next(1, assigner.Demand{Capacity: map[string]int{"v1": 1, "v2": 1}})
+	data := encode(t, hostedEnvelope{
+		From: Member{Name: "r1", AssignsVersions: true}, Kind: kindReport, Sequence: 7, Evidence: &m,
+		PlanEpochs: 1, Plans: map[messenger.PoolID]assigner.History{"p": history},
+	})
 	var old oldEnvelope
 	if err := codec.NewDecoderBytes(data, peerHandle()).Decode(&old); err != nil {
 		t.Fatal(err)
@@ -81,4 +97,17 @@
 	if old.From.Name != "r1" || old.Kind != kindReport || old.Sequence != 7 {
 		t.Errorf("got %+v", old)
 	}
+	var back, fromOld hostedEnvelope
+	if err := codec.NewDecoderBytes(data, peerHandle()).Decode(&back); err != nil {
+		t.Fatal(err)
+	}
+	if got := back.Plans["p"]; !back.From.AssignsVersions || got.Epoch() != 1 || len(got.Plans[0].Slots) != len(history.Plans[0].Slots) {
+		t.Errorf("got %+v back, want the plans", back)
+	}
+	if err := codec.NewDecoderBytes(encode(t, old), peerHandle()).Decode(&fromOld); err != nil {
+		t.Fatal(err)
+	}
+	if fromOld.From.Name != "r1" || fromOld.From.AssignsVersions || fromOld.Kind != kindReport || fromOld.Sequence != 7 {
+		t.Errorf("got %+v from an older router", fromOld)
+	}
 }
--- a/internal/router/streamkeeper.go
+++ b/internal/router/streamkeeper.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -27,8 +24,10 @@
 	// streamStep is the time between two looks at what is to be done, idleStreamStep if that is nothing.
 	streamStep     = 50 * time.Millisecond
 	idleStreamStep = 5 * time.Second
-	// streamRetryDelay is the time between two calls of the store of which the first failed.
-	streamRetryDelay = 200 * time.Millisecond
+	// minStreamRetryDelay is the time to the next call of the store after one that failed; it doubles with each
+	// further failure, up to maxStreamRetryDelay.
+	minStreamRetryDelay = 200 * time.Millisecond
+	maxStreamRetryDelay = 3 * time.Second
 	// streamCallTimeout bounds a call of the store in the background, findTimeout one for which a caller waits.
 	streamCallTimeout = 2 * time.Second
 	findTimeout       = 400 * time.Millisecond
@@ -181,18 +180,19 @@
 
 // run keeps plans and rows until ctx ends.
 func (k *streamKeeper) run(ctx context.Context) {
+	retryDelay := minStreamRetryDelay
 	for ctx.Err() == nil {
+		wake := k.wake
 		wait, err := k.step(ctx)
-		if err != nil {
+		if err == nil {
+			retryDelay = minStreamRetryDelay
+		} else {
 			k.meter.Counter("lentilwood_stream_store_failures_total").Inc()
 			k.entry("failed").WithError(err).Info("plans of streams not read or not written; retrying")
-			wait = streamRetryDelay
+			wake, wait = nil, retryDelay
+			retryDelay = min(2*retryDelay, maxStreamRetryDelay)
 		}
 		k.Expire(k.clock.Now())
-		wake := k.wake
-		if err != nil {
-			wake = nil
-		}
 		select {
 		case <-ctx.Done():
 		case <-wake:
@@ -241,194 +241,6 @@
 	return k.stored.nowMs + t.Sub(k.readAt).Milliseconds()
 }
 
-// nextPlan returns the history of a pool with the plan that its upstreams call for, and whether they do.
-func (k *streamKeeper) nextPlan(pool messenger.PoolID) (assigner.History, bool) {
-	k.mu.Lock()
-	nowMs := k.storeTime(k.clock.Now())
-	demand := assigner.Demand{
-		Capacity: k.capacities[pool], Patience: k.patience[pool],
-		MinInterval: planInterval + planIntervalPerRouter*time.Duration(len(k.fleet.names)),
-	}
-	k.mu.Unlock()
-	return k.History(pool).Next(nowMs, demand)
-}
-
-// misfits returns the pools whose plans don't fit their upstreams, and notes since when.
-func (k *streamKeeper) misfits() []messenger.PoolID {
-	k.mu.Lock()
-	var pools []messenger.PoolID
-	for pool := range k.capacities {
-		pools = append(pools, pool)
-	}
-	k.mu.Unlock()
-	pools = slices.DeleteFunc(pools, func(pool messenger.PoolID) bool {
-		_, needed := k.nextPlan(pool)
-		return !needed
-	})
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.clock.Now()
-	for pool := range k.misfitSince {
-		if !slices.Contains(pools, pool) {
-			delete(k.misfitSince, pool)
-		}
-	}
-	for _, pool := range pools {
-		if k.misfitSince[pool].IsZero() {
-			k.misfitSince[pool] = now
-		}
-	}
-	return pools
-}
-
-// isTurn reports whether it is this router's turn to make a plan for a pool.
-func (k *streamKeeper) isTurn(pool messenger.PoolID) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.firstStart && !k.fleet.joined {
-		return false
-	}
-	return k.clock.Now().Sub(k.misfitSince[pool]) >= planTurn*time.Duration(k.fleet.turn)
-}
-
-// makePlan makes a new plan for a pool. If another router has changed the plans meanwhile, they are read.
-func (k *streamKeeper) makePlan(ctx context.Context, pool messenger.PoolID) error {
-	next, needed := k.nextPlan(pool)
-	if !needed {
-		return nil
-	}
-	err := k.replacePlans(ctx, pool, next)
-	if errors.Is(err, ErrRowChanged) {
-		return k.read(ctx, planKeyPrefix, 0)
-	}
-	if err != nil {
-		k.mu.Lock()
-		k.reload = true // the plan may have been written
-		k.mu.Unlock()
-		return err
-	}
-	k.mergeAll(map[messenger.PoolID]assigner.History{pool: next}, sourceSelf)
-	return nil
-}
-
-// sourceSelf names this router as the origin of a plan.
-const sourceSelf = "self"
-
-// replacePlans writes the plans of a pool if the store has those that were read last.
-func (k *streamKeeper) replacePlans(ctx context.Context, pool messenger.PoolID, history assigner.History) error {
-	if k.store == nil {
-		return nil
-	}
-	value, err := json.Marshal(history)
-	if err != nil {
-		return err
-	}
-	k.mu.Lock()
-	version, known := k.stored.planVersions[pool], k.stored.histories[pool].Epoch()
-	k.mu.Unlock()
-	if known >= history.Epoch() {
-		return ErrRowChanged
-	}
-	k.meter.Counter("lentilwood_stream_plans_written_total").Inc()
-	if err := k.store.ReplaceRow(ctx, planKey(pool), version, value); err != nil {
-		return err
-	}
-	return k.read(ctx, planKeyPrefix, 0) // the row has a new version
-}
-
-// restorePlans writes the plans that the store had before it came back from an older copy.
-func (k *streamKeeper) restorePlans(ctx context.Context) error {
-	k.mu.Lock()
-	restoring := k.restoring
-	k.mu.Unlock()
-	if !restoring {
-		return nil
-	}
-	for pool, history := range k.Histories() {
-		if err := k.replacePlans(ctx, pool, history); err != nil && !errors.Is(err, ErrRowChanged) {
-			return err
-		}
-	}
-	k.mu.Lock()
-	k.restoring = false
-	k.mu.Unlock()
-	return nil
-}
-
-// saveRow writes this router's row if it does not name the newest plans, and some of them are so new
-// that streams may have begun under others.
-func (k *streamKeeper) saveRow(ctx context.Context) error {
-	row := assigner.RouterRow{Router: k.name, Incarnation: k.incarnation, First: k.firstStart}
-	epochs, histories := k.Epochs(), k.Histories()
-	k.mu.Lock()
-	recent, changed := k.storeTime(k.clock.Now())-assigner.Lifetime.Milliseconds(), false
-	for _, history := range histories {
-		changed = changed || history.ChangedSince(recent)
-	}
-	due := k.store != nil && changed && (!k.saved || k.savedEpochs < epochs)
-	row.StartedMs = k.storeTime(k.startedAt)
-	outdated := k.stored.outdated(k.name)
-	k.mu.Unlock()
-	if !due {
-		return nil
-	}
-	row.Pools = k.PoolStreams()
-	value, err := json.Marshal(row)
-	if err != nil {
-		return err
-	}
-	k.meter.Counter("lentilwood_stream_rows_written_total").Inc()
-	if err := k.store.WriteRow(ctx, routerKey(k.name, k.incarnation), value, outdated); err != nil {
-		return err
-	}
-	k.mu.Lock()
-	k.saved, k.savedEpochs = true, epochs
-	k.mu.Unlock()
-	k.entry("row").WithFields(logrus.Fields{"epochs": epochs, "bytes": len(value), "removed": len(outdated)}).Info("plans confirmed, with the streams that they assign differently")
-	return nil
-}
-
-// read reads the rows whose keys have a prefix unless they were read within the last maxAge.
-func (k *streamKeeper) read(ctx context.Context, prefix string, maxAge time.Duration) error {
-	k.readMu.Lock()
-	defer k.readMu.Unlock()
-	k.mu.Lock()
-	readAt := k.readAt
-	if prefix == allRows {
-		readAt = k.rowsReadAt
-	}
-	fresh := !readAt.IsZero() && k.clock.Now().Sub(readAt) < maxAge
-	k.mu.Unlock()
-	if fresh || k.store == nil {
-		return nil
-	}
-	k.meter.Counter("lentilwood_stream_rows_reads_total").Inc()
-	rows, err := k.store.ReadRows(ctx, prefix)
-	if err != nil {
-		return err
-	}
-	stored, err := parseStreams(rows)
-	if err != nil {
-		k.entry("unreadable").WithError(err).Warn("row about streams ignored")
-	}
-	k.keep(stored, prefix)
-	k.mergeAll(stored.histories, sourceStore)
-	return nil
-}
-
-// keep replaces what is known of the rows that were read.
-func (k *streamKeeper) keep(stored storedStreams, prefix string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.clock.Now()
-	if prefix == allRows {
-		k.rowsReadAt = now
-	} else {
-		stored.routers, stored.routerKeys = k.stored.routers, k.stored.routerKeys
-	}
-	k.stored, k.readAt, k.reload = stored, now, false
-}
-
 // entry returns a log entry for an event of the keeper.
 func (k *streamKeeper) entry(state string) *logrus.Entry {
 	return k.log.WithFields(logrus.Fields{eventField: "streams", "state": state})
