router: callers who resume streams don't wait one after another for the store

A store that hangs held each caller whose stream had to be looked up until the ones before had given up, and each asked twice: up to 400 ms for each of them. They share one read now and give up together. TestHangingStoreKeepsNobodyWaiting: 20 callers are answered within twice the time of one read.

--- a/internal/router/streamfind.go
+++ b/internal/router/streamfind.go
@@ -32,8 +32,8 @@
 			return version, k.logFound(pool, origin, version, foundHere)
 		}
 	}
-	if !k.hasNewestPlans() {
-		k.readForCaller(ctx)
+	if !k.hasNewestPlans() && !k.readForCaller(ctx) {
+		return "", k.logFound(pool, origin, "", "")
 	}
 	if version, known = k.settled(pool, id, origin, left); known {
 		return version, k.logFound(pool, origin, version, foundByPlan)
--- a/internal/router/streamkeeper.go
+++ b/internal/router/streamkeeper.go
@@ -70,8 +70,8 @@
 	startedAt   time.Time
 	wake        chan struct{}
 
-	// readMu is held while the rows are read, so that callers who wait share one call.
-	readMu sync.Mutex
+	// reading holds a value while the rows are read, so that callers who wait share one call.
+	reading chan struct{}
 
 	mu         sync.Mutex
 	capacities map[messenger.PoolID]map[string]int
@@ -97,7 +97,7 @@
 func newStreamKeeper(cfg HostedConfig, m *meter.Meter, incarnation uint64) *streamKeeper {
 	k := &streamKeeper{
 		store: cfg.Streams, clock: cfg.Clock, log: cfg.Log, meter: m, name: cfg.Settings.Name, incarnation: incarnation,
-		firstStart: cfg.Settings.FirstStart, startedAt: cfg.Clock.Now(), wake: make(chan struct{}, 1),
+		firstStart: cfg.Settings.FirstStart, startedAt: cfg.Clock.Now(), wake: make(chan struct{}, 1), reading: make(chan struct{}, 1),
 		misfitSince: make(map[messenger.PoolID]time.Time), patience: make(map[messenger.PoolID]time.Duration), reload: true,
 	}
 	m.Gauge("lentilwood_stream_plan_epochs", func() float64 { return float64(k.Epochs()) })
--- a/internal/router/streamkeeper_test.go
+++ b/internal/router/streamkeeper_test.go
@@ -217,3 +217,38 @@
 		t.Errorf("got epoch %d at a router that started after the restore, want %d", got, want)
 	}
 }
+
+// hangingStreams is a StreamStore that does not answer.
+type hangingStreams struct{ memoryStreams }
+
+func (*hangingStreams) ReadRows(ctx context.Context, _ string) (StreamRows, error) {
+	<-ctx.Done()
+	return StreamRows{}, ctx.Err()
+}
+
+// TestHangingStoreKeepsNobodyWaiting guards against callers who wait one after another for a store that
+// does not answer.
+func TestHangingStoreKeepsNobodyWaiting(t *testing.T) {
+	f := newKeeperFleet(t)
+	k := f.keepers[0]
+	f.serve(k, "v1")
+	k.store = &hangingStreams{}
+	f.clock.Advance(time.Minute)
+	const callers = 20
+	answered := make(chan bool, callers)
+	began := time.Now()
+	for range callers {
+		go func() {
+			_, known := f.find(k, "elsewhere")
+			answered <- known
+		}()
+	}
+	for range callers {
+		if <-answered {
+			t.Error("got a version without news of the plans, want none")
+		}
+	}
+	if got, want := time.Since(began), 2*findTimeout; got > want {
+		t.Errorf("got the last answer after %v, want %v", got, want)
+	}
+}
--- a/internal/router/streamrows.go
+++ b/internal/router/streamrows.go
@@ -47,8 +47,12 @@
 
 // read reads the rows whose keys have a prefix unless they were read within the last maxAge.
 func (k *streamKeeper) read(ctx context.Context, prefix string, maxAge time.Duration) error {
-	k.readMu.Lock()
-	defer k.readMu.Unlock()
+	select {
+	case k.reading <- struct{}{}:
+		defer func() { <-k.reading }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	k.mu.Lock()
 	readAt := k.readAt
 	if prefix == allRows {
