--- a/internal/router/hostedstreams.go
+++ b/internal/router/hostedstreams.go
@@ -49,7 +49,7 @@
 		}
 		return nil
 	}
-	if out.Arrive.SoftwareVersion, known = h.streams.find(h.requestsCtx, out.Arrive.Pool, origin, in.Deadline); !known {
+	if out.Arrive.SoftwareVersion, known = h.streams.find(h.requestsCtx, streamQuery{pool: out.Arrive.Pool, origin: origin, left: in.Deadline}); !known {
 		return refuseStreamVersion
 	}
 	if origin == "" {
--- a/internal/router/streamfind.go
+++ b/internal/router/streamfind.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,55 +19,69 @@
 	foundHere   = "thisRouter"
 	foundByPlan = "plan"
 	foundByRows = "rows"
+	foundNot    = "unknown"
 )
 
 // ageMargin is added to the age that a stream can have.
 const ageMargin = time.Second
 
-// find returns the version at which a stream began, if it is known. An empty origin is a stream of which
-// the caller does not say how it began. left is how long its caller still waits, or zero if it doesn't say.
-// It may read the store.
-func (k *streamKeeper) find(ctx context.Context, pool messenger.PoolID, origin string, left time.Duration) (version string, known bool) {
-	id := assigner.HashStream(origin)
-	if origin != "" {
-		if version, known = k.Version(pool, id); known {
-			return version, k.logFound(pool, origin, version, foundHere)
-		}
+// streamQuery asks for the version at which a stream began.
+type streamQuery struct {
+	pool messenger.PoolID
+	// origin is the id of the attempt that began the stream, "" if the caller does not say.
+	origin string
+	// left is how long the caller still waits; zero if it doesn't say.
+	left time.Duration
+}
+
+func (q streamQuery) id() assigner.StreamID { return assigner.HashStream(q.origin) }
+
+// find returns the version at which a stream began, if it is known. It may read the store.
+func (k *streamKeeper) find(ctx context.Context, q streamQuery) (version string, known bool) {
+	version, source := k.lookUp(ctx, q)
+	k.logFound(q, version, source)
+	return version, source != foundNot
+}
+
+// lookUp returns the version at which a stream began, and how it was found.
+func (k *streamKeeper) lookUp(ctx context.Context, q streamQuery) (version, source string) {
+	if version, ok := k.Version(q.pool, q.id()); ok && q.origin != "" {
+		return version, foundHere
 	}
 	if !k.hasNewestPlans() && !k.readForCaller(ctx) {
-		return "", k.logFound(pool, origin, "", "")
+		return "", foundNot
 	}
-	if version, known = k.settled(pool, id, origin, left); known {
-		return version, k.logFound(pool, origin, version, foundByPlan)
+	if version, ok := k.settled(q); ok {
+		return version, foundByPlan
 	}
-	if origin == "" || !k.readForCaller(ctx) {
-		return "", k.logFound(pool, origin, "", "")
+	if q.origin == "" || k.hasOtherRouters() || !k.readForCaller(ctx) {
+		return "", foundNot
 	}
-	if version, known = k.History(pool).Find(pool, id, k.view(pool, left)); !known || k.hasOtherRouters() {
-		return "", k.logFound(pool, origin, "", "")
+	if version, ok := k.History(q.pool).Find(q.pool, q.id(), k.view(q)); ok {
+		return version, foundByRows
 	}
-	return version, k.logFound(pool, origin, version, foundByRows)
+	return "", foundNot
 }
 
 // settled returns the version of a stream if it follows from the plans alone.
-func (k *streamKeeper) settled(pool messenger.PoolID, id assigner.StreamID, origin string, left time.Duration) (version string, ok bool) {
+func (k *streamKeeper) settled(q streamQuery) (version string, ok bool) {
 	if !k.hasNewestPlans() {
 		return "", false
 	}
-	history, earliest := k.History(pool), k.earliestBegin(pool, left)
-	if origin == "" || k.hasOtherRouters() {
+	history, earliest := k.History(q.pool), k.earliestBegin(q)
+	if q.origin == "" || k.hasOtherRouters() {
 		version, ok = history.OnlyVersion(earliest)
-		return version, ok && k.hasOneVersion(pool)
+		return version, ok && k.hasOneVersion(q.pool)
 	}
-	return history.Settled(earliest, id)
+	return history.Settled(earliest, q.id())
 }
 
-// earliestBegin returns the earliest time of the store at which a stream may have begun whose caller still
-// waits for some time: callers wait for a stream no longer than the most patient ones of its pool.
-func (k *streamKeeper) earliestBegin(pool messenger.PoolID, left time.Duration) int64 {
+// earliestBegin returns the earliest time of the store at which a stream may have begun: callers wait
+// for a stream no longer than the most patient ones of its pool.
+func (k *streamKeeper) earliestBegin(q streamQuery) int64 {
 	age := assigner.Lifetime
-	if longest := k.longestWait(pool); left > 0 && left <= longest {
-		age = longest - left + ageMargin
+	if longest := k.longestWait(q.pool); q.left > 0 && q.left <= longest {
+		age = longest - q.left + ageMargin
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -125,31 +141,24 @@
 }
 
 // view returns what is known of the fleet's routers.
-func (k *streamKeeper) view(pool messenger.PoolID, left time.Duration) assigner.View {
-	earliest := k.earliestBegin(pool, left)
+func (k *streamKeeper) view(q streamQuery) assigner.View {
+	earliest := k.earliestBegin(q)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return assigner.View{
-		EarliestMs: earliest, Rows: append([]assigner.RouterRow(nil), k.stored.routers...),
+		EarliestMs: earliest, Rows: slices.Clone(k.stored.routers),
 		HasRows: !k.rowsReadAt.IsZero(), Routers: k.fleet.names,
 	}
 }
 
-// logFound logs what is known of a stream that is resumed, and reports whether its version is.
-func (k *streamKeeper) logFound(pool messenger.PoolID, origin, version, source string) bool {
-	known := source != ""
-	result := "unknown"
-	if known {
-		result = source
-	}
-	k.meter.Counter(`lentilwood_streams_resumed_total{found="` + result + `"}`).Inc()
+// logFound logs what is known of a stream that is resumed.
+func (k *streamKeeper) logFound(q streamQuery, version, source string) {
+	k.meter.Counter(fmt.Sprintf("lentilwood_streams_resumed_total{found=%q}", source)).Inc()
 	k.mu.Lock()
-	readAge := k.clock.Now().Sub(k.readAt)
-	epochs, seen := k.History(pool).Epoch(), k.fleet.epochs
+	readAge, seen := k.clock.Now().Sub(k.readAt), k.fleet.epochs
 	k.mu.Unlock()
 	k.entry("resume").WithFields(logrus.Fields{
-		"request": origin, "pool": pool, "known": known, "softwareVersion": version, "found": result,
-		"epoch": epochs, "epochsSeen": seen, "readAgeMs": readAge.Milliseconds(),
+		"request": q.origin, "pool": q.pool, "softwareVersion": version, "found": source,
+		"epoch": k.History(q.pool).Epoch(), "epochsSeen": seen, "readAgeMs": readAge.Milliseconds(),
 	}).Info("stream is resumed")
-	return known
 }
--- a/internal/router/streamkeeper_test.go
+++ b/internal/router/streamkeeper_test.go
@@ -117,7 +117,7 @@
 
 // find looks up the version of a stream whose caller waits for 10 s more.
 func (f *keeperFleet) find(k *streamKeeper, origin string) (string, bool) {
-	return k.find(context.Background(), streamPool, origin, 10*time.Second)
+	return k.find(context.Background(), streamQuery{pool: streamPool, origin: origin, left: 10 * time.Second})
 }
 
 // TestRoutersAgreeOnPlans has two routers see a new version at the same time: one makes the plan, and
