admitter, dispatcher: the credit to resume streams counts prompts; the write check reads the attempt alone

A caller could claim to have received all but nothing of a stream: the take-up cost its account nothing, while an engine reads the whole prompt. Take-ups have a credit of their own now, four seconds of the account's share at a router, charged with the prompt; the demand still counts what is left only.

The check before a write runs beside the request's goroutine and read its result; it compares the registration with the attempt instead.

--- a/internal/admitter/shares.go
+++ b/internal/admitter/shares.go
@@ -66,6 +66,8 @@
 	// creditRate is the rate at which credit accrues, in cost per second.
 	creditRate float64
 	capped     bool
+	// resumeCredit is the cost that the account may use at once to resume streams.
+	resumeCredit float64
 }
 
 func (s *shares) accountOf(id messenger.AccountID) *account {
@@ -320,6 +322,7 @@
 		return
 	}
 	a.creditRate = shareSlack * fairShare * a.demand / a.fleetDemand
+	a.refillResumeCredit(fairShare, elapsed)
 	if !a.capped {
 		a.capped = true
 		a.credit = 0
--- a/internal/dispatcher/inflight.go
+++ b/internal/dispatcher/inflight.go
@@ -272,7 +272,7 @@
 			return errCallerGone
 		}
 		current, known := f.d.cfg.Upstreams.Upstream(at.upstream)
-		if !known || current.Address != at.policy.Address || current.Pool != at.policy.Pool || !f.mayServe(current) {
+		if !known || current.Address != at.policy.Address || current.Pool != at.policy.Pool || current.SoftwareVersion != at.policy.SoftwareVersion {
 			return errNoUpstream
 		}
 		return permit.use(f.now(), current)
