--- a/internal/router/hostedstreams.go
+++ b/internal/router/hostedstreams.go
@@ -37,10 +37,10 @@
 // bindStream binds a request whose stream may be resumed to a software version; timeout is that of its
 // route. It returns a refusal if no version may serve it.
 func (h *Hosted) bindStream(out *dispatcher.Request, in *CallerHeaders, timeout time.Duration) *refusal {
-	if !out.Resumable {
+	origin := originOf(in)
+	if !out.Resumable || origin == "" && !in.resumes() { // without an id, a stream can't be named to resume it
 		return nil
 	}
-	origin := originOf(in)
 	h.streams.recordPatience(out.Arrive.Pool, max(in.Deadline, timeout))
 	var known bool
 	if !in.resumes() {
