verifier: a body that is longer than its reader accepts is an error

What came out was taken for the whole: the stand-in of the platform stored the beginning of an object as the object, and a cut JSON text was reported as a malformed one.

Change: verifier.ReadAll fails with ErrTooLong; the poller, the clients of operators, stores and engines, the load generator and the stand-in read by it.

--- a/internal/conductor/engines.go
+++ b/internal/conductor/engines.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +12,7 @@
 
 	"lentilwood.example/lentilwood/internal/messenger"
 	"lentilwood.example/lentilwood/internal/orderer"
+	"lentilwood.example/lentilwood/internal/verifier"
 )
 
 // Bounds of the calls to upstreams.
@@ -97,7 +97,7 @@
 		return err
 	}
 	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	data, err := verifier.ReadAll(res.Body, maxAnswerBytes)
 	switch {
 	case err != nil:
 		return err
--- a/internal/generator/request.go
+++ b/internal/generator/request.go
@@ -13,6 +13,7 @@
 
 	"lentilwood.example/lentilwood/internal/identifier"
 	"lentilwood.example/lentilwood/internal/messenger"
+	"lentilwood.example/lentilwood/internal/verifier"
 )
 
 // outcome is what came of one request.
@@ -173,7 +174,7 @@
 	}
 	busy := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
 	o.noRetryAfter = busy && resp.Header.Get("Retry-After") == ""
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := verifier.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		o.kind, o.problem = cut, shorten(err)
 		return
@@ -194,7 +195,7 @@
 
 // readWhole checks an answer in one piece.
 func (r *runner) readWhole(o *outcome, a arrival, body io.Reader) {
-	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	data, err := verifier.ReadAll(body, maxAnswerBytes)
 	if err != nil {
 		o.kind, o.problem = cut, shorten(err)
 		return
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -3,12 +3,12 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"lentilwood.example/lentilwood/internal/storer"
+	"lentilwood.example/lentilwood/internal/verifier"
 )
 
 // maxBodyBytes bounds the body of a request to the stand-in.
@@ -88,7 +88,7 @@
 }
 
 func (k *Keeper) servePutObject(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	data, err := verifier.ReadAll(r.Body, maxBodyBytes)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -129,7 +129,10 @@
 }
 
 func decode(w http.ResponseWriter, r *http.Request, v any) bool {
-	err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(v)
+	data, err := verifier.ReadAll(r.Body, maxBodyBytes)
+	if err == nil {
+		err = json.Unmarshal(data, v)
+	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -212,7 +211,7 @@
 		return answer, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := verifier.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return answer, merry.Prepend(err, "reading the answer")
 	}
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -14,7 +14,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -217,5 +216,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return merry.Prependf(errStatus, "%d", resp.StatusCode)
 	}
-	return json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(response)
+	data, err := verifier.ReadAll(resp.Body, maxResponseBytes)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, response)
 }
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -156,7 +155,7 @@
 		return nil, failure(method, path, write && !unsent(err), err)
 	}
 	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	data, err := verifier.ReadAll(res.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, failure(method, path, write, err)
 	}
