follower, platform: a large configuration is taken whole or refused by name

From the change on, no router applied any configuration, without an end.

Cause: the store's client cut each answer at 4 MiB and read what was left as JSON. That failed, and the feed took the store for unreachable, at this answer and at all later ones, as each held the same row. A bound that cuts in silence was taken for another fault.

Change: what a router takes is decided once, in the follower: a row of up to a twentieth of its memory (7 MB of 134). One that is larger is reported by name (event=rowRejected, ErrRowTooLarge), its value is dropped, the row before stays in use and is what other routers are handed, later rows are followed as usual; rows from other routers pass the same check. The client leaves out the rest of a longer value while it reads (truncator), so that the other rows of the answer arrive and the memory that this takes is bounded. An answer that can't be used is no longer logged as an unreachable store.

TestLargeConfigurationIsFollowed failed before ("not at version 2 in time").

--- a/internal/cli/processes.go
+++ b/internal/cli/processes.go
@@ -9,6 +9,7 @@
 
 	"lentilwood.example/lentilwood/internal/configurer"
 	"lentilwood.example/lentilwood/internal/emulator"
+	"lentilwood.example/lentilwood/internal/follower"
 	"lentilwood.example/lentilwood/internal/keeper"
 	"lentilwood.example/lentilwood/internal/listener"
 	"lentilwood.example/lentilwood/internal/loader"
@@ -37,7 +38,7 @@
 // newRouter builds the router that fits the platform of the settings.
 func newRouter(settings loader.Router, log *logrus.Logger) runnable {
 	if settings.Platform.Interface == loader.InterfaceRows {
-		client := platform.NewClient(settings.Platform.Address)
+		client := platform.NewClient(settings.Platform.Address, follower.MaxRowBytes(settings.Memory))
 		return router.NewHosted(router.HostedConfig{
 			Settings: settings, Source: client, Directory: client, Evidence: client, Streams: client, Decoder: platform.Decoder{},
 			Dialect: platform.Dialect{}, HeaderReader: platform.Entrance{}, Log: log,
--- a/internal/follower/difference.go
+++ b/internal/follower/difference.go
@@ -9,10 +9,11 @@
 	}
 	b := Batch{Table: t, Since: version, Version: f.Version(t), HasEvacuations: true}
 	for _, e := range f.rows[t] {
-		if e.row.Version > version && !e.deletionUnconfirmed() {
-			b.Rows = append(b.Rows, e.row)
+		if row := e.shared(); row.Version > version && !e.deletionUnconfirmed() {
+			b.Rows = append(b.Rows, row)
 		}
 	}
+	f.capAtWithheld(&b, version)
 	return b
 }
 
@@ -21,11 +22,13 @@
 func (f *Follower) fullTable(t Table, knownVersion uint64) Batch {
 	b := Batch{Table: t, Full: true, Version: f.Version(t), HasEvacuations: true}
 	for _, e := range f.rows[t] {
-		row := e.row
+		row := e.shared()
 		if e.deletionUnconfirmed() {
 			row = e.deletedRow
 		}
 		switch {
+		case e.withheld && row.Version == 0:
+			b.UnchangedKeys = append(b.UnchangedKeys, e.row.Key)
 		case row.Deleted || row.Version == 0:
 		case row.Version <= knownVersion:
 			b.UnchangedKeys = append(b.UnchangedKeys, row.Key)
@@ -33,5 +36,6 @@
 			b.Rows = append(b.Rows, row)
 		}
 	}
+	f.capAtWithheld(&b, knownVersion)
 	return b
 }
--- a/internal/follower/feed.go
+++ b/internal/follower/feed.go
@@ -19,6 +19,9 @@
 // writes. The table must be read in full; versions of the new era are above all earlier ones.
 var ErrStoreRestored = merry.Sentinel("store came back from an older copy")
 
+// ErrUnusableAnswer means that the store can be reached but its answer can't be used.
+var ErrUnusableAnswer = merry.Sentinel("answer of the store can't be used")
+
 const (
 	// DefaultPollWait is how long the store may hold a long-poll for changes. A change is
 	// delayed by as much if the connection has silently failed.
@@ -225,9 +228,14 @@
 		f.OnStoreChange(err != nil)
 	}
 	entry := f.Log.WithFields(logrus.Fields{"event": "store", "table": f.Table, "version": f.sinceVersion})
-	if err != nil {
+	switch {
+	case errors.Is(err, ErrUnusableAnswer):
+		f.failingSince = callStart
+		entry.WithField("problem", "answer").WithError(err).Warn("platform store answers what can't be used; serving with the last known rows")
+		return
+	case err != nil:
 		f.failingSince = callStart
-		entry.WithError(err).Warn("platform store unreachable; serving with the last known rows")
+		entry.WithField("problem", "unreachable").WithError(err).Warn("platform store unreachable; serving with the last known rows")
 		return
 	}
 	entry.WithField("failures", previousFailures).Info("platform store reachable again")
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -132,6 +132,8 @@
 	departing map[string]time.Time
 	// evacuations holds the newest row of each failure domain that was ever emptied.
 	evacuations map[string]Row
+	// maxRowBytes is the longest value of a row that is taken; zero means no limit.
+	maxRowBytes int
 }
 
 // entry is the newest row of a key with its parsed registration.
@@ -148,6 +150,10 @@
 	// deletedRow is the last row before the deletion, kept while the registration is still in
 	// use.
 	deletedRow Row
+	// withheld is true if the row was too large to keep its value; earlier is then the last one that
+	// was not.
+	withheld bool
+	earlier  Row
 }
 
 // RejectedRow is a row that could not be parsed.
@@ -173,6 +179,9 @@
 // Version returns the version up to which all rows of a table are known and in use. Other
 // routers may be sent the table up to that version.
 func (f *Follower) Version(t Table) uint64 {
+	if t == ConfigurationTable && f.lacksConfiguration() {
+		return 0
+	}
 	version := f.completeVersion[t]
 	if !f.hasUnconfirmedDeletions || t != RegistrationTable {
 		return version
@@ -237,11 +246,15 @@
 
 func (f *Follower) mergeRow(now time.Time, entries map[string]*entry, row Row, afterOutage bool) bool {
 	e, ok := entries[row.Key]
-	if ok && e.row.Version >= row.Version {
+	switch {
+	case ok && e.row.Version > row.Version && e.withheld:
+		return f.mergeEarlier(e, row)
+	case ok && e.row.Version >= row.Version:
 		return !afterOutage && e.confirmDeletion(row)
-	}
-	if !ok && row.Version <= f.fullVersion[row.Table] {
+	case !ok && row.Version <= f.fullVersion[row.Table]:
 		return false
+	case f.isTooLarge(row):
+		return f.withhold(entries, row)
 	}
 	newEntry := &entry{row: row}
 	if ok {
@@ -290,7 +303,7 @@
 	case e.row.Deleted:
 		return e.deletedRow
 	}
-	return e.row
+	return e.shared()
 }
 
 // configure applies a configuration unless a newer one is in use.
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -219,6 +219,7 @@
 	if cfg.Dialect != nil {
 		h.cfg.Dialect = closingDialect{Dialect: cfg.Dialect, shouldClose: h.rejectingConns.Load}
 	}
+	h.follower.LimitRows(follower.MaxRowBytes(cfg.Settings.Memory))
 	h.requestsCtx, h.cancelRequests = context.WithCancel(context.Background())
 	h.backgroundCtx, h.cancelBackground = context.WithCancel(context.Background())
 	retries := cfg.Settings.Retries
