follower: a table that leaves out known rows is the whole only to one who has them

Cause: routers send each other whole tables that list by key alone what the receiver is taken to have. The receiver never checked that. A router that had just started received, in the first 10 ms, a table meant for its predecessor, without any row; it took all rows up to that version for known, and those missing for deleted. It refused the rows that it read from the store next as older than that, and handed the empty table on at a higher version: all routers removed all upstreams, and read nothing again as no row changed. A message with rows that was lost had the same effect on single rows: the next one listed them as unchanged, and the router kept the older ones for good.

Change: a whole table names the version up to which the receiver is taken to know all rows, and counts as whole only if that is so; else its rows are used like those after a gap, and the receiver's next message shows what it lacks. Tables of earlier releases name no version; with them, each key listed must be known. event=rowsFromPeer counts the rows left out.

--- a/internal/follower/difference.go
+++ b/internal/follower/difference.go
@@ -20,7 +20,7 @@
 // fullTable returns the full table for a router that has all rows up to knownVersion; those
 // rows are only listed by key.
 func (f *Follower) fullTable(t Table, knownVersion uint64) Batch {
-	b := Batch{Table: t, Full: true, Version: f.Version(t), HasEvacuations: true}
+	b := Batch{Table: t, Full: true, Since: knownVersion, Version: f.Version(t), HasEvacuations: true}
 	for _, e := range f.rows[t] {
 		row := e.shared()
 		if e.deletionUnconfirmed() {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -69,8 +69,9 @@
 	// Full is true if Rows and UnchangedKeys together cover the whole table as of Version. Any
 	// other key has been deleted.
 	Full bool
-	// Since is the version up to which an incremental batch assumes that all rows are known.
-	// Rows holds all that changed after it, up to Version.
+	// Since is the version up to which the sender takes all rows as known to the receiver. Rows holds
+	// what changed after it, up to Version. The sender may be wrong: its messages may be lost, or
+	// reach a process that started after the one that knew the rows.
 	Since, Version uint64
 	// AfterOutage is true for the first read after a store outage. Upstreams whose rows the
 	// store deleted meanwhile may still be alive.
@@ -208,7 +209,7 @@
 	if entries == nil {
 		return false
 	}
-	changed, wasComplete := false, f.isComplete()
+	changed, wasComplete, hasBase := false, f.isComplete(), f.hasBase(b)
 	seen := make(map[string]bool, len(b.Rows))
 	if b.Restored && b.Table == RegistrationTable {
 		f.recordLeavingAsDepartures()
@@ -221,16 +222,30 @@
 	for _, key := range b.UnchangedKeys {
 		seen[key] = true
 	}
-	if b.Full {
+	if b.Full && hasBase {
 		changed = f.deleteMissing(now, b, seen) || changed
 		f.fullVersion[b.Table] = max(f.fullVersion[b.Table], b.Version)
 	}
-	if b.Full || b.Since <= f.completeVersion[b.Table] {
+	if hasBase {
 		f.completeVersion[b.Table] = max(f.completeVersion[b.Table], b.Version)
 	}
 	return changed || f.isComplete() != wasComplete
 }
 
+// hasBase reports whether this router has the rows that a batch leaves out as known. Without them, the rows
+// of the batch are used like those after a gap.
+func (f *Follower) hasBase(b Batch) bool {
+	if b.Full && len(b.UnchangedKeys) == 0 {
+		return true
+	}
+	for _, key := range b.UnchangedKeys {
+		if _, ok := f.rows[b.Table][key]; !ok {
+			return false // earlier releases don't set Since in a full table
+		}
+	}
+	return b.Since <= f.completeVersion[b.Table]
+}
+
 // deleteMissing deletes the rows that a full batch does not contain.
 func (f *Follower) deleteMissing(now time.Time, b Batch, seen map[string]bool) bool {
 	changed := false
--- a/internal/router/hostedrows.go
+++ b/internal/router/hostedrows.go
@@ -204,7 +204,7 @@
 		known := h.follower.Version(b.Table)
 		h.merge(b, p.member.Name)
 		h.log.WithFields(logrus.Fields{
-			eventField: "rowsFromPeer", "peer": p.member.Name, "table": b.Table, "rows": len(b.Rows), "whole": b.Full,
+			eventField: "rowsFromPeer", "peer": p.member.Name, "table": b.Table, "rows": len(b.Rows), "unchanged": len(b.UnchangedKeys), "whole": b.Full,
 			"since": b.Since, "upTo": b.Version, "known": known, "version": h.follower.Version(b.Table),
 		}).Info("rows received from another router")
 	}
