follower: a whole table from the store corrects a wrong deletion

Change: a row that a whole table lists, as of the deletion or later, is not deleted, whatever was said before. mergeRow is split, as it had two jobs.

TestStoreCorrectsAWrongDeletion failed before ("got 0 upstreams, want 2").

--- a/internal/follower/base_test.go
+++ b/internal/follower/base_test.go
@@ -57,3 +57,15 @@
 		t.Errorf("sent again: got leaving %t and rows up to %d, want true and 30", got, receiver.Version(RegistrationTable))
 	}
 }
+
+// TestStoreCorrectsAWrongDeletion guards against rows that stay deleted although the store still has them.
+func TestStoreCorrectsAWrongDeletion(t *testing.T) {
+	f := newFollower(t)
+	f.Merge(epoch, Batch{Table: RegistrationTable, Full: true, Version: 37}) // by a router that knew nothing
+	f.Merge(epoch, Batch{Table: RegistrationTable, Full: true, Version: 40, Rows: []Row{
+		{Key: "u1", Value: []byte("ready"), Version: 6}, {Key: "u2", Value: []byte("ready"), Version: 9},
+	}})
+	if got := len(f.Snapshot().Policy.Upstreams); got != 2 {
+		t.Errorf("got %d upstreams, want 2", got)
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -205,8 +205,7 @@
 
 // Merge applies a batch and reports whether it changed what requests are served with.
 func (f *Follower) Merge(now time.Time, b Batch) bool {
-	entries := f.rows[b.Table]
-	if entries == nil {
+	if f.rows[b.Table] == nil {
 		return false
 	}
 	changed, wasComplete, hasBase := false, f.isComplete(), f.hasBase(b)
@@ -217,7 +216,7 @@
 	for _, row := range b.Rows {
 		row.Table = b.Table
 		seen[row.Key] = true
-		changed = f.mergeRow(now, entries, row, b.AfterOutage) || changed
+		changed = f.mergeRow(now, row, b) || changed
 	}
 	for _, key := range b.UnchangedKeys {
 		seen[key] = true
@@ -254,42 +253,58 @@
 			continue
 		}
 		row := Row{Table: b.Table, Key: key, Version: b.Version, Deleted: true}
-		changed = f.mergeRow(now, f.rows[b.Table], row, b.AfterOutage) || changed
+		changed = f.mergeRow(now, row, b) || changed
 	}
 	return changed
 }
 
-func (f *Follower) mergeRow(now time.Time, entries map[string]*entry, row Row, afterOutage bool) bool {
-	e, ok := entries[row.Key]
+// proves reports whether a batch that holds a row shows that it is not deleted: it is the whole table, as of
+// the deletion or later.
+func (b *Batch) proves(row Row, deletedAt uint64) bool {
+	return b.Full && len(b.UnchangedKeys) == 0 && !row.Deleted && b.Version >= deletedAt
+}
+
+// mergeRow merges a row of a batch and reports whether it changed what requests are served with.
+func (f *Follower) mergeRow(now time.Time, row Row, b Batch) bool {
+	e := f.rows[b.Table][row.Key]
 	switch {
-	case ok && e.row.Version > row.Version && e.withheld:
+	case e == nil:
+		if row.Version <= f.fullVersion[b.Table] && !b.proves(row, f.fullVersion[b.Table]) {
+			return false
+		}
+	case e.row.Deleted && b.proves(row, e.row.Version):
+	case e.withheld && e.row.Version > row.Version:
 		return f.mergeEarlier(e, row)
-	case ok && e.row.Version >= row.Version:
-		return !afterOutage && e.confirmDeletion(row)
-	case !ok && row.Version <= f.fullVersion[row.Table]:
-		return false
-	case f.isTooLarge(row):
-		return f.withhold(entries, row)
+	case e.row.Version >= row.Version:
+		return !b.AfterOutage && e.confirmDeletion(row)
+	}
+	if f.isTooLarge(row) {
+		return f.withhold(row)
 	}
-	newEntry := &entry{row: row}
-	if ok {
-		newEntry.lastPolicy, newEntry.cold = e.lastPolicy, e.cold
+	return f.replaceRow(now, e, row, b.AfterOutage)
+}
+
+// replaceRow replaces an entry, which may be nil, by a newer row.
+func (f *Follower) replaceRow(now time.Time, before *entry, row Row, afterOutage bool) bool {
+	e := &entry{row: row}
+	if before != nil {
+		e.lastPolicy, e.cold = before.lastPolicy, before.cold
 	}
-	entries[row.Key] = newEntry
+	f.rows[row.Table][row.Key] = e
 	if row.Table == ConfigurationTable {
 		return f.mergeOperatorRow(row)
 	}
 	if row.Deleted {
-		if afterOutage && e.isRegistered() {
-			newEntry.expiresAt = now.Add(reregistrationTime)
-			newEntry.deletedRow = retainedRow(e)
+		if afterOutage && before.isRegistered() {
+			e.expiresAt = now.Add(reregistrationTime)
+			e.deletedRow = retainedRow(before)
 			f.hasUnconfirmedDeletions = true
 		}
 		return true
 	}
-	f.register(newEntry)
-	if newEntry.readable {
-		newEntry.cold.applyRow(now, newEntry.upstream)
+	f.register(e)
+	if e.readable {
+		e.cold.applyRow(now, e.upstream)
 	}
 	return true
 }
--- a/internal/follower/oversize.go
+++ b/internal/follower/oversize.go
@@ -36,14 +36,14 @@
 }
 
 // withhold records a row that is too large and reports whether that changed what requests are served with.
-func (f *Follower) withhold(entries map[string]*entry, row Row) bool {
+func (f *Follower) withhold(row Row) bool {
 	f.reject(row, merry.Prependf(ErrRowTooLarge, "at least %d bytes, at most %d are taken", len(row.Value), f.maxRowBytes))
 	row.Value = nil
 	e := &entry{row: row, withheld: true}
-	if before, ok := entries[row.Key]; ok {
+	if before, ok := f.rows[row.Table][row.Key]; ok {
 		e.lastPolicy, e.cold, e.earlier = before.lastPolicy, before.cold, before.shared()
 	}
-	entries[row.Key] = e
+	f.rows[row.Table][row.Key] = e
 	return row.Table == RegistrationTable
 }
 
