router, timekeeper: a VM that is suspended has stood still

Cause: a standstill was measured by the monotonic clock, which stops while a VM is suspended. A router whose VM was suspended for seconds took what arrived next for what had just happened: the end of a connection in the middle of an answer without a length, for example, for the answer's end.

Change: Clock.Uptime reads the boot time clock, which counts suspensions, and standstills are measured by it.

--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -27,6 +27,8 @@
 	return c.now
 }
 
+func (c *stepClock) Uptime() time.Duration { return c.Now().Sub(time.Unix(1_800_000_000, 0)) }
+
 func (c *stepClock) After(d time.Duration) <-chan time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -238,7 +238,7 @@
 		BufferBudget: answersBudget(h.memory), Memory: h.memory,
 		ConnectTimeout: connectTimeout, IdleTimeout: upstreamIdleTimeout,
 		MaxAttempts: maxAttempts, RetryBudget: h.budget, Dialect: h.cfg.Dialect,
-		LastStandstill: func() dispatcher.Standstill { return h.standstills.last(h.clock.Now()) },
+		LastStandstill: func() dispatcher.Standstill { return h.standstills.last(h.clock) },
 		OnLoad:         func(report messenger.LoadReport) { h.control.submit(report) },
 		OnNotice:       h.handleNotice,
 	})
@@ -404,7 +404,7 @@
 
 // tick is called on the control goroutine at every tick.
 func (h *Hosted) tick(t tickTiming) {
-	h.standstills.recordTick(h.clock.Now())
+	h.standstills.recordTick(h.clock)
 	h.expireDroppedRegistrations()
 	h.cold.update(h.admitter.ColdStats())
 	h.quarantine.tick()
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -13,6 +13,8 @@
 import (
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Clock returns the current time and provides timers.
@@ -21,6 +23,9 @@
 	Now() time.Time
 	// After returns a channel that receives the time once d has passed.
 	After(d time.Duration) <-chan time.Time
+	// Uptime returns the time since the VM started. Unlike the monotonic reading of Now it also counts the
+	// time for which the VM was suspended, and unlike the time of day it never steps.
+	Uptime() time.Duration
 }
 
 // System is the operating system's clock. Its zero value is ready to use.
@@ -32,12 +37,25 @@
 // After returns a channel that receives the time once d has passed.
 func (System) After(d time.Duration) <-chan time.Time { return time.After(d) }
 
+// Uptime returns the time since the VM started, by its boot time clock.
+func (System) Uptime() time.Duration {
+	var ts unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) != nil {
+		return time.Since(processStart) // without that clock, a VM that is suspended is not noticed
+	}
+	return time.Duration(ts.Nano())
+}
+
+// processStart is when this process started.
+var processStart = time.Now()
+
 // Manual is a clock that advances only when Advance is called. It is safe for
 // concurrent use.
 type Manual struct {
-	mu      sync.Mutex
-	now     time.Time
-	waiters []waiter
+	mu         sync.Mutex
+	start, now time.Time
+	suspended  time.Duration
+	waiters    []waiter
 }
 
 type waiter struct {
@@ -46,7 +64,7 @@
 }
 
 // NewManual returns a Manual clock set to start.
-func NewManual(start time.Time) *Manual { return &Manual{now: start} }
+func NewManual(start time.Time) *Manual { return &Manual{start: start, now: start} }
 
 // Now returns the current time of the clock.
 func (m *Manual) Now() time.Time {
@@ -55,6 +73,20 @@
 	return m.now
 }
 
+// Uptime returns by how much the clock was advanced, and for how long it was suspended.
+func (m *Manual) Uptime() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now.Sub(m.start) + m.suspended
+}
+
+// Suspend lets d pass as on a VM that is suspended: only Uptime advances.
+func (m *Manual) Suspend(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.suspended += d
+}
+
 // After returns a channel that receives the time once the clock has been
 // advanced by d.
 func (m *Manual) After(d time.Duration) <-chan time.Time {
