router, assigner: a router that is out of step joins no two software versions

A router that had stood still while a version was released resumed streams that had begun at the new version at the old one.

Cause: what it knew of the plans, by which streams are assigned to versions, counted as the newest because a message had just arrived (newsAt); what waited in its sockets arrives as it wakes, and the sender may not have read the plans either. And a plan counted as out of use from the moment at which it was replaced, though a router that was out of step still began streams by it. The class: knowledge is dated by its arrival, and a decision takes effect before those who may act by the earlier one have stopped.

Change: - A stream is resumed by plans that the router has read itself, by a call made after its caller came. Callers who come meanwhile share the next call. No message stands in for it. - Streams begin by plans that were the newest within the last second (a lease), by the store's clock and a clock of the router that counts suspensions. Any read renews it; a message passes on as of when its sender knew all plans, to a receiver with the same plans. While the store can't be read, streams begin by the known plans all the same. - A plan may be in use until a lease after its successor was written, and counts as such; when that was is bounded by when this router learnt of it. A router that looks a stream up knows its own. - The age that a resumed stream can have grows by the standstill during which its request waited. - Plans of a pool are 4 s apart (it was 1 s, in effect 4 to 5): each leaves the streams that it moves open for a lease. - A stream waits for the first plan of its pool, if one will be made, in place of a refusal (not-ready). That refusal showed once in TestUnframedStreamOfAnUnregisteredEngineIsWhole, which asks between the first row and the first plan.

TestStreamIsNeverFoundAtAnotherVersion now has routers without news for any time and plans written late, and fails within 3 tries on the rule before. TestUnconfirmedPlanLeavesVersionOpen waits for the lease as well, as a plan may be in use longer than it was thought to be.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -1,10 +1,14 @@
 package assigner
 
 import (
+	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
@@ -120,13 +124,22 @@
 	return "", false
 }
 
-// Merge takes over a history that is newer than the known one, and reports whether it is.
-func (a *Assigner) Merge(pool messenger.PoolID, h History) bool {
+// Merge takes over a history that is newer than the known one, and reports whether it is. learnedMs is the latest
+// time that the store's clock can show, or zero.
+func (a *Assigner) Merge(pool messenger.PoolID, h History, learnedMs int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if h.Epoch() <= a.histories[pool].Epoch() {
+	known := a.histories[pool]
+	if h.Epoch() <= known.Epoch() {
 		return false
 	}
+	h.Plans = slices.Clone(h.Plans)
+	for i := range h.Plans {
+		h.Plans[i].learnedMs = learnedMs
+		if p := known.plan(h.Plans[i].Epoch); p != nil {
+			h.Plans[i].learnedMs = p.learnedMs
+		}
+	}
 	if a.histories == nil {
 		a.histories = make(map[messenger.PoolID]History)
 	}
@@ -148,6 +161,17 @@
 	return maps.Clone(a.histories)
 }
 
+// Checksum identifies the newest plans of all pools. Two routers with the same one know the same plans.
+func (a *Assigner) Checksum() uint32 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var sum uint64
+	for pool, h := range a.histories {
+		sum += xxhash.Sum64String(fmt.Sprintf("%s/%d", pool, h.Epoch()))
+	}
+	return uint32(sum) //nolint:gosec // its lower half
+}
+
 // Epochs returns the sum of the newest epochs of all pools. Of two routers, the one with the lower sum
 // lacks plans.
 func (a *Assigner) Epochs() uint64 {
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -60,9 +60,10 @@
 
 // simRouter is a router of a simulated fleet; row is what it stored last.
 type simRouter struct {
-	name string
-	a    *Assigner
-	row  RouterRow
+	name  string
+	a     *Assigner
+	fresh Freshness
+	row   RouterRow
 }
 
 // simStream is a stream with the version at which it began.
@@ -97,11 +98,17 @@
 // restart replaces a router's process by one that knows what the store has.
 func (f *simFleet) restart(r *simRouter, first bool) {
 	f.started++
-	r.a = &Assigner{}
-	r.a.Merge(testPool, f.history)
+	r.a, r.fresh = &Assigner{}, Freshness{}
+	f.learn(r)
 	r.row = RouterRow{Router: r.name, Incarnation: f.started, StartedMs: f.nowMs, First: first}
 }
 
+// learn has a router read the plans.
+func (f *simFleet) learn(r *simRouter) {
+	r.a.Merge(testPool, f.history, f.nowMs)
+	r.fresh.Confirm(f.nowMs, f.nowMs)
+}
+
 // save stores a router's row.
 func (f *simFleet) save(r *simRouter) {
 	r.row.Pools = r.a.PoolStreams()
@@ -115,6 +122,9 @@
 
 // begin begins a stream at a router and breaks it off.
 func (f *simFleet) begin(r *simRouter, breaks bool) {
+	if !r.fresh.IsLeased(f.nowMs) {
+		f.learn(r)
+	}
 	id := HashStream(fmt.Sprint("a", len(f.streams)))
 	version, _ := r.a.Begin(testPool, id)
 	f.streams = append(f.streams, simStream{id, version, f.nowMs})
@@ -123,13 +133,13 @@
 	}
 }
 
-// find looks a stream up at a router that has just read the store.
-func (f *simFleet) find(r *simRouter, id StreamID) (string, bool) {
+// find looks a stream up at a router that has just read the store and knows how old the stream can be.
+func (f *simFleet) find(r *simRouter, id StreamID, earliestMs int64) (string, bool) {
 	if version, ok := r.a.Version(testPool, id); ok {
 		return version, true
 	}
-	r.a.Merge(testPool, f.history)
-	v := View{EarliestMs: f.nowMs - Lifetime.Milliseconds(), HasRows: true}
+	f.learn(r)
+	v := View{EarliestMs: earliestMs, HasRows: true, Own: r.row}
 	for _, row := range f.rows {
 		v.Rows = append(v.Rows, row)
 	}
@@ -139,8 +149,8 @@
 	return r.a.History(testPool).Find(testPool, id, v)
 }
 
-// TestStreamIsNeverFoundAtAnotherVersion plays random orders of plans that are learnt late, rows that
-// are stored late or never, routers that restart and streams that break, and looks up all streams.
+// TestStreamIsNeverFoundAtAnotherVersion plays random orders of plans that are written and learnt late, rows that
+// are stored late or never, routers that stand still or restart and streams that break, and looks up all streams.
 func TestStreamIsNeverFoundAtAnotherVersion(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newSimFleet(3)
@@ -148,16 +158,16 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"plan": func(t *rapid.T) {
 				capacity := map[string]int{"v1": rapid.IntRange(0, 3).Draw(t, "v1"), "v2": rapid.IntRange(0, 3).Draw(t, "v2"), "v3": rapid.IntRange(0, 1).Draw(t, "v3")}
-				f.history, _ = f.history.Next(f.nowMs, Demand{Capacity: capacity})
+				madeMs := f.nowMs - rapid.Int64Range(0, maxWriteDelay.Milliseconds()).Draw(t, "late")
+				f.history, _ = f.history.Next(madeMs, Demand{Capacity: capacity})
 			},
-			"learn":   func(t *rapid.T) { router.Draw(t, "router").a.Merge(testPool, f.history) },
+			"learn":   func(t *rapid.T) { f.learn(router.Draw(t, "router")) },
 			"save":    func(t *rapid.T) { f.save(router.Draw(t, "router")) },
 			"begin":   func(t *rapid.T) { f.begin(router.Draw(t, "router"), rapid.Bool().Draw(t, "breaks")) },
 			"restart": func(t *rapid.T) { f.restart(router.Draw(t, "router"), false) },
 			"wait": func(t *rapid.T) {
 				f.nowMs += rapid.Int64Range(1, Lifetime.Milliseconds()/3).Draw(t, "ms")
-				for _, r := range f.routers { // a router is never without news for as long as a stream lives
-					r.a.Merge(testPool, f.history)
+				for _, r := range f.routers {
 					r.a.Expire(f.now())
 				}
 			},
@@ -167,7 +177,7 @@
 						continue
 					}
 					for _, r := range f.routers {
-						if got, ok := f.find(r, s.id); ok && got != s.version {
+						if got, ok := f.find(r, s.id, s.begunMs); ok && got != s.version {
 							t.Fatalf("got version %s for a stream that began at %s", got, s.version)
 						}
 					}
@@ -195,7 +205,7 @@
 			f.nowMs += 5000
 			f.history, _ = f.history.Next(f.nowMs, Demand{Capacity: capacity})
 			for _, r := range f.routers {
-				r.a.Merge(testPool, f.history)
+				r.a.Merge(testPool, f.history, f.nowMs)
 				f.save(r)
 			}
 			begin()
@@ -204,7 +214,7 @@
 				f.restart(r, false)
 			}
 			for _, s := range f.streams {
-				if got, ok := f.find(f.routers[0], s.id); !ok || got != s.version {
+				if got, ok := f.find(f.routers[0], s.id, f.nowMs-Lifetime.Milliseconds()); !ok || got != s.version {
 					t.Fatalf("got %q, %t for a stream that began at %s", got, ok, s.version)
 				}
 			}
@@ -221,17 +231,17 @@
 	}
 	f.nowMs += 5000
 	f.history, _ = f.history.Next(f.nowMs, Demand{Capacity: map[string]int{"v2": 1}})
-	f.routers[1].a.Merge(testPool, f.history)
+	f.routers[1].a.Merge(testPool, f.history, f.nowMs)
 	f.save(f.routers[1])
 	f.begin(f.routers[0], false)
 	f.restart(f.routers[0], false)
-	if got, ok := f.find(f.routers[1], f.streams[0].id); ok {
+	if got, ok := f.find(f.routers[1], f.streams[0].id, f.streams[0].begunMs); ok {
 		t.Errorf("got %s, want the version not known", got)
 	}
-	f.nowMs += Lifetime.Milliseconds() + 1
+	f.nowMs += (maxWriteDelay + Lease + Lifetime).Milliseconds() + 1
 	f.save(f.routers[0])
 	f.begin(f.routers[0], false)
-	if got, ok := f.find(f.routers[1], f.streams[1].id); !ok || got != "v2" {
+	if got, ok := f.find(f.routers[1], f.streams[1].id, f.nowMs-Lifetime.Milliseconds()); !ok || got != "v2" {
 		t.Errorf("after the lifetime of streams: got %q, %t, want v2", got, ok)
 	}
 }
--- a/internal/assigner/find.go
+++ b/internal/assigner/find.go
@@ -16,6 +16,8 @@
 	HasRows bool
 	// Routers are the names of the routers that may have begun streams.
 	Routers []string
+	// Own says who looks the stream up, without its pools: the streams that it began itself are known.
+	Own RouterRow
 }
 
 // Settled returns the version of a stream that began at earliestMs or later if all plans under which it
@@ -53,6 +55,9 @@
 		}
 		byRouter[row.Router] = append(byRouter[row.Router], row)
 	}
+	if v.Own.Router != "" {
+		byRouter[v.Own.Router] = v.replaceOwn(byRouter[v.Own.Router], pool, h.Epoch())
+	}
 	first := h.Epoch()
 	for _, rows := range byRouter {
 		first = min(first, h.firstEpoch(pool, rows, v.EarliestMs))
@@ -60,6 +65,14 @@
 	return h.agreed(v.EarliestMs, id, first, h.Epoch())
 }
 
+// replaceOwn replaces this router's row by one that says what the router knows itself: none of its streams is open.
+func (v *View) replaceOwn(rows []*RouterRow, pool messenger.PoolID, epoch uint64) []*RouterRow {
+	own := v.Own
+	own.Pools = map[messenger.PoolID]PoolStreams{pool: {Epoch: epoch}}
+	rows = slices.DeleteFunc(rows, func(r *RouterRow) bool { return r.Incarnation == own.Incarnation })
+	return append(rows, &own)
+}
+
 // firstEpoch returns the epoch of the earliest plan under which a router may have begun a stream that is
 // none of its exceptions. An incarnation no longer matters if its successor is older than the stream.
 func (h History) firstEpoch(pool messenger.PoolID, rows []*RouterRow, earliestMs int64) uint64 {
@@ -80,12 +93,12 @@
 	return max(first, oldest)
 }
 
-// agreed returns the version that the plans from one epoch to another, leaving out those that are older
-// than the stream, assign it to, if it is the same.
+// agreed returns the version that the plans from one epoch to another, leaving out those that were out of use
+// before the stream began, assign it to, if it is the same.
 func (h History) agreed(earliestMs int64, id StreamID, from, to uint64) (version string, ok bool) {
 	for i := range h.Plans {
 		p := &h.Plans[i]
-		if p.Epoch < from || p.Epoch > to || i+1 < len(h.Plans) && h.Plans[i+1].SinceMs < earliestMs {
+		if p.Epoch < from || p.Epoch > to || i+1 < len(h.Plans) && h.Plans[i+1].replacesUntil() < earliestMs {
 			continue
 		}
 		if ok && p.Version(id) != version {
@@ -98,5 +111,5 @@
 
 // isTruncated reports whether plans are missing under which a stream may have begun.
 func (h History) isTruncated(earliestMs int64) bool {
-	return h.Plans[0].Epoch > 1 && h.Plans[0].SinceMs >= earliestMs
+	return h.Plans[0].Epoch > 1 && h.Plans[0].replacesUntil() >= earliestMs
 }
--- a/internal/assigner/plan.go
+++ b/internal/assigner/plan.go
@@ -24,6 +24,11 @@
 	// urgentInterval is the minimum time between two plans if streams are assigned to a version that has no
 	// capacity left.
 	urgentInterval = 100 * time.Millisecond
+	// Lease is how long a router may begin streams by its plans after the moment at which they were the newest.
+	Lease = time.Second
+	// maxWriteDelay is how long after it was made a plan may be written: a call of the store whose answer is lost
+	// may take effect seconds later.
+	maxWriteDelay = 6 * time.Second
 	// Lifetime is the longest time between the beginning of a stream and the last attempt to resume it,
 	// whatever its caller waits.
 	Lifetime = time.Minute
@@ -47,11 +52,24 @@
 	Slots    []byte   `json:"slots"`
 	// PatienceMs is the longest that callers of the pool were known to wait when the plan was made.
 	PatienceMs int64 `json:"patienceMs"`
+	// learnedMs is when this router learnt of the plan, by when it was written at the latest; zero if that is not
+	// known.
+	learnedMs int64
 }
 
 // Version returns the version at which a stream begins.
 func (p *Plan) Version(id StreamID) string { return p.Versions[p.Slots[id%slotCount]] }
 
+// replacesUntil returns until when the plan before this one may be in use: by a router that read the plans just
+// before this one was written, for a lease.
+func (p *Plan) replacesUntil() int64 {
+	writtenMs := p.SinceMs + maxWriteDelay.Milliseconds()
+	if p.learnedMs > 0 {
+		writtenMs = min(writtenMs, p.learnedMs)
+	}
+	return writtenMs + Lease.Milliseconds()
+}
+
 // slotsOf returns how many slots each version has.
 func (p *Plan) slotsOf() map[string]int {
 	counts := make(map[string]int)
@@ -93,8 +111,10 @@
 	return h.newest().Epoch
 }
 
-// ChangedSince reports whether the newest plan has replaced another one at a time or later.
-func (h History) ChangedSince(ms int64) bool { return len(h.Plans) > 1 && h.newest().SinceMs >= ms }
+// UsedSince reports whether a plan other than the newest one may have been in use at a time or later.
+func (h History) UsedSince(ms int64) bool {
+	return len(h.Plans) > 1 && h.newest().replacesUntil() >= ms
+}
 
 // Patience returns the longest that callers are known to wait, by the plans.
 func (h History) Patience() time.Duration {
@@ -105,6 +125,15 @@
 	return time.Duration(longest) * time.Millisecond
 }
 
+// plan returns the plan of an epoch, or nil.
+func (h History) plan(epoch uint64) *Plan {
+	i := slices.IndexFunc(h.Plans, func(p Plan) bool { return p.Epoch == epoch })
+	if i < 0 {
+		return nil
+	}
+	return &h.Plans[i]
+}
+
 func (h History) newest() *Plan { return &h.Plans[len(h.Plans)-1] }
 
 // Demand is what a plan of a pool has to fit.
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -90,6 +90,10 @@
 	// receiver lacks some.
 	PlanEpochs uint64
 	Plans      map[messenger.PoolID]assigner.History
+	// PlansAsOfMs is the time of the store's clock as of which the sender knows all plans, PlansChecksum
+	// identifies its plans. A receiver with the same plans knows as much.
+	PlansAsOfMs   int64
+	PlansChecksum uint32
 }
 
 // messageKind is the purpose of a message between routers.
--- a/internal/router/hostedstreams.go
+++ b/internal/router/hostedstreams.go
@@ -44,7 +44,7 @@
 	h.streams.recordPatience(out.Arrive.Pool, max(in.Deadline, timeout))
 	var known bool
 	if !in.resumes() {
-		if out.Arrive.SoftwareVersion, known = h.streams.Begin(out.Arrive.Pool, assigner.HashStream(origin)); !known {
+		if out.Arrive.SoftwareVersion, known = h.streams.begin(h.requestsCtx, out.Arrive.Pool, assigner.HashStream(origin)); !known {
 			return refuseNotReady
 		}
 		return nil
@@ -88,9 +88,6 @@
 		if (p.live || p.lastReceived.IsZero()) && xxhash.Sum64String(name) < own {
 			v.turn++
 		}
-		if !p.storeLost && p.lastReceived.After(v.newsAt) {
-			v.newsAt = p.lastReceived
-		}
 		v.epochs = max(v.epochs, p.planEpochs)
 	}
 	h.streams.setFleet(v)
@@ -98,7 +95,8 @@
 
 // attachPlans adds this router's plans to a message if one of the receivers lacks some.
 func (h *Hosted) attachPlans(e *hostedEnvelope, receivers ...*hostedPeer) {
-	e.PlanEpochs, e.Plans = h.streams.Epochs(), nil
+	e.PlansAsOfMs = h.streams.asOf() // first: the plans may only become more
+	e.PlanEpochs, e.PlansChecksum, e.Plans = h.streams.Epochs(), h.streams.Checksum(), nil
 	for _, p := range receivers {
 		if p.planEpochs < e.PlanEpochs {
 			e.Plans = h.streams.Histories()
@@ -111,5 +109,8 @@
 func (h *Hosted) receivePlans(p *hostedPeer, e hostedEnvelope) {
 	p.planEpochs = e.PlanEpochs
 	h.streams.mergeAll(e.Plans, e.From.Name)
+	if len(e.Plans) > 0 || e.PlansChecksum == h.streams.Checksum() {
+		h.streams.confirm(e.PlansAsOfMs)
+	}
 	h.updateFleetView()
 }
--- a/internal/router/streamfind.go
+++ b/internal/router/streamfind.go
@@ -22,8 +22,8 @@
 	foundNot    = "unknown"
 )
 
-// ageMargin is added to the age that a stream can have.
-const ageMargin = time.Second
+// ageMargin is added to the age that a stream can have: the time for which a request may be under way.
+const ageMargin = 400 * time.Millisecond
 
 // streamQuery asks for the version at which a stream began.
 type streamQuery struct {
@@ -48,7 +48,7 @@
 	if version, ok := k.Version(q.pool, q.id()); ok && q.origin != "" {
 		return version, foundHere
 	}
-	if !k.hasNewestPlans() && !k.readForCaller(ctx) {
+	if !k.readNewestPlans(ctx) {
 		return "", foundNot
 	}
 	if version, ok := k.settled(q); ok {
@@ -65,9 +65,6 @@
 
 // settled returns the version of a stream if it follows from the plans alone.
 func (k *streamKeeper) settled(q streamQuery) (version string, ok bool) {
-	if !k.hasNewestPlans() {
-		return "", false
-	}
 	history, earliest := k.History(q.pool), k.earliestBegin(q)
 	if q.origin == "" || k.hasOtherRouters() {
 		version, ok = history.OnlyVersion(earliest)
@@ -83,9 +80,13 @@
 	if longest := k.longestWait(q.pool); q.left > 0 && q.left <= longest {
 		age = longest - q.left + ageMargin
 	}
+	if k.delay != nil {
+		age += k.delay()
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.storeTime(k.clock.Now()) - age.Milliseconds()
+	earliestMs, _ := k.storeTime(k.clock.Uptime())
+	return earliestMs - age.Milliseconds()
 }
 
 // longestWait returns the longest that callers of a pool are known to wait.
@@ -110,20 +111,23 @@
 	return len(k.capacities[pool]) <= 1
 }
 
-// hasNewestPlans reports whether no newer plans can be in force for long, by what the other routers or the
-// store said last.
-func (k *streamKeeper) hasNewestPlans() bool {
-	epochs := k.Epochs()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.clock.Now()
+// readNewestPlans reports whether the known plans are the newest: by a read of the store that began after the
+// caller came. The plan under which its stream began is among them, as a plan is written before it is used. What
+// other routers say can't tell, as it may have been under way for long.
+func (k *streamKeeper) readNewestPlans(ctx context.Context) bool {
 	if k.store == nil {
 		return true
 	}
-	if epochs == 0 || k.fleet.epochs > epochs {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	if err := k.readSince(ctx, planKeyPrefix, k.clock.Uptime()); err != nil {
+		k.entry("failed").WithError(err).Info("plans not read for a caller who resumes a stream")
 		return false
 	}
-	return now.Sub(k.readAt) < planNewsTTL || now.Sub(k.fleet.newsAt) < planNewsTTL
+	epochs := k.Epochs()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return epochs > 0 && k.fleet.epochs <= epochs // the store may have come back without the newest
 }
 
 // readForCaller reads the rows unless that was done a moment ago, and reports whether they are known.
@@ -133,7 +137,7 @@
 	k.mu.Lock()
 	maxAge := rowsTTL + rowsTTLPerRouter*time.Duration(len(k.fleet.names))
 	k.mu.Unlock()
-	if err := k.read(ctx, allRows, maxAge); err != nil {
+	if err := k.readSince(ctx, allRows, k.clock.Uptime()-maxAge); err != nil {
 		k.entry("failed").WithError(err).Info("rows about streams not read for a caller")
 		return false
 	}
@@ -147,7 +151,7 @@
 	defer k.mu.Unlock()
 	return assigner.View{
 		EarliestMs: earliest, Rows: slices.Clone(k.stored.routers),
-		HasRows: !k.rowsReadAt.IsZero(), Routers: k.fleet.names,
+		HasRows: k.hasRows, Routers: k.fleet.names, Own: k.ownRow(),
 	}
 }
 
@@ -155,10 +159,10 @@
 func (k *streamKeeper) logFound(q streamQuery, version, source string) {
 	k.meter.Counter(fmt.Sprintf("lentilwood_streams_resumed_total{found=%q}", source)).Inc()
 	k.mu.Lock()
-	readAge, seen := k.clock.Now().Sub(k.readAt), k.fleet.epochs
+	seen := k.fleet.epochs
 	k.mu.Unlock()
 	k.entry("resume").WithFields(logrus.Fields{
 		"request": q.origin, "pool": q.pool, "softwareVersion": version, "found": source,
-		"epoch": k.History(q.pool).Epoch(), "epochsSeen": seen, "readAgeMs": readAge.Milliseconds(),
+		"epoch": k.History(q.pool).Epoch(), "epochsSeen": seen, "plansAgeMs": k.plansAge().Milliseconds(),
 	}).Info("stream is resumed")
 }
--- a/internal/router/streamkeeper.go
+++ b/internal/router/streamkeeper.go
@@ -16,8 +16,9 @@
 
 const (
 	// planInterval is the minimum time between two plans of a pool; each router adds planIntervalPerRouter,
-	// as each of them writes a row for each plan.
-	planInterval          = time.Second
+	// as each of them writes a row for each plan. After a plan, streams that it moves can't be resumed elsewhere
+	// for a moment, so it waits until most upstreams of a release have joined.
+	planInterval          = 4 * time.Second
 	planIntervalPerRouter = 25 * time.Millisecond
 	// planTurn is the time between the turns of two routers to make a plan.
 	planTurn = 150 * time.Millisecond
@@ -35,9 +36,10 @@
 	// rowsTTLPerRouter, as all of them may have to.
 	rowsTTL          = 250 * time.Millisecond
 	rowsTTLPerRouter = 5 * time.Millisecond
-	// planNewsTTL is how old the last news of other routers or of the store may be for the known plans to
-	// count as the newest.
-	planNewsTTL = time.Second
+	// readSpacing is the minimum time between two reads; each router adds readSpacingPerRouter. Callers who
+	// come meanwhile share the next one.
+	readSpacing          = 20 * time.Millisecond
+	readSpacingPerRouter = 500 * time.Microsecond
 )
 
 // fleetView is what the control goroutine knows of the other routers.
@@ -50,9 +52,7 @@
 	joined bool
 	// unassigned is true if some router doesn't follow plans, as routers of earlier releases.
 	unassigned bool
-	// newsAt is when the last message of another router that follows the store was received, and epochs the
-	// largest sum of epochs in a message.
-	newsAt time.Time
+	// epochs is the largest sum of epochs in a message.
 	epochs uint64
 }
 
@@ -67,8 +67,11 @@
 	name        string
 	incarnation uint64
 	firstStart  bool
-	startedAt   time.Time
-	wake        chan struct{}
+	// delay returns by how much longer than usual a request that is read now may have been under way; nil
+	// means not at all.
+	delay     func() time.Duration
+	startedAt time.Duration
+	wake      chan struct{}
 
 	// reading holds a value while the rows are read, so that callers who wait share one call.
 	reading chan struct{}
@@ -78,10 +81,21 @@
 	// patience is the longest that the callers of each pool are known to wait.
 	patience map[messenger.PoolID]time.Duration
 	fleet    fleetView
-	// stored is what was read last; zero if nothing was. Its plans were read at readAt, the rows of routers
-	// at rowsReadAt.
-	stored             storedStreams
-	readAt, rowsReadAt time.Time
+	// stored is what was read last; zero if nothing was. The calls that read its plans and the rows of routers
+	// were made at the uptimes plansReadAt and rowsReadAt; hasPlans and hasRows are true once they were.
+	stored                  storedStreams
+	plansReadAt, rowsReadAt time.Duration
+	hasPlans, hasRows       bool
+	// storeClock tells the store's time, fresh as of when all plans are known.
+	storeClock timekeeper.RemoteClock
+	fresh      assigner.Freshness
+	// failedAt is the uptime at which the store could last not be read, valid while failing is true.
+	failedAt time.Duration
+	failing  bool
+	// unleased is true while streams begin by plans that may be out of use.
+	unleased bool
+	// changed is closed when a plan is learnt, and replaced.
+	changed chan struct{}
 	// misfitSince is when the plan of a pool was first seen not to fit.
 	misfitSince map[messenger.PoolID]time.Time
 	// savedEpochs is the sum of epochs in the row that this router wrote last.
@@ -97,10 +111,12 @@
 func newStreamKeeper(cfg HostedConfig, m *meter.Meter, incarnation uint64) *streamKeeper {
 	k := &streamKeeper{
 		store: cfg.Streams, clock: cfg.Clock, log: cfg.Log, meter: m, name: cfg.Settings.Name, incarnation: incarnation,
-		firstStart: cfg.Settings.FirstStart, startedAt: cfg.Clock.Now(), wake: make(chan struct{}, 1), reading: make(chan struct{}, 1),
+		firstStart: cfg.Settings.FirstStart, startedAt: cfg.Clock.Uptime(), wake: make(chan struct{}, 1), reading: make(chan struct{}, 1),
 		misfitSince: make(map[messenger.PoolID]time.Time), patience: make(map[messenger.PoolID]time.Duration), reload: true,
+		changed: make(chan struct{}),
 	}
 	m.Gauge("lentilwood_stream_plan_epochs", func() float64 { return float64(k.Epochs()) })
+	m.Gauge("lentilwood_stream_plans_age_seconds", func() float64 { return k.plansAge().Seconds() })
 	return k
 }
 
@@ -140,7 +156,7 @@
 // mergeAll takes over newer plans of another router or of the store.
 func (k *streamKeeper) mergeAll(histories map[messenger.PoolID]assigner.History, source string) {
 	for pool, history := range histories {
-		if len(history.Plans) == 0 || !k.Merge(pool, history) {
+		if len(history.Plans) == 0 || !k.Merge(pool, history, k.latestStoreTime()) {
 			continue
 		}
 		newest := history.Plans[len(history.Plans)-1]
@@ -149,6 +165,8 @@
 		}).Info("streams are assigned to software versions by a new plan")
 		k.mu.Lock()
 		k.news = true
+		close(k.changed)
+		k.changed = make(chan struct{})
 		k.mu.Unlock()
 		k.signal()
 	}
@@ -166,7 +184,7 @@
 // forgetStored has the rows read and written again, after the store came back from an older copy.
 func (k *streamKeeper) forgetStored() {
 	k.mu.Lock()
-	k.reload, k.restoring, k.saved = true, true, false
+	k.reload, k.restoring, k.saved, k.fresh = true, true, false, assigner.Freshness{}
 	k.mu.Unlock()
 	k.signal()
 }
@@ -187,6 +205,7 @@
 		if err == nil {
 			retryDelay = minStreamRetryDelay
 		} else {
+			k.recordFailure()
 			k.meter.Counter("lentilwood_stream_store_failures_total").Inc()
 			k.entry("failed").WithError(err).Info("plans of streams not read or not written; retrying")
 			wake, wait = nil, retryDelay
@@ -206,12 +225,14 @@
 func (k *streamKeeper) step(ctx context.Context) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
 	defer cancel()
-	if k.needsReload() {
-		if err := k.read(ctx, planKeyPrefix, 0); err != nil {
+	renewal := k.untilRenewal()
+	if k.needsReload() || renewal <= 0 {
+		if err := k.read(ctx, planKeyPrefix); err != nil {
 			return 0, err
 		}
+		renewal = k.untilRenewal()
 	}
-	wait := idleStreamStep
+	wait := max(streamStep, min(idleStreamStep, renewal))
 	for _, pool := range k.misfits() {
 		wait = streamStep
 		if !k.isTurn(pool) {
@@ -233,12 +254,24 @@
 	return k.reload && k.store != nil
 }
 
-// storeTime returns the store's time at t. The caller holds mu.
-func (k *streamKeeper) storeTime(t time.Time) int64 {
-	if k.readAt.IsZero() {
-		return t.Sub(k.startedAt).Milliseconds()
+// storeTime returns the earliest and the latest time that the store's clock can show at an uptime. The caller
+// holds mu.
+func (k *streamKeeper) storeTime(uptime time.Duration) (earliestMs, latestMs int64) {
+	if !k.storeClock.Known() {
+		ms := (uptime - k.startedAt).Milliseconds()
+		return ms, ms
 	}
-	return k.stored.nowMs + t.Sub(k.readAt).Milliseconds()
+	return k.storeClock.EarliestMs(uptime), k.storeClock.LatestMs(uptime)
+}
+
+// latestStoreTime returns the latest time that the store's clock can show, or zero if that is not known.
+func (k *streamKeeper) latestStoreTime() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.storeClock.Known() {
+		return 0
+	}
+	return k.storeClock.LatestMs(k.clock.Uptime())
 }
 
 // entry returns a log entry for an event of the keeper.
--- a/internal/router/streamkeeper_test.go
+++ b/internal/router/streamkeeper_test.go
@@ -26,15 +26,20 @@
 	rows    map[string]StreamRow
 	version uint64
 	down    bool
+	reads   int
 }
 
+// storeStartMs is the time of the store's clock as a test begins.
+const storeStartMs = 5_000_000
+
 var errStoreDown = errors.New("store is down")
 
 func (s *memoryStreams) ReadRows(_ context.Context, prefix string) (StreamRows, error) {
+	s.reads++
 	if s.down {
 		return StreamRows{}, errStoreDown
 	}
-	rows := StreamRows{NowMs: s.clock.Now().UnixMilli()}
+	rows := StreamRows{NowMs: storeStartMs + s.clock.Uptime().Milliseconds()}
 	for key, row := range s.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows.Rows = append(rows.Rows, row)
@@ -96,7 +101,7 @@
 
 // setFleet has a keeper hear of the other router, whose plans have the given sum of epochs.
 func (f *keeperFleet) setFleet(k *streamKeeper, epochs uint64) {
-	k.setFleet(fleetView{names: []string{"r1", "r2"}, joined: true, newsAt: f.clock.Now(), epochs: epochs})
+	k.setFleet(fleetView{names: []string{"r1", "r2"}, joined: true, epochs: epochs})
 }
 
 // serve has a keeper know upstreams of the given versions, and do what is due.
@@ -180,7 +185,7 @@
 func TestRouterOfEarlierReleaseLeavesVersionOpen(t *testing.T) {
 	f := newKeeperFleet(t)
 	k := f.keepers[0]
-	view := fleetView{names: []string{"r1", "r2"}, joined: true, newsAt: f.clock.Now(), unassigned: true}
+	view := fleetView{names: []string{"r1", "r2"}, joined: true, unassigned: true}
 	k.setFleet(view)
 	f.serve(k, "v1")
 	if version, ok := f.find(k, "elsewhere"); !ok || version != "v1" {
@@ -189,7 +194,6 @@
 	f.clock.Advance(5 * time.Second)
 	f.serve(k, "v1", "v2")
 	f.clock.Advance(2 * assigner.Lifetime)
-	view.newsAt = f.clock.Now()
 	k.setFleet(view)
 	if version, ok := f.find(k, "elsewhere"); ok {
 		t.Errorf("two versions: got %q, want the version not known", version)
--- a/internal/router/streamplans.go
+++ b/internal/router/streamplans.go
@@ -19,7 +19,7 @@
 // nextPlan returns the history of a pool with the plan that its upstreams call for, and whether they do.
 func (k *streamKeeper) nextPlan(pool messenger.PoolID) (assigner.History, bool) {
 	k.mu.Lock()
-	nowMs := k.storeTime(k.clock.Now())
+	_, nowMs := k.storeTime(k.clock.Uptime())
 	demand := assigner.Demand{
 		Capacity: k.capacities[pool], Patience: k.patience[pool],
 		MinInterval: planInterval + planIntervalPerRouter*time.Duration(len(k.fleet.names)),
@@ -74,7 +74,7 @@
 	}
 	err := k.replacePlans(ctx, pool, next)
 	if errors.Is(err, ErrRowChanged) {
-		return k.read(ctx, planKeyPrefix, 0)
+		return k.read(ctx, planKeyPrefix)
 	}
 	if err != nil {
 		k.mu.Lock()
@@ -105,7 +105,7 @@
 	if err := k.store.ReplaceRow(ctx, planKey(pool), version, value); err != nil {
 		return err
 	}
-	return k.read(ctx, planKeyPrefix, 0) // the row has a new version
+	return k.read(ctx, planKeyPrefix) // the row has a new version
 }
 
 // restorePlans writes the plans that the store had before it came back from an older copy.
--- a/internal/router/streamrows.go
+++ b/internal/router/streamrows.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lentilwood.example/lentilwood/internal/assigner"
+	"lentilwood.example/lentilwood/internal/timekeeper"
 )
 
 // The functions in this file read the rows about streams and write that of this router.
@@ -15,15 +16,15 @@
 // saveRow writes this router's row if it does not name the newest plans, and some of them are so new
 // that streams may have begun under others.
 func (k *streamKeeper) saveRow(ctx context.Context) error {
-	row := assigner.RouterRow{Router: k.name, Incarnation: k.incarnation, First: k.firstStart}
 	epochs, histories := k.Epochs(), k.Histories()
 	k.mu.Lock()
-	recent, changed := k.storeTime(k.clock.Now())-assigner.Lifetime.Milliseconds(), false
+	nowMs, _ := k.storeTime(k.clock.Uptime())
+	recent, changed := nowMs-assigner.Lifetime.Milliseconds(), false
 	for _, history := range histories {
-		changed = changed || history.ChangedSince(recent)
+		changed = changed || history.UsedSince(recent)
 	}
 	due := k.store != nil && changed && (!k.saved || k.savedEpochs < epochs)
-	row.StartedMs = k.storeTime(k.startedAt)
+	row := k.ownRow()
 	outdated := k.stored.outdated(k.name)
 	k.mu.Unlock()
 	if !due {
@@ -45,25 +46,53 @@
 	return nil
 }
 
-// read reads the rows whose keys have a prefix unless they were read within the last maxAge.
-func (k *streamKeeper) read(ctx context.Context, prefix string, maxAge time.Duration) error {
+// ownRow returns this router's row without its pools. The caller holds mu.
+func (k *streamKeeper) ownRow() assigner.RouterRow {
+	_, startedMs := k.storeTime(k.startedAt)
+	return assigner.RouterRow{Router: k.name, Incarnation: k.incarnation, First: k.firstStart, StartedMs: startedMs}
+}
+
+// readSince reads the rows whose keys have a prefix unless they were read by a call made at an uptime or later.
+func (k *streamKeeper) readSince(ctx context.Context, prefix string, since time.Duration) error {
 	select {
 	case k.reading <- struct{}{}:
 		defer func() { <-k.reading }()
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	readAt, known, spacing := k.lastRead(prefix)
+	if known && readAt >= since {
+		return nil
+	}
+	if wait := readAt + spacing - k.clock.Uptime(); known && wait > 0 {
+		select {
+		case <-k.clock.After(wait):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return k.read(ctx, prefix)
+}
+
+// lastRead returns when the rows with a prefix were last read, whether they were, and the minimum time to the next
+// read for a caller.
+func (k *streamKeeper) lastRead(prefix string) (readAt time.Duration, known bool, spacing time.Duration) {
 	k.mu.Lock()
-	readAt := k.readAt
+	defer k.mu.Unlock()
+	spacing = readSpacing + readSpacingPerRouter*time.Duration(len(k.fleet.names))
 	if prefix == allRows {
-		readAt = k.rowsReadAt
+		return k.rowsReadAt, k.hasRows, spacing
 	}
-	fresh := !readAt.IsZero() && k.clock.Now().Sub(readAt) < maxAge
-	k.mu.Unlock()
-	if fresh || k.store == nil {
+	return k.plansReadAt, k.hasPlans, spacing
+}
+
+// read reads the rows whose keys have a prefix.
+func (k *streamKeeper) read(ctx context.Context, prefix string) error {
+	if k.store == nil {
 		return nil
 	}
 	k.meter.Counter("lentilwood_stream_rows_reads_total").Inc()
+	calledAt := k.clock.Uptime()
 	rows, err := k.store.ReadRows(ctx, prefix)
 	if err != nil {
 		return err
@@ -72,20 +101,28 @@
 	if err != nil {
 		k.entry("unreadable").WithError(err).Warn("row about streams ignored")
 	}
-	k.keep(stored, prefix)
+	clock := timekeeper.NewRemoteClock(stored.nowMs, calledAt, k.clock.Uptime())
+	k.keep(stored, prefix, calledAt, clock)
 	k.mergeAll(stored.histories, sourceStore)
+	if stored.lacksPlans {
+		return err
+	}
+	k.confirm(clock.CalledMs())
 	return nil
 }
 
-// keep replaces what is known of the rows that were read.
-func (k *streamKeeper) keep(stored storedStreams, prefix string) {
+// keep replaces what is known of the rows that were read by a call, unless a later call has read them.
+func (k *streamKeeper) keep(stored storedStreams, prefix string, calledAt time.Duration, clock timekeeper.RemoteClock) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := k.clock.Now()
+	k.failing = false
+	if k.hasPlans && calledAt < k.plansReadAt {
+		return
+	}
 	if prefix == allRows {
-		k.rowsReadAt = now
+		k.rowsReadAt, k.hasRows = calledAt, true
 	} else {
 		stored.routers, stored.routerKeys = k.stored.routers, k.stored.routerKeys
 	}
-	k.stored, k.readAt, k.reload = stored, now, false
+	k.stored, k.plansReadAt, k.hasPlans, k.reload, k.storeClock = stored, calledAt, true, false, clock
 }
--- a/internal/router/streamstore.go
+++ b/internal/router/streamstore.go
@@ -59,6 +59,8 @@
 	histories map[messenger.PoolID]assigner.History
 	// planVersions are the versions of the rows with plans.
 	planVersions map[messenger.PoolID]uint64
+	// lacksPlans is true if a row with plans can't be read.
+	lacksPlans bool
 	// routers are the rows of routers, routerKeys their keys.
 	routers    []assigner.RouterRow
 	routerKeys []string
@@ -76,7 +78,7 @@
 		if pool, ok := strings.CutPrefix(row.Key, planKeyPrefix); ok {
 			history, err := assigner.ParseHistory(row.Value)
 			if err != nil {
-				unreadable = merry.Prepend(err, row.Key)
+				unreadable, s.lacksPlans = merry.Prepend(err, row.Key), true
 			}
 			s.histories[messenger.PoolID(pool)], s.planVersions[messenger.PoolID(pool)] = history, row.Version
 			continue
