router: incarnations of a router follow each other by the store's clock

Cause: rows about streams were ordered by incarnation, which is a router's time of day as it started. After a clock had stepped back, the row of the running process counted as the earlier one and was removed as outdated; its streams then stayed open after each new plan. Found by looking for what else is dated by a clock that may be wrong.

Change: rows are ordered by the time of the store's clock at which their process started.

TestClockStepKeepsTheRowOfTheRunningProcess failed before ("got [running] outdated, want [earlier]").

--- a/internal/assigner/find.go
+++ b/internal/assigner/find.go
@@ -80,7 +80,7 @@
 	if len(rows) == 0 {
 		return oldest
 	}
-	slices.SortFunc(rows, func(a, b *RouterRow) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	slices.SortFunc(rows, func(a, b *RouterRow) int { return cmp.Compare(a.StartedMs, b.StartedMs) })
 	first := h.Epoch()
 	if !rows[0].First && rows[0].StartedMs >= earliestMs {
 		first = oldest // there may have been one before, which stored nothing
--- a/internal/router/streamkeeper_test.go
+++ b/internal/router/streamkeeper_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -222,6 +223,19 @@
 	}
 }
 
+// TestClockStepKeepsTheRowOfTheRunningProcess guards against a router whose time of day was set back before it started
+// again: its incarnation is below that of its predecessor.
+func TestClockStepKeepsTheRowOfTheRunningProcess(t *testing.T) {
+	minute := assigner.Lifetime.Milliseconds()
+	s := storedStreams{
+		nowMs: 3 * minute, routerKeys: []string{"earlier", "running"},
+		routers: []assigner.RouterRow{{Router: "r1", Incarnation: 100}, {Router: "r1", Incarnation: 50, StartedMs: minute}},
+	}
+	if got, want := s.outdated("r1"), []string{"earlier"}; !slices.Equal(got, want) {
+		t.Errorf("got %v outdated, want %v", got, want)
+	}
+}
+
 // hangingStreams is a StreamStore that does not answer.
 type hangingStreams struct{ memoryStreams }
 
--- a/internal/router/streamstore.go
+++ b/internal/router/streamstore.go
@@ -94,12 +94,13 @@
 }
 
 // outdated returns the keys of the rows of a router's incarnations whose streams can't be resumed any
-// more, as their successors are older than any stream that can.
+// more, as their successors are older than any stream that can. Incarnations follow each other by the store's clock;
+// their numbers come from the router's time of day, which may have stepped back.
 func (s *storedStreams) outdated(name string) []string {
 	var keys []string
 	for i, row := range s.routers {
 		for _, other := range s.routers {
-			if row.Router == name && other.Router == name && other.Incarnation > row.Incarnation &&
+			if row.Router == name && other.Router == name && other.StartedMs > row.StartedMs &&
 				s.nowMs-other.StartedMs > assigner.Lifetime.Milliseconds() {
 				keys = append(keys, s.routerKeys[i])
 				break
