assigner: a stream whose end was sent is remembered for as long as its caller waits

Cause: such a stream was forgotten after 2 s. A caller whose connection breaks before the end arrives notices by silence, 2 s later at the earliest, and resumes it; the router then took the newest plan's version for a stream that it had begun itself under an earlier plan.

Change: it is kept like one that broke, until its caller stops waiting: some hundred streams of eight bytes a router at the size that the design is for. Outcome is gone, as only whether any event was sent matters.

TestCompleteStreamIsRememberedWhileItsCallerWaits failed before ("got version v2 for a stream that began at v1").

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -12,22 +12,6 @@
 	"lentilwood.example/lentilwood/internal/messenger"
 )
 
-// completeTTL is how long a stream is remembered after its end was sent: the caller may not have received it.
-const completeTTL = 2 * time.Second
-
-// Outcome is how an attempt at a stream ended.
-type Outcome int
-
-// Outcomes of an attempt.
-const (
-	// Undelivered means that the caller got no event of the attempt.
-	Undelivered Outcome = iota
-	// Complete means that the end of the stream was sent.
-	Complete
-	// Broken means that the stream ended before its end.
-	Broken
-)
-
 // Assigner holds the plans of all pools and the streams that one router has begun or resumed. It is safe
 // for concurrent use. The zero value has no plans.
 type Assigner struct {
@@ -83,8 +67,9 @@
 	s.attempts++
 }
 
-// End records how an attempt at a stream ended. Its caller waits until then at the longest.
-func (a *Assigner) End(now time.Time, pool messenger.PoolID, id StreamID, o Outcome, until time.Time) {
+// End records that an attempt at a stream has ended and whether its caller was sent any of its events. The caller may
+// resume the stream while it waits, until then at the longest, also after its end was sent: that may not have arrived.
+func (a *Assigner) End(pool messenger.PoolID, id StreamID, delivered bool, until time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	key := streamKey{pool, id}
@@ -93,15 +78,11 @@
 		return
 	}
 	s.attempts--
-	switch o {
-	case Complete:
-		s.expiresAt = now.Add(completeTTL)
-	case Broken:
+	switch {
+	case delivered:
 		s.expiresAt = until
-	case Undelivered:
-		if s.attempts == 0 && s.expiresAt.IsZero() {
-			delete(a.streams, key)
-		}
+	case s.attempts == 0 && s.expiresAt.IsZero():
+		delete(a.streams, key)
 	}
 }
 
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -129,7 +129,7 @@
 	version, _ := r.a.Begin(testPool, id)
 	f.streams = append(f.streams, simStream{id, version, f.nowMs})
 	if breaks {
-		r.a.End(f.now(), testPool, id, Broken, f.now().Add(Lifetime))
+		r.a.End(testPool, id, true, f.now().Add(Lifetime))
 	}
 }
 
--- a/internal/assigner/doc.go
+++ b/internal/assigner/doc.go
@@ -17,7 +17,7 @@
 //	a.Merge("assistant", history)
 //	version, ok := a.Begin("assistant", assigner.HashStream(attemptID))
 //	...
-//	a.End(now, "assistant", id, assigner.Broken, now.Add(patience))
+//	a.End("assistant", id, true, now.Add(patience))
 //	row.Pools = a.PoolStreams()
 //
 // The package does no I/O and has no clock; times are those of the store, in milliseconds, unless they
--- a/internal/router/hostedstreams.go
+++ b/internal/router/hostedstreams.go
@@ -59,20 +59,13 @@
 	return nil
 }
 
-// endStream records how far the caller got with a request that bindStream has bound.
+// endStream records that a request that bindStream has bound has ended.
 func (h *Hosted) endStream(out *dispatcher.Request, in *CallerHeaders, result dispatcher.Result) {
 	if !out.Resumable || originOf(in) == "" {
 		return
 	}
-	outcome := assigner.Broken
-	switch {
-	case result.FirstOutputAt.IsZero():
-		outcome = assigner.Undelivered
-	case result.Problem == "" && !result.Aborted && !result.CallerGone:
-		outcome = assigner.Complete
-	}
-	now := h.clock.Now()
-	h.streams.End(now, out.Arrive.Pool, assigner.HashStream(originOf(in)), outcome, now.Add(h.streams.longestWait(out.Arrive.Pool)))
+	until := h.clock.Now().Add(h.streams.longestWait(out.Arrive.Pool))
+	h.streams.End(out.Arrive.Pool, assigner.HashStream(originOf(in)), !result.FirstOutputAt.IsZero(), until)
 }
 
 // updateFleetView tells the keeper of streams what is known of the other routers. It runs on the control
--- a/internal/router/streamlease_test.go
+++ b/internal/router/streamlease_test.go
@@ -76,6 +76,27 @@
 	}
 }
 
+// TestCompleteStreamIsRememberedWhileItsCallerWaits guards against the same after the end of a stream was sent: the
+// connection broke before, and its caller notices seconds later.
+func TestCompleteStreamIsRememberedWhileItsCallerWaits(t *testing.T) {
+	f := newKeeperFleet(t)
+	for _, k := range f.keepers {
+		f.serve(k, "v1")
+	}
+	k, id := f.keepers[0], assigner.HashStream("stream")
+	f.clock.Advance(5 * time.Second)
+	version := f.begin(k, "stream")
+	k.End(streamPool, id, true, f.clock.Now().Add(assigner.Lifetime))
+	f.clock.Advance(3 * time.Second)
+	k.Expire(f.clock.Now())
+	f.serve(k, "v2")
+	f.serve(f.keepers[1], "v2")
+	f.clock.Advance(5 * time.Second)
+	if got, ok := f.find(k, "stream"); ok && got != version {
+		t.Errorf("got version %s for a stream that began at %s", got, version)
+	}
+}
+
 // exchange has each of two routers receive the other's message.
 func exchange(a, b *streamKeeper) {
 	asOf, checksum := [2]int64{a.asOf(), b.asOf()}, [2]uint32{a.Checksum(), b.Checksum()}
