router: a router of an earlier release counts before it is heard

Cause: routers that begin streams without plans were reckoned with for a minute after their last message, so one that the directory names but that had sent none yet was not: a router that had just started, or had been cut off, resumed its streams by the plans.

Change: until a message of it arrives, the time counts from when it became known.

TestRouterOfEarlierReleaseCountsBeforeItIsHeard failed before (a version was returned where none can be known).

--- a/internal/router/hostedjoin.go
+++ b/internal/router/hostedjoin.go
@@ -125,7 +125,7 @@
 	}
 	p, ok := h.peers[m.Name]
 	if !ok {
-		p = &hostedPeer{member: m, versions: make(map[follower.Table]uint64)}
+		p = &hostedPeer{member: m, addedAt: h.clock.Now(), versions: make(map[follower.Table]uint64)}
 		h.peers[m.Name] = p
 		h.candidatesChanged = true
 		h.setFleetSize(len(h.peers) + 1)
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -117,7 +117,9 @@
 
 // hostedPeer is the state of another router.
 type hostedPeer struct {
-	member       Member
+	member Member
+	// addedAt is when this router first knew of it.
+	addedAt      time.Time
 	lastReceived time.Time
 	lastProbe    time.Time
 	live         bool
--- a/internal/router/hostedstreams.go
+++ b/internal/router/hostedstreams.go
@@ -75,7 +75,7 @@
 	now, own := h.clock.Now(), xxhash.Sum64String(string(h.self))
 	for name, p := range h.peers {
 		v.names = append(v.names, name)
-		if !p.member.AssignsVersions && now.Sub(p.lastReceived) < assigner.Lifetime {
+		if !p.member.AssignsVersions && now.Sub(p.lastKnown()) < assigner.Lifetime {
 			v.unassigned = true
 		}
 		if (p.live || p.lastReceived.IsZero()) && xxhash.Sum64String(name) < own {
@@ -86,6 +86,14 @@
 	h.streams.setFleet(v)
 }
 
+// lastKnown returns when the router may last have begun streams: it need not have been heard of yet.
+func (p *hostedPeer) lastKnown() time.Time {
+	if p.lastReceived.IsZero() {
+		return p.addedAt
+	}
+	return p.lastReceived
+}
+
 // attachPlans adds this router's plans to a message if one of the receivers lacks some.
 func (h *Hosted) attachPlans(e *hostedEnvelope, receivers ...*hostedPeer) {
 	e.PlansAsOfMs = h.streams.asOf() // first: the plans may only become more
--- a/internal/router/streamlease_test.go
+++ b/internal/router/streamlease_test.go
@@ -76,6 +76,21 @@
 	}
 }
 
+// TestRouterOfEarlierReleaseCountsBeforeItIsHeard guards against the same with a router of a release before plans: the
+// directory names it, and no message of it has arrived yet.
+func TestRouterOfEarlierReleaseCountsBeforeItIsHeard(t *testing.T) {
+	f := newKeeperFleet(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h := NewHosted(HostedConfig{Settings: loader.Router{Name: "r2"}, Streams: f.store, Clock: f.clock, Log: log, Decoder: emptyDecoder{}})
+	h.upsertPeer(Member{Name: "r1", Incarnation: 1})
+	h.updateFleetView()
+	f.serve(h.streams, "v1", "v2")
+	if got, ok := f.find(h.streams, "elsewhere"); ok {
+		t.Errorf("got version %s, want the version not known", got)
+	}
+}
+
 // TestCompleteStreamIsRememberedWhileItsCallerWaits guards against the same after the end of a stream was sent: the
 // connection broke before, and its caller notices seconds later.
 func TestCompleteStreamIsRememberedWhileItsCallerWaits(t *testing.T) {
