router: a configuration that is applied says how large it is and how long it took

event=configuration had neither, so a configuration that comes late could not be told from one that takes long to read. lentilwood_rows_rejected_total counts rows that could not be read or were too large, by table.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -119,8 +119,9 @@
 	rows    map[Table]map[string]*entry
 	// completeVersion is, for each table, the version up to which all rows are known.
 	completeVersion map[Table]uint64
-	// configuration is the newest configuration that could be parsed.
-	configuration *Configuration
+	// configuration is the newest configuration that could be parsed, configurationBytes the length of its row.
+	configuration      *Configuration
+	configurationBytes int
 	// hasUnconfirmedDeletions is true while some deleted registration may still be in use.
 	hasUnconfirmedDeletions bool
 	// rejected holds the rows that could not be parsed since the last call of TakeRejected.
@@ -203,6 +204,9 @@
 	return 0
 }
 
+// ConfigurationBytes returns the length of the row with the configuration in use.
+func (f *Follower) ConfigurationBytes() int { return f.configurationBytes }
+
 // Merge applies a batch and reports whether it changed what requests are served with.
 func (f *Follower) Merge(now time.Time, b Batch) bool {
 	if f.rows[b.Table] == nil {
@@ -349,7 +353,7 @@
 	if f.configuration != nil && c.Table.Version() < f.configuration.Table.Version() {
 		return false
 	}
-	f.configuration = c
+	f.configuration, f.configurationBytes = c, len(row.Value)
 	return true
 }
 
--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -162,7 +162,9 @@
 	// after their next answer.
 	overloaded bool
 	follower   *follower.Follower
-	peers      map[string]*hostedPeer
+	// mergeTime is how long the last batch of rows took to merge.
+	mergeTime time.Duration
+	peers     map[string]*hostedPeer
 	// storeFollowers are the routers that continuously follow the store and send missing rows
 	// to the other routers.
 	storeFollowers []gossiper.Member
--- a/internal/router/hostedstore.go
+++ b/internal/router/hostedstore.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -68,7 +69,9 @@
 // merge merges rows from the store or another router; source names the origin. It runs on the
 // control goroutine.
 func (h *Hosted) merge(b follower.Batch, source string) {
-	changed := h.follower.Merge(h.clock.Now(), b)
+	began := h.clock.Now()
+	changed := h.follower.Merge(began, b)
+	h.mergeTime = h.clock.Now().Sub(began)
 	h.pulls[b.Table].version.Store(h.follower.Version(b.Table))
 	h.logRejectedRows()
 	if b.Restored {
@@ -82,6 +85,7 @@
 // logRejectedRows logs the rows that could not be parsed.
 func (h *Hosted) logRejectedRows() {
 	for _, r := range h.follower.TakeRejected() {
+		h.meter.Counter(fmt.Sprintf("lentilwood_rows_rejected_total{table=%q}", r.Table)).Inc()
 		h.log.WithFields(logrus.Fields{eventField: "rowRejected", "table": r.Table, "key": r.Key, rowVersionField: r.Version}).
 			WithError(r.Err).Warn("row rejected")
 	}
@@ -107,6 +111,7 @@
 		h.log.WithFields(logrus.Fields{
 			eventField: "configuration", "version": after.Table.Version(),
 			rowVersionField: h.follower.Version(follower.ConfigurationTable), "from": source,
+			"bytes": h.follower.ConfigurationBytes(), "ms": h.mergeTime.Milliseconds(),
 		}).Info("configuration applied")
 	}
 	h.logEvacuations(before, after, source)
