--- a/internal/router/streamrows.go
+++ b/internal/router/streamrows.go
@@ -111,18 +111,19 @@
 	return nil
 }
 
-// keep replaces what is known of the rows that were read by a call, unless a later call has read them.
+// keep replaces what is known of the rows that were read by a call, and of the plans unless a later call has
+// read them.
 func (k *streamKeeper) keep(stored storedStreams, prefix string, calledAt time.Duration, clock timekeeper.RemoteClock) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.failing = false
-	if k.hasPlans && calledAt < k.plansReadAt {
-		return
-	}
 	if prefix == allRows {
+		k.stored.routers, k.stored.routerKeys = stored.routers, stored.routerKeys
 		k.rowsReadAt, k.hasRows = calledAt, true
-	} else {
-		stored.routers, stored.routerKeys = k.stored.routers, k.stored.routerKeys
 	}
+	if k.hasPlans && calledAt < k.plansReadAt {
+		return
+	}
+	stored.routers, stored.routerKeys = k.stored.routers, k.stored.routerKeys
 	k.stored, k.plansReadAt, k.hasPlans, k.reload, k.storeClock = stored, calledAt, true, false, clock
 }
