router: the other routers are asked for the version of a stream that the plans leave open

A router that is silent and has not confirmed a plan may have begun any stream that the plan moved, for a lease after it, so all of these were refused, also those of routers that were there.

An answer about a router's own streams doesn't go out of date.

--- a/internal/router/hosted.go
+++ b/internal/router/hosted.go
@@ -247,6 +247,7 @@
 	h.quarantine.onBegin = h.dispatcher.RecheckQuarantine
 	h.keepEvidence()
 	h.streams = newStreamKeeper(h.cfg, h.meter, h.incarnation)
+	h.streams.ask = h.sendQuestion
 	h.streams.delay = func() time.Duration { return h.standstills.delay(h.clock) }
 	return h
 }
--- a/internal/router/hostedpeers.go
+++ b/internal/router/hostedpeers.go
@@ -94,6 +94,8 @@
 	// identifies its plans. A receiver with the same plans knows as much.
 	PlansAsOfMs   int64
 	PlansChecksum uint32
+	// Stream is the question about a stream, or its answer.
+	Stream *streamQuestion
 }
 
 // messageKind is the purpose of a message between routers.
@@ -113,6 +115,9 @@
 	kindGreeting
 	// kindIntroduction messages answer a greeting, or carry missing rows.
 	kindIntroduction
+	// kindStreamQuestion messages ask for the version of a stream, kindStreamAnswer messages answer them.
+	kindStreamQuestion
+	kindStreamAnswer
 )
 
 // hostedPeer is the state of another router.
@@ -160,6 +165,10 @@
 	if p == nil {
 		return
 	}
+	if e.Kind == kindStreamQuestion || e.Kind == kindStreamAnswer {
+		h.receiveStreamMessage(p, e)
+		return
+	}
 	p.lastReceived = h.clock.Now()
 	h.lastPeerMessageMicros.Store(p.lastReceived.UnixMicro())
 	if !p.live {
--- a/internal/router/streamfind.go
+++ b/internal/router/streamfind.go
@@ -19,6 +19,7 @@
 	foundHere   = "thisRouter"
 	foundByPlan = "plan"
 	foundByRows = "rows"
+	foundByPeer = "router"
 	foundNot    = "unknown"
 )
 
@@ -54,11 +55,16 @@
 	if version, ok := k.settled(q); ok {
 		return version, foundByPlan
 	}
-	if q.origin == "" || k.hasOtherRouters() || !k.readForCaller(ctx) {
+	if q.origin == "" {
 		return "", foundNot
 	}
-	if version, ok := k.History(q.pool).Find(q.pool, q.id(), k.view(q)); ok {
-		return version, foundByRows
+	if !k.hasOtherRouters() && k.readForCaller(ctx) {
+		if version, ok := k.History(q.pool).Find(q.pool, q.id(), k.view(q)); ok {
+			return version, foundByRows
+		}
+	}
+	if version, ok := k.askOthers(ctx, q); ok {
+		return version, foundByPeer
 	}
 	return "", foundNot
 }
--- a/internal/router/streamkeeper.go
+++ b/internal/router/streamkeeper.go
@@ -69,7 +69,10 @@
 	firstStart  bool
 	// delay returns by how much longer than usual a request that is read now may have been under way; nil
 	// means not at all.
-	delay     func() time.Duration
+	delay func() time.Duration
+	// ask sends a question about a stream to the other routers and returns how many are asked; nil if there
+	// are none.
+	ask       func(streamQuestion) int
 	startedAt time.Duration
 	wake      chan struct{}
 
@@ -96,6 +99,9 @@
 	unleased bool
 	// changed is closed when a plan is learnt, and replaced.
 	changed chan struct{}
+	// questions are those that wait for answers, by number; lastQuestion is the newest number.
+	questions    map[uint64]chan streamQuestion
+	lastQuestion uint64
 	// misfitSince is when the plan of a pool was first seen not to fit.
 	misfitSince map[messenger.PoolID]time.Time
 	// savedEpochs is the sum of epochs in the row that this router wrote last.
