--- a/internal/router/streamkeeper.go
+++ b/internal/router/streamkeeper.go
@@ -70,9 +70,9 @@
 	// delay returns by how much longer than usual a request that is read now may have been under way; nil
 	// means not at all.
 	delay func() time.Duration
-	// ask sends a question about a stream to the other routers and returns how many are asked; nil if there
-	// are none.
-	ask       func(streamQuestion) int
+	// ask sends a question about a stream to the other routers; the channel receives how many are asked. It
+	// is nil if there are none.
+	ask       func(streamQuestion) <-chan int
 	startedAt time.Duration
 	wake      chan struct{}
 
--- a/internal/router/streamquestion.go
+++ b/internal/router/streamquestion.go
@@ -42,9 +42,13 @@
 		return "", false
 	}
 	defer k.closeQuestion(question.ID)
-	for range k.ask(question) {
+	asked, expected := k.ask(question), maxAskedRouters
+	for received := 0; received < expected; {
 		select {
+		case expected = <-asked:
+			asked = nil
 		case answer := <-answers:
+			received++
 			if answer.Known {
 				return answer.Version, true
 			}
@@ -88,19 +92,23 @@
 	}
 }
 
-// sendQuestion sends a question to the live routers and returns how many are asked.
-func (h *Hosted) sendQuestion(q streamQuestion) int {
+// sendQuestion sends a question to the live routers. The channel that it returns receives how many are asked.
+func (h *Hosted) sendQuestion(q streamQuestion) <-chan int {
+	asked := make(chan int, 1)
+	h.control.callAsync(func() { asked <- h.sendToLiveRouters(q) })
+	return asked
+}
+
+func (h *Hosted) sendToLiveRouters(q streamQuestion) int {
+	if len(h.peers) > maxAskedRouters {
+		return 0
+	}
 	asked := 0
-	h.control.call(func() {
-		if len(h.peers) > maxAskedRouters {
-			return
+	for _, p := range h.peers {
+		if p.live && h.exchanger.Send(p.member.Address, hostedEnvelope{From: h.selfMember(), Kind: kindStreamQuestion, Stream: &q}) == nil {
+			asked++
 		}
-		for _, p := range h.peers {
-			if p.live && h.exchanger.Send(p.member.Address, hostedEnvelope{From: h.selfMember(), Kind: kindStreamQuestion, Stream: &q}) == nil {
-				asked++
-			}
-		}
-	})
+	}
 	return asked
 }
 
