--- a/internal/assigner/find.go
+++ b/internal/assigner/find.go
@@ -98,7 +98,7 @@
 func (h History) agreed(earliestMs int64, id StreamID, from, to uint64) (version string, ok bool) {
 	for i := range h.Plans {
 		p := &h.Plans[i]
-		if p.Epoch < from || p.Epoch > to || i+1 < len(h.Plans) && h.Plans[i+1].replacesUntil() < earliestMs {
+		if p.Epoch < from || p.Epoch > to || i+1 < len(h.Plans) && h.Plans[i+1].predecessorUsedUntil() < earliestMs {
 			continue
 		}
 		if ok && p.Version(id) != version {
@@ -111,5 +111,5 @@
 
 // isTruncated reports whether plans are missing under which a stream may have begun.
 func (h History) isTruncated(earliestMs int64) bool {
-	return h.Plans[0].Epoch > 1 && h.Plans[0].replacesUntil() >= earliestMs
+	return h.Plans[0].Epoch > 1 && h.Plans[0].predecessorUsedUntil() >= earliestMs
 }
--- a/internal/assigner/plan.go
+++ b/internal/assigner/plan.go
@@ -60,9 +60,9 @@
 // Version returns the version at which a stream begins.
 func (p *Plan) Version(id StreamID) string { return p.Versions[p.Slots[id%slotCount]] }
 
-// replacesUntil returns until when the plan before this one may be in use: by a router that read the plans just
+// predecessorUsedUntil returns until when the plan before this one may be in use: by a router that read the plans just
 // before this one was written, for a lease.
-func (p *Plan) replacesUntil() int64 {
+func (p *Plan) predecessorUsedUntil() int64 {
 	writtenMs := p.SinceMs + maxWriteDelay.Milliseconds()
 	if p.learnedMs > 0 {
 		writtenMs = min(writtenMs, p.learnedMs)
@@ -113,7 +113,7 @@
 
 // UsedSince reports whether a plan other than the newest one may have been in use at a time or later.
 func (h History) UsedSince(ms int64) bool {
-	return len(h.Plans) > 1 && h.newest().replacesUntil() >= ms
+	return len(h.Plans) > 1 && h.newest().predecessorUsedUntil() >= ms
 }
 
 // Patience returns the longest that callers are known to wait, by the plans.
