router: leases on plans are renewed by one router, as a rule

The second router in turn read the plans 0.1 s after the first was due, before the first one's message with its news had come. The first reads them at 0.45 s now, the next at 0.7 s.

--- a/internal/router/streamlease.go
+++ b/internal/router/streamlease.go
@@ -13,11 +13,11 @@
 // tells by the store's clock. A router that stood still or was cut off so finds its lease expired, whatever arrives first.
 
 const (
-	// renewalAge is the age of the plans at which the first router reads them again, before any lease expires;
-	// the next one waits renewalTurn longer, up to maxRenewalWait.
-	renewalAge     = assigner.Lease / 3
-	renewalTurn    = 100 * time.Millisecond
-	maxRenewalWait = assigner.Lease / 3
+	// renewalAge is the age of the plans at which the first router reads them again, before any lease expires.
+	// The next ones wait renewalTurn longer each, up to maxRenewalWait: meanwhile its messages reach them.
+	renewalAge     = 450 * time.Millisecond
+	renewalTurn    = 250 * time.Millisecond
+	maxRenewalWait = 400 * time.Millisecond
 	// failureTTL is for how long after a failed read callers don't wait for another one: meanwhile the store is
 	// asked again without them.
 	failureTTL = maxStreamRetryDelay + streamCallTimeout
